Contracts between packages

Cause: five parts are built at once and need fixed seams. Ruled out: sharing one package of types for everything (each seam has one owner); JSON between own processes (twirp with protobuf is smaller, and the budget for control is 2 KB/s for each proxy). Conclusion: the parts can be built side by side.

--- /dev/null
+++ b/cmd/measure/main.go
@@ -0,0 +1,4 @@
+// Command measure runs loads and faults against the real components.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/rpc/transport/transport.go
@@ -0,0 +1,165 @@
+// Package transport carries twirp calls between burdockwood's processes over
+// HTTP with a shared key.
+//
+// # Usage
+//
+//	client := transport.NewClient(key, transport.Options{})
+//	control := controlpb.NewControlProtobufClient(transport.URL(address), client)
+//
+//	handler := transport.Guard(key, mux)
+//	err := transport.Serve(ctx, listener, handler)
+//
+// A request without the key is answered with 401 before its body is read.
+package transport
+
+import (
+	"context"
+	"crypto/subtle"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	defaultDialTimeout = 500 * time.Millisecond
+	idleTimeout        = 60 * time.Second
+	headerTimeout      = 5 * time.Second
+	shutdownTimeout    = 2 * time.Second
+	maxIdlePerHost     = 4
+	maxHeaderBytes     = 16 << 10
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes = 8 << 20
+
+	keyHeader = "Authorization"
+	keyScheme = "Bearer "
+)
+
+type (
+	// Options adjust a client.
+	Options struct {
+		// DialTimeout bounds the time to open a connection; zero: 500 ms.
+		DialTimeout time.Duration
+		// TLS turns on TLS; nil: plain TCP.
+		TLS *tls.Config
+		// Traffic counts the bytes of all connections, if set.
+		Traffic *Traffic
+	}
+
+	// Traffic counts bytes on the wire.
+	Traffic struct {
+		Sent     atomic.Int64
+		Received atomic.Int64
+	}
+
+	countedConn struct {
+		net.Conn
+		traffic *Traffic
+	}
+
+	keyedRoundTripper struct {
+		key  string
+		next http.RoundTripper
+	}
+)
+
+// Read counts the bytes received.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.Received.Add(int64(n))
+	return n, err
+}
+
+// Write counts the bytes sent.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.Sent.Add(int64(n))
+	return n, err
+}
+
+// RoundTrip adds the key to a request.
+func (t *keyedRoundTripper) RoundTrip(request *http.Request) (*http.Response, error) {
+	if t.key == "" {
+		return t.next.RoundTrip(request)
+	}
+	keyed := request.Clone(request.Context())
+	keyed.Header.Set(keyHeader, keyScheme+t.key)
+	return t.next.RoundTrip(keyed)
+}
+
+// NewClient returns an HTTP client that presents key with each request.
+// Callers bound each call with its context.
+func NewClient(key string, options Options) *http.Client {
+	timeout := options.DialTimeout
+	if timeout == 0 {
+		timeout = defaultDialTimeout
+	}
+	dialer := &net.Dialer{Timeout: timeout, KeepAlive: headerTimeout}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil || options.Traffic == nil {
+			return conn, err
+		}
+		return &countedConn{Conn: conn, traffic: options.Traffic}, nil
+	}
+	next := &http.Transport{
+		DialContext:         dial,
+		TLSClientConfig:     options.TLS,
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+	return &http.Client{Transport: &keyedRoundTripper{key: key, next: next}}
+}
+
+// Guard answers 401 to each request that lacks the key. An empty key admits
+// every request.
+func Guard(key string, next http.Handler) http.Handler {
+	want := []byte(keyScheme + key)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got := []byte(r.Header.Get(keyHeader))
+		if key != "" && subtle.ConstantTimeCompare(got, want) != 1 {
+			http.Error(w, "wrong or missing key: check --key-file", http.StatusUnauthorized)
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, MaxBodyBytes)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Serve answers requests on listener until ctx ends.
+func Serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       2 * idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+	}
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return err
+	})
+	group.Go(func() error {
+		<-groupCtx.Done()
+		stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+		defer cancel()
+		if err := server.Shutdown(stopCtx); err != nil {
+			return server.Close()
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+// URL returns the base address of a process for a twirp client.
+func URL(address netip.AddrPort) string { return "http://" + address.String() }
