Parse, check, index and explain declarations

Cause: every role needs the declarations, and an operator needs each mistake named with line, field and fix. Ruled out: decoding into the structs directly, since it stops at the first wrong type and names no field.

--- a/internal/config/declaration/declaration.go
+++ b/internal/config/declaration/declaration.go
@@ -9,6 +9,7 @@
 //		// Each fault names the line, the field and the fix.
 //	}
 //	match := declared.Select(caller, request)
+//	why := declared.Explain(caller, request).Steps
 //
 // Declarations are one YAML document:
 //
@@ -29,7 +30,10 @@
 //
 // The selector with the highest priority that matches decides; two that match
 // at one priority are ordered by name. An empty condition matches everything.
-// A request that no selector matches is refused.
+// A request that no selector matches is refused. If several groups carry a
+// selector's group labels, the one whose name equals the caller's database is
+// chosen, else the first by name. Without any selector a request reaches the
+// group whose name equals its database.
 package declaration
 
 import (
@@ -46,8 +50,14 @@
 	KindWrite Kind = "write"
 	// KindAgedRead is a read that accepts data of a stated age.
 	KindAgedRead Kind = "aged-read"
+
+	// Format is the format that this release reads and writes.
+	Format = "burdockwood-1"
 )
 
+// Kinds are all kinds of requests.
+var Kinds = []Kind{KindRead, KindWrite, KindAgedRead}
+
 type (
 	// Kind is the kind of a request.
 	Kind string
@@ -57,56 +67,58 @@
 		Format    string     `yaml:"format"`
 		Groups    []Group    `yaml:"groups"`
 		Selectors []Selector `yaml:"selectors"`
+
+		index *Index
 	}
 
 	// Group declares a group of backend servers.
 	Group struct {
 		Name   cluster.GroupName `yaml:"name"`
-		Labels cluster.Labels    `yaml:"labels"`
+		Labels cluster.Labels    `yaml:"labels,omitempty"`
 		// Servers is the number of servers that the group has when whole.
 		Servers int `yaml:"servers"`
 		// ServerLabels sets labels of servers; the label "leaving: true"
 		// drains a server.
-		ServerLabels []ServerLabels `yaml:"server-labels"`
+		ServerLabels []ServerLabels `yaml:"server-labels,omitempty"`
 	}
 
 	// ServerLabels are labels that an operator gives a server.
 	ServerLabels struct {
 		Server cluster.ServerName `yaml:"server"`
-		Labels cluster.Labels     `yaml:"labels"`
+		Labels cluster.Labels     `yaml:"labels,omitempty"`
 	}
 
 	// Selector decides which requests reach which groups.
 	Selector struct {
 		Name     string         `yaml:"name"`
-		Priority int            `yaml:"priority"`
-		Callers  CallerMatch    `yaml:"callers"`
-		Requests RequestMatch   `yaml:"requests"`
-		Groups   cluster.Labels `yaml:"groups"`
+		Priority int            `yaml:"priority,omitempty"`
+		Callers  CallerMatch    `yaml:"callers,omitempty"`
+		Requests RequestMatch   `yaml:"requests,omitempty"`
+		Groups   cluster.Labels `yaml:"groups,omitempty"`
 		// Tenant names the class for fairness and histograms.
-		Tenant string `yaml:"tenant"`
+		Tenant string `yaml:"tenant,omitempty"`
 		// Weight is the tenant's share under overload, from 1.
-		Weight int `yaml:"weight"`
+		Weight int `yaml:"weight,omitempty"`
 		// Deadline bounds the time that a request may take.
-		Deadline time.Duration `yaml:"deadline"`
+		Deadline time.Duration `yaml:"deadline,omitempty"`
 		// MaxAge is the age that reads accept when they state none; zero:
 		// the newest data.
-		MaxAge time.Duration `yaml:"max-age"`
+		MaxAge time.Duration `yaml:"max-age,omitempty"`
 	}
 
 	// CallerMatch is a condition on the caller; all given parts must hold.
 	CallerMatch struct {
-		Databases    []string       `yaml:"databases"`
-		Users        []string       `yaml:"users"`
-		Applications []string       `yaml:"applications"`
-		Addresses    []netip.Prefix `yaml:"addresses"`
-		Labels       cluster.Labels `yaml:"labels"`
+		Databases    []string       `yaml:"databases,omitempty"`
+		Users        []string       `yaml:"users,omitempty"`
+		Applications []string       `yaml:"applications,omitempty"`
+		Addresses    []netip.Prefix `yaml:"addresses,omitempty"`
+		Labels       cluster.Labels `yaml:"labels,omitempty"`
 	}
 
 	// RequestMatch is a condition on the request.
 	RequestMatch struct {
-		Kinds  []Kind         `yaml:"kinds"`
-		Labels cluster.Labels `yaml:"labels"`
+		Kinds  []Kind         `yaml:"kinds,omitempty"`
+		Labels cluster.Labels `yaml:"labels,omitempty"`
 	}
 
 	// Caller is who sends a request.
@@ -137,6 +149,9 @@
 
 	// Fault is one mistake in a declaration.
 	Fault struct {
+		// File is the name of the file; empty if there is only a text.
+		File string
+		// Line counts from 1; 0 if the fault has no line.
 		Line  int
 		Field string
 		Text  string
--- /dev/null
+++ b/internal/config/declaration/fault.go
@@ -0,0 +1,36 @@
+package declaration
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// String returns the fault on one line: "file:line: field: text (fix)".
+func (f Fault) String() string {
+	var b strings.Builder
+	if f.File != "" {
+		b.WriteString(f.File + ":")
+	}
+	if f.Line > 0 {
+		fmt.Fprintf(&b, "%d:", f.Line)
+	}
+	if b.Len() > 0 {
+		b.WriteByte(' ')
+	}
+	if f.Field != "" {
+		b.WriteString(f.Field + ": ")
+	}
+	b.WriteString(f.Text)
+	if f.Fix != "" {
+		b.WriteString(" (" + f.Fix + ")")
+	}
+	return b.String()
+}
+
+func sortFaults(faults []Fault) {
+	slices.SortStableFunc(faults, func(a, b Fault) int {
+		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line))
+	})
+}
