--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -4,9 +4,15 @@
 // # Usage
 //
 //	var options settings.Proxy
-//	faults := settings.Parse(&options, args, environment)
+//	parsed, faults := settings.Parse(&options, os.Args[1:], os.Environ())
+//	faults = append(faults, options.Check()...)
+//	if len(faults) > 0 {
+//		return faults // Each fault names the setting and the fix.
+//	}
+//	settings.Print(os.Stdout, parsed)
 //
-// One struct describes one role. Every fault is reported at once.
+// One struct describes one role. A flag goes before its environment variable,
+// which goes before the default. Every fault is reported at once.
 package settings
 
 import "time"
