Admission: count tenants active lately and keep headroom

Cause: the fair queue admitted requests that were then overtaken: the share of a tenant was estimated from the tenants that wait at that moment, and the mean service time leaves no room for its spread. Change: tenants that sent something within 500 ms count in the share; a request is admitted if 1/0.6 of its expected time fits its deadline.

--- a/internal/experiment/admission/admission.go
+++ b/internal/experiment/admission/admission.go
@@ -33,6 +33,8 @@
 	deadline    = 250 * time.Millisecond
 	length      = 60 * time.Second
 	steadyShare = 0.4
+	// refusalTarget is the time within which a refusal is to be answered.
+	refusalTarget = 50 * time.Millisecond
 )
 
 type (
@@ -52,6 +54,8 @@
 		SteadyCompleted int `json:"steady-completed"`
 		Refused         int `json:"refused"`
 		Late            int `json:"late"`
+		// HeldRefusals are the refusals that took longer than the target.
+		HeldRefusals int `json:"held-refusals"`
 		// SlowestRefusal is the longest time until a refusal.
 		SlowestRefusal time.Duration `json:"slowest-refusal"`
 	}
@@ -92,8 +96,8 @@
 
 // String returns the row as one line.
 func (r Row) String() string {
-	return fmt.Sprintf("%-22s completed %6d  steady %6d  refused %6d  late %6d  slowest refusal %v",
-		r.Way, r.Completed, r.SteadyCompleted, r.Refused, r.Late, r.SlowestRefusal)
+	return fmt.Sprintf("%-22s completed %6d  steady %6d  refused %6d  held %4d  late %6d  slowest refusal %v",
+		r.Way, r.Completed, r.SteadyCompleted, r.Refused, r.HeldRefusals, r.Late, r.SlowestRefusal)
 }
 
 // Run gives the same load to each way.
@@ -185,6 +189,9 @@
 		q := r.waiting[refusal.Ticket]
 		delete(r.waiting, refusal.Ticket)
 		r.row.Refused++
+		if now.Sub(q.sent) > refusalTarget {
+			r.row.HeldRefusals++
+		}
 		r.row.SlowestRefusal = max(r.row.SlowestRefusal, now.Sub(q.sent))
 	}
 }
--- a/internal/experiment/admission/admission_test.go
+++ b/internal/experiment/admission/admission_test.go
@@ -41,3 +41,12 @@
 		}
 	}
 }
+
+func TestRefusalsAreAnsweredAtOnce(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		overload := find(t, admission.Run(admission.Load{Seed: seed, Factor: 2}), chosen)
+		if got, want := overload.HeldRefusals*1000, overload.Refused; got > want {
+			t.Errorf("seed %d: %d of %d refusals were held, want at most 1 in 1000", seed, overload.HeldRefusals, overload.Refused)
+		}
+	}
+}
--- a/internal/proxy/admit/admit.go
+++ b/internal/proxy/admit/admit.go
@@ -47,6 +47,12 @@
 	minRetryAfter    = 20 * time.Millisecond
 	maxRetryAfter    = 5 * time.Second
 	serviceSmoothing = 16
+	// headroomPercent is the part of the time to the deadline that a request
+	// is expected to wait at most. The rest covers the spread of service times.
+	headroomPercent = 60
+	// recentOffer is the time for which a tenant that sends nothing still
+	// counts as one that competes.
+	recentOffer = 500 * time.Millisecond
 	// idleTenants is the number of tenants without work that are remembered.
 	idleTenants = 256
 )
@@ -123,6 +129,8 @@
 		weight  int
 		virtual float64
 		queue   []waiter
+		// offered is when the tenant last sent a request.
+		offered time.Time
 	}
 
 	waiter struct {
@@ -150,16 +158,17 @@
 	q.next++
 	ticket := q.next
 	t := q.tenant(request)
+	t.offered = now
 	if q.running < q.config.Limit && q.waiting == 0 {
 		q.start(t)
 		return Decision{Outcome: Run, Ticket: ticket}
 	}
 	if len(t.queue) >= q.config.MaxQueue {
-		return Decision{Outcome: Refuse, RetryAfter: q.retryAfter(t), Reason: ReasonQueueFull}
+		return Decision{Outcome: Refuse, RetryAfter: q.retryAfter(t, now), Reason: ReasonQueueFull}
 	}
-	wait := q.expectedWait(t)
-	if misses(request.Deadline, now.Add(wait+q.Service())) {
-		return Decision{Outcome: Refuse, RetryAfter: q.retryAfter(t), Reason: ReasonDeadline}
+	wait := q.expectedWait(t, now)
+	if misses(request.Deadline, now.Add(withHeadroom(wait+q.Service()))) {
+		return Decision{Outcome: Refuse, RetryAfter: q.retryAfter(t, now), Reason: ReasonDeadline}
 	}
 	if len(t.queue) == 0 {
 		t.virtual = max(t.virtual, q.virtual)
@@ -209,7 +218,7 @@
 		kept := t.queue[:0]
 		for _, w := range t.queue {
 			if misses(w.deadline, finish) {
-				changes.Refused = append(changes.Refused, Refusal{Ticket: w.ticket, RetryAfter: q.retryAfter(t)})
+				changes.Refused = append(changes.Refused, Refusal{Ticket: w.ticket, RetryAfter: q.retryAfter(t, now)})
 				q.waiting--
 				continue
 			}
@@ -293,28 +302,27 @@
 }
 
 // expectedWait is the time until a request that joins the tenant's queue now
-// would start, by the share that the tenant gets among those that wait.
-func (q *Queue) expectedWait(t *tenant) time.Duration {
+// would start, by the share that the tenant gets among those that wait or have
+// sent requests lately: theirs may go first.
+func (q *Queue) expectedWait(t *tenant, now time.Time) time.Duration {
 	if q.config.Limit == 0 {
 		return maxRetryAfter
 	}
 	weights := t.weight
 	for _, other := range q.tenants {
-		if other != t && len(other.queue) > 0 {
+		if other != t && (len(other.queue) > 0 || now.Sub(other.offered) < recentOffer) {
 			weights += other.weight
 		}
 	}
 	share := float64(t.weight) / float64(weights)
 	rate := float64(q.config.Limit) / q.service
 	ahead := float64(len(t.queue) + 1)
-	behindAll := float64(q.waiting + 1)
-	wait := min(ahead/(rate*share), behindAll/rate)
-	return time.Duration(wait)
+	return time.Duration(ahead / (rate * share))
 }
 
 // retryAfter is the spread time in which the tenant's queue is worked off.
-func (q *Queue) retryAfter(t *tenant) time.Duration {
-	base := min(max(q.expectedWait(t), minRetryAfter), maxRetryAfter)
+func (q *Queue) retryAfter(t *tenant, now time.Time) time.Duration {
+	base := min(max(q.expectedWait(t, now), minRetryAfter), maxRetryAfter)
 	return base/2 + time.Duration(q.config.Random.Int64N(int64(base)))
 }
 
@@ -322,3 +330,8 @@
 func misses(deadline, finish time.Time) bool {
 	return !deadline.IsZero() && finish.After(deadline)
 }
+
+// withHeadroom is the time to plan for when the expected time is given.
+func withHeadroom(expected time.Duration) time.Duration {
+	return expected * 100 / headroomPercent
+}
