Agreement of the control nodes, first version

Cause: control's state must survive lost disks, cut-off nodes and restarts without a person, on the project's own replicated log. Ruled out: "remove the old disk, then add the new one" as two configuration entries (a step with fewer members); one swap that counts only the new members (its majorities need not meet those of the old). One entry that needs both majorities until it is known to be committed has neither fault. Change: the pure core (internal/control/quorum), the synced log (internal/control/wal), the runtime (internal/control/node) and their messages (internal/rpc/peerpb, internal/control/codec).

--- /dev/null
+++ b/internal/control/node/loop.go
@@ -0,0 +1,342 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/burdockwood/burdockwood/internal/control/quorum"
+	"github.com/burdockwood/burdockwood/internal/control/replica"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+// maxEvents bounds the events that one sync covers.
+const maxEvents = 512
+
+type (
+	// event is one of: messages of a peer, a proposal, a read.
+	event struct {
+		messages []quorum.Message
+		// reply gets the messages for the sender, if set.
+		reply    chan<- []quorum.Message
+		proposal *proposal
+		read     *read
+	}
+
+	proposal struct {
+		command []byte
+		term    uint64
+		answer  chan outcome
+	}
+
+	read struct {
+		// index must be applied before the answer; set once confirmed.
+		index     uint64
+		confirmed bool
+		answer    chan outcome
+	}
+
+	outcome struct {
+		result []byte
+		err    error
+	}
+)
+
+// Run takes part in the agreement until ctx ends. It can be called once.
+func (n *Node) Run(ctx context.Context) error {
+	if n.ended.Swap(true) {
+		return eris.New("node: Run was called before")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var group run.Group
+	group.Add(func() error { return n.loop(ctx) }, func(error) { cancel() })
+	group.Add(func() error { return n.send(ctx) }, func(error) { cancel() })
+	err := group.Run()
+	if ctx.Err() != nil && errors.Is(err, ctx.Err()) {
+		err = nil
+	}
+	close(n.done)
+	n.failAll()
+	n.publish(quorum.Status{})
+	err = joinClose(err, n.log)
+	return joinClose(err, n.folder)
+}
+
+// send runs one sender for each peer.
+func (n *Node) send(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, s := range n.senders {
+		group.Go(func() error { return s.run(ctx) })
+	}
+	group.Go(func() error {
+		<-ctx.Done()
+		return ctx.Err()
+	})
+	return group.Wait()
+}
+
+// loop is the only goroutine that touches the core, the log and the machine.
+func (n *Node) loop(ctx context.Context) error {
+	if err := n.applyStored(); err != nil {
+		return err
+	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		timer.Reset(max(0, n.core.Deadline().Sub(n.now())))
+		var batch []event
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+		case e := <-n.events:
+			batch = n.drain(e)
+		}
+		if err := n.step(batch); err != nil {
+			return err
+		}
+	}
+}
+
+// applyStored applies what is known to be committed from before the start.
+func (n *Node) applyStored() error { return n.work(nil) }
+
+// drain collects the events that wait behind the first one.
+func (n *Node) drain(first event) []event {
+	batch := []event{first}
+	for len(batch) < maxEvents {
+		select {
+		case e := <-n.events:
+			batch = append(batch, e)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// step hands a batch of events to the core and does the work that follows.
+func (n *Node) step(batch []event) error {
+	now := n.now()
+	for _, e := range batch {
+		for _, m := range e.messages {
+			if err := n.core.Step(m, now); err != nil {
+				return err
+			}
+		}
+		if e.read != nil {
+			n.beginRead(e.read, now)
+		}
+	}
+	n.core.Tick(now)
+	n.propose(batch, now)
+	return n.work(batch)
+}
+
+// propose appends all commands of a batch.
+func (n *Node) propose(batch []event, now time.Time) {
+	var commands [][]byte
+	var proposals []*proposal
+	for _, e := range batch {
+		if e.proposal != nil {
+			commands = append(commands, e.proposal.command)
+			proposals = append(proposals, e.proposal)
+		}
+	}
+	if len(commands) == 0 {
+		return
+	}
+	index, term, err := n.core.Propose(commands, now)
+	for i, p := range proposals {
+		if err != nil {
+			p.answer <- outcome{err: replica.ErrNotLeader}
+			continue
+		}
+		p.term = term
+		n.proposals[index+uint64(i)] = p
+	}
+}
+
+func (n *Node) beginRead(r *read, now time.Time) {
+	n.nextToken++
+	if err := n.core.Read(n.nextToken, now); err != nil {
+		r.answer <- outcome{err: replica.ErrNotLeader}
+		return
+	}
+	n.reads[n.nextToken] = r
+}
+
+// work does what the core asks for until it asks for nothing more.
+func (n *Node) work(batch []event) error {
+	replies := newReplies(batch)
+	for n.core.HasReady() {
+		now := n.now()
+		ready := n.core.Ready(now)
+		if err := n.store(ready); err != nil {
+			return err
+		}
+		n.dispatch(ready.Messages, replies)
+		n.apply(ready.Committed)
+		n.core.Advance(ready, now)
+		n.takeReads(ready.Reads)
+	}
+	replies.finish()
+	n.publish(n.core.Status())
+	n.answerReads()
+	return n.compact()
+}
+
+// store makes the core's work durable.
+func (n *Node) store(ready quorum.Ready) error {
+	if s := ready.Snapshot; s != nil {
+		if err := n.log.SaveSnapshot(s, ready.HardState, ready.Entries); err != nil {
+			return err
+		}
+		n.logger.Info("installed a snapshot of the leader", "index", s.Index)
+		return n.restore(s)
+	}
+	if !ready.Sync {
+		return nil
+	}
+	return n.log.Save(ready.HardState, ready.Entries)
+}
+
+// restore replaces the machine's state.
+func (n *Node) restore(s *quorum.Snapshot) error {
+	if err := n.machine.Restore(s.Data); err != nil {
+		return eris.Wrapf(err, "restore the snapshot of position %d", s.Index)
+	}
+	n.applied, n.snapshotIndex = s.Index, s.Index
+	n.index.Store(s.Index)
+	return nil
+}
+
+// apply hands committed commands to the machine and answers their proposals.
+func (n *Node) apply(entries []quorum.Entry) {
+	for _, e := range entries {
+		var result []byte
+		if e.Kind == quorum.EntryCommand {
+			result = n.machine.Apply(e.Index, e.Data)
+		}
+		if e.Kind == quorum.EntryConfiguration {
+			n.logger.Info("members changed", "index", e.Index, "members", names(e.Configuration.Members))
+		}
+		n.applied = e.Index
+		n.index.Store(e.Index)
+		p := n.proposals[e.Index]
+		if p == nil {
+			continue
+		}
+		delete(n.proposals, e.Index)
+		if p.term != e.Term {
+			p.answer <- outcome{err: replica.ErrNotLeader}
+			continue
+		}
+		p.answer <- outcome{result: result}
+	}
+}
+
+func names(members []quorum.Member) []cluster.NodeName {
+	list := make([]cluster.NodeName, 0, len(members))
+	for _, m := range members {
+		list = append(list, m.Node)
+	}
+	return list
+}
+
+func (n *Node) takeReads(states []quorum.ReadState) {
+	for _, s := range states {
+		r := n.reads[s.Token]
+		if r == nil {
+			continue
+		}
+		if !s.Confirmed {
+			delete(n.reads, s.Token)
+			r.answer <- outcome{err: replica.ErrNotLeader}
+			continue
+		}
+		r.index, r.confirmed = s.Index, true
+	}
+}
+
+// answerReads answers the confirmed reads whose position is applied.
+func (n *Node) answerReads() {
+	for token, r := range n.reads {
+		if r.confirmed && r.index <= n.applied {
+			delete(n.reads, token)
+			r.answer <- outcome{}
+		}
+	}
+}
+
+// compact takes a snapshot once the log has grown enough.
+func (n *Node) compact() error {
+	grown := n.applied - n.snapshotIndex
+	if grown == 0 || (grown < n.options.SnapshotEntries && n.log.Size() < n.options.SnapshotBytes) {
+		return nil
+	}
+	data, err := n.machine.Snapshot()
+	if err != nil {
+		return eris.Wrap(err, "take a snapshot")
+	}
+	s := n.core.Compact(data)
+	state, entries := n.core.Tail()
+	if err := n.log.SaveSnapshot(s, state, entries); err != nil {
+		return err
+	}
+	n.snapshotIndex = s.Index
+	n.logger.V(1).Info("took a snapshot", "index", s.Index, "bytes", len(data))
+	return nil
+}
+
+// failAll answers everything that waits when Run ends.
+func (n *Node) failAll() {
+	n.failProposals()
+	for token, r := range n.reads {
+		delete(n.reads, token)
+		r.answer <- outcome{err: replica.ErrNotLeader}
+	}
+	for {
+		select {
+		case e := <-n.events:
+			e.refuse()
+		default:
+			return
+		}
+	}
+}
+
+// failProposals answers the proposals of a leadership that was lost.
+func (n *Node) failProposals() {
+	for index, p := range n.proposals {
+		delete(n.proposals, index)
+		p.answer <- outcome{err: replica.ErrUnknownOutcome}
+	}
+}
+
+// refuse answers an event that was never taken.
+func (e event) refuse() {
+	if e.proposal != nil {
+		e.proposal.answer <- outcome{err: replica.ErrNotLeader}
+	}
+	if e.read != nil {
+		e.read.answer <- outcome{err: replica.ErrNotLeader}
+	}
+}
+
+// joinClose closes c and adds its error.
+func joinClose[T interface {
+	comparable
+	Close() error
+}](err error, c T) error {
+	var none T
+	if c == none {
+		return err
+	}
+	return errors.Join(err, c.Close())
+}
--- /dev/null
+++ b/internal/control/node/publish.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"math"
+	"net/netip"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/control/quorum"
+	"github.com/burdockwood/burdockwood/internal/control/replica"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+// membersInterval is how often the list of members is renewed.
+const membersInterval = 100 * time.Millisecond
+
+// publish shows the core's state to the node's users.
+func (n *Node) publish(status quorum.Status) {
+	n.publishMembers(status)
+	old := n.view.Load()
+	next := &view{leads: status.Role == quorum.RoleLeader, epoch: status.Term}
+	if !status.Leader.IsZero() {
+		next.known = true
+		next.leader = replica.LeaderInfo{
+			Name: status.Leader.Node, Address: n.address(status.Leader.Node), Epoch: status.Term,
+		}
+	}
+	if *next == *old {
+		return
+	}
+	if old.leads && (!next.leads || next.epoch != old.epoch) {
+		n.failProposals()
+	}
+	n.view.Store(next)
+	if next.leads == old.leads && next.leader == old.leader && next.known == old.known {
+		return
+	}
+	n.logger.Info("leadership changed", "epoch", next.epoch, "leads", next.leads, "leader", next.leader.Name)
+	changed := make(chan struct{})
+	close(*n.changed.Swap(&changed))
+}
+
+// address returns the address of a listed node.
+func (n *Node) address(name cluster.NodeName) netip.AddrPort {
+	for _, p := range n.options.Peers {
+		if p.Name == name {
+			return p.Address
+		}
+	}
+	return netip.AddrPort{}
+}
+
+func (n *Node) publishMembers(status quorum.Status) {
+	now := n.now()
+	if now.Before(n.membersDue) {
+		return
+	}
+	n.membersDue = now.Add(membersInterval)
+	var list []replica.MemberInfo
+	for _, m := range n.core.Members() {
+		info := replica.MemberInfo{
+			Name: m.Node, Address: m.Address, Incarnation: m.Disk, Voter: m.Voter, Matched: m.Matched,
+		}
+		self := m.Node == n.options.Name
+		if status.Role == quorum.RoleLeader && !self {
+			info.LastHeardMS = milliseconds(now.Sub(m.Heard))
+		}
+		list = append(list, info)
+	}
+	n.members.Store(&list)
+}
+
+func milliseconds(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
+}
--- /dev/null
+++ b/internal/control/quorum/election.go
@@ -0,0 +1,173 @@
+package quorum
+
+import "time"
+
+// resetElection sets the time of the next campaign.
+func (c *Core) resetElection(now time.Time) {
+	c.electionDeadline = now.Add(randomTimeout(c.options.Random, &c.options))
+}
+
+// canCampaign reports whether this node votes in an active configuration.
+func (c *Core) canCampaign() bool {
+	for _, config := range c.log.active() {
+		if config.Has(c.self) {
+			return true
+		}
+	}
+	return false
+}
+
+// hearsLeader reports whether a leader is alive as far as this node knows.
+func (c *Core) hearsLeader(now time.Time) bool {
+	if c.role == RoleLeader {
+		return true
+	}
+	return !c.leader.IsZero() && now.Sub(c.leaderHeard) < c.options.ElectionMin
+}
+
+// becomeFollower enters a term, or leaves leadership within the same one.
+func (c *Core) becomeFollower(term uint64, leader ID, now time.Time) {
+	if term != c.state.Term {
+		c.state.Term = term
+		c.state.Vote = ID{}
+		c.out.hardStateDirty = true
+	}
+	if c.role == RoleLeader {
+		c.failReads()
+	}
+	if leader != c.leader || c.role != RoleFollower {
+		c.incoming = incomingSnapshot{}
+	}
+	c.role = RoleFollower
+	c.leader = leader
+	c.progress = nil
+	c.votes = nil
+	c.resetElection(now)
+}
+
+// campaign starts a pre-vote or, as RoleCandidate, an election.
+func (c *Core) campaign(role Role, now time.Time) {
+	c.role = role
+	c.leader = ID{}
+	c.votes = map[ID]bool{c.self: true}
+	c.resetElection(now)
+	kind, term := MessagePreVote, c.state.Term+1
+	if role == RoleCandidate {
+		c.state.Term = term
+		c.state.Vote = c.self
+		c.out.hardStateDirty = true
+		kind = MessageVote
+	}
+	for _, m := range c.activeMembers() {
+		if m.ID == c.self {
+			continue
+		}
+		c.send(Message{Kind: kind, To: m.ID, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm()})
+	}
+	c.countVotes(now)
+}
+
+// countVotes moves on once a majority has granted.
+func (c *Core) countVotes(now time.Time) {
+	granted := func(id ID) bool { return c.votes[id] }
+	if !c.hasQuorum(granted) {
+		return
+	}
+	if c.role == RolePreCandidate {
+		c.campaign(RoleCandidate, now)
+		return
+	}
+	c.becomeLeader(now)
+}
+
+func (c *Core) becomeLeader(now time.Time) {
+	c.role = RoleLeader
+	c.leader = c.self
+	c.votes = nil
+	c.progress = map[ID]*progress{}
+	c.reads = readQueue{}
+	c.syncProgress(now)
+	c.append(Entry{Index: c.log.last() + 1, Term: c.state.Term, Kind: EntryNoop})
+	c.heartbeatDue = now.Add(c.options.Heartbeat)
+}
+
+// hasQuorum reports whether the members for which ok holds are a majority of
+// each active configuration.
+func (c *Core) hasQuorum(ok func(ID) bool) bool {
+	active := c.log.active()
+	for _, config := range active {
+		count := 0
+		for _, m := range config.Members {
+			if ok(m.ID) {
+				count++
+			}
+		}
+		if count <= len(config.Members)/2 {
+			return false
+		}
+	}
+	return len(active) > 0
+}
+
+// activeMembers returns the members of all active configurations.
+func (c *Core) activeMembers() []Member {
+	var members []Member
+	seen := map[ID]bool{}
+	for _, config := range c.log.active() {
+		for _, m := range config.Members {
+			if !seen[m.ID] {
+				seen[m.ID] = true
+				members = append(members, m)
+			}
+		}
+	}
+	return members
+}
+
+// isUpToDate reports whether a candidate's log is not behind the own.
+func (c *Core) isUpToDate(m Message) bool {
+	own := c.log.lastTerm()
+	return m.LogTerm > own || (m.LogTerm == own && m.Index >= c.log.last())
+}
+
+func (c *Core) stepPreVote(m Message, now time.Time) {
+	if c.isRetired(m.From) {
+		c.send(Message{Kind: MessageRetired, To: m.From})
+		return
+	}
+	if m.Term > c.state.Term && !c.hearsLeader(now) && c.isUpToDate(m) {
+		c.send(Message{Kind: MessagePreVoteAnswer, To: m.From, Term: m.Term})
+		return
+	}
+	c.send(Message{Kind: MessagePreVoteAnswer, To: m.From, Reject: true})
+}
+
+func (c *Core) stepPreVoteAnswer(m Message, now time.Time) {
+	if c.role != RolePreCandidate || m.Reject || m.Term != c.state.Term+1 {
+		return
+	}
+	c.votes[m.From] = true
+	c.countVotes(now)
+}
+
+func (c *Core) stepVote(m Message, now time.Time) {
+	free := c.state.Vote.IsZero() || c.state.Vote == m.From
+	if !free || !c.isUpToDate(m) || c.hearsLeader(now) {
+		c.send(Message{Kind: MessageVoteAnswer, To: m.From, Reject: true})
+		return
+	}
+	if c.state.Vote != m.From {
+		c.state.Vote = m.From
+		c.out.hardStateDirty = true
+	}
+	c.resetElection(now)
+	c.send(Message{Kind: MessageVoteAnswer, To: m.From})
+}
+
+func (c *Core) stepVoteAnswer(m Message, now time.Time) {
+	if c.role != RoleCandidate || m.Reject {
+		return
+	}
+	c.votes[m.From] = true
+	c.countVotes(now)
+}
--- /dev/null
+++ b/internal/control/quorum/forming.go
@@ -0,0 +1,189 @@
+package quorum
+
+import (
+	"encoding/binary"
+	"hash/crc64"
+	"slices"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+// genesisTerm is the term of the first configuration's entry.
+const genesisTerm = 1
+
+var viewTable = crc64.MakeTable(crc64.ECMA)
+
+// formation is what a node without a cluster knows of the others.
+type formation struct {
+	disks map[cluster.NodeName]cluster.Incarnation
+	// superseded are disks that a later one of the same node replaced.
+	superseded map[ID]bool
+	// agreed are the nodes that told the same view as the own.
+	agreed map[cluster.NodeName]bool
+}
+
+func (f *formation) init() {
+	f.disks = map[cluster.NodeName]cluster.Incarnation{}
+	f.superseded = map[ID]bool{}
+	f.agreed = map[cluster.NodeName]bool{}
+}
+
+// observe takes an identity, and reports whether it is new; a new disk undoes
+// all agreement.
+func (f *formation) observe(id ID) bool {
+	old, known := f.disks[id.Node]
+	if f.superseded[id] || (known && old == id.Disk) {
+		return false
+	}
+	if known {
+		f.superseded[ID{Node: id.Node, Disk: old}] = true
+	}
+	f.disks[id.Node] = id.Disk
+	clear(f.agreed)
+	return true
+}
+
+// isCurrent reports whether id is the newest known disk of its node.
+func (f *formation) isCurrent(id ID) bool { return f.disks[id.Node] == id.Disk }
+
+// tickProbe asks the other nodes for their identities.
+func (c *Core) tickProbe(now time.Time) {
+	if now.Before(c.probeDue) {
+		return
+	}
+	c.probeDue = now.Add(c.options.ElectionMin)
+	if c.hearsLeader(now) {
+		return
+	}
+	for _, name := range c.otherNodes() {
+		c.send(Message{Kind: MessageProbe, To: ID{Node: name}, View: c.view()})
+	}
+}
+
+func (c *Core) stepProbe(m Message, now time.Time) {
+	if c.formed() {
+		c.answerProbeFormed(m, now)
+		return
+	}
+	if m.Cluster != 0 {
+		c.adoptGenesis(m, now)
+		return
+	}
+	if c.forming.observe(m.From) {
+		c.probeDue = now
+	}
+	if view := c.view(); view != 0 && m.View == view && c.forming.isCurrent(m.From) {
+		c.forming.agreed[m.From.Node] = true
+	}
+	if m.Kind == MessageProbe {
+		c.send(Message{Kind: MessageProbeAnswer, To: m.From, View: c.view()})
+	}
+	c.tryForm(now)
+}
+
+// answerProbeFormed tells a node that asks that a cluster exists.
+func (c *Core) answerProbeFormed(m Message, now time.Time) {
+	if m.Kind != MessageProbe {
+		return
+	}
+	if c.isRetired(m.From) && m.Cluster == c.state.Cluster {
+		c.send(Message{Kind: MessageRetired, To: m.From})
+		return
+	}
+	if m.Cluster == 0 || m.Cluster == c.state.Cluster {
+		c.learn(m.From, now)
+	}
+	c.send(Message{Kind: MessageProbeAnswer, To: m.From, Configuration: c.genesis()})
+}
+
+// genesis returns the first configuration if the log still holds it.
+func (c *Core) genesis() *Configuration {
+	if c.log.base != 0 || len(c.log.entries) == 0 {
+		return nil
+	}
+	return c.log.entries[0].Configuration
+}
+
+// adoptGenesis forms the cluster that another node has formed already.
+func (c *Core) adoptGenesis(m Message, now time.Time) {
+	config := m.Configuration
+	if config == nil || !config.Has(c.self) || viewOf(config.Members) != m.Cluster {
+		return
+	}
+	c.form(*config, now)
+}
+
+// view identifies the known disks of all listed nodes; zero: some are unknown.
+func (c *Core) view() uint64 {
+	if c.formed() {
+		return 0
+	}
+	members, complete := c.seenMembers()
+	if !complete {
+		return 0
+	}
+	return viewOf(members)
+}
+
+// seenMembers returns the listed nodes with their disks as far as known.
+func (c *Core) seenMembers() ([]Member, bool) {
+	members := make([]Member, 0, len(c.options.Roster))
+	for _, m := range c.options.Roster {
+		disk, ok := c.forming.disks[m.Node]
+		if m.Node == c.self.Node {
+			disk, ok = c.self.Disk, true
+		}
+		if !ok {
+			return nil, false
+		}
+		members = append(members, Member{ID: ID{Node: m.Node, Disk: disk}, Address: m.Address})
+	}
+	sortMembers(members)
+	return members, true
+}
+
+// viewOf returns an identifier of a set of members; never zero.
+func viewOf(members []Member) uint64 {
+	var text []byte
+	for _, m := range members {
+		text = append(text, m.Node...)
+		text = append(text, 0)
+		text = binary.BigEndian.AppendUint64(text, uint64(m.Disk))
+		text = append(text, m.Address.String()...)
+		text = append(text, 0)
+	}
+	return crc64.Checksum(text, viewTable) | 1
+}
+
+// tryForm forms a cluster once all listed nodes agree on the same identities.
+func (c *Core) tryForm(now time.Time) {
+	if c.formed() || !c.allAgree() {
+		return
+	}
+	members, complete := c.seenMembers()
+	if !complete {
+		return
+	}
+	c.form(Configuration{Members: slices.Clone(members)}, now)
+}
+
+func (c *Core) allAgree() bool {
+	for _, name := range c.otherNodes() {
+		if !c.forming.agreed[name] {
+			return false
+		}
+	}
+	return true
+}
+
+// form begins the log with the first configuration. It is the same on each
+// node that forms, hence committed at once.
+func (c *Core) form(config Configuration, now time.Time) {
+	c.state = HardState{Term: genesisTerm, Cluster: viewOf(config.Members)}
+	c.out.hardStateDirty = true
+	c.append(Entry{Index: 1, Term: genesisTerm, Kind: EntryConfiguration, Configuration: &config})
+	c.log.commit = 1
+	c.forming.init()
+	c.resetElection(now)
+}
--- /dev/null
+++ b/internal/control/quorum/members.go
@@ -0,0 +1,118 @@
+package quorum
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+// maxRetired bounds the list of replaced disks.
+const maxRetired = 64
+
+// learn makes the leader send the log to a node that wants to join.
+func (c *Core) learn(id ID, now time.Time) {
+	member, listed := c.rosterMember(id)
+	if c.role != RoleLeader || !listed || c.progress[id] != nil {
+		return
+	}
+	for other, p := range c.progress {
+		if other.Node == id.Node && c.isLearner(other) && c.isAlive(other, now) {
+			return
+		} else if other.Node == id.Node && c.isLearner(other) {
+			delete(c.progress, p.member.ID)
+		}
+	}
+	c.addProgress(member, now)
+}
+
+// rosterMember returns the member of a listed node with the given disk.
+func (c *Core) rosterMember(id ID) (Member, bool) {
+	for _, m := range c.options.Roster {
+		if m.Node == id.Node {
+			return Member{ID: id, Address: m.Address}, true
+		}
+	}
+	return Member{}, false
+}
+
+func (c *Core) isLearner(id ID) bool {
+	for _, config := range c.log.active() {
+		if config.Has(id) {
+			return false
+		}
+	}
+	return true
+}
+
+// dropSilentLearners forgets learners that went away; they ask again.
+func (c *Core) dropSilentLearners(now time.Time) {
+	for id := range c.progress {
+		if c.isLearner(id) && !c.isAlive(id, now) {
+			delete(c.progress, id)
+		}
+	}
+}
+
+// changeMembers takes one caught-up learner in, in the place of the member of
+// the same node, if no change is under way.
+func (c *Core) changeMembers(now time.Time) {
+	if term, _ := c.log.term(c.log.commit); c.log.changing() || term != c.state.Term {
+		return
+	}
+	for _, id := range sortedIDs(c.progress) {
+		p := c.progress[id]
+		if !c.isLearner(id) || p.snapshot != nil || p.match < c.log.commit {
+			continue
+		}
+		old, replaces := c.log.newest().Find(id.Node)
+		if replaces && (old.ID == c.self || c.isAlive(old.ID, now)) {
+			continue
+		}
+		c.proposeMembers(withMember(c.log.newest(), p.member), now)
+		return
+	}
+}
+
+func (c *Core) proposeMembers(config Configuration, now time.Time) {
+	c.append(Entry{
+		Index: c.log.last() + 1, Term: c.state.Term,
+		Kind: EntryConfiguration, Configuration: &config,
+	})
+	c.syncProgress(now)
+}
+
+// withMember returns the configuration with m in place of the member of the
+// same node, which is retired.
+func withMember(config Configuration, m Member) Configuration {
+	next := Configuration{Retired: slices.Clone(config.Retired)}
+	for _, old := range config.Members {
+		if old.Node != m.Node {
+			next.Members = append(next.Members, old)
+			continue
+		}
+		next.Retired = append(next.Retired, old.ID)
+	}
+	next.Members = append(next.Members, m)
+	sortMembers(next.Members)
+	if extra := len(next.Retired) - maxRetired; extra > 0 {
+		next.Retired = next.Retired[extra:]
+	}
+	return next
+}
+
+func sortMembers(members []Member) {
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Node, b.Node) })
+}
+
+// otherNodes returns the names of the listed nodes but the own.
+func (c *Core) otherNodes() []cluster.NodeName {
+	var names []cluster.NodeName
+	for _, m := range c.options.Roster {
+		if m.Node != c.self.Node {
+			names = append(names, m.Node)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/control/wal/frame.go
@@ -0,0 +1,69 @@
+package wal
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+)
+
+const (
+	magicBytes    = 8
+	sequenceBytes = 8
+	headerBytes   = magicBytes + sequenceBytes
+	lengthBytes   = 4
+	sumBytes      = 4
+	frameOverhead = lengthBytes + sumBytes
+
+	// The last byte of each magic is the version of the format.
+	segmentMagic  = "BWK-LOG\x01"
+	snapshotMagic = "BWK-SNP\x01"
+	identityMagic = "BWK-IDN\x01"
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// appendHeader adds the header of a file. The sequence is part of each frame's
+// checksum, so that a frame can't be taken for one of another file.
+func appendHeader(data []byte, magic string, sequence uint64) []byte {
+	data = append(data, magic...)
+	return binary.BigEndian.AppendUint64(data, sequence)
+}
+
+// appendFrame adds a frame that will begin at the given offset of its file.
+func appendFrame(data []byte, sequence uint64, offset int, payload []byte) []byte {
+	data = binary.BigEndian.AppendUint32(data, uint32(len(payload)))
+	data = binary.BigEndian.AppendUint32(data, checksum(sequence, offset, payload))
+	return append(data, payload...)
+}
+
+func checksum(sequence uint64, offset int, payload []byte) uint32 {
+	var place [16]byte
+	binary.BigEndian.PutUint64(place[:8], sequence)
+	binary.BigEndian.PutUint64(place[8:], uint64(offset))
+	return crc32.Update(crc32.Checksum(place[:], castagnoli), castagnoli, payload)
+}
+
+// readFrame returns the payload of the frame at offset; false if none is whole
+// and sound there.
+func readFrame(data []byte, sequence uint64, offset int) (payload []byte, next int, ok bool) {
+	if len(data)-offset < frameOverhead {
+		return nil, 0, false
+	}
+	length := int(binary.BigEndian.Uint32(data[offset:]))
+	begin := offset + frameOverhead
+	if length == 0 || length > len(data)-begin {
+		return nil, 0, false
+	}
+	payload = data[begin : begin+length]
+	sum := binary.BigEndian.Uint32(data[offset+lengthBytes:])
+	return payload, begin + length, sum == checksum(sequence, offset, payload)
+}
+
+// hasFrameAfter reports whether a sound frame begins anywhere after offset.
+func hasFrameAfter(data []byte, sequence uint64, offset int) bool {
+	for at := offset + 1; at < len(data); at++ {
+		if _, _, ok := readFrame(data, sequence, at); ok {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/control/wal/replay.go
@@ -0,0 +1,192 @@
+package wal
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockwood/burdockwood/internal/control/codec"
+	"github.com/burdockwood/burdockwood/internal/control/quorum"
+)
+
+// segment is a segment as read from disk.
+type segment struct {
+	sequence uint64
+	frames   []codec.Frame
+	// end is the offset behind the last sound frame.
+	end int
+	// size is the length of the file.
+	size int
+}
+
+// replay reads the newest segment whose base is durable, and removes the rest.
+func (l *Log) replay(names []string) (Opened, error) {
+	sequences := numbers(names, segmentPrefix)
+	if len(sequences) == 0 {
+		return Opened{}, eris.Wrap(ErrCorrupt, "there is no segment")
+	}
+	var found segment
+	for i := len(sequences) - 1; i >= 0 && len(found.frames) == 0; i-- {
+		s, err := l.readSegment(sequences[i])
+		if err != nil {
+			return Opened{}, err
+		}
+		if len(s.frames) == 0 && i == 0 {
+			return Opened{}, eris.Wrapf(ErrCorrupt, "%s: its first frame is damaged", segmentName(s.sequence))
+		}
+		found = s
+	}
+	restored, err := l.restore(found)
+	if err != nil {
+		return Opened{}, err
+	}
+	if err := l.resume(found, names); err != nil {
+		return Opened{}, err
+	}
+	return Opened{Restored: restored, CutBytes: found.size - found.end}, nil
+}
+
+// readSegment returns the sound frames of a segment; none if the segment was
+// being created when the process ended.
+func (l *Log) readSegment(sequence uint64) (segment, error) {
+	name := segmentName(sequence)
+	data, err := l.fs.ReadFile(name)
+	if err != nil {
+		return segment{}, eris.Wrapf(err, "read %s", name)
+	}
+	s := segment{sequence: sequence, end: headerBytes, size: len(data)}
+	if len(data) <= headerBytes {
+		return s, nil
+	}
+	if err := checkMagic(name, data, segmentMagic); err != nil {
+		if hasFrameAfter(data, sequence, 0) || eris.Is(err, ErrVersion) {
+			return segment{}, err
+		}
+		return s, nil
+	}
+	for s.end < len(data) {
+		payload, next, ok := readFrame(data, sequence, s.end)
+		if !ok {
+			break
+		}
+		frame, err := codec.DecodeFrame(payload)
+		if err != nil {
+			return segment{}, eris.Wrapf(ErrCorrupt, "%s: frame at byte %d: %v", name, s.end, err)
+		}
+		s.frames = append(s.frames, frame)
+		s.end = next
+	}
+	if s.end < len(data) && hasFrameAfter(data, sequence, s.end) {
+		return segment{}, eris.Wrapf(ErrCorrupt, "%s: frame at byte %d of %d", name, s.end, len(data))
+	}
+	return s, nil
+}
+
+// restore joins the frames of a segment and its snapshot.
+func (l *Log) restore(s segment) (quorum.Restored, error) {
+	name := segmentName(s.sequence)
+	base := s.frames[0]
+	if !base.Base {
+		return quorum.Restored{}, eris.Wrapf(ErrCorrupt, "%s: its first frame is no base", name)
+	}
+	restored := quorum.Restored{HardState: base.HardState}
+	if base.SnapshotIndex > 0 {
+		snapshot, err := l.readSnapshot(base.SnapshotIndex)
+		if err != nil {
+			return quorum.Restored{}, err
+		}
+		restored.Snapshot = snapshot
+	}
+	first := base.SnapshotIndex + 1
+	for _, f := range s.frames {
+		restored.HardState = f.HardState
+		if len(f.Entries) == 0 {
+			continue
+		}
+		at := f.Entries[0].Index
+		if at < first || at > first+uint64(len(restored.Entries)) {
+			return quorum.Restored{}, eris.Wrapf(ErrCorrupt, "%s: entry %d follows entry %d", name, at, first+uint64(len(restored.Entries))-1)
+		}
+		restored.Entries = append(restored.Entries[:at-first], f.Entries...)
+	}
+	return restored, nil
+}
+
+func (l *Log) readSnapshot(index uint64) (*quorum.Snapshot, error) {
+	name := snapshotName(index)
+	payload, err := l.readFile(name, snapshotMagic)
+	if err != nil {
+		return nil, err
+	}
+	snapshot, err := codec.DecodeSnapshot(payload)
+	if err != nil || snapshot.Index != index {
+		return nil, eris.Wrapf(ErrCorrupt, "%s: %v", name, err)
+	}
+	return snapshot, nil
+}
+
+// resume opens the segment for appending, without an incomplete last frame,
+// and removes what a crash left behind.
+func (l *Log) resume(s segment, names []string) error {
+	file, err := l.fs.Append(segmentName(s.sequence), int64(s.end))
+	if err != nil {
+		return eris.Wrap(err, "open a segment")
+	}
+	if err := file.Sync(); err != nil {
+		return eris.Wrap(err, "sync a segment")
+	}
+	l.file, l.sequence, l.size = file, s.sequence, s.end
+	for _, name := range names {
+		if name == identityName || name == segmentName(s.sequence) || name == snapshotName(s.frames[0].SnapshotIndex) {
+			continue
+		}
+		if !isOwn(name) {
+			continue
+		}
+		if err := l.fs.Remove(name); err != nil {
+			return eris.Wrapf(err, "remove %s", name)
+		}
+	}
+	return eris.Wrap(l.fs.SyncFolder(), "sync the data folder")
+}
+
+// removeOld removes what the current segment and snapshot replace.
+func (l *Log) removeOld(snapshotIndex uint64) error {
+	names, err := l.fs.List()
+	if err != nil {
+		return err
+	}
+	for _, name := range names {
+		if name == identityName || name == segmentName(l.sequence) || name == snapshotName(snapshotIndex) || !isOwn(name) {
+			continue
+		}
+		if err := l.fs.Remove(name); err != nil {
+			return err
+		}
+	}
+	return l.fs.SyncFolder()
+}
+
+// isOwn reports whether a name is one of this package's.
+func isOwn(name string) bool {
+	return strings.HasPrefix(name, segmentPrefix) || strings.HasPrefix(name, snapshotPrefix) ||
+		name == identityName+temporary
+}
+
+// numbers returns the numbers in the names with a prefix, in rising order.
+func numbers(names []string, prefix string) []uint64 {
+	var list []uint64
+	for _, name := range names {
+		digits, ok := strings.CutPrefix(name, prefix)
+		if !ok {
+			continue
+		}
+		if n, err := strconv.ParseUint(digits, 16, 64); err == nil {
+			list = append(list, n)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
