--- /dev/null
+++ b/internal/ops/metrics/write.go
@@ -0,0 +1,172 @@
+package metrics
+
+import (
+	"encoding/json"
+	"io"
+	"maps"
+	"math"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	gometrics "github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/proto"
+)
+
+var (
+	quantiles = []float64{0.5, 0.9, 0.99, 0.999}
+	labelForm = regexp.MustCompile(`([A-Za-z0-9_-]+)=("(?:[^"\\]|\\.)*")`)
+)
+
+type (
+	families map[string]*dto.MetricFamily
+
+	// summary is a histogram in JSON, in microseconds.
+	summary struct {
+		Count int64   `json:"count"`
+		Min   int64   `json:"min-us"`
+		Mean  float64 `json:"mean-us"`
+		P50   float64 `json:"p50-us"`
+		P90   float64 `json:"p90-us"`
+		P99   float64 `json:"p99-us"`
+		P999  float64 `json:"p99.9-us"`
+		Max   int64   `json:"max-us"`
+	}
+)
+
+// WritePrometheus writes the registry in the Prometheus text format.
+func WritePrometheus(w io.Writer, registry Registry) error {
+	all := make(families)
+	registry.Each(func(name string, metric any) {
+		all.add(name, metric)
+	})
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		if _, err := expfmt.MetricFamilyToText(w, all[name]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WriteJSON writes the registry as one JSON object, from names to numbers and
+// summaries of histograms.
+func WriteJSON(w io.Writer, registry Registry) error {
+	all := make(map[string]any)
+	registry.Each(func(name string, metric any) {
+		switch m := metric.(type) {
+		case gometrics.Counter:
+			all[name] = m.Count()
+		case gometrics.Gauge:
+			all[name] = m.Value()
+		case gometrics.GaugeFloat64:
+			all[name] = finite(m.Value())
+		case gometrics.Meter:
+			all[name] = m.Count()
+		case gometrics.Histogram:
+			all[name] = summarize(m.Snapshot())
+		}
+	})
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(all)
+}
+
+func (f families) add(name string, metric any) {
+	base, labels := splitName(name)
+	entry := &dto.Metric{Label: labels}
+	kind := dto.MetricType_GAUGE
+	switch m := metric.(type) {
+	case gometrics.Counter:
+		kind = dto.MetricType_COUNTER
+		entry.Counter = &dto.Counter{Value: proto.Float64(float64(m.Count()))}
+	case gometrics.Meter:
+		kind = dto.MetricType_COUNTER
+		entry.Counter = &dto.Counter{Value: proto.Float64(float64(m.Count()))}
+	case gometrics.Gauge:
+		entry.Gauge = &dto.Gauge{Value: proto.Float64(float64(m.Value()))}
+	case gometrics.GaugeFloat64:
+		entry.Gauge = &dto.Gauge{Value: proto.Float64(m.Value())}
+	case gometrics.Histogram:
+		kind = dto.MetricType_SUMMARY
+		base += "_seconds"
+		entry.Summary = summaryOf(m)
+	default:
+		return
+	}
+	family := f[base]
+	if family == nil {
+		family = &dto.MetricFamily{Name: proto.String(base), Type: kind.Enum()}
+		f[base] = family
+	}
+	if family.GetType() == kind {
+		family.Metric = append(family.Metric, entry)
+	}
+}
+
+func summaryOf(histogram gometrics.Histogram) *dto.Summary {
+	snapshot := histogram.Snapshot()
+	sum := snapshot.Sum()
+	if exact, ok := histogram.(*durations); ok {
+		sum = exact.sum.Load()
+	}
+	s := &dto.Summary{
+		SampleCount: proto.Uint64(uint64(snapshot.Count())),
+		SampleSum:   proto.Float64(float64(sum) * time.Microsecond.Seconds()),
+	}
+	for i, value := range snapshot.Percentiles(quantiles) {
+		s.Quantile = append(s.Quantile, &dto.Quantile{
+			Quantile: proto.Float64(quantiles[i]),
+			Value:    proto.Float64(value * time.Microsecond.Seconds()),
+		})
+	}
+	return s
+}
+
+func summarize(histogram gometrics.Histogram) summary {
+	p := histogram.Percentiles(quantiles)
+	return summary{
+		Count: histogram.Count(),
+		Min:   histogram.Min(),
+		Mean:  histogram.Mean(),
+		P50:   p[0],
+		P90:   p[1],
+		P99:   p[2],
+		P999:  p[3],
+		Max:   histogram.Max(),
+	}
+}
+
+// splitName returns the Prometheus name and labels of a registry's name.
+func splitName(name string) (string, []*dto.LabelPair) {
+	base, rest, _ := strings.Cut(name, "{")
+	var labels []*dto.LabelPair
+	for _, match := range labelForm.FindAllStringSubmatch(rest, -1) {
+		value, err := strconv.Unquote(match[2])
+		if err != nil {
+			continue
+		}
+		labels = append(labels, &dto.LabelPair{Name: proto.String(underscores(match[1])), Value: proto.String(value)})
+	}
+	return underscores(NamePrefix + base), labels
+}
+
+func underscores(name string) string {
+	return strings.Map(func(r rune) rune {
+		if r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' {
+			return r
+		}
+		return '_'
+	}, name)
+}
+
+// finite replaces values that JSON can't write.
+func finite(value float64) float64 {
+	if math.IsNaN(value) || math.IsInf(value, 0) {
+		return 0
+	}
+	return value
+}
