Stand-in backend server: PostgreSQL protocol, log, terms, replication

Cause: control and proxies need a backend server that keeps the platform's contract (internal/backend/adapter) to run against. Ruled out: keeping a database across restarts beside the log. Building it anew from the log at each start leaves one thing to make durable. Change: internal/standin/* and cmd/standin. One transaction writes at a time; a commit is in the synced log before it is visible. Ordinary connections, PLATFORM statements and replication share one port.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,4 +1,10 @@
 // Command standin is a backend server for tests and measurements.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/burdockwood/burdockwood/internal/standin/command"
+)
+
+func main() { os.Exit(command.Main()) }
