--- /dev/null
+++ b/internal/backend/adapter/server.go
@@ -0,0 +1,103 @@
+package adapter
+
+import (
+	"context"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+const (
+	closeTimeout = 100 * time.Millisecond
+	textTrue     = "t"
+)
+
+// server speaks the PLATFORM statements on one connection. Its methods are
+// called by one goroutine at a time.
+type server struct {
+	conn *pgconn.PgConn
+}
+
+// Status asks for the server's present status.
+func (s *server) Status(ctx context.Context) (cluster.ServerStatus, error) {
+	return s.call(ctx, "PLATFORM STATUS")
+}
+
+// Wait answers once the server's received mark covers mark, its promise is
+// above the mark's term, or atMost has passed.
+func (s *server) Wait(ctx context.Context, mark cluster.Mark, atMost time.Duration) (cluster.ServerStatus, error) {
+	milliseconds := strconv.FormatInt(atMost.Milliseconds(), 10)
+	return s.call(ctx, "PLATFORM WAIT", formatUint(mark.Term), formatUint(mark.Position), milliseconds)
+}
+
+// Promise makes the server refuse every lower term.
+func (s *server) Promise(ctx context.Context, term cluster.Term) (cluster.ServerStatus, error) {
+	return s.call(ctx, "PLATFORM PROMISE", formatUint(term))
+}
+
+// Promote makes the server primary of a term it has promised.
+func (s *server) Promote(ctx context.Context, term cluster.Term) (cluster.ServerStatus, error) {
+	return s.call(ctx, "PLATFORM PROMOTE", formatUint(term))
+}
+
+// Follow makes the server a replica of the primary at address in the term.
+func (s *server) Follow(ctx context.Context, term cluster.Term, primary netip.AddrPort) (cluster.ServerStatus, error) {
+	return s.call(ctx, "PLATFORM FOLLOW", formatUint(term), primary.String())
+}
+
+// Close ends the connection.
+func (s *server) Close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := s.conn.Close(ctx); err != nil {
+		return translate(err)
+	}
+	return nil
+}
+
+// call sends one statement and reads its row.
+func (s *server) call(ctx context.Context, words ...string) (cluster.ServerStatus, error) {
+	results, err := s.conn.Exec(ctx, strings.Join(words, " ")).ReadAll()
+	if err != nil {
+		return cluster.ServerStatus{}, translate(err)
+	}
+	if len(results) != 1 || len(results[0].Rows) != 1 {
+		return cluster.ServerStatus{}, eris.Wrapf(ErrRefused, "%s: want one row", words[0])
+	}
+	return parseStatus(results[0].Rows[0])
+}
+
+// parseStatus reads a row in the order of StatusColumns.
+func parseStatus(row [][]byte) (cluster.ServerStatus, error) {
+	if len(row) < len(StatusColumns) {
+		return cluster.ServerStatus{}, eris.Wrapf(ErrRefused, "status row has %d columns, want %d", len(row), len(StatusColumns))
+	}
+	promised, err := strconv.ParseUint(string(row[4]), 10, 64)
+	if err != nil {
+		return cluster.ServerStatus{}, eris.Wrapf(ErrRefused, "status column promised: %v", err)
+	}
+	received, err := cluster.ParseMark(string(row[5]))
+	if err != nil {
+		return cluster.ServerStatus{}, eris.Wrapf(ErrRefused, "status column received: %v", err)
+	}
+	applied, err := cluster.ParseMark(string(row[6]))
+	if err != nil {
+		return cluster.ServerStatus{}, eris.Wrapf(ErrRefused, "status column applied: %v", err)
+	}
+	return cluster.ServerStatus{
+		Server:     cluster.ServerName(row[0]),
+		Group:      cluster.GroupName(row[1]),
+		DataCentre: cluster.DataCentre(row[2]),
+		Role:       cluster.ParseRole(string(row[3])),
+		Promised:   cluster.Term(promised),
+		Received:   received,
+		Applied:    applied,
+		Leaving:    string(row[7]) == textTrue,
+	}, nil
+}
--- /dev/null
+++ b/internal/control/coordinator/answer.go
@@ -0,0 +1,86 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockwood/burdockwood/internal/control/grant"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+// Answer is all that changed for a proxy since the revision that it has.
+type Answer struct {
+	Version cluster.Version
+	// Declarations are set if the proxy's version is older.
+	Declarations string
+	Revision     uint64
+	Epoch        uint64
+	// Full tells that Groups are all groups.
+	Full      bool
+	Groups    []Group
+	Shares    []Share
+	SharesSet bool
+	Peers     []Beat
+	PeersSet  bool
+	Drain     bool
+	MarkKeys  []string
+}
+
+// HasNews reports whether an answer would tell the proxy anything.
+func (c *Coordinator) HasNews(beat Beat, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lead(now) || beat.Epoch != c.epoch || beat.Version < c.version {
+		return true
+	}
+	p, ok := c.proxies[beat.Proxy]
+	if !ok {
+		return true
+	}
+	newest := max(c.fullAfter, c.peersRevision, c.keysRevision, p.grantsRevision, p.drainRevision)
+	for _, g := range c.groups {
+		newest = max(newest, g.view.Revision)
+	}
+	return newest > beat.Revision
+}
+
+// Answer returns what changed for a proxy. Call it after the log has confirmed
+// that this node leads. Errors: ErrNotLeader, ErrMalformed.
+func (c *Coordinator) Answer(beat Beat, now time.Time) (Answer, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lead(now) {
+		return Answer{}, eris.Wrap(ErrNotLeader, "heartbeat")
+	}
+	view := c.machine.View()
+	if beat.Version > view.Version {
+		return Answer{}, eris.Wrapf(ErrMalformed, "version %d was never accepted here", beat.Version)
+	}
+	answer := Answer{Version: view.Version, Revision: c.revision, Epoch: c.epoch}
+	if beat.Version < view.Version {
+		answer.Declarations = view.Declarations
+	}
+	if beat.Epoch != c.epoch {
+		beat.Revision = 0
+	}
+	answer.Full = beat.Revision < c.fullAfter
+	after := beat.Revision
+	if answer.Full {
+		after = 0
+	}
+	answer.Groups = c.groupsAfter(after)
+	if beat.Revision < c.peersRevision {
+		answer.Peers, answer.PeersSet = c.livePeers(now), true
+	}
+	if beat.Revision < c.keysRevision {
+		answer.MarkKeys = c.keys
+	}
+	if p, ok := c.proxies[beat.Proxy]; ok {
+		answer.Drain = p.drain
+		if beat.Revision < max(p.grantsRevision, c.fullAfter) || now.Sub(p.grantsHanded) >= grant.RenewAfter {
+			answer.Shares, answer.SharesSet = c.hand(p, now), true
+		}
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/control/coordinator/coordinator.go
@@ -0,0 +1,314 @@
+// Package coordinator holds the soft state of control's leader and feeds the
+// pure decision packages with it: announcements, heartbeats of proxies,
+// evidence about primaries, plans of failovers and shares of connections.
+//
+// # Usage
+//
+//	c := coordinator.New(log, machine, parse)
+//	err := c.Announce(announcement, time.Now())
+//	err = c.Heartbeat(beat, time.Now())
+//	c.Tick(time.Now())              // about ten times a second
+//	for action := range c.Actions() // executed by internal/control/runner
+//	c.Finish(event, time.Now())     // the outcome of an action
+//
+// A new leader starts with empty soft state. Each change that proxies have to
+// know gets the next revision; Changed tells when there is one.
+package coordinator
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockwood/burdockwood/internal/control/detect"
+	"github.com/burdockwood/burdockwood/internal/control/failover"
+	"github.com/burdockwood/burdockwood/internal/control/grant"
+	"github.com/burdockwood/burdockwood/internal/control/registry"
+	"github.com/burdockwood/burdockwood/internal/control/replica"
+	"github.com/burdockwood/burdockwood/internal/control/state"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+const (
+	// TickInterval is the time between two calls of Tick.
+	TickInterval = 50 * time.Millisecond
+	// ProxySilentAfter is the time without a heartbeat after which a proxy
+	// doesn't count as live.
+	ProxySilentAfter = 3 * time.Second
+
+	// actionQueue is the number of actions that may wait. More are dropped
+	// and decided again later.
+	actionQueue = 4096
+	// probeInterval is the time between two probes of a suspected primary.
+	probeInterval = 100 * time.Millisecond
+)
+
+var (
+	// ErrNotLeader tells that this node doesn't lead.
+	ErrNotLeader = eris.New("this control node does not lead")
+	// ErrUnknownGroup tells that no declaration names the group.
+	ErrUnknownGroup = eris.New("no group of this name is declared")
+	// ErrUnknownServer tells that the group has no such server.
+	ErrUnknownServer = eris.New("the group has no server of this name")
+	// ErrMalformed tells which field of a message is wrong.
+	ErrMalformed = eris.New("malformed message")
+)
+
+type (
+	// Declared is what declarations say about the groups.
+	Declared struct {
+		Groups map[cluster.GroupName]DeclaredGroup
+	}
+
+	// DeclaredGroup is a declared group.
+	DeclaredGroup struct {
+		// Servers is the number of servers of the group when it is whole.
+		Servers int
+		// Labels are labels that operators give servers.
+		Labels map[cluster.ServerName]cluster.Labels
+	}
+
+	// Parse reads accepted declarations.
+	Parse func(text string) (Declared, error)
+
+	// Coordinator is the soft state of control's leader.
+	Coordinator struct {
+		log     replica.Log
+		machine *state.Machine
+		parse   Parse
+		actions chan Action
+
+		mu       sync.Mutex
+		epoch    uint64
+		since    time.Time
+		revision uint64
+		changed  chan struct{}
+		// fullAfter is the revision at which a group was last removed.
+		fullAfter     uint64
+		peersRevision uint64
+		keysRevision  uint64
+		keys          []string
+		keyDue        time.Time
+		version       cluster.Version
+		declared      Declared
+		known         bool
+		groups        map[cluster.GroupName]*group
+		proxies       map[cluster.ProxyName]*proxy
+		ledgers       map[ServerKey]grant.Ledger
+		registered    map[cluster.ProxyName]bool
+		order         []grant.Proxy
+	}
+
+	// ServerKey names a server among all groups.
+	ServerKey struct {
+		Group  cluster.GroupName
+		Server cluster.ServerName
+	}
+
+	// Action is something that the runner executes; one field is set.
+	Action struct {
+		// Failover is an action of a group's plan.
+		Failover *failover.Action
+		// Command is a command to commit.
+		Command *state.Command
+		// Probe asks a primary for its status.
+		Probe *Probe
+	}
+
+	// group is the soft state of one group.
+	group struct {
+		servers  registry.Servers
+		plan     failover.Plan
+		reports  map[cluster.ProxyName]detect.Report
+		probe    detect.Probe
+		probeAt  time.Time
+		term     cluster.Term
+		verdict  detect.Verdict
+		view     Group
+		factsDue map[cluster.ServerName]time.Time
+	}
+)
+
+// New returns a coordinator without soft state.
+func New(log replica.Log, machine *state.Machine, parse Parse) *Coordinator {
+	return &Coordinator{
+		log: log, machine: machine, parse: parse,
+		actions: make(chan Action, actionQueue),
+		changed: make(chan struct{}),
+	}
+}
+
+// Actions returns the channel of what the runner has to execute.
+func (c *Coordinator) Actions() <-chan Action { return c.actions }
+
+// Changed returns a channel that is closed at the next change that proxies
+// have to know.
+func (c *Coordinator) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+// Announce takes in what a server announces, or tells why not. Errors:
+// ErrNotLeader, ErrUnknownGroup and those of package registry.
+func (c *Coordinator) Announce(announcement cluster.Announcement, now time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lead(now) {
+		return eris.Wrap(ErrNotLeader, "announce")
+	}
+	if _, ok := c.declared.Groups[announcement.Group]; !ok {
+		return eris.Wrapf(ErrUnknownGroup, "group %s", announcement.Group)
+	}
+	g := c.group(announcement.Group)
+	servers, err := registry.Accept(g.servers, announcement, now)
+	if err != nil {
+		return err
+	}
+	g.servers = servers
+	c.proposeFacts(announcement, now)
+	c.decide(announcement.Group, failover.Event{}, now)
+	return nil
+}
+
+// Tick decides on all groups.
+func (c *Coordinator) Tick(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lead(now) {
+		return
+	}
+	c.tickKeys(now)
+	c.tickProxies(now)
+	for name, g := range c.groups {
+		g.servers = registry.Forget(g.servers, now)
+		c.decide(name, failover.Event{}, now)
+	}
+	c.divide(now)
+}
+
+// Finish takes in the outcome of an action of a plan.
+func (c *Coordinator) Finish(event failover.Event, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lead(now) {
+		return
+	}
+	c.decide(event.Action.Group, event, now)
+}
+
+// Want notes an operator's request for a switchover and returns the term that
+// it leaves. Errors: ErrNotLeader, ErrUnknownGroup, ErrUnknownServer.
+func (c *Coordinator) Want(name cluster.GroupName, to cluster.ServerName, now time.Time) (cluster.Term, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lead(now) {
+		return 0, eris.Wrap(ErrNotLeader, "switchover")
+	}
+	record, ok := c.machine.View().Groups[name]
+	if !ok || record.Term == 0 {
+		return 0, eris.Wrapf(ErrUnknownGroup, "group %s", name)
+	}
+	if _, ok := record.Members[to]; to != "" && !ok {
+		return 0, eris.Wrapf(ErrUnknownServer, "server %s", to)
+	}
+	if to == record.Primary {
+		return record.Term, eris.Wrapf(ErrMalformed, "server %s is the primary already", to)
+	}
+	g := c.group(name)
+	g.plan = g.plan.Want(failover.Wanted{To: to, Term: record.Term})
+	c.decide(name, failover.Event{}, now)
+	return record.Term, nil
+}
+
+// lead reports whether this node leads; it empties the soft state when it
+// begins to, and takes in what was committed since.
+func (c *Coordinator) lead(now time.Time) bool {
+	epoch, leads := c.log.IsLeader()
+	if !leads {
+		return false
+	}
+	if epoch != c.epoch {
+		c.reset(epoch, now)
+	}
+	view := c.machine.View()
+	if !c.known || view.Version != c.version {
+		c.takeDeclarations(view)
+	}
+	c.takeKeys(view)
+	c.takeRegistered(view, now)
+	return true
+}
+
+func (c *Coordinator) reset(epoch uint64, now time.Time) {
+	c.epoch = epoch
+	c.since = now
+	c.known = false
+	c.keys = nil
+	c.groups = map[cluster.GroupName]*group{}
+	c.proxies = map[cluster.ProxyName]*proxy{}
+	c.ledgers = map[ServerKey]grant.Ledger{}
+	c.registered = map[cluster.ProxyName]bool{}
+	for name := range c.machine.View().Proxies {
+		c.registered[name] = true
+	}
+	c.fullAfter = c.bump()
+	c.peersRevision = c.revision
+}
+
+// bump returns the next revision and wakes those that wait for changes.
+func (c *Coordinator) bump() uint64 {
+	c.revision++
+	close(c.changed)
+	c.changed = make(chan struct{})
+	return c.revision
+}
+
+func (c *Coordinator) takeDeclarations(view *state.State) {
+	declared, err := c.parse(view.Declarations)
+	if err != nil {
+		// Accepted declarations were checked; another release may differ.
+		declared = c.declared
+	}
+	c.declared = declared
+	c.version = view.Version
+	c.known = true
+	for name := range view.Groups {
+		c.group(name)
+	}
+	for name := range declared.Groups {
+		c.group(name)
+	}
+	for name := range c.groups {
+		if _, ok := declared.Groups[name]; !ok {
+			delete(c.groups, name)
+			c.fullAfter = c.revision + 1
+		}
+	}
+	c.bump()
+}
+
+// group returns the soft state of a group, which it makes if needed.
+func (c *Coordinator) group(name cluster.GroupName) *group {
+	g, ok := c.groups[name]
+	if !ok {
+		g = &group{
+			reports:  map[cluster.ProxyName]detect.Report{},
+			factsDue: map[cluster.ServerName]time.Time{},
+		}
+		c.groups[name] = g
+	}
+	return g
+}
+
+// enqueue hands an action to the runner. If its queue is full the action is
+// dropped; plans return it again.
+func (c *Coordinator) enqueue(action Action) bool {
+	select {
+	case c.actions <- action:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/control/coordinator/decide.go
@@ -0,0 +1,179 @@
+package coordinator
+
+import (
+	"maps"
+	"net/netip"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/control/detect"
+	"github.com/burdockwood/burdockwood/internal/control/failover"
+	"github.com/burdockwood/burdockwood/internal/control/state"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+const (
+	// labelLeaving drains a server when operators set it to labelTrue.
+	labelLeaving = "leaving"
+	labelTrue    = "true"
+
+	factsPause = 300 * time.Millisecond
+)
+
+// Probe asks a primary for its status.
+type Probe struct {
+	Group   cluster.GroupName
+	Server  cluster.ServerName
+	Address netip.AddrPort
+	Term    cluster.Term
+	// Sent is when the probe was decided.
+	Sent time.Time
+}
+
+// decide runs the plan of a group and publishes what changed.
+func (c *Coordinator) decide(name cluster.GroupName, event failover.Event, now time.Time) {
+	g, ok := c.groups[name]
+	if !ok {
+		return
+	}
+	view := c.machine.View()
+	record, ok := view.Groups[name]
+	if !ok {
+		record = &state.Group{Name: name}
+	}
+	c.judge(g, record, now)
+	situation := failover.Situation{
+		Record:      record,
+		Servers:     g.servers,
+		Declared:    c.declared.Groups[name].Servers,
+		Verdict:     g.verdict,
+		Drained:     c.drained(view, name, g),
+		LeaderSince: c.since,
+	}
+	plan, actions := failover.Decide(g.plan, situation, event, now)
+	g.plan = plan
+	for i := range actions {
+		c.enqueue(Action{Failover: &actions[i]})
+	}
+	c.publish(g, record, situation.Drained, now)
+}
+
+// judge forms the verdict on a group's primary and probes a suspected one.
+func (c *Coordinator) judge(g *group, record *state.Group, now time.Time) {
+	if g.term != record.Term {
+		g.term = record.Term
+		g.probe = detect.Probe{}
+		g.reports = map[cluster.ProxyName]detect.Report{}
+	}
+	if len(g.reports) == 0 {
+		g.verdict = detect.Fine
+		g.probe = detect.Probe{}
+		return
+	}
+	g.verdict = detect.Judge(detect.Evidence{
+		Reports:     mapValues(g.reports),
+		LiveProxies: c.liveProxies(now),
+		Probe:       g.probe,
+	}, now)
+	if now.Sub(g.probeAt) < probeInterval || record.Primary == "" || record.Pending != nil {
+		return
+	}
+	g.probeAt = now
+	c.enqueue(Action{Probe: &Probe{
+		Group: record.Name, Server: record.Primary, Term: record.Term,
+		Address: addressOf(g, record, record.Primary), Sent: now,
+	}})
+}
+
+// Probed takes in the outcome of a probe; kind is empty if it was answered.
+func (c *Coordinator) Probed(probe Probe, kind detect.Kind, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lead(now) {
+		return
+	}
+	g, ok := c.groups[probe.Group]
+	if !ok || g.term != probe.Term {
+		return
+	}
+	switch {
+	case kind == "":
+		g.probe = detect.Probe{OK: now}
+	case probe.Sent.Before(g.probe.OK):
+		// A later probe was answered meanwhile.
+	default:
+		if g.probe.Failed.IsZero() {
+			g.probe.FailingSince = probe.Sent
+		}
+		g.probe.Failed = now
+		g.probe.Kind = kind
+	}
+	c.decide(probe.Group, failover.Event{}, now)
+}
+
+// drained returns the servers that operators drain or label as leaving.
+func (c *Coordinator) drained(view *state.State, name cluster.GroupName, g *group) map[cluster.ServerName]bool {
+	drained := map[cluster.ServerName]bool{}
+	for server, labels := range c.declared.Groups[name].Labels {
+		if labels[labelLeaving] == labelTrue {
+			drained[server] = true
+		}
+	}
+	for server, announced := range g.servers {
+		labels := announced.Labels
+		key := state.DrainKey{Kind: state.DrainServer, Name: state.ServerKey(name, server)}
+		if labels[labelLeaving] == labelTrue || view.Drains[key] {
+			drained[server] = true
+		}
+	}
+	return drained
+}
+
+// proposeFacts commits what is known of a server if it differs from what it
+// announces.
+func (c *Coordinator) proposeFacts(a cluster.Announcement, now time.Time) {
+	g := c.group(a.Group)
+	facts := state.Member{
+		Name: a.Server, Address: a.Address, DataCentre: a.DataCentre, Slots: a.Slots,
+		Connections: a.Connections, Labels: a.Labels, Incarnation: a.Incarnation,
+	}
+	if record, ok := c.machine.View().Groups[a.Group]; ok {
+		committed, known := record.Members[a.Server]
+		facts.Repairing = committed.Repairing
+		if known && equalMembers(committed, facts) {
+			return
+		}
+	}
+	if now.Before(g.factsDue[a.Server]) {
+		return
+	}
+	g.factsDue[a.Server] = now.Add(factsPause)
+	command := &state.Command{
+		UnixMS:  now.UnixMilli(),
+		Members: &state.SetMembers{Group: a.Group, Set: []state.Member{facts}},
+	}
+	c.enqueue(Action{Command: command})
+}
+
+func equalMembers(a, b state.Member) bool {
+	if !maps.Equal(a.Labels, b.Labels) {
+		return false
+	}
+	a.Labels, b.Labels = nil, nil
+	return a.Name == b.Name && a.Address == b.Address && a.DataCentre == b.DataCentre && a.Slots == b.Slots &&
+		a.Connections == b.Connections && a.Incarnation == b.Incarnation && a.Repairing == b.Repairing
+}
+
+func addressOf(g *group, record *state.Group, server cluster.ServerName) netip.AddrPort {
+	if announced, ok := g.servers[server]; ok {
+		return announced.Address
+	}
+	return record.Members[server].Address
+}
+
+func mapValues[K comparable, V any](from map[K]V) []V {
+	values := make([]V, 0, len(from))
+	for _, value := range from {
+		values = append(values, value)
+	}
+	return values
+}
--- /dev/null
+++ b/internal/control/coordinator/proxies.go
@@ -0,0 +1,188 @@
+package coordinator
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockwood/burdockwood/internal/control/detect"
+	"github.com/burdockwood/burdockwood/internal/control/failover"
+	"github.com/burdockwood/burdockwood/internal/control/grant"
+	"github.com/burdockwood/burdockwood/internal/control/state"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+const maxProxyName = 128
+
+type (
+	// Suspicion is a proxy's evidence about the primary of a group.
+	Suspicion struct {
+		Group  cluster.GroupName
+		Term   cluster.Term
+		Kind   detect.Kind
+		Silent time.Duration
+	}
+
+	// Beat is what a proxy tells in a heartbeat.
+	Beat struct {
+		Proxy       cluster.ProxyName
+		Incarnation cluster.Incarnation
+		Address     netip.AddrPort
+		DataCentre  cluster.DataCentre
+		Version     cluster.Version
+		Revision    uint64
+		Epoch       uint64
+		// Uses are all uses; nil if they are as they were told last.
+		Uses       map[ServerKey]grant.Use
+		Suspicions []Suspicion
+		Draining   bool
+		// Leaving tells that the proxy has closed all its connections.
+		Leaving bool
+	}
+
+	// proxy is the soft state of one proxy.
+	proxy struct {
+		Beat
+		heard          time.Time
+		uses           map[ServerKey]grant.Use
+		grantsRevision uint64
+		grantsHanded   time.Time
+		drain          bool
+		drainRevision  uint64
+		registerAt     time.Time
+	}
+)
+
+// Heartbeat takes in what a proxy tells. Errors: ErrNotLeader, ErrMalformed.
+func (c *Coordinator) Heartbeat(beat Beat, now time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lead(now) {
+		return eris.Wrap(ErrNotLeader, "heartbeat")
+	}
+	if beat.Proxy == "" || len(beat.Proxy) > maxProxyName || beat.Incarnation == 0 {
+		return eris.Wrap(ErrMalformed, "proxy: want a name and an incarnation")
+	}
+	known, ok := c.proxies[beat.Proxy]
+	if ok && known.Incarnation > beat.Incarnation {
+		return eris.Wrapf(ErrMalformed, "proxy %s: a newer incarnation is known", beat.Proxy)
+	}
+	if beat.Leaving {
+		c.forgetProxy(beat, now)
+		return nil
+	}
+	if !ok || known.Incarnation != beat.Incarnation {
+		known = &proxy{uses: map[ServerKey]grant.Use{}}
+		c.proxies[beat.Proxy] = known
+	}
+	changed := !ok || known.Beat.Address != beat.Address || known.Beat.Incarnation != beat.Incarnation
+	if beat.Epoch != c.epoch {
+		beat.Revision = 0
+	}
+	beat.Revision = max(beat.Revision, known.Beat.Revision)
+	beat.Version = max(beat.Version, known.Beat.Version)
+	known.Beat = beat
+	known.heard = now
+	if changed {
+		c.peersRevision = c.bump()
+	}
+	c.register(known, now)
+	c.takeUses(known)
+	c.takeSuspicions(beat, now)
+	c.divide(now)
+	return nil
+}
+
+// register proposes to register the proxy if its incarnation isn't yet.
+func (c *Coordinator) register(p *proxy, now time.Time) {
+	registered, ok := c.machine.View().Proxies[p.Proxy]
+	if (ok && registered.Incarnation >= p.Incarnation) || now.Before(p.registerAt) {
+		return
+	}
+	p.registerAt = now.Add(factsPause)
+	c.proposeProxy(p.Beat, false, now)
+}
+
+func (c *Coordinator) forgetProxy(beat Beat, now time.Time) {
+	if _, ok := c.proxies[beat.Proxy]; ok {
+		delete(c.proxies, beat.Proxy)
+		c.peersRevision = c.bump()
+	}
+	for _, g := range c.groups {
+		delete(g.reports, beat.Proxy)
+	}
+	c.proposeProxy(beat, true, now)
+}
+
+func (c *Coordinator) proposeProxy(beat Beat, forget bool, now time.Time) {
+	c.enqueue(Action{Command: &state.Command{UnixMS: now.UnixMilli(), Proxy: &state.SetProxy{
+		Proxy:  state.Proxy{Name: beat.Proxy, Incarnation: beat.Incarnation, DataCentre: beat.DataCentre},
+		Forget: forget,
+	}}})
+}
+
+// takeSuspicions replaces the proxy's evidence by that of its newest beat.
+func (c *Coordinator) takeSuspicions(beat Beat, now time.Time) {
+	affected := map[cluster.GroupName]bool{}
+	for name, g := range c.groups {
+		if _, ok := g.reports[beat.Proxy]; ok {
+			delete(g.reports, beat.Proxy)
+			affected[name] = true
+		}
+	}
+	view := c.machine.View()
+	for _, suspicion := range beat.Suspicions {
+		g, ok := c.groups[suspicion.Group]
+		if !ok || view.Groups[suspicion.Group] == nil || view.Groups[suspicion.Group].Term != suspicion.Term {
+			continue
+		}
+		g.reports[beat.Proxy] = detect.Report{
+			Proxy: beat.Proxy, Kind: suspicion.Kind, Silent: suspicion.Silent, Heard: now,
+		}
+		affected[suspicion.Group] = true
+	}
+	for name := range affected {
+		c.decide(name, failover.Event{}, now)
+	}
+}
+
+// tickProxies lets silent proxies fade out.
+func (c *Coordinator) tickProxies(now time.Time) {
+	view := c.machine.View()
+	for name, p := range c.proxies {
+		if now.Sub(p.heard) > ProxySilentAfter && now.Sub(p.heard) <= ProxySilentAfter+2*TickInterval {
+			c.peersRevision = c.bump()
+		}
+		drain := view.Drains[state.DrainKey{Kind: state.DrainProxy, Name: string(name)}]
+		if drain != p.drain {
+			p.drain = drain
+			p.drainRevision = c.bump()
+		}
+	}
+}
+
+func (c *Coordinator) liveProxies(now time.Time) int {
+	live := 0
+	for _, p := range c.proxies {
+		if p.isLive(now) {
+			live++
+		}
+	}
+	return live
+}
+
+func (p *proxy) isLive(now time.Time) bool { return now.Sub(p.heard) <= ProxySilentAfter }
+
+// livePeers returns the live proxies in order of name.
+func (c *Coordinator) livePeers(now time.Time) []Beat {
+	var peers []Beat
+	for _, name := range slices.Sorted(maps.Keys(c.proxies)) {
+		if p := c.proxies[name]; p.isLive(now) {
+			peers = append(peers, p.Beat)
+		}
+	}
+	return peers
+}
--- /dev/null
+++ b/internal/control/coordinator/shares.go
@@ -0,0 +1,116 @@
+package coordinator
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/control/grant"
+	"github.com/burdockwood/burdockwood/internal/control/state"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+// Share is what a proxy may hold at one server.
+type Share struct {
+	Server      ServerKey
+	Connections int
+	// Lasting is the part that doesn't expire.
+	Lasting int
+	// Expires is how long the rest is valid.
+	Expires time.Duration
+}
+
+// String returns "group/server".
+func (k ServerKey) String() string { return state.ServerKey(k.Group, k.Server) }
+
+// ParseServerKey reads what ServerKey.String writes.
+func ParseServerKey(text string) (ServerKey, bool) {
+	group, server, ok := strings.Cut(text, "/")
+	return ServerKey{Group: cluster.GroupName(group), Server: cluster.ServerName(server)}, ok && group != "" && server != ""
+}
+
+// takeRegistered follows the committed proxies and servers.
+func (c *Coordinator) takeRegistered(view *state.State, now time.Time) {
+	c.order = c.order[:0]
+	for _, p := range slices.SortedFunc(maps.Values(view.Proxies), bySequence) {
+		soft, ok := c.proxies[p.Name]
+		live := ok && soft.isLive(now) && soft.Incarnation == p.Incarnation
+		c.order = append(c.order, grant.Proxy{Name: p.Name, Live: live, Before: c.registered[p.Name]})
+	}
+	for group, record := range view.Groups {
+		for server, member := range record.Members {
+			key := ServerKey{Group: group, Server: server}
+			ledger, ok := c.ledgers[key]
+			if !ok {
+				ledger = grant.New(member.Connections, c.since)
+			}
+			c.ledgers[key] = ledger.Limit(member.Connections)
+		}
+	}
+	for key := range c.ledgers {
+		record, ok := view.Groups[key.Group]
+		if !ok || record.Members[key.Server].Name == "" {
+			delete(c.ledgers, key)
+		}
+	}
+}
+
+func bySequence(a, b state.Proxy) int { return cmp.Compare(a.Sequence, b.Sequence) }
+
+// takeUses reports a proxy's uses to the ledgers.
+func (c *Coordinator) takeUses(p *proxy) {
+	if p.Beat.Uses != nil {
+		p.uses = p.Beat.Uses
+	}
+	for key, ledger := range c.ledgers {
+		c.ledgers[key] = ledger.Report(p.Proxy, p.uses[key], p.Beat.Revision)
+	}
+}
+
+// divide gives each server's connections to the proxies anew where due.
+func (c *Coordinator) divide(now time.Time) {
+	revision := c.revision + 1
+	changed := false
+	for key, ledger := range c.ledgers {
+		next, moved := ledger.Divide(c.order, revision, now)
+		c.ledgers[key] = next
+		if !moved {
+			continue
+		}
+		changed = true
+		for name, p := range c.proxies {
+			if next.Share(name).Revision == revision {
+				p.grantsRevision = revision
+			}
+		}
+	}
+	if changed {
+		c.bump()
+	}
+}
+
+// hand returns all shares of a proxy and notes that they are handed out.
+func (c *Coordinator) hand(p *proxy, now time.Time) []Share {
+	p.grantsHanded = now
+	var shares []Share
+	for _, key := range slices.SortedFunc(maps.Keys(c.ledgers), compareKeys) {
+		ledger, share := c.ledgers[key].Hand(p.Proxy, now)
+		c.ledgers[key] = ledger
+		if share.Granted == 0 {
+			continue
+		}
+		shares = append(shares, Share{
+			Server: key, Connections: share.Granted, Lasting: share.Lasting(), Expires: grant.Lease,
+		})
+	}
+	return shares
+}
+
+func compareKeys(a, b ServerKey) int {
+	if order := cmp.Compare(a.Group, b.Group); order != 0 {
+		return order
+	}
+	return cmp.Compare(a.Server, b.Server)
+}
--- /dev/null
+++ b/internal/control/coordinator/status.go
@@ -0,0 +1,100 @@
+package coordinator
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockwood/burdockwood/internal/control/detect"
+	"github.com/burdockwood/burdockwood/internal/control/grant"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+type (
+	// Status is all that the leader knows.
+	Status struct {
+		Epoch   uint64
+		Version cluster.Version
+		Groups  []Group
+		Servers []ServerStatus
+		Proxies []ProxyStatus
+		// Findings are sentences about what is wrong.
+		Findings []string
+	}
+
+	// ServerStatus is a server as the leader knows it.
+	ServerStatus struct {
+		Member
+		Group    cluster.GroupName
+		Status   cluster.ServerStatus
+		HeardAgo time.Duration
+	}
+
+	// ProxyStatus is a proxy as the leader knows it.
+	ProxyStatus struct {
+		Beat
+		HeardAgo time.Duration
+		Uses     map[ServerKey]grant.Use
+	}
+)
+
+// Status returns all that the leader knows. Call it after the log has
+// confirmed that this node leads. Errors: ErrNotLeader.
+func (c *Coordinator) Status(now time.Time) (Status, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lead(now) {
+		return Status{}, eris.Wrap(ErrNotLeader, "status")
+	}
+	status := Status{Epoch: c.epoch, Version: c.machine.View().Version}
+	for _, name := range slices.Sorted(maps.Keys(c.groups)) {
+		g := c.groups[name]
+		status.Groups = append(status.Groups, g.view)
+		status.Servers = append(status.Servers, c.serverStatuses(name, g, now)...)
+		status.Findings = append(status.Findings, c.findings(name, g, now)...)
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.proxies)) {
+		p := c.proxies[name]
+		status.Proxies = append(status.Proxies, ProxyStatus{Beat: p.Beat, HeardAgo: now.Sub(p.heard), Uses: p.uses})
+		if !p.isLive(now) {
+			status.Findings = append(status.Findings, fmt.Sprintf("proxy %s is silent for %s", name, now.Sub(p.heard).Round(time.Second)))
+		}
+	}
+	return status, nil
+}
+
+func (c *Coordinator) serverStatuses(name cluster.GroupName, g *group, now time.Time) []ServerStatus {
+	statuses := make([]ServerStatus, 0, len(g.view.Members))
+	for _, member := range g.view.Members {
+		status := ServerStatus{Member: member, Group: name, HeardAgo: now.Sub(c.since)}
+		if server, ok := g.servers[member.Name]; ok {
+			status.Status = server.Announcement.ServerStatus
+			status.HeardAgo = now.Sub(server.Heard)
+		}
+		statuses = append(statuses, status)
+	}
+	return statuses
+}
+
+func (c *Coordinator) findings(name cluster.GroupName, g *group, now time.Time) []string {
+	var findings []string
+	declared := c.declared.Groups[name].Servers
+	if g.view.Term == 0 {
+		findings = append(findings, fmt.Sprintf("group %s waits for %d servers, %d are announced", name, declared, len(g.servers)))
+	}
+	if g.verdict != detect.Fine {
+		findings = append(findings, fmt.Sprintf("group %s: primary %s is %s", name, g.view.Primary, g.verdict))
+	}
+	for _, member := range g.view.Members {
+		if member.Silent {
+			findings = append(findings, fmt.Sprintf("server %s/%s is silent", name, member.Name))
+		}
+		if member.Repairing {
+			findings = append(findings, fmt.Sprintf("server %s/%s has lost its disk and catches up", name, member.Name))
+		}
+	}
+	return findings
+}
--- /dev/null
+++ b/internal/control/coordinator/view.go
@@ -0,0 +1,83 @@
+package coordinator
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/control/registry"
+	"github.com/burdockwood/burdockwood/internal/control/state"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+type (
+	// Group is a group as proxies have to know it.
+	Group struct {
+		Name     cluster.GroupName
+		Term     cluster.Term
+		Primary  cluster.ServerName
+		Voters   []cluster.ServerName
+		Members  []Member
+		Revision uint64
+	}
+
+	// Member is a server of a group.
+	Member struct {
+		state.Member
+		Leaving bool
+		Silent  bool
+	}
+
+	// ServerView is what the leader knows of a server.
+	ServerView struct {
+		registry.Server
+		Silent bool
+	}
+)
+
+// publish gives a group the next revision if its view changed.
+func (c *Coordinator) publish(g *group, record *state.Group, drained map[cluster.ServerName]bool, now time.Time) {
+	next := Group{Name: record.Name, Term: record.Term, Primary: record.Primary, Voters: record.Voters}
+	for _, name := range slices.Sorted(maps.Keys(record.Members)) {
+		member := Member{Member: record.Members[name]}
+		member.Silent = c.isSilent(g, name, now)
+		member.Leaving = drained[name] || g.servers[name].Leaving
+		next.Members = append(next.Members, member)
+	}
+	if g.view.Revision != 0 && equalGroups(g.view, next) {
+		return
+	}
+	next.Revision = c.bump()
+	g.view = next
+}
+
+// isSilent reports whether a server gets no new work for its silence. A new
+// leader waits for the first announcements.
+func (c *Coordinator) isSilent(g *group, name cluster.ServerName, now time.Time) bool {
+	server, ok := g.servers[name]
+	if !ok {
+		return now.Sub(c.since) > registry.SilentAfter
+	}
+	return server.Silent(now)
+}
+
+func equalGroups(a, b Group) bool {
+	return a.Name == b.Name && a.Term == b.Term && a.Primary == b.Primary &&
+		slices.Equal(a.Voters, b.Voters) && slices.EqualFunc(a.Members, b.Members, equalViews)
+}
+
+func equalViews(a, b Member) bool {
+	return a.Leaving == b.Leaving && a.Silent == b.Silent && equalMembers(a.Member, b.Member)
+}
+
+// Groups returns the groups with a revision above the given one, in order of
+// name.
+func (c *Coordinator) groupsAfter(revision uint64) []Group {
+	var groups []Group
+	for _, name := range slices.Sorted(maps.Keys(c.groups)) {
+		if view := c.groups[name].view; view.Revision > revision {
+			groups = append(groups, view)
+		}
+	}
+	return groups
+}
--- /dev/null
+++ b/internal/control/detect/detect.go
@@ -0,0 +1,190 @@
+// Package detect joins the evidence of many proxies with control's own probe
+// into one verdict about a primary.
+//
+// # Usage
+//
+//	verdict := detect.Judge(detect.Evidence{Reports: reports, LiveProxies: 9, Probe: probe}, now)
+//	if verdict.Replace() { ... }
+//
+// Judge is a pure function. A report says that PLATFORM STATUS on the primary
+// failed, or that it answers but no majority of the voters gets its log.
+// Slow statements of callers are no evidence: an overloaded primary still
+// answers PLATFORM STATUS.
+package detect
+
+import (
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+const (
+	// Fine is the verdict without evidence, or with too little of it.
+	Fine Verdict = iota
+	// Overloaded is the verdict on a primary that answers control while
+	// proxies see it silent.
+	Overloaded
+	// Dead is the verdict on a primary whose host refuses or resets.
+	Dead
+	// Frozen is the verdict on a primary that answers nobody.
+	Frozen
+	// CutOff is the verdict on a primary that is alive but can't be reached
+	// by most proxies, or whose log reaches no majority.
+	CutOff
+)
+
+const (
+	// KindRefused is a refused connection.
+	KindRefused Kind = "refused"
+	// KindReset is a connection that was lost.
+	KindReset Kind = "reset"
+	// KindTimeout is a status that wasn't answered in time.
+	KindTimeout Kind = "timeout"
+	// KindUnconfirmed is a primary that answers but whose log no majority of
+	// the voters holds.
+	KindUnconfirmed Kind = "unconfirmed"
+)
+
+const (
+	// ReportLifetime is how long a proxy's report counts after it was last
+	// heard.
+	ReportLifetime = 2 * time.Second
+	// FrozenAfter is how long a primary is silent towards proxies before it
+	// counts as frozen.
+	FrozenAfter = 500 * time.Millisecond
+	// ProbeFailingFor is how long control's own probes fail before a silent
+	// primary counts as frozen.
+	ProbeFailingFor = 250 * time.Millisecond
+	// CutOffAfter is how long a primary that answers control is out of reach
+	// of most proxies before it counts as cut off.
+	CutOffAfter = 1200 * time.Millisecond
+
+	// quorumOfReports is the number of proxies whose agreement is needed.
+	quorumOfReports = 2
+)
+
+type (
+	// Verdict is what is held of a primary.
+	Verdict uint8
+
+	// Kind is the kind of a proxy's evidence.
+	Kind string
+
+	// Report is the standing evidence of one proxy.
+	Report struct {
+		Proxy cluster.ProxyName
+		Kind  Kind
+		// Silent is how long the proxy had seen the fault when it reported.
+		Silent time.Duration
+		// Heard is when the report came.
+		Heard time.Time
+	}
+
+	// Probe is the outcome of control's own probes.
+	Probe struct {
+		// OK is when the primary last answered; zero if it hasn't.
+		OK time.Time
+		// Failed is when the newest of a row of failures was seen; zero if
+		// the newest probe was answered or none was made.
+		Failed time.Time
+		// FailingSince is when the first probe of that row was sent.
+		FailingSince time.Time
+		Kind         Kind
+	}
+
+	// Evidence is all that is known about one primary.
+	Evidence struct {
+		Reports []Report
+		// LiveProxies is the number of proxies heard lately.
+		LiveProxies int
+		Probe       Probe
+	}
+
+	tally struct {
+		gone        int
+		silent      int
+		unconfirmed int
+		longest     time.Duration
+	}
+)
+
+// Replace reports whether the verdict calls for a new primary.
+func (v Verdict) Replace() bool { return v == Dead || v == Frozen || v == CutOff }
+
+// String returns the verdict as a word.
+func (v Verdict) String() string {
+	switch v {
+	case Overloaded:
+		return "overloaded"
+	case Dead:
+		return "dead"
+	case Frozen:
+		return "frozen"
+	case CutOff:
+		return "cut-off"
+	default:
+		return "fine"
+	}
+}
+
+// Judge returns the verdict on a primary. Evidence of one proxy alone never
+// replaces it, unless control's own probe fails too.
+func Judge(evidence Evidence, now time.Time) Verdict {
+	count := countReports(evidence.Reports, now)
+	unreachable := count.gone + count.silent
+	if unreachable == 0 && count.unconfirmed == 0 {
+		return Fine
+	}
+	failing := !evidence.Probe.Failed.IsZero()
+	failingFor := evidence.Probe.Failed.Sub(evidence.Probe.FailingSince)
+	switch {
+	case failing && isGone(evidence.Probe.Kind) && count.gone >= 1:
+		return Dead
+	case failing && count.gone >= quorumOfReports:
+		return Dead
+	case failing && failingFor >= ProbeFailingFor && count.longest >= FrozenAfter && enough(unreachable, evidence.LiveProxies):
+		return Frozen
+	case failing:
+		return Fine
+	case isMost(count.unconfirmed, evidence.LiveProxies):
+		return CutOff
+	case isMost(unreachable, evidence.LiveProxies) && count.longest >= CutOffAfter && !evidence.Probe.OK.IsZero():
+		return CutOff
+	case count.silent > 0 && !evidence.Probe.OK.IsZero():
+		return Overloaded
+	default:
+		return Fine
+	}
+}
+
+func countReports(reports []Report, now time.Time) tally {
+	var count tally
+	for _, report := range reports {
+		age := now.Sub(report.Heard)
+		if age > ReportLifetime {
+			continue
+		}
+		switch report.Kind {
+		case KindRefused, KindReset:
+			count.gone++
+		case KindTimeout:
+			count.silent++
+		case KindUnconfirmed:
+			count.unconfirmed++
+			continue
+		default:
+			continue
+		}
+		count.longest = max(count.longest, report.Silent+age)
+	}
+	return count
+}
+
+func isGone(kind Kind) bool { return kind == KindRefused || kind == KindReset }
+
+// enough reports whether the proxies that agree outweigh one proxy's fault.
+func enough(agreeing, live int) bool {
+	return agreeing >= quorumOfReports || (agreeing == 1 && live <= 1)
+}
+
+func isMost(agreeing, live int) bool { return agreeing > 0 && 2*agreeing > live }
--- /dev/null
+++ b/internal/control/failover/maintain.go
@@ -0,0 +1,214 @@
+package failover
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/burdockwood/burdockwood/internal/control/detect"
+	"github.com/burdockwood/burdockwood/internal/control/registry"
+	"github.com/burdockwood/burdockwood/internal/control/state"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+// maintain begins a new term if one is needed, and otherwise makes every
+// server do its part in the term in force.
+func (d *decider) maintain() {
+	record := d.s.Record
+	if record.Term == 0 {
+		d.form()
+		return
+	}
+	if d.replacePrimary() || d.handOverPrimary() || d.changeVoters() {
+		return
+	}
+	if d.promotePrimary() {
+		d.repairVoters()
+		d.followPrimary()
+	}
+}
+
+// form begins the first term.
+func (d *decider) form() {
+	voters, above, ok := registry.Formation(d.s.Servers, d.s.Declared, d.now)
+	if !ok {
+		return
+	}
+	d.plan.above = max(d.plan.above, above)
+	d.begin(state.ReasonFormation, "", voters)
+}
+
+// replacePrimary begins a failover.
+func (d *decider) replacePrimary() bool {
+	record := d.s.Record
+	for _, name := range record.Voters {
+		d.plan.above = max(d.plan.above, d.s.Servers[name].Promised)
+	}
+	overtaken := d.plan.above > record.Term
+	if !overtaken && !d.s.Verdict.Replace() && !d.primaryLostDisk() {
+		return false
+	}
+	if d.liveReplicas() < cluster.Majority(len(record.Voters)) && !overtaken {
+		return false
+	}
+	d.begin(state.ReasonFailover, "", record.Voters)
+	return true
+}
+
+// primaryLostDisk reports whether the promoted primary has no promise left.
+func (d *decider) primaryLostDisk() bool {
+	server, ok := d.s.Servers[d.s.Record.Primary]
+	return ok && server.Promised == 0 && d.isLive(d.s.Record.Primary)
+}
+
+// liveReplicas counts the voters besides the primary that aren't silent.
+func (d *decider) liveReplicas() int {
+	count := 0
+	for _, name := range d.s.Record.Voters {
+		if name != d.s.Record.Primary && d.isLive(name) {
+			count++
+		}
+	}
+	return count
+}
+
+// handOverPrimary begins a planned switchover.
+func (d *decider) handOverPrimary() bool {
+	record := d.s.Record
+	if d.plan.wanted != nil && d.plan.wanted.Term < record.Term {
+		d.plan.wanted = nil
+	}
+	if d.plan.wanted == nil && !d.isLeaving(record.Primary) {
+		return false
+	}
+	if d.s.Verdict != detect.Fine || d.now.Before(d.plan.plannedAfter) {
+		return false
+	}
+	target, ok := d.successor()
+	if !ok {
+		return false
+	}
+	d.plan.plannedAfter = d.now.Add(plannedPause)
+	d.begin(state.ReasonSwitchover, target, record.Voters)
+	return true
+}
+
+// successor returns the wanted server, or the most advanced live voter.
+func (d *decider) successor() (cluster.ServerName, bool) {
+	record := d.s.Record
+	var chosen cluster.ServerName
+	for _, name := range record.Voters {
+		server, known := d.s.Servers[name]
+		if name == record.Primary || !known || server.Silent(d.now) || record.Members[name].Repairing {
+			continue
+		}
+		if d.plan.wanted != nil && d.plan.wanted.To == name {
+			return name, true
+		}
+		if d.isLeaving(name) {
+			continue
+		}
+		if chosen == "" || server.Received.Compare(d.s.Servers[chosen].Received) > 0 {
+			chosen = name
+		}
+	}
+	if d.plan.wanted != nil && d.plan.wanted.To != "" {
+		return "", false
+	}
+	return chosen, chosen != ""
+}
+
+// changeVoters begins a term with other voters and the same primary.
+func (d *decider) changeVoters() bool {
+	record := d.s.Record
+	if d.s.Verdict != detect.Fine || d.now.Before(d.plan.plannedAfter) || d.plan.promoted != record.Term {
+		return false
+	}
+	voters := registry.Voters(record.Voters, d.s.Servers, d.isReady, d.s.Declared, d.s.LeaderSince, d.now)
+	if slices.Equal(voters, record.Voters) || !slices.Contains(voters, record.Primary) {
+		return false
+	}
+	d.plan.plannedAfter = d.now.Add(plannedPause)
+	d.begin(state.ReasonVoters, record.Primary, voters)
+	return true
+}
+
+// isReady reports whether a server has nearly caught up with the primary.
+func (d *decider) isReady(name cluster.ServerName) bool {
+	record := d.s.Record
+	primary, ok := d.s.Servers[record.Primary]
+	if !ok || d.plan.follows[name].term != record.Term {
+		return false
+	}
+	server := d.s.Servers[name]
+	return server.Received.Term == primary.Received.Term && server.Received.Position+readyLag >= primary.Received.Position
+}
+
+// promotePrimary returns true once the primary is known to be promoted.
+func (d *decider) promotePrimary() bool {
+	record := d.s.Record
+	server, ok := d.s.Servers[record.Primary]
+	if ok && server.Role == cluster.RolePrimary && server.Promised == record.Term {
+		d.plan.promoted = record.Term
+	}
+	if d.plan.promoted != record.Term {
+		d.send(Action{Kind: Promote, Server: record.Primary, Term: record.Term})
+		return false
+	}
+	return true
+}
+
+// repairVoters marks voters that lost their disk, and unmarks those that have
+// caught up.
+func (d *decider) repairVoters() {
+	record := d.s.Record
+	for _, name := range record.Voters {
+		server, ok := d.s.Servers[name]
+		if !ok || name == record.Primary {
+			continue
+		}
+		member := record.Members[name]
+		switch {
+		case !member.Repairing && server.Promised == 0:
+			member.Repairing = true
+			d.send(Action{Kind: Repair, Server: name, Member: member})
+		case member.Repairing && d.hasCaughtUp(name, server):
+			member.Repairing = false
+			d.send(Action{Kind: Repair, Server: name, Member: member})
+		}
+	}
+}
+
+// hasCaughtUp reports whether a voter holds all that the primary held at some
+// time after the voter began to follow it.
+func (d *decider) hasCaughtUp(name cluster.ServerName, server registry.Server) bool {
+	followed, ok := d.plan.follows[name]
+	if !ok || followed.term != d.s.Record.Term || followed.incarnation != server.Incarnation {
+		return false
+	}
+	primary := d.s.Servers[d.s.Record.Primary]
+	if followed.repaired.IsZero() && primary.Heard.After(followed.at) {
+		followed.repaired = primary.Received
+		d.plan.follows[name] = followed
+	}
+	return !followed.repaired.IsZero() && server.Received.Covers(followed.repaired)
+}
+
+// followPrimary makes every other member follow the primary.
+func (d *decider) followPrimary() {
+	record := d.s.Record
+	primary := d.address(record.Primary)
+	for _, name := range slices.Sorted(maps.Keys(record.Members)) {
+		server, known := d.s.Servers[name]
+		if name == record.Primary || !d.isLive(name) {
+			continue
+		}
+		if known && server.Promised == 0 && slices.Contains(record.Voters, name) && !record.Members[name].Repairing {
+			continue
+		}
+		done := d.plan.follows[name]
+		if done.term == record.Term && done.primary == primary && done.incarnation == server.Incarnation {
+			continue
+		}
+		d.send(Action{Kind: Follow, Server: name, Term: record.Term, Primary: primary})
+	}
+}
--- /dev/null
+++ b/internal/control/grant/grant.go
@@ -0,0 +1,298 @@
+// Package grant divides the connections of a backend server among proxies so
+// that the sum of what all proxies may hold never exceeds the server's limit.
+//
+// # Usage
+//
+//	ledger = ledger.Report("proxy-1", grant.Use{Open: 2, Wanted: 4}, revision, now)
+//	ledger, changed := ledger.Divide(proxies, nextRevision, now)
+//	share := ledger.Share("proxy-1")
+//
+// A share has two parts. The floor doesn't expire, so that traffic goes on
+// while control has no quorum. The rest is a lease that each answer of control
+// renews. A share grows only by connections that nobody may hold: a smaller
+// share counts in its old size until the proxy has acknowledged the smaller
+// one and closed what is above it, or until its lease has run out.
+//
+// A new leader of control doesn't know the shares that the one before handed
+// out. Until Settle has passed, it grants a proxy no more than the floor or
+// the connections that the proxy reports open, both of which it held already.
+//
+// All functions are pure; a Ledger is never changed once made.
+package grant
+
+import (
+	"maps"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+const (
+	// Lease is how long the part of a share above the floor is valid, from
+	// its receipt by the proxy.
+	Lease = 5 * time.Second
+	// RenewAfter is the age of a lease at which it is handed out again.
+	RenewAfter = 2500 * time.Millisecond
+	// ReceiptBound is the longest time between control's answer and its
+	// receipt: proxies give up a heartbeat after that time.
+	ReceiptBound = 2 * time.Second
+	// Settle is the time after which no share of an earlier leader is valid
+	// above its floor.
+	Settle = Lease + ReceiptBound
+
+	// divideInterval is the least time between two divisions by demand.
+	divideInterval = 500 * time.Millisecond
+	// floorParts is the number of floors that take half of a server's limit.
+	floorParts = 12
+)
+
+type (
+	// Use is what a proxy reports about one server.
+	Use struct {
+		// Open is the number of connections it holds.
+		Open int
+		// Wanted is the number that it has work for.
+		Wanted int
+	}
+
+	// Ledger records the shares of one server.
+	Ledger struct {
+		limit   int
+		since   time.Time
+		divided time.Time
+		shares  map[cluster.ProxyName]Share
+	}
+
+	// Proxy is a registered proxy, in order of registration.
+	Proxy struct {
+		Name cluster.ProxyName
+		// Live is false once its heartbeats stay away.
+		Live bool
+		// Before tells that it was registered when this leader began.
+		Before bool
+	}
+
+	// Share is what one proxy may hold.
+	Share struct {
+		// Granted is the newest share, the floor included.
+		Granted int
+		// Floor is the part that shall not expire; while Granted is lower,
+		// that part is Granted.
+		Floor int
+		// Revision is the revision of the answer that changed it.
+		Revision uint64
+		// Handed is when it was last handed out; zero if never.
+		Handed time.Time
+
+		// held is the most that the proxy may hold while its lease runs, and
+		// floorHeld once it has run out.
+		held      int
+		floorHeld int
+		use       Use
+	}
+)
+
+// New returns the ledger of a server with a limit of connections, kept by a
+// leader that leads since the given time.
+func New(limit int, since time.Time) Ledger {
+	return Ledger{limit: limit, since: since}
+}
+
+// Floor returns the share of a server's connections that doesn't expire.
+func Floor(limit int) int { return max(1, limit/(2*floorParts)) }
+
+// Share returns a proxy's share.
+func (l Ledger) Share(proxy cluster.ProxyName) Share { return l.shares[proxy] }
+
+// Held returns the sum of what all proxies may hold at the given time.
+func (l Ledger) Held(now time.Time) int {
+	sum := 0
+	for _, share := range l.shares {
+		sum += share.expire(now).held
+	}
+	return sum
+}
+
+// Report takes in a proxy's use and the highest revision that it received.
+func (l Ledger) Report(proxy cluster.ProxyName, use Use, revision uint64) Ledger {
+	share, ok := l.shares[proxy]
+	if !ok {
+		return l
+	}
+	share.use = use
+	if revision >= share.Revision {
+		share.held = max(share.Granted, use.Open)
+		share.floorHeld = share.Lasting()
+	}
+	return l.with(proxy, share)
+}
+
+// Hand notes that a proxy's share is handed out now and returns the share.
+func (l Ledger) Hand(proxy cluster.ProxyName, now time.Time) (Ledger, Share) {
+	share, ok := l.shares[proxy]
+	if !ok {
+		return l, Share{}
+	}
+	share = share.expire(now)
+	share.Handed = now
+	share.floorHeld = max(share.floorHeld, share.Lasting())
+	return l.with(proxy, share), share
+}
+
+func (l Ledger) with(proxy cluster.ProxyName, share Share) Ledger {
+	l.shares = maps.Clone(l.shares)
+	l.shares[proxy] = share
+	return l
+}
+
+// Limit returns the ledger with another limit of connections.
+func (l Ledger) Limit(limit int) Ledger {
+	if l.limit != limit {
+		l.limit = limit
+		l.divided = time.Time{}
+	}
+	return l
+}
+
+// Divide returns the ledger with new shares for the registered proxies and
+// whether any share changed. Proxies that are no longer registered lose
+// theirs: the caller unregisters a proxy only once it holds no connection.
+func (l Ledger) Divide(proxies []Proxy, revision uint64, now time.Time) (Ledger, bool) {
+	next := l
+	next.shares = l.members(proxies, now)
+	settled := now.Sub(l.since) >= Settle
+	if !next.isDue(proxies, settled, now) {
+		return next, false
+	}
+	next.divided = now
+	targets := next.targets(proxies, settled)
+	changed := next.shrink(targets, revision)
+	changed = next.grow(proxies, targets, settled, revision, now) || changed
+	return next, changed
+}
+
+// members returns the shares of the registered proxies, with their floors and
+// without what has expired.
+func (l Ledger) members(proxies []Proxy, now time.Time) map[cluster.ProxyName]Share {
+	shares := make(map[cluster.ProxyName]Share, len(proxies))
+	floor := Floor(l.limit)
+	left := l.limit
+	for _, proxy := range proxies {
+		share := l.shares[proxy.Name].expire(now)
+		share.Floor = min(floor, left)
+		left -= share.Floor
+		shares[proxy.Name] = share
+	}
+	return shares
+}
+
+// isDue reports whether a proxy lacks connections or a share must change.
+func (l Ledger) isDue(proxies []Proxy, settled bool, now time.Time) bool {
+	sum := 0
+	unmet := false
+	for _, proxy := range proxies {
+		share := l.shares[proxy.Name]
+		sum += share.Granted
+		if proxy.Live && share.Granted < share.Floor && (settled || proxy.Before) {
+			return true
+		}
+		unmet = unmet || (proxy.Live && share.use.Wanted > share.Granted)
+	}
+	return now.Sub(l.divided) >= divideInterval && (unmet || sum != l.limit)
+}
+
+// targets returns the shares that the proxies should have: the floors, then
+// what is wanted, one connection a round, then the rest in equal parts. Before
+// Settle they are what the proxies are known to hold.
+func (l Ledger) targets(proxies []Proxy, settled bool) map[cluster.ProxyName]int {
+	targets := make(map[cluster.ProxyName]int, len(proxies))
+	left := l.limit
+	for _, proxy := range proxies {
+		share := l.shares[proxy.Name]
+		switch {
+		case settled:
+			targets[proxy.Name] = share.Floor
+		case proxy.Before:
+			targets[proxy.Name] = max(share.use.Open, share.Floor)
+		default:
+			targets[proxy.Name] = share.use.Open
+		}
+		left -= targets[proxy.Name]
+	}
+	if !settled {
+		return targets
+	}
+	left = spread(proxies, targets, left, func(name cluster.ProxyName) int { return l.shares[name].use.Wanted })
+	spread(proxies, targets, left, func(cluster.ProxyName) int { return l.limit })
+	return targets
+}
+
+// spread hands out connections one by one to live proxies below their bound
+// and returns how many are left.
+func spread(proxies []Proxy, targets map[cluster.ProxyName]int, left int, bound func(cluster.ProxyName) int) int {
+	for gave := true; gave && left > 0; {
+		gave = false
+		for _, proxy := range proxies {
+			if left == 0 || !proxy.Live || targets[proxy.Name] >= bound(proxy.Name) {
+				continue
+			}
+			targets[proxy.Name]++
+			left--
+			gave = true
+		}
+	}
+	return left
+}
+
+// shrink lowers shares above their target at once; they count in their old
+// size until acknowledged.
+func (l Ledger) shrink(targets map[cluster.ProxyName]int, revision uint64) bool {
+	changed := false
+	for name, share := range l.shares {
+		if targets[name] >= share.Granted {
+			continue
+		}
+		share.Granted = targets[name]
+		share.Revision = revision
+		l.shares[name] = share
+		changed = true
+	}
+	return changed
+}
+
+// grow raises shares below their target by what nobody may hold.
+func (l Ledger) grow(proxies []Proxy, targets map[cluster.ProxyName]int, settled bool, revision uint64, now time.Time) bool {
+	free := l.limit - l.Held(now)
+	changed := false
+	for _, proxy := range proxies {
+		share := l.shares[proxy.Name]
+		target := targets[proxy.Name]
+		if settled {
+			target = min(target, share.held+free)
+		}
+		if target <= share.Granted {
+			continue
+		}
+		free -= max(0, target-share.held)
+		share.Granted = target
+		share.held = max(share.held, target)
+		share.Revision = revision
+		share.Handed = now
+		l.shares[proxy.Name] = share
+		changed = true
+	}
+	return changed
+}
+
+// expire returns the share without what the proxy lost with its lease.
+func (s Share) expire(now time.Time) Share {
+	if s.Handed.IsZero() || now.Sub(s.Handed) <= Settle {
+		return s
+	}
+	s.held = min(s.held, s.floorHeld)
+	s.Granted = min(s.Granted, s.floorHeld)
+	return s
+}
+
+// Lasting returns the part of the share that doesn't expire.
+func (s Share) Lasting() int { return min(s.Floor, s.Granted) }
--- /dev/null
+++ b/internal/control/service/announce.go
@@ -0,0 +1,45 @@
+package service
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/burdockwood/burdockwood/internal/control/registry"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
+)
+
+// Announce takes in what a backend server announces.
+func (s *Service) Announce(_ context.Context, request *controlpb.AnnounceRequest) (*controlpb.AnnounceResponse, error) {
+	address, err := netip.ParseAddrPort(request.Address)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("address", "want IP:port")
+	}
+	if err := s.options.Coordinator.Announce(announcementOf(request, address), time.Now()); err != nil {
+		return nil, s.answerOf(err)
+	}
+	return &controlpb.AnnounceResponse{IntervalMs: uint32(registry.Interval.Milliseconds())}, nil
+}
+
+func announcementOf(request *controlpb.AnnounceRequest, address netip.AddrPort) cluster.Announcement {
+	return cluster.Announcement{
+		ServerStatus: cluster.ServerStatus{
+			Server:     cluster.ServerName(request.Server),
+			Group:      cluster.GroupName(request.Group),
+			DataCentre: cluster.DataCentre(request.DataCentre),
+			Role:       cluster.ParseRole(request.Role),
+			Promised:   cluster.Term(request.Promised),
+			Received:   markOf(request.Received),
+			Applied:    markOf(request.Applied),
+			Leaving:    request.Leaving,
+		},
+		Address:     address,
+		Slots:       int(request.Slots),
+		Connections: int(request.Connections),
+		Labels:      request.Labels,
+		Incarnation: cluster.Incarnation(request.Incarnation),
+	}
+}
--- /dev/null
+++ b/internal/control/service/heartbeat.go
@@ -0,0 +1,123 @@
+package service
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/burdockwood/burdockwood/internal/control/coordinator"
+	"github.com/burdockwood/burdockwood/internal/control/detect"
+	"github.com/burdockwood/burdockwood/internal/control/grant"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
+)
+
+// Heartbeat takes in what a proxy tells and answers once something changed for
+// it, at the latest after the time that it waits.
+func (s *Service) Heartbeat(ctx context.Context, request *controlpb.HeartbeatRequest) (*controlpb.HeartbeatResponse, error) {
+	beat, err := beatOf(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.options.Coordinator.Heartbeat(beat, time.Now()); err != nil {
+		return nil, s.answerOf(err)
+	}
+	if err := s.hold(ctx, beat, min(time.Duration(request.WaitMs)*time.Millisecond, maxWait)); err != nil {
+		return nil, err
+	}
+	if err := s.confirm(ctx); err != nil {
+		return nil, err
+	}
+	answer, err := s.options.Coordinator.Answer(beat, time.Now())
+	if err != nil {
+		return nil, s.answerOf(err)
+	}
+	return responseOf(answer), nil
+}
+
+// hold waits until there is news for the proxy or the time is over.
+func (s *Service) hold(ctx context.Context, beat coordinator.Beat, atMost time.Duration) error {
+	timer := time.NewTimer(atMost)
+	defer timer.Stop()
+	for {
+		committed := s.options.Machine.Changed()
+		changed := s.options.Coordinator.Changed()
+		if s.options.Coordinator.HasNews(beat, time.Now()) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return twirp.NewError(twirp.Canceled, "the caller has gone")
+		case <-timer.C:
+			return nil
+		case <-committed:
+		case <-changed:
+		}
+	}
+}
+
+func beatOf(request *controlpb.HeartbeatRequest) (coordinator.Beat, error) {
+	address, err := netip.ParseAddrPort(request.Address)
+	if err != nil {
+		return coordinator.Beat{}, twirp.InvalidArgumentError("address", "want IP:port")
+	}
+	beat := coordinator.Beat{
+		Proxy:       cluster.ProxyName(request.Proxy),
+		Incarnation: cluster.Incarnation(request.Incarnation),
+		Address:     address,
+		DataCentre:  cluster.DataCentre(request.DataCentre),
+		Version:     cluster.Version(request.Version),
+		Revision:    request.Revision,
+		Epoch:       request.LeaderEpoch,
+		Draining:    request.Draining,
+		Leaving:     request.Leaving,
+	}
+	if len(request.Uses) > 0 {
+		beat.Uses = map[coordinator.ServerKey]grant.Use{}
+	}
+	for _, use := range request.Uses {
+		if key, ok := coordinator.ParseServerKey(use.Server); ok {
+			beat.Uses[key] = grant.Use{Open: int(use.Open), Wanted: int(use.Wanted)}
+		}
+	}
+	for _, suspicion := range request.Suspicions {
+		beat.Suspicions = append(beat.Suspicions, coordinator.Suspicion{
+			Group:  cluster.GroupName(suspicion.Group),
+			Term:   cluster.Term(suspicion.Term),
+			Kind:   detect.Kind(suspicion.Kind),
+			Silent: time.Duration(suspicion.SilentMs) * time.Millisecond,
+		})
+	}
+	return beat, nil
+}
+
+func responseOf(answer coordinator.Answer) *controlpb.HeartbeatResponse {
+	response := &controlpb.HeartbeatResponse{
+		Version:      uint64(answer.Version),
+		Declarations: answer.Declarations,
+		Revision:     answer.Revision,
+		LeaderEpoch:  answer.Epoch,
+		Full:         answer.Full,
+		GrantsSet:    answer.SharesSet,
+		PeersSet:     answer.PeersSet,
+		Drain:        answer.Drain,
+		MarkKeys:     answer.MarkKeys,
+	}
+	for _, group := range answer.Groups {
+		response.Groups = append(response.Groups, groupMessage(group))
+	}
+	for _, share := range answer.Shares {
+		response.Grants = append(response.Grants, &controlpb.Grant{
+			Server:      share.Server.String(),
+			Connections: uint32(share.Connections),
+			Floor:       uint32(share.Lasting),
+			ExpiresMs:   uint32(share.Expires.Milliseconds()),
+		})
+	}
+	for _, peer := range answer.Peers {
+		response.Peers = append(response.Peers, peerMessage(peer))
+	}
+	return response
+}
--- /dev/null
+++ b/internal/control/service/messages.go
@@ -0,0 +1,103 @@
+package service
+
+import (
+	"github.com/burdockwood/burdockwood/internal/control/coordinator"
+	"github.com/burdockwood/burdockwood/internal/control/replica"
+	"github.com/burdockwood/burdockwood/internal/control/state"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
+)
+
+func groupMessage(group coordinator.Group) *controlpb.Group {
+	message := &controlpb.Group{
+		Name:     string(group.Name),
+		Term:     uint64(group.Term),
+		Primary:  string(group.Primary),
+		Revision: group.Revision,
+	}
+	for _, voter := range group.Voters {
+		message.Voters = append(message.Voters, string(voter))
+	}
+	for _, member := range group.Members {
+		message.Members = append(message.Members, memberMessage(member))
+	}
+	return message
+}
+
+func memberMessage(member coordinator.Member) *controlpb.Member {
+	return &controlpb.Member{
+		Server:      string(member.Name),
+		Address:     member.Address.String(),
+		DataCentre:  string(member.DataCentre),
+		Slots:       uint32(member.Slots),
+		Connections: uint32(member.Connections),
+		Labels:      member.Labels,
+		Leaving:     member.Leaving,
+		Silent:      member.Silent,
+	}
+}
+
+func peerMessage(beat coordinator.Beat) *controlpb.ProxyPeer {
+	return &controlpb.ProxyPeer{
+		Name:        string(beat.Proxy),
+		Address:     beat.Address.String(),
+		Incarnation: uint64(beat.Incarnation),
+		DataCentre:  string(beat.DataCentre),
+	}
+}
+
+func proxyMessage(proxy coordinator.ProxyStatus) *controlpb.ProxyStatus {
+	message := &controlpb.ProxyStatus{
+		Proxy:       peerMessage(proxy.Beat),
+		Version:     uint64(proxy.Version),
+		LastHeardMs: uint32(proxy.HeardAgo.Milliseconds()),
+		Draining:    proxy.Draining,
+	}
+	for key, use := range proxy.Uses {
+		message.Uses = append(message.Uses, &controlpb.GrantUse{
+			Server: key.String(), Open: uint32(use.Open), Wanted: uint32(use.Wanted),
+		})
+	}
+	return message
+}
+
+func serverMessage(server coordinator.ServerStatus) *controlpb.ServerStatus {
+	return &controlpb.ServerStatus{
+		Group:       string(server.Group),
+		Member:      memberMessage(server.Member),
+		Role:        server.Status.Role.String(),
+		Promised:    uint64(server.Status.Promised),
+		Received:    markMessage(server.Status.Received),
+		Applied:     markMessage(server.Status.Applied),
+		LastHeardMs: uint32(server.HeardAgo.Milliseconds()),
+	}
+}
+
+func nodeMessage(member replica.MemberInfo, leader replica.LeaderInfo) *controlpb.NodeStatus {
+	return &controlpb.NodeStatus{
+		Name:        string(member.Name),
+		Address:     member.Address.String(),
+		Incarnation: uint64(member.Incarnation),
+		Voter:       member.Voter,
+		Leader:      member.Name == leader.Name,
+		Matched:     member.Matched,
+		LastHeardMs: member.LastHeardMS,
+	}
+}
+
+func changeMessage(change state.Change) *controlpb.Change {
+	return &controlpb.Change{
+		Version:        uint64(change.Version),
+		ChangeId:       change.ID,
+		Author:         change.Author,
+		AcceptedUnixMs: change.AcceptedUnixMS,
+	}
+}
+
+func markMessage(mark cluster.Mark) *controlpb.Mark {
+	return &controlpb.Mark{Term: uint64(mark.Term), Position: uint64(mark.Position)}
+}
+
+func markOf(message *controlpb.Mark) cluster.Mark {
+	return cluster.Mark{Term: cluster.Term(message.GetTerm()), Position: cluster.Position(message.GetPosition())}
+}
--- /dev/null
+++ b/internal/control/service/operators.go
@@ -0,0 +1,177 @@
+package service
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/burdockwood/burdockwood/internal/control/coordinator"
+	"github.com/burdockwood/burdockwood/internal/control/state"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
+)
+
+const (
+	maxChangeID = 128
+	maxAuthor   = 128
+	maxText     = 4 << 20
+
+	// defaultHistory is the number of changes that History lists when the
+	// request states none.
+	defaultHistory = 50
+	// switchoverTimeout bounds the wait for a planned switchover.
+	switchoverTimeout = 10 * time.Second
+)
+
+// Apply replaces the declarations if the expected version is in force. Once it
+// answers "accepted", the change is committed.
+func (s *Service) Apply(ctx context.Context, request *controlpb.ApplyRequest) (*controlpb.ApplyResponse, error) {
+	if request.ChangeId == "" || len(request.ChangeId) > maxChangeID {
+		return nil, twirp.InvalidArgumentError("change_id", "want 1 to 128 bytes")
+	}
+	if len(request.Author) > maxAuthor || len(request.Declarations) > maxText {
+		return nil, twirp.InvalidArgumentError("declarations", "the author or the text is too long")
+	}
+	if _, leads := s.options.Log.IsLeader(); !leads {
+		return nil, s.notLeader()
+	}
+	if err := s.options.Check(request.Declarations); err != nil {
+		version := uint64(s.options.Machine.View().Version)
+		return &controlpb.ApplyResponse{Version: version, Reason: message(err)}, nil
+	}
+	result, err := s.propose(ctx, state.Command{Apply: &state.ApplyDeclarations{
+		Text:     request.Declarations,
+		Expect:   cluster.Version(request.ExpectVersion),
+		ChangeID: request.ChangeId,
+		Author:   request.Author,
+	}})
+	if err != nil {
+		return nil, err
+	}
+	if result.Answer == nil {
+		return nil, twirp.NewError(twirp.FailedPrecondition, result.Reason)
+	}
+	s.options.Logger.Info("declarations", "accepted", result.Answer.Accepted, "version", uint64(result.Answer.Version),
+		"change-id", request.ChangeId, "author", request.Author, "reason", result.Answer.Reason)
+	return applyResponse(*result.Answer), nil
+}
+
+func applyResponse(answer state.Answer) *controlpb.ApplyResponse {
+	return &controlpb.ApplyResponse{
+		Accepted:       answer.Accepted,
+		Version:        uint64(answer.Version),
+		Reason:         answer.Reason,
+		WinnerChangeId: answer.WinnerChangeID,
+		WinnerAuthor:   answer.WinnerAuthor,
+	}
+}
+
+// GetDeclarations returns one version of the declarations.
+func (s *Service) GetDeclarations(ctx context.Context, request *controlpb.GetDeclarationsRequest) (*controlpb.GetDeclarationsResponse, error) {
+	if err := s.confirm(ctx); err != nil {
+		return nil, err
+	}
+	view := s.options.Machine.View()
+	if request.Version == 0 {
+		return &controlpb.GetDeclarationsResponse{Version: uint64(view.Version), Declarations: view.Declarations}, nil
+	}
+	text, ok := view.TextAt(request.Version)
+	if !ok {
+		return nil, twirp.NotFoundError("this version was never accepted or its text is no longer kept")
+	}
+	return &controlpb.GetDeclarationsResponse{Version: request.Version, Declarations: text}, nil
+}
+
+// History lists accepted versions, newest first.
+func (s *Service) History(ctx context.Context, request *controlpb.HistoryRequest) (*controlpb.HistoryResponse, error) {
+	if err := s.confirm(ctx); err != nil {
+		return nil, err
+	}
+	limit := int(request.Limit)
+	if limit == 0 {
+		limit = defaultHistory
+	}
+	response := &controlpb.HistoryResponse{}
+	changes := s.options.Machine.View().Changes
+	for i := len(changes) - 1; i >= 0 && len(response.Changes) < limit; i-- {
+		response.Changes = append(response.Changes, changeMessage(changes[i]))
+	}
+	return response, nil
+}
+
+// Status tells all that the leader knows.
+func (s *Service) Status(ctx context.Context, _ *controlpb.StatusRequest) (*controlpb.StatusResponse, error) {
+	if err := s.confirm(ctx); err != nil {
+		return nil, err
+	}
+	status, err := s.options.Coordinator.Status(time.Now())
+	if err != nil {
+		return nil, s.answerOf(err)
+	}
+	info, _ := s.options.Log.Leader()
+	response := &controlpb.StatusResponse{
+		Leader:      string(info.Name),
+		LeaderEpoch: status.Epoch,
+		Version:     uint64(status.Version),
+		LogIndex:    s.options.Log.LastIndex(),
+		Findings:    status.Findings,
+	}
+	for _, member := range s.options.Log.Members() {
+		response.Nodes = append(response.Nodes, nodeMessage(member, info))
+	}
+	for _, group := range status.Groups {
+		response.Groups = append(response.Groups, groupMessage(group))
+	}
+	for _, server := range status.Servers {
+		response.Servers = append(response.Servers, serverMessage(server))
+	}
+	for _, proxy := range status.Proxies {
+		response.Proxies = append(response.Proxies, proxyMessage(proxy))
+	}
+	return response, nil
+}
+
+// Switchover starts a planned change of a group's primary and answers once
+// another term is in force.
+func (s *Service) Switchover(ctx context.Context, request *controlpb.SwitchoverRequest) (*controlpb.SwitchoverResponse, error) {
+	if err := s.confirm(ctx); err != nil {
+		return nil, err
+	}
+	group := cluster.GroupName(request.Group)
+	left, err := s.options.Coordinator.Want(group, cluster.ServerName(request.To), time.Now())
+	if err != nil {
+		return nil, s.answerOf(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, switchoverTimeout)
+	defer cancel()
+	for {
+		changed := s.options.Machine.Changed()
+		record := s.options.Machine.View().Groups[group]
+		if record != nil && record.Term > left {
+			return &controlpb.SwitchoverResponse{Term: uint64(record.Term), Primary: string(record.Primary)}, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, twirp.NewError(twirp.DeadlineExceeded, "the switchover has not happened yet: see control status")
+		case <-changed:
+		}
+	}
+}
+
+// Drain asks that a server or proxy gets no new work, or ends that.
+func (s *Service) Drain(ctx context.Context, request *controlpb.DrainRequest) (*controlpb.DrainResponse, error) {
+	if request.Kind != state.DrainServer && request.Kind != state.DrainProxy {
+		return nil, twirp.InvalidArgumentError("kind", "want server or proxy")
+	}
+	if _, ok := coordinator.ParseServerKey(request.Name); request.Name == "" || (request.Kind == state.DrainServer && !ok) {
+		return nil, twirp.InvalidArgumentError("name", "want group/server, or the name of a proxy")
+	}
+	_, err := s.propose(ctx, state.Command{Drain: &state.SetDrain{
+		Key: state.DrainKey{Kind: request.Kind, Name: request.Name}, Undo: request.Undo,
+	}})
+	if err != nil {
+		return nil, err
+	}
+	return &controlpb.DrainResponse{}, nil
+}
--- /dev/null
+++ b/internal/control/service/service.go
@@ -0,0 +1,117 @@
+// Package service answers the calls of proxies, backend servers and operators
+// to control.
+//
+// # Usage
+//
+//	handler := controlpb.NewControlServer(service.New(service.Options{...}))
+//
+// A node that doesn't lead answers leader.NotLeader. What is told from
+// committed state is told only after a quorum has confirmed, later than the
+// request came, that this node leads; waiting requests share confirmations.
+package service
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+	"github.com/twitchtv/twirp"
+
+	"github.com/burdockwood/burdockwood/internal/control/coordinator"
+	"github.com/burdockwood/burdockwood/internal/control/registry"
+	"github.com/burdockwood/burdockwood/internal/control/replica"
+	"github.com/burdockwood/burdockwood/internal/control/state"
+	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
+	"github.com/burdockwood/burdockwood/internal/rpc/leader"
+)
+
+const (
+	// confirmTimeout bounds a confirmation of leadership.
+	confirmTimeout = 500 * time.Millisecond
+	// proposeTimeout bounds the commit of an operator's command.
+	proposeTimeout = 2 * time.Second
+	// maxWait bounds the time for which a heartbeat is held.
+	maxWait = 2 * time.Second
+)
+
+type (
+	// Check tells why a text can't be accepted as declarations; nil if it
+	// can.
+	Check func(text string) error
+
+	// Options of a service.
+	Options struct {
+		Coordinator *coordinator.Coordinator
+		Machine     *state.Machine
+		Log         replica.Log
+		Check       Check
+		Logger      logr.Logger
+	}
+
+	// Service implements controlpb.Control.
+	Service struct {
+		options   Options
+		confirmer confirmer
+	}
+)
+
+var _ controlpb.Control = (*Service)(nil)
+
+// New returns a service.
+func New(options Options) *Service {
+	s := &Service{options: options}
+	s.confirmer.confirm = options.Log.Confirm
+	return s
+}
+
+// confirm returns nil once a quorum has confirmed that this node leads.
+func (s *Service) confirm(ctx context.Context) error {
+	if err := s.confirmer.wait(ctx); err != nil {
+		return s.answerOf(err)
+	}
+	return nil
+}
+
+// propose commits a command.
+func (s *Service) propose(ctx context.Context, command state.Command) (state.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	command.UnixMS = time.Now().UnixMilli()
+	result, err := state.Propose(ctx, s.options.Log, command)
+	if err != nil {
+		return result, s.answerOf(err)
+	}
+	return result, nil
+}
+
+// answerOf turns an error of the layers below into a twirp error.
+func (s *Service) answerOf(err error) error {
+	switch {
+	case errors.Is(err, replica.ErrNotLeader), errors.Is(err, state.ErrNotLeader), errors.Is(err, coordinator.ErrNotLeader):
+		return s.notLeader()
+	case errors.Is(err, state.ErrUnknownOutcome):
+		return twirp.NewError(twirp.DeadlineExceeded, "the outcome is unknown: send the same change identifier again")
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled), errors.Is(err, replica.ErrUnknownOutcome):
+		return twirp.NewError(twirp.Unavailable, "no quorum of the control nodes confirmed in time")
+	case errors.Is(err, registry.ErrNameTaken), errors.Is(err, registry.ErrAddressTaken):
+		return twirp.NewError(twirp.AlreadyExists, message(err))
+	case errors.Is(err, registry.ErrOldIncarnation), errors.Is(err, registry.ErrFull):
+		return twirp.NewError(twirp.FailedPrecondition, message(err))
+	case errors.Is(err, coordinator.ErrUnknownGroup), errors.Is(err, coordinator.ErrUnknownServer):
+		return twirp.NewError(twirp.NotFound, message(err))
+	default:
+		return twirp.NewError(twirp.InvalidArgument, message(err))
+	}
+}
+
+func message(err error) string { return eris.ToString(err, false) }
+
+func (s *Service) notLeader() error {
+	info, ok := s.options.Log.Leader()
+	if !ok {
+		return leader.NotLeader("")
+	}
+	return leader.NotLeader(info.Address.String())
+}
--- /dev/null
+++ b/internal/control/state/edit.go
@@ -0,0 +1,60 @@
+package state
+
+import "github.com/cespare/xxhash/v2"
+
+// Edit makes one text from another: the first Head and the last Tail bytes
+// stay, Middle takes the place of what is between.
+type Edit struct {
+	Head   int    `json:"head"`
+	Tail   int    `json:"tail"`
+	Middle string `json:"middle"`
+}
+
+// newEdit returns the edit that makes to from from.
+func newEdit(from, to string) *Edit {
+	shorter := min(len(from), len(to))
+	head := 0
+	for head < shorter && from[head] == to[head] {
+		head++
+	}
+	tail := 0
+	for tail < shorter-head && from[len(from)-1-tail] == to[len(to)-1-tail] {
+		tail++
+	}
+	return &Edit{Head: head, Tail: tail, Middle: to[head : len(to)-tail]}
+}
+
+// apply returns the text that the edit makes from from.
+func (e *Edit) apply(from string) string {
+	return from[:e.Head] + e.Middle + from[len(from)-e.Tail:]
+}
+
+// TextAt returns the declarations of a version, if they are still kept.
+func (s *State) TextAt(version uint64) (string, bool) {
+	text := s.Declarations
+	for i := len(s.Changes) - 1; i >= 0; i-- {
+		change := s.Changes[i]
+		if i < len(s.Changes)-1 {
+			if change.Undo == nil {
+				return "", false
+			}
+			text = change.Undo.apply(text)
+		}
+		if uint64(change.Version) == version {
+			return text, true
+		}
+	}
+	return "", false
+}
+
+// change returns the metadata of a version.
+func (s *State) change(version uint64) (Change, bool) {
+	for i := len(s.Changes) - 1; i >= 0; i-- {
+		if uint64(s.Changes[i].Version) == version {
+			return s.Changes[i], true
+		}
+	}
+	return Change{}, false
+}
+
+func hashText(text string) uint64 { return xxhash.Sum64String(text) }
--- /dev/null
+++ b/internal/control/state/machine.go
@@ -0,0 +1,169 @@
+package state
+
+import (
+	"encoding/json"
+	"errors"
+	"maps"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+)
+
+// snapshotFormat is the version of the encoding of snapshots. A newer release
+// reads every older format.
+const snapshotFormat = 1
+
+type (
+	// Machine is the state machine; it implements replica.Machine.
+	Machine struct {
+		view atomic.Pointer[State]
+		// changed is closed and replaced with each change.
+		changed atomic.Pointer[chan struct{}]
+	}
+
+	snapshot struct {
+		Format int    `json:"format"`
+		State  *State `json:"state"`
+	}
+)
+
+// New returns a machine with an empty state.
+func New() *Machine {
+	m := &Machine{}
+	changed := make(chan struct{})
+	m.changed.Store(&changed)
+	m.view.Store(empty())
+	return m
+}
+
+// View returns the present state, which never changes.
+func (m *Machine) View() *State { return m.view.Load() }
+
+// Changed returns a channel that is closed at the next change. Take it before
+// View, so that no change is missed.
+func (m *Machine) Changed() <-chan struct{} { return *m.changed.Load() }
+
+// Apply executes a committed command. A command that this release doesn't
+// know changes nothing.
+func (m *Machine) Apply(index uint64, command []byte) []byte {
+	next := *m.view.Load()
+	next.Index = index
+	result := next.execute(command)
+	m.publish(&next)
+	encoded, err := json.Marshal(result)
+	if err != nil {
+		// Results hold no type that can't be encoded.
+		panic(err)
+	}
+	return encoded
+}
+
+// Snapshot returns the whole state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	encoded, err := json.Marshal(snapshot{Format: snapshotFormat, State: m.view.Load()})
+	if err != nil {
+		return nil, eris.Wrap(errors.Join(ErrBadSnapshot, err), "encode")
+	}
+	return encoded, nil
+}
+
+// Restore replaces the whole state.
+func (m *Machine) Restore(encoded []byte) error {
+	decoded := snapshot{State: empty()}
+	if err := json.Unmarshal(encoded, &decoded); err != nil {
+		return eris.Wrap(errors.Join(ErrBadSnapshot, err), "decode")
+	}
+	if decoded.Format > snapshotFormat || decoded.State == nil {
+		return eris.Wrapf(ErrBadSnapshot, "format %d, this release reads up to %d", decoded.Format, snapshotFormat)
+	}
+	m.publish(decoded.State)
+	return nil
+}
+
+func (m *Machine) publish(next *State) {
+	m.view.Store(next)
+	fresh := make(chan struct{})
+	close(*m.changed.Swap(&fresh))
+}
+
+func empty() *State {
+	return &State{
+		Answers: Answers{ByID: map[string]Answer{}},
+	}
+}
+
+// execute runs a command on s, which is a copy that shares its maps with the
+// state before: each handler replaces what it changes.
+func (s *State) execute(encoded []byte) Result {
+	var command Command
+	if err := json.Unmarshal(encoded, &command); err != nil {
+		return Result{Reason: "the command can't be read"}
+	}
+	if command.Format > commandFormat {
+		return Result{Reason: "the command is of a newer release"}
+	}
+	switch {
+	case command.Apply != nil:
+		return s.apply(*command.Apply, command.UnixMS)
+	case command.Members != nil:
+		return s.setMembers(*command.Members)
+	case command.Begin != nil:
+		return s.beginTerm(*command.Begin)
+	case command.Commit != nil:
+		return s.commitTerm(*command.Commit)
+	case command.Drain != nil:
+		return s.setDrain(*command.Drain)
+	case command.Keys != nil:
+		return s.addMarkKey(*command.Keys, command.UnixMS)
+	case command.Proxy != nil:
+		return s.setProxy(*command.Proxy)
+	default:
+		return Result{Reason: "the command is unknown to this release"}
+	}
+}
+
+func (s *State) setDrain(command SetDrain) Result {
+	drains := with(s.Drains, command.Key, true)
+	if command.Undo {
+		delete(drains, command.Key)
+	}
+	s.Drains = drains
+	return Result{Done: true}
+}
+
+func (s *State) addMarkKey(command AddMarkKey, unixMS int64) Result {
+	if len(s.MarkKeys) > 0 && s.MarkKeys[0] != command.Newest {
+		return Result{Reason: "another key was added first"}
+	}
+	keys := append([]string{command.Key}, s.MarkKeys...)
+	s.MarkKeys = keys[:min(len(keys), MaxMarkKeys)]
+	s.KeyUnixMS = unixMS
+	return Result{Done: true}
+}
+
+func (s *State) setProxy(command SetProxy) Result {
+	known, ok := s.Proxies[command.Proxy.Name]
+	if ok && known.Incarnation > command.Proxy.Incarnation {
+		return Result{Reason: "a newer incarnation is registered"}
+	}
+	command.Proxy.Sequence = s.Index
+	if ok {
+		command.Proxy.Sequence = known.Sequence
+	}
+	proxies := with(s.Proxies, command.Proxy.Name, command.Proxy)
+	if command.Forget {
+		delete(proxies, command.Proxy.Name)
+	}
+	s.Proxies = proxies
+	return Result{Done: true}
+}
+
+// with returns a copy of a map with one entry set.
+func with[K comparable, V any](from map[K]V, key K, value V) map[K]V {
+	next := maps.Clone(from)
+	if next == nil {
+		next = map[K]V{}
+	}
+	next[key] = value
+	return next
+}
