--- /dev/null
+++ b/internal/proxy/caller/held.go
@@ -0,0 +1,59 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/proxy/outcome"
+	"github.com/burdockwood/burdockwood/internal/proxy/wire"
+)
+
+// continueHeld serves a request on the connection that the session keeps.
+func (s *Session) continueHeld(ctx context.Context) {
+	keep := s.held
+	now := time.Now()
+	deadline := now.Add(s.shared.Deadline)
+	if s.own.deadline > 0 {
+		deadline = now.Add(min(s.shared.Deadline, s.own.deadline))
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	s.open()
+	from := len(s.answer.data)
+	keep.conn.SetDeadline(deadline)
+	result, err := s.exchange(ctx, keep, now)
+	keep.server.Leave(keep.conn, 0)
+	if err != nil {
+		s.answer.data = s.answer.data[:min(from, len(s.answer.data))]
+		s.lose()
+		return
+	}
+	s.afterRun(keep, result)
+	refusal := s.confirm(ctx, keep, result, now)
+	s.settle(keep, result)
+	if refusal != nil {
+		s.answer.data = s.answer.data[:min(from, len(s.answer.data))]
+		s.refuse(refusal)
+		return
+	}
+	s.acknowledge(keep.group, s.own, result, from)
+}
+
+// lose answers a request whose transaction was lost with its backend server.
+func (s *Session) lose() {
+	committing := s.mayCommit()
+	inTransaction := s.status != wire.StatusIdle
+	refusal := s.answer.refusal
+	s.drop()
+	switch {
+	case committing:
+		s.status = wire.StatusIdle
+		refusal = outcome.Unknown("the backend server was lost before the commit was answered")
+	case inTransaction:
+		s.status = wire.StatusFailed
+		refusal = outcome.New(outcome.StateConnectionLost, "the backend server was lost: the transaction is rolled back, nothing was committed")
+	case refusal == nil:
+		refusal = outcome.Unknown("the backend server was lost before its answer was whole")
+	}
+	s.refuse(refusal)
+}
--- /dev/null
+++ b/internal/proxy/caller/preferences.go
@@ -0,0 +1,114 @@
+package caller
+
+import (
+	"maps"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/proxy/classify"
+	"github.com/burdockwood/burdockwood/internal/proxy/outcome"
+)
+
+const (
+	settingMark     = classify.SettingPrefix + "mark"
+	settingMaxAge   = classify.SettingPrefix + "max_age"
+	settingRequest  = classify.SettingPrefix + "request_id"
+	settingSession  = classify.SettingPrefix + "session"
+	settingDeadline = classify.SettingPrefix + "deadline"
+	settingLabel    = classify.SettingPrefix + "label."
+
+	maxIdentifier = 200
+)
+
+// preferences are the caller's settings of the proxy's own.
+type preferences struct {
+	maxAge    time.Duration
+	maxAgeSet bool
+	deadline  time.Duration
+	requestID string
+	session   string
+	labels    cluster.Labels
+	// carriesMark tells that the caller hands its mark on itself.
+	carriesMark bool
+	mark        string
+}
+
+// set changes one preference; an empty value resets it.
+func (p *preferences) set(setting classify.Setting) *outcome.Error {
+	name, value := setting.Name, setting.Value
+	switch {
+	case name == settingMaxAge:
+		return p.setMaxAge(value)
+	case name == settingDeadline:
+		return p.setDeadline(value)
+	case name == settingMark:
+		p.mark = value
+		p.carriesMark = value != ""
+	case name == settingRequest && len(value) <= maxIdentifier:
+		p.requestID = value
+	case name == settingSession && len(value) <= maxIdentifier:
+		p.session = value
+	case name == settingRequest || name == settingSession:
+		return badValue(setting, "at most 200 bytes")
+	case strings.HasPrefix(name, settingLabel):
+		p.setLabel(strings.TrimPrefix(name, settingLabel), value)
+	default:
+		refusal := outcome.New(outcome.StateBadValue, "unknown setting \""+name+"\"")
+		refusal.Hint = "burdockwood.mark, max_age, request_id, session, deadline and label.<name> can be set"
+		return refusal
+	}
+	return nil
+}
+
+func (p *preferences) setMaxAge(value string) *outcome.Error {
+	age, ok := parseDuration(value)
+	if !ok {
+		return badValue(classify.Setting{Name: settingMaxAge, Value: value}, "a time such as 500ms or 5s")
+	}
+	p.maxAge = age
+	p.maxAgeSet = value != ""
+	return nil
+}
+
+func (p *preferences) setDeadline(value string) *outcome.Error {
+	deadline, ok := parseDuration(value)
+	if !ok {
+		return badValue(classify.Setting{Name: settingDeadline, Value: value}, "a time such as 500ms or 5s")
+	}
+	p.deadline = deadline
+	return nil
+}
+
+// setLabel changes a copy, since the labels are read by others.
+func (p *preferences) setLabel(name, value string) {
+	labels := maps.Clone(p.labels)
+	if labels == nil {
+		labels = cluster.Labels{}
+	}
+	if value == "" {
+		delete(labels, name)
+	} else {
+		labels[name] = value
+	}
+	p.labels = labels
+}
+
+// parseDuration reads "5s" or a number of milliseconds; empty is zero.
+func parseDuration(value string) (time.Duration, bool) {
+	if value == "" || value == "default" {
+		return 0, true
+	}
+	if number, err := strconv.Atoi(value); err == nil {
+		return time.Duration(number) * time.Millisecond, number >= 0
+	}
+	d, err := time.ParseDuration(value)
+	return d, err == nil && d >= 0
+}
+
+func badValue(setting classify.Setting, want string) *outcome.Error {
+	refusal := outcome.New(outcome.StateBadValue, "invalid value \""+setting.Value+"\" for \""+setting.Name+"\"")
+	refusal.Hint = "give " + want
+	return refusal
+}
--- /dev/null
+++ b/internal/proxy/caller/serve.go
@@ -0,0 +1,180 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/config/declaration"
+	"github.com/burdockwood/burdockwood/internal/proxy/admit"
+	"github.com/burdockwood/burdockwood/internal/proxy/choose"
+	"github.com/burdockwood/burdockwood/internal/proxy/classify"
+	"github.com/burdockwood/burdockwood/internal/proxy/outcome"
+	"github.com/burdockwood/burdockwood/internal/proxy/retry"
+	"github.com/burdockwood/burdockwood/internal/proxy/upstream"
+	"github.com/burdockwood/burdockwood/internal/proxy/wire"
+)
+
+const (
+	// retryAfter is what a caller is told when nothing better is known.
+	retryAfter = 300 * time.Millisecond
+)
+
+// job is one request outside a transaction.
+type job struct {
+	prefs    preferences
+	choice   choose.Choice
+	group    *upstream.Group
+	start    time.Time
+	deadline time.Time
+	// primaryOnly tells that a replica has refused the request.
+	primaryOnly bool
+	waited      bool
+	// times are the parts of the request's total time.
+	wait    time.Duration
+	service time.Duration
+	confirm time.Duration
+	replica bool
+}
+
+// serve answers one whole request.
+func (s *Session) serve(ctx context.Context) error {
+	defer s.request.Reset()
+	defer s.plan.Release()
+	if s.skipping && s.request.Synced {
+		s.skipping = false
+	}
+	switch {
+	case s.answerLocal():
+	case s.held != nil:
+		s.continueHeld(ctx)
+	default:
+		s.runAnywhere(ctx)
+	}
+	return s.flush()
+}
+
+// runAnywhere serves a request that may use any backend connection.
+func (s *Session) runAnywhere(ctx context.Context) {
+	j, refusal := s.prepare(time.Now())
+	if refusal != nil {
+		s.refuse(refusal)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	defer cancel()
+	j.group.Budget.Request()
+	permit, err := j.group.Gate.Acquire(ctx, admit.Request{Tenant: j.choice.Tenant, Weight: j.choice.Weight, Deadline: j.deadline}, j.start)
+	if err != nil {
+		s.refuse(admissionRefusal(err))
+		return
+	}
+	refusal = s.tryUntilDone(ctx, j)
+	permit.Release(j.service, time.Now())
+	if refusal != nil {
+		s.refuse(refusal)
+	}
+}
+
+// prepare chooses the request's group and deadline.
+func (s *Session) prepare(now time.Time) (*job, *outcome.Error) {
+	j := &job{prefs: s.own, start: now}
+	for _, hint := range s.request.About.Hints {
+		if refusal := s.prefer(&j.prefs, hint); refusal != nil {
+			return nil, refusal
+		}
+	}
+	s.who.Labels = j.prefs.labels
+	j.choice = s.shared.Chooser().Choose(&s.who, declaration.Request{Kind: s.kind(&j.prefs), Labels: j.prefs.labels})
+	if !j.choice.Found {
+		refusal := outcome.New(outcome.StateNoSelector, "no selector admits this request")
+		refusal.Detail = outcome.DetailNotRun
+		return nil, refusal
+	}
+	if !j.prefs.maxAgeSet {
+		j.prefs.maxAge = j.choice.MaxAge
+	}
+	group, err := s.shared.Upstream.Group(j.choice.Group, now)
+	if err != nil {
+		return nil, outcome.NotRun(outcome.StateNoServer, err.Error(), retryAfter)
+	}
+	j.group = group
+	j.deadline = now.Add(s.deadline(j))
+	return j, nil
+}
+
+// kind returns the kind of the request as selectors know it.
+func (s *Session) kind(prefs *preferences) declaration.Kind {
+	switch {
+	case s.request.Kind > classify.Read:
+		return declaration.KindWrite
+	case prefs.maxAge > 0:
+		return declaration.KindAgedRead
+	default:
+		return declaration.KindRead
+	}
+}
+
+// deadline returns the least of the deadlines that bound the request.
+func (s *Session) deadline(j *job) time.Duration {
+	deadline := s.shared.Deadline
+	if j.choice.Deadline > 0 {
+		deadline = j.choice.Deadline
+	}
+	if j.prefs.deadline > 0 {
+		deadline = min(deadline, j.prefs.deadline)
+	}
+	return deadline
+}
+
+// tryUntilDone attempts the request until it is done or must not be tried
+// again.
+func (s *Session) tryUntilDone(ctx context.Context, j *job) *outcome.Error {
+	for tries := 1; ; tries++ {
+		end := s.attempt(ctx, j)
+		if end.what == retry.Done {
+			return nil
+		}
+		decision := retry.Decide(retry.Attempt{
+			Outcome:  end.what,
+			Tries:    tries,
+			Redirect: end.redirect,
+			ReadOnly: s.request.Kind == classify.Read || s.request.Kind == classify.Empty,
+			Deadline: j.deadline,
+			Spread:   rand.Float64(),
+		}, j.group.Budget, time.Now())
+		if !decision.Retry || s.answer.spilled {
+			return end.refusal
+		}
+		if !pause(ctx, decision.Pause) {
+			return end.refusal
+		}
+	}
+}
+
+// admissionRefusal turns an error of admission into what the caller sees.
+func admissionRefusal(err error) *outcome.Error {
+	var refused *admit.RefusedError
+	if errors.As(err, &refused) {
+		return outcome.NotRun(outcome.StateRefused, "too much load: "+refused.Reason, refused.RetryAfter)
+	}
+	return outcome.NotRun(outcome.StateRefused, err.Error(), retryAfter)
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// mayCommit reports whether a lost answer may hide a commit.
+func (s *Session) mayCommit() bool {
+	kind := s.request.Kind
+	return kind == classify.Commit || (kind >= classify.Write && s.status == wire.StatusIdle)
+}
--- /dev/null
+++ b/internal/proxy/conn/quiet.go
@@ -0,0 +1,27 @@
+package conn
+
+import (
+	"net"
+	"syscall"
+)
+
+// isQuiet looks at a socket without waiting: true if it is open and has
+// nothing to read.
+func isQuiet(c net.Conn) bool {
+	raw, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	var one [1]byte
+	err = control.Read(func(fd uintptr) bool {
+		_, _, peekErr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = peekErr == syscall.EAGAIN || peekErr == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/internal/proxy/conn/statements.go
@@ -0,0 +1,76 @@
+package conn
+
+import (
+	"encoding/binary"
+	"strconv"
+)
+
+type (
+	// StatementKey identifies a statement by its text and parameter types.
+	StatementKey string
+
+	// Statements are the statements that one connection has prepared at its
+	// server, under names of the proxy's own.
+	Statements struct {
+		names   map[StatementKey]string
+		order   []StatementKey
+		unnamed StatementKey
+		next    int
+	}
+)
+
+// KeyOf returns the key of a statement.
+func KeyOf(query string, parameterOIDs []uint32) StatementKey {
+	if len(parameterOIDs) == 0 {
+		return StatementKey(query)
+	}
+	key := make([]byte, 0, len(query)+1+4*len(parameterOIDs))
+	key = append(key, query...)
+	key = append(key, 0)
+	for _, oid := range parameterOIDs {
+		key = binary.BigEndian.AppendUint32(key, oid)
+	}
+	return StatementKey(key)
+}
+
+// Name returns the name of a prepared statement.
+func (s *Statements) Name(key StatementKey) (string, bool) {
+	name, ok := s.names[key]
+	return name, ok
+}
+
+// Add gives a statement a name. evicted is the name of a statement that has to
+// be closed at the server to make room, or empty.
+func (s *Statements) Add(key StatementKey) (name, evicted string) {
+	if s.names == nil {
+		s.names = map[StatementKey]string{}
+	}
+	if len(s.order) >= maxStatements {
+		oldest := s.order[0]
+		s.order = s.order[1:]
+		evicted = s.names[oldest]
+		delete(s.names, oldest)
+	}
+	s.next++
+	name = "bw" + strconv.Itoa(s.next)
+	s.names[key] = name
+	s.order = append(s.order, key)
+	return name, evicted
+}
+
+// Remove forgets a statement that the server doesn't hold.
+func (s *Statements) Remove(key StatementKey) {
+	delete(s.names, key)
+	for i, k := range s.order {
+		if k == key {
+			s.order = append(s.order[:i], s.order[i+1:]...)
+			return
+		}
+	}
+}
+
+// Unnamed returns the key of the unnamed statement; empty if there is none.
+func (s *Statements) Unnamed() StatementKey { return s.unnamed }
+
+// SetUnnamed records the unnamed statement.
+func (s *Statements) SetUnnamed(key StatementKey) { s.unnamed = key }
--- /dev/null
+++ b/internal/proxy/execute/request.go
@@ -0,0 +1,235 @@
+package execute
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockwood/burdockwood/internal/proxy/classify"
+	"github.com/burdockwood/burdockwood/internal/proxy/conn"
+	"github.com/burdockwood/burdockwood/internal/proxy/wire"
+)
+
+// maxStatements is the number of prepared statements that one caller may hold.
+const maxStatements = 4096
+
+var (
+	// ErrUnknownStatement tells that a message names a prepared statement
+	// that the caller hasn't prepared.
+	ErrUnknownStatement = eris.New("prepared statement does not exist")
+	// ErrTooManyStatements tells that the caller holds too many prepared
+	// statements.
+	ErrTooManyStatements = eris.New("too many prepared statements in one session")
+	// ErrUnsupported tells that the proxy doesn't relay such a message.
+	ErrUnsupported = eris.New("message is not supported by the proxy")
+)
+
+type (
+	// Statement is a statement as the caller prepared it.
+	Statement struct {
+		Key     conn.StatementKey
+		Message []byte // the whole Parse message
+		About   classify.Statement
+	}
+
+	// Statements are the caller's prepared statements by the caller's names.
+	Statements struct {
+		named   map[string]*Statement
+		unnamed *Statement
+	}
+
+	// Item is one message of a request with the statement it refers to.
+	Item struct {
+		Type      byte
+		start     int
+		end       int
+		statement *Statement
+		named     bool
+	}
+
+	// Request is what a caller wants answered as one: a simple query, or the
+	// messages up to a Sync or Flush.
+	Request struct {
+		Items []Item
+		// Kind is the highest kind among what is executed.
+		Kind classify.Kind
+		// Simple tells that the request is one simple query.
+		Simple bool
+		// About describes the text of a simple query, or of the statement
+		// executed if there is but one.
+		About classify.Statement
+		// Executes is the number of statements executed.
+		Executes int
+		// Synced tells that the request ends with an answer of
+		// ReadyForQuery.
+		Synced bool
+
+		data []byte
+	}
+)
+
+// Reset empties the request for the next one. Large buffers are given back.
+func (r *Request) Reset() {
+	data := r.data[:0]
+	if cap(data) > keptRequest {
+		data = nil
+	}
+	items := r.Items[:0]
+	if cap(items) > keptItems {
+		items = nil
+	}
+	*r = Request{Items: items, data: data}
+}
+
+// Size is the length in bytes of the request.
+func (r *Request) Size() int { return len(r.data) }
+
+// Add takes the next message of the request in and reports whether the request
+// is whole. The message may be reused afterwards.
+func (r *Request) Add(message wire.Message, statements *Statements) (whole bool, err error) {
+	item := Item{Type: message.Type(), start: len(r.data)}
+	switch message.Type() {
+	case wire.Query:
+		err = r.addQuery(message)
+	case wire.Parse:
+		err = r.addParse(message, statements, &item)
+	case wire.Bind, wire.Describe, wire.Close, wire.Execute:
+		err = r.addExtended(message, statements, &item)
+	case wire.Sync, wire.Flush:
+	default:
+		err = eris.Wrapf(ErrUnsupported, "message type %q", message.Type())
+	}
+	if err != nil {
+		return false, err
+	}
+	r.data = append(r.data, message...)
+	item.end = len(r.data)
+	r.Items = append(r.Items, item)
+	r.Synced = item.Type == wire.Query || item.Type == wire.Sync
+	return r.Synced || item.Type == wire.Flush, nil
+}
+
+func (r *Request) addQuery(message wire.Message) error {
+	body := message.Body()
+	if len(body) == 0 || body[len(body)-1] != 0 {
+		return eris.Wrap(wire.ErrMalformed, "query")
+	}
+	r.Simple = true
+	r.About = classify.SQL(string(body[:len(body)-1]))
+	r.Kind = r.About.Kind
+	r.Executes = r.About.Count
+	return nil
+}
+
+func (r *Request) addParse(message wire.Message, statements *Statements, item *Item) error {
+	var parse pgproto3.Parse
+	if err := parse.Decode(message.Body()); err != nil {
+		return eris.Wrap(wire.ErrMalformed, err.Error())
+	}
+	statement, err := statements.set(&parse, message)
+	if err != nil {
+		return err
+	}
+	item.statement = statement
+	item.named = parse.Name != ""
+	return nil
+}
+
+func (r *Request) addExtended(message wire.Message, statements *Statements, item *Item) error {
+	name, refers, err := statementName(message)
+	if err != nil {
+		return err
+	}
+	if !refers {
+		return nil
+	}
+	if message.Type() == wire.Close {
+		statements.remove(name)
+		item.named = true
+		return nil
+	}
+	statement := statements.get(name)
+	if statement == nil {
+		return eris.Wrapf(ErrUnknownStatement, "%q", name)
+	}
+	item.statement = statement
+	item.named = name != ""
+	if message.Type() == wire.Bind {
+		r.raise(statement.About)
+	}
+	return nil
+}
+
+// raise accounts a statement that is going to be executed.
+func (r *Request) raise(about classify.Statement) {
+	r.Executes++
+	if r.Executes == 1 {
+		r.About = about
+		r.Kind = about.Kind
+		return
+	}
+	r.About = classify.Statement{Kind: max(r.Kind, about.Kind), Count: r.Executes, Hints: r.About.Hints}
+	if r.Kind != about.Kind && r.About.Kind > classify.Read && r.About.Kind < classify.Write {
+		r.About.Kind = classify.Write
+	}
+	r.Kind = r.About.Kind
+}
+
+// statementName returns the name of the prepared statement that a message
+// refers to; refers is false for a message about a portal.
+func statementName(message wire.Message) (name string, refers bool, err error) {
+	switch message.Type() {
+	case wire.Bind:
+		_, name, _, err = bindParts(message)
+		return name, true, err
+	case wire.Describe, wire.Close:
+		body := message.Body()
+		if len(body) < 2 || body[len(body)-1] != 0 {
+			return "", false, eris.Wrap(wire.ErrMalformed, "describe or close")
+		}
+		return string(body[1 : len(body)-1]), body[0] == 'S', nil
+	default:
+		return "", false, nil
+	}
+}
+
+func (s *Statements) get(name string) *Statement {
+	if name == "" {
+		return s.unnamed
+	}
+	return s.named[name]
+}
+
+func (s *Statements) set(parse *pgproto3.Parse, message wire.Message) (*Statement, error) {
+	statement := &Statement{
+		Key:     conn.KeyOf(parse.Query, parse.ParameterOIDs),
+		Message: append([]byte(nil), message...),
+		About:   classify.SQL(parse.Query),
+	}
+	if parse.Name == "" {
+		s.unnamed = statement
+		return statement, nil
+	}
+	if len(s.named) >= maxStatements {
+		return nil, ErrTooManyStatements
+	}
+	if s.named == nil {
+		s.named = map[string]*Statement{}
+	}
+	s.named[parse.Name] = statement
+	return statement, nil
+}
+
+func (s *Statements) remove(name string) {
+	if name == "" {
+		s.unnamed = nil
+		return
+	}
+	delete(s.named, name)
+}
+
+// Clear forgets all statements.
+func (s *Statements) Clear() { *s = Statements{} }
+
+// IsStatement reports whether the message refers to a prepared statement, not
+// a portal.
+func (i *Item) IsStatement() bool { return i.statement != nil }
--- /dev/null
+++ b/internal/proxy/upstream/report.go
@@ -0,0 +1,74 @@
+package upstream
+
+import (
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/proxy/pool"
+	"github.com/burdockwood/burdockwood/internal/proxy/view"
+	"github.com/burdockwood/burdockwood/internal/proxy/watch"
+	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
+)
+
+const (
+	// unconfirmedAfter is how long a write may wait for its majority before
+	// control hears of it.
+	unconfirmedAfter = 300 * time.Millisecond
+
+	kindUnconfirmed = "unconfirmed"
+)
+
+// Use is what the proxy holds and wants of one server.
+type Use struct {
+	Server view.ServerKey
+	pool.Use
+}
+
+// Uses returns the connections of all groups at work.
+func (r *Registry) Uses() []Use {
+	var uses []Use
+	r.each(func(group *Group) {
+		for _, server := range group.Servers() {
+			uses = append(uses, Use{Server: server.Key, Use: server.Pool.Use()})
+		}
+	})
+	return uses
+}
+
+// Suspicions returns the evidence about primaries that this proxy can't use.
+func (r *Registry) Suspicions(now time.Time) []*controlpb.Suspicion {
+	var suspicions []*controlpb.Suspicion
+	r.each(func(group *Group) {
+		if suspicion := group.suspicion(now); suspicion != nil {
+			suspicions = append(suspicions, suspicion)
+		}
+	})
+	return suspicions
+}
+
+// suspicion returns the evidence about the group's primary, or nil.
+func (g *Group) suspicion(now time.Time) *controlpb.Suspicion {
+	state := g.state.Load()
+	if state.source == nil || state.source.Primary == "" {
+		return nil
+	}
+	primary := find(state.servers, state.source.Primary)
+	if primary == nil {
+		return nil
+	}
+	suspicion := &controlpb.Suspicion{Group: string(g.Name), Term: uint64(state.source.Term)}
+	health := primary.Health()
+	if health.Kind != watch.Healthy {
+		suspicion.Kind = health.Kind.String()
+		suspicion.SilentMs = milliseconds(now.Sub(health.Since))
+		return suspicion
+	}
+	oldest := g.Tracker.Oldest()
+	if !oldest.IsZero() && now.Sub(oldest) > unconfirmedAfter {
+		suspicion.Kind = kindUnconfirmed
+		suspicion.SilentMs = milliseconds(now.Sub(oldest))
+		return suspicion
+	}
+	return nil
+}
+
+func milliseconds(d time.Duration) uint32 { return uint32(max(0, d.Milliseconds())) }
--- /dev/null
+++ b/internal/proxy/upstream/upstream.go
@@ -0,0 +1,292 @@
+// Package upstream holds what a proxy has at work for each group with
+// traffic: a pool and a watcher for each backend server, the confirmation
+// tracker, admission and the retry budget.
+//
+// # Usage
+//
+//	registry := upstream.New(options)
+//	registry.Update(store.Load(), now)       // after each answer of control
+//	group, err := registry.Group("ledger-1", now)
+//	candidates := group.Candidates(buf[:0], now)
+//
+// A group is looked up without a lock; it comes to life with its first request
+// and is dropped when it has had none for IdleTime.
+package upstream
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockwood/burdockwood/internal/backend/adapter"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/proxy/admit"
+	"github.com/burdockwood/burdockwood/internal/proxy/confirm"
+	"github.com/burdockwood/burdockwood/internal/proxy/conn"
+	"github.com/burdockwood/burdockwood/internal/proxy/pool"
+	"github.com/burdockwood/burdockwood/internal/proxy/retry"
+	"github.com/burdockwood/burdockwood/internal/proxy/view"
+)
+
+const (
+	// IdleTime is how long a group without requests stays at work.
+	IdleTime = 2 * time.Minute
+
+	dialTimeout = time.Second
+)
+
+// ErrNoGroup tells that control knows no such group.
+var ErrNoGroup = eris.New("group is not known")
+
+type (
+	// Dial opens the platform interface of a backend server.
+	Dial func(ctx context.Context, address netip.AddrPort, credentials adapter.Credentials) (adapter.Server, error)
+
+	// Options of a registry.
+	Options struct {
+		Dial        Dial
+		Credentials adapter.Credentials
+		// Go starts a goroutine in the process's group.
+		Go pool.Go
+		// Changed is called when control should hear at once.
+		Changed func()
+		Log     logr.Logger
+	}
+
+	// Registry holds the groups at work.
+	Registry struct {
+		options  Options
+		snapshot func() *view.Snapshot
+		groups   sync.Map // cluster.GroupName -> *Group
+		mu       sync.Mutex
+		closed   bool
+	}
+
+	// Group is a group at work.
+	Group struct {
+		Name    cluster.GroupName
+		Tracker *confirm.Tracker
+		Gate    *admit.Gate
+		Budget  *retry.Budget
+
+		registry *Registry
+		state    atomic.Pointer[state]
+		used     atomic.Int64 // Unix milliseconds
+	}
+
+	// state is what a group has in force; nothing in it changes.
+	state struct {
+		source  *view.Group
+		servers []*Server
+	}
+)
+
+// New returns a registry without groups at work. snapshot returns the newest
+// state that control told.
+func New(options Options, snapshot func() *view.Snapshot) *Registry {
+	return &Registry{options: options, snapshot: snapshot}
+}
+
+// Group returns a group at work, and sets it to work with its first request.
+func (r *Registry) Group(name cluster.GroupName, now time.Time) (*Group, error) {
+	if found, ok := r.groups.Load(name); ok {
+		group := found.(*Group)
+		group.used.Store(now.UnixMilli())
+		return group, nil
+	}
+	return r.start(name, now)
+}
+
+// start sets a group to work.
+func (r *Registry) start(name cluster.GroupName, now time.Time) (*Group, error) {
+	snapshot := r.snapshot()
+	source := snapshot.Groups[name]
+	if source == nil {
+		return nil, eris.Wrapf(ErrNoGroup, "%q", name)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if found, ok := r.groups.Load(name); ok {
+		return found.(*Group), nil
+	}
+	if r.closed {
+		return nil, pool.ErrClosed
+	}
+	group := &Group{
+		Name:     name,
+		Tracker:  confirm.New(),
+		Gate:     admit.NewGate(admit.Config{}),
+		Budget:   retry.New(retry.Config{}),
+		registry: r,
+	}
+	group.used.Store(now.UnixMilli())
+	group.state.Store(&state{})
+	group.Tracker.WakeReads = group.wakePolls
+	group.Tracker.WakeWrites = group.wakeWaits
+	group.configure(source, snapshot, now)
+	r.groups.Store(name, group)
+	r.changed()
+	return group, nil
+}
+
+// Update brings the groups at work in line with the newest snapshot.
+func (r *Registry) Update(snapshot *view.Snapshot, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.each(func(group *Group) {
+		source := snapshot.Groups[group.Name]
+		if source == nil || r.closed {
+			r.drop(group)
+			return
+		}
+		group.configure(source, snapshot, now)
+	})
+}
+
+// Maintain looks after the pools, and drops groups without requests.
+func (r *Registry) Maintain(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.each(func(group *Group) {
+		if now.Sub(time.UnixMilli(group.used.Load())) > IdleTime {
+			r.drop(group)
+			return
+		}
+		for _, server := range group.Servers() {
+			server.Pool.Maintain(now)
+		}
+	})
+}
+
+// Close ends all groups. Connections in use are closed when they come back.
+func (r *Registry) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	r.each(r.drop)
+}
+
+// Each calls fn for every group at work.
+func (r *Registry) Each(fn func(*Group)) { r.each(fn) }
+
+func (r *Registry) each(fn func(*Group)) {
+	r.groups.Range(func(_, value any) bool {
+		fn(value.(*Group))
+		return true
+	})
+}
+
+func (r *Registry) drop(group *Group) {
+	r.groups.Delete(group.Name)
+	for _, server := range group.Servers() {
+		server.close()
+	}
+}
+
+func (r *Registry) changed() {
+	if r.options.Changed != nil {
+		r.options.Changed()
+	}
+}
+
+// configure takes the group's members, term and grants over. The registry's
+// lock is held.
+func (g *Group) configure(source *view.Group, snapshot *view.Snapshot, now time.Time) {
+	old := g.state.Load()
+	if old.source != source {
+		g.replace(old, source, now)
+	}
+	limit := 0
+	for _, server := range g.Servers() {
+		grant := snapshot.Grants[server.Key]
+		server.Pool.SetLimit(grant.Connections, grant.Expires, now)
+		limit += grant.Connections
+	}
+	g.Gate.SetLimit(max(limit, 1), now)
+}
+
+// replace puts a new state of the group in force.
+func (g *Group) replace(old *state, source *view.Group, now time.Time) {
+	next := &state{source: source}
+	members := make([]confirm.Member, 0, len(source.Members))
+	for i := range source.Members {
+		member := source.Members[i]
+		server := find(old.servers, member.Server)
+		if server == nil || server.Address != member.Address {
+			server = g.open(member, now)
+		}
+		server.update(member, member.Server == source.Primary, now)
+		next.servers = append(next.servers, server)
+		members = append(members, confirm.Member{Server: member.Server, Voter: member.Voter})
+	}
+	g.state.Store(next)
+	g.Tracker.Configure(source.Term, source.Primary, members)
+	for _, server := range old.servers {
+		if find(next.servers, server.Key.Server) != server {
+			server.close()
+		}
+	}
+	if old.source != nil && old.source.Term < source.Term {
+		g.registry.options.Log.Info("group has a new term", "group", g.Name, "term", source.Term, "primary", source.Primary)
+		g.interruptReplaced(old, source)
+	}
+}
+
+// interruptReplaced ends what runs on a server that is no longer primary.
+func (g *Group) interruptReplaced(old *state, source *view.Group) {
+	if old.source.Primary == source.Primary {
+		return
+	}
+	if server := find(old.servers, old.source.Primary); server != nil {
+		server.interrupt()
+	}
+}
+
+// Servers returns the group's servers. The slice must not be changed.
+func (g *Group) Servers() []*Server { return g.state.Load().servers }
+
+// Server returns a server of the group, or nil.
+func (g *Group) Server(name cluster.ServerName) *Server { return find(g.Servers(), name) }
+
+// Source returns the group as control told it.
+func (g *Group) Source() *view.Group { return g.state.Load().source }
+
+func (g *Group) wakePolls() {
+	for _, server := range g.Servers() {
+		server.watcher.WakePoll()
+	}
+}
+
+func (g *Group) wakeWaits() {
+	for _, server := range g.Servers() {
+		server.watcher.WakeWait()
+	}
+}
+
+func find(servers []*Server, name cluster.ServerName) *Server {
+	for _, server := range servers {
+		if server.Key.Server == name {
+			return server
+		}
+	}
+	return nil
+}
+
+// connOpener returns the function by which a pool opens connections.
+func (g *Group) connOpener(address netip.AddrPort) pool.Open {
+	credentials := g.registry.options.Credentials
+	return func(ctx context.Context, database string) (*conn.Conn, error) {
+		return conn.Open(ctx, conn.Options{
+			Address:  address,
+			Database: database,
+			User:     credentials.User,
+			Password: credentials.Password,
+			Timeout:  dialTimeout,
+		})
+	}
+}
--- /dev/null
+++ b/internal/proxy/watch/watch.go
@@ -0,0 +1,255 @@
+// Package watch asks one backend server for its status, for everyone in the
+// proxy who wants to know.
+//
+// # Usage
+//
+//	w := watch.New(watch.Options{Dial: dial, Tracker: tracker, Server: name, ...})
+//	group.Go(func() error { return w.Polls(ctx) })
+//	group.Go(func() error { return w.Waits(ctx) })
+//
+// Polls has at most one poll in flight and sends the next as soon as somebody
+// needs a newer answer, or after the interval. Waits uses a connection of its
+// own, so that a server that waits for a log entry doesn't delay the polls.
+package watch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/backend/adapter"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/proxy/confirm"
+)
+
+const (
+	// DefaultInterval is the time between polls that nobody asks for.
+	DefaultInterval = 50 * time.Millisecond
+	// PollTimeout bounds one poll; a server that takes longer is silent.
+	PollTimeout = 300 * time.Millisecond
+
+	dialTimeout = 300 * time.Millisecond
+	waitTime    = 100 * time.Millisecond
+	waitTimeout = 400 * time.Millisecond
+	retryPause  = 20 * time.Millisecond
+)
+
+const (
+	// Healthy is a server whose last poll was answered.
+	Healthy Kind = iota
+	// Refused is a server that refuses connections.
+	Refused
+	// Reset is a server that breaks connections.
+	Reset
+	// Timeout is a server that doesn't answer.
+	Timeout
+)
+
+type (
+	// Kind is how a server fails.
+	Kind uint8
+
+	// Dial opens the platform interface of a server.
+	Dial func(ctx context.Context) (adapter.Server, error)
+
+	// Options of a watcher.
+	Options struct {
+		Dial    Dial
+		Tracker *confirm.Tracker
+		Server  cluster.ServerName
+		// Interval is the time between polls that nobody asks for; zero:
+		// DefaultInterval.
+		Interval time.Duration
+		// Changed, if set, is called when the health changes.
+		Changed func()
+	}
+
+	// Health is how a server answers the watcher.
+	Health struct {
+		Kind Kind
+		// Since is when the server last answered, or when the watcher began
+		// to ask.
+		Since time.Time
+	}
+
+	// Watcher watches one server.
+	Watcher struct {
+		options Options
+		polls   chan struct{}
+		waits   chan struct{}
+		health  atomic.Pointer[Health]
+	}
+)
+
+// String returns the word that control knows.
+func (k Kind) String() string {
+	switch k {
+	case Refused:
+		return "refused"
+	case Reset:
+		return "reset"
+	case Timeout:
+		return "timeout"
+	default:
+		return "healthy"
+	}
+}
+
+// New returns a watcher that doesn't run yet.
+func New(options Options, now time.Time) *Watcher {
+	if options.Interval == 0 {
+		options.Interval = DefaultInterval
+	}
+	w := &Watcher{
+		options: options,
+		polls:   make(chan struct{}, 1),
+		waits:   make(chan struct{}, 1),
+	}
+	w.health.Store(&Health{Kind: Healthy, Since: now})
+	return w
+}
+
+// WakePoll asks for a poll now.
+func (w *Watcher) WakePoll() { notify(w.polls) }
+
+// WakeWait tells that a write waits for the server.
+func (w *Watcher) WakeWait() { notify(w.waits) }
+
+// Health returns how the server answers.
+func (w *Watcher) Health() Health { return *w.health.Load() }
+
+// Polls asks the server for its status until ctx ends.
+func (w *Watcher) Polls(ctx context.Context) error {
+	var server adapter.Server
+	defer func() { closeServer(server) }()
+	ticker := time.NewTicker(w.options.Interval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		sent := time.Now()
+		status, err := w.ask(ctx, &server, PollTimeout, func(ctx context.Context) (cluster.ServerStatus, error) {
+			return server.Status(ctx)
+		})
+		w.judge(ctx, err, sent)
+		if err != nil {
+			pause(ctx, retryPause)
+			continue
+		}
+		w.options.Tracker.Observe(w.options.Server, sent, status)
+		if w.options.Tracker.HasReads(w.options.Server) {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		case <-w.polls:
+		}
+	}
+	return nil
+}
+
+// Waits asks the server to tell when it holds the writes that wait, until ctx
+// ends.
+func (w *Watcher) Waits(ctx context.Context) error {
+	var server adapter.Server
+	defer func() { closeServer(server) }()
+	for ctx.Err() == nil {
+		mark, found := w.options.Tracker.Pending(w.options.Server)
+		if !found {
+			select {
+			case <-ctx.Done():
+			case <-w.waits:
+			}
+			continue
+		}
+		sent := time.Now()
+		status, err := w.ask(ctx, &server, waitTimeout, func(ctx context.Context) (cluster.ServerStatus, error) {
+			return server.Wait(ctx, mark, waitTime)
+		})
+		if err != nil {
+			pause(ctx, retryPause)
+			continue
+		}
+		w.options.Tracker.Observe(w.options.Server, sent, status)
+	}
+	return nil
+}
+
+// ask calls the server, opening the connection first if there is none. A
+// failed connection is closed.
+func (w *Watcher) ask(ctx context.Context, server *adapter.Server, timeout time.Duration, call func(context.Context) (cluster.ServerStatus, error)) (cluster.ServerStatus, error) {
+	if *server == nil {
+		dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		opened, err := w.options.Dial(dialCtx)
+		if err != nil {
+			return cluster.ServerStatus{}, err
+		}
+		*server = opened
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	status, err := call(callCtx)
+	if err != nil {
+		closeServer(*server)
+		*server = nil
+	}
+	return status, err
+}
+
+// judge updates the health after a poll that was sent at sent.
+func (w *Watcher) judge(ctx context.Context, err error, sent time.Time) {
+	if ctx.Err() != nil {
+		return
+	}
+	old := w.health.Load()
+	if err == nil {
+		w.health.Store(&Health{Kind: Healthy, Since: sent})
+		return
+	}
+	kind := kindOf(err)
+	w.health.Store(&Health{Kind: kind, Since: old.Since})
+	if w.options.Changed != nil {
+		w.options.Changed()
+	}
+}
+
+// kindOf tells how a call failed.
+func kindOf(err error) Kind {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refused
+	case errors.Is(err, context.DeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
+		return Timeout
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.EPIPE):
+		return Reset
+	default:
+		return Reset
+	}
+}
+
+func closeServer(server adapter.Server) {
+	if server != nil {
+		_ = server.Close()
+	}
+}
+
+func notify(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
