Proxy: thin path from a caller to the primary and back

Cause: the whole path needs a proxy before the other parts can be tried. Ruled out: decoding and encoding each row by pgproto3 (a reader of whole messages relays rows unread and lets an idle caller hold 512 bytes in place of 8 KB).

--- a/internal/proxy/caller/held.go
+++ b/internal/proxy/caller/held.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/burdockwood/burdockwood/internal/proxy/classify"
 	"github.com/burdockwood/burdockwood/internal/proxy/outcome"
 	"github.com/burdockwood/burdockwood/internal/proxy/wire"
 )
@@ -11,6 +12,10 @@
 // continueHeld serves a request on the connection that the session keeps.
 func (s *Session) continueHeld(ctx context.Context) {
 	keep := s.held
+	if keep.primary && keep.group.Tracker.Term() != keep.term {
+		s.loseUnsent()
+		return
+	}
 	now := time.Now()
 	deadline := now.Add(s.shared.Deadline)
 	if s.own.deadline > 0 {
@@ -39,6 +44,20 @@
 	s.acknowledge(keep.group, s.own, result, from)
 }
 
+// loseUnsent ends a transaction whose primary was replaced. The request has
+// not been sent.
+func (s *Session) loseUnsent() {
+	ends := s.request.Kind == classify.Commit || s.request.Kind == classify.Rollback
+	s.drop()
+	s.status = wire.StatusFailed
+	if ends {
+		s.status = wire.StatusIdle
+	}
+	refusal := outcome.New(outcome.StateConnectionLost, "the primary was replaced: the transaction is rolled back, nothing was committed")
+	refusal.Detail = outcome.DetailNotRun
+	s.refuse(refusal)
+}
+
 // lose answers a request whose transaction was lost with its backend server.
 func (s *Session) lose() {
 	committing := s.mayCommit()
--- a/internal/proxy/caller/session.go
+++ b/internal/proxy/caller/session.go
@@ -145,6 +145,12 @@
 	}
 }
 
+// Abort cuts the caller off.
+func (s *Session) Abort() { _ = s.net.Close() }
+
+// Drain makes every session end as soon as nothing is under way there.
+func (s *Shared) Drain() { s.draining.Store(true) }
+
 // read collects one whole request.
 func (s *Session) read() error {
 	for {
--- /dev/null
+++ b/internal/proxy/choose/declared.go
@@ -0,0 +1,52 @@
+package choose
+
+import (
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockwood/burdockwood/internal/config/declaration"
+)
+
+// ErrDeclarations tells that a text holds no valid declarations.
+var ErrDeclarations = eris.New("declarations")
+
+// Declared chooses by the selectors of one version of the declarations.
+type Declared struct {
+	index *declaration.Index
+}
+
+// NewDeclared returns the chooser of declarations that have no fault.
+func NewDeclared(declared *declaration.Declarations) Declared {
+	return Declared{index: declared.Compile()}
+}
+
+// Choose picks the group of the selector that decides.
+func (d Declared) Choose(caller *declaration.Caller, request declaration.Request) Choice {
+	match := d.index.Select(*caller, request)
+	if !match.Found {
+		return Choice{}
+	}
+	choice := Choice{Found: true, Group: match.Group, Tenant: DefaultTenant, Weight: 1}
+	if match.Selector == nil {
+		return choice
+	}
+	if match.Selector.Tenant != "" {
+		choice.Tenant = match.Selector.Tenant
+	}
+	choice.Weight = max(1, match.Selector.Weight)
+	choice.Deadline = match.Selector.Deadline
+	choice.MaxAge = match.Selector.MaxAge
+	return choice
+}
+
+// Parse returns the chooser of declarations in their text form. A text without
+// selectors serves each caller from the group named like its database.
+func Parse(text string) (Chooser, error) {
+	declared, faults := declaration.Parse(text)
+	if len(faults) > 0 {
+		return nil, eris.Wrap(ErrDeclarations, faults[0].String())
+	}
+	if len(declared.Selectors) == 0 {
+		return ByDatabase{}, nil
+	}
+	return NewDeclared(declared), nil
+}
--- /dev/null
+++ b/internal/proxy/daemon/daemon.go
@@ -0,0 +1,253 @@
+// Package daemon runs the role "proxy".
+//
+// # Usage
+//
+//	err := daemon.Run(ctx, options, log)
+//
+// Run serves callers until ctx ends. Then it turns unready, finishes what is
+// in flight, ends idle callers, tells control that it leaves, and returns
+// within the drain time. A Proxy gives access to the status for an admin
+// server:
+//
+//	proxy, err := daemon.New(options, log)
+//	ready, reason := proxy.Ready()
+//	err = proxy.Run(ctx)
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/oklog/run"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/burdockwood/burdockwood/internal/backend/adapter"
+	"github.com/burdockwood/burdockwood/internal/config/settings"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/proxy/caller"
+	"github.com/burdockwood/burdockwood/internal/proxy/choose"
+	"github.com/burdockwood/burdockwood/internal/proxy/heartbeat"
+	"github.com/burdockwood/burdockwood/internal/proxy/upstream"
+	"github.com/burdockwood/burdockwood/internal/proxy/view"
+	"github.com/burdockwood/burdockwood/internal/rpc/leader"
+	"github.com/burdockwood/burdockwood/internal/rpc/transport"
+)
+
+const (
+	maintainInterval = time.Second
+	// drainPoll is the time between two looks for callers that became idle.
+	drainPoll = 20 * time.Millisecond
+	// unreadyTime is how long a proxy that shuts down still accepts callers
+	// while the balancer learns of it.
+	unreadyTime = 100 * time.Millisecond
+
+	defaultDrainTime  = 30 * time.Second
+	defaultDeadline   = 5 * time.Second
+	defaultMaxCallers = 10000
+)
+
+var (
+	// ErrSettings tells that a setting is wrong.
+	ErrSettings = eris.New("proxy settings")
+	// ErrListen tells that an address can't be listened on.
+	ErrListen = eris.New("listen")
+)
+
+type (
+	// Proxy is a proxy that is about to run or runs.
+	Proxy struct {
+		options     settings.Proxy
+		log         logr.Logger
+		credentials adapter.Credentials
+		tls         *tls.Config
+		callers     net.Listener
+		peers       net.Listener
+		store       *view.Store
+		registry    *upstream.Registry
+		beat        *heartbeat.Beat
+		shared      *caller.Shared
+		chooser     atomic.Pointer[chooserOf]
+		metrics     metrics.Registry
+		workers     errgroup.Group
+		sessions    errgroup.Group
+		connected   atomic.Int64
+		draining    atomic.Bool
+	}
+
+	// chooserOf is the chooser of one version of the declarations.
+	chooserOf struct {
+		version cluster.Version
+		chooser choose.Chooser
+	}
+)
+
+// Run runs a proxy until ctx ends.
+func Run(ctx context.Context, options settings.Proxy, log logr.Logger) error {
+	proxy, err := New(options, log)
+	if err != nil {
+		return err
+	}
+	return proxy.Run(ctx)
+}
+
+// New checks the settings and opens the listeners.
+func New(options settings.Proxy, log logr.Logger) (*Proxy, error) {
+	return newProxy(options, log, dialPlatform)
+}
+
+func newProxy(options settings.Proxy, log logr.Logger, dial upstream.Dial) (*Proxy, error) {
+	withDefaults(&options)
+	p := &Proxy{options: options, log: log, store: view.NewStore(), metrics: metrics.NewRegistry()}
+	if err := p.readFiles(); err != nil {
+		return nil, err
+	}
+	controls, err := addresses(options.Control)
+	if err != nil {
+		return nil, err
+	}
+	key, err := readSecret(options.KeyFile)
+	if err != nil {
+		return nil, err
+	}
+	if err := p.listen(); err != nil {
+		return nil, err
+	}
+	p.chooser.Store(&chooserOf{chooser: choose.ByDatabase{}})
+	p.registry = upstream.New(upstream.Options{
+		Dial:        dial,
+		Credentials: p.credentials,
+		Go:          p.goWorker,
+		Changed:     func() { p.beat.Urgent() },
+		Log:         log,
+	}, p.store.Load)
+	p.beat = heartbeat.New(heartbeat.Options{
+		Identity: heartbeat.Identity{
+			Proxy:       options.Name,
+			Incarnation: uint64(cluster.NewIncarnation(time.Now())),
+			Address:     p.PeerAddress().String(),
+			DataCentre:  options.DataCentre,
+		},
+		Leader:   leader.New(controls, transport.NewClient(key, transport.Options{})),
+		Store:    p.store,
+		Registry: p.registry,
+		Draining: p.draining.Load,
+		Changed:  p.snapshotChanged,
+		Log:      log,
+	})
+	p.shared = &caller.Shared{
+		Snapshot: p.store.Load,
+		Upstream: p.registry,
+		Chooser:  func() choose.Chooser { return p.chooser.Load().chooser },
+		Here:     cluster.DataCentre(options.DataCentre),
+		Deadline: options.Deadline,
+		Cancels:  caller.NewCancels(),
+		Log:      log,
+	}
+	return p, nil
+}
+
+// Address is where callers connect.
+func (p *Proxy) Address() netip.AddrPort { return addressOf(p.callers) }
+
+// PeerAddress is where other proxies connect.
+func (p *Proxy) PeerAddress() netip.AddrPort { return addressOf(p.peers) }
+
+// Metrics returns the registry of the proxy's metrics.
+func (p *Proxy) Metrics() metrics.Registry { return p.metrics }
+
+// Ready reports whether a balancer should send callers here, and why not.
+func (p *Proxy) Ready() (ready bool, reason string) {
+	snapshot := p.store.Load()
+	switch {
+	case p.draining.Load():
+		return false, "the proxy shuts down"
+	case snapshot.Epoch == 0:
+		return false, "control has not answered yet"
+	case snapshot.Drain:
+		return false, "the proxy is drained by an operator"
+	default:
+		return true, ""
+	}
+}
+
+// Version returns the version of the declarations in force.
+func (p *Proxy) Version() cluster.Version { return p.store.Load().Version }
+
+// Run serves callers until ctx ends, and shuts down gracefully.
+func (p *Proxy) Run(ctx context.Context) error {
+	p.log.Info("listening", "address", p.Address().String(), "peer-address", p.PeerAddress().String())
+	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	var group run.Group
+	add(&group, ctx, p.accept)
+	add(&group, workCtx, p.beat.Hold)
+	add(&group, workCtx, p.beat.Hurry)
+	add(&group, workCtx, p.maintain)
+	add(&group, workCtx, p.servePeers)
+	err := group.Run()
+	return p.finish(err)
+}
+
+// finish ends what the role's goroutines have started.
+func (p *Proxy) finish(err error) error {
+	p.registry.Close()
+	leaveErr := p.beat.Leave(context.Background())
+	if leaveErr != nil {
+		p.log.Info("control was not told that the proxy leaves", "error", leaveErr.Error())
+	}
+	if workErr := p.workers.Wait(); err == nil {
+		err = workErr
+	}
+	p.log.Info("stopped")
+	return err
+}
+
+// add runs fn in the group until its context ends.
+func add(group *run.Group, ctx context.Context, fn func(context.Context) error) {
+	ctx, cancel := context.WithCancel(ctx)
+	group.Add(func() error { return fn(ctx) }, func(error) { cancel() })
+}
+
+// goWorker starts a goroutine that ends with the process.
+func (p *Proxy) goWorker(fn func() error) { p.workers.Go(fn) }
+
+// maintain looks after pools and groups until ctx ends.
+func (p *Proxy) maintain(ctx context.Context) error {
+	ticker := time.NewTicker(maintainInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			p.registry.Maintain(now)
+		}
+	}
+}
+
+// servePeers answers the other proxies until ctx ends.
+func (p *Proxy) servePeers(ctx context.Context) error {
+	<-ctx.Done()
+	return p.peers.Close()
+}
+
+// snapshotChanged takes a new snapshot's declarations into force.
+func (p *Proxy) snapshotChanged(snapshot *view.Snapshot) {
+	if snapshot.Version == p.chooser.Load().version {
+		return
+	}
+	chooser, err := choose.Parse(snapshot.Declarations)
+	if err != nil {
+		p.log.Error(err, "declarations are not usable", "version", snapshot.Version)
+		return
+	}
+	p.chooser.Store(&chooserOf{version: snapshot.Version, chooser: chooser})
+	p.log.Info("declarations in force", "version", snapshot.Version)
+}
--- /dev/null
+++ b/internal/proxy/daemon/setup.go
@@ -0,0 +1,101 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockwood/burdockwood/internal/backend/adapter"
+	"github.com/burdockwood/burdockwood/internal/config/settings"
+)
+
+// withDefaults fills settings that were made without the command line.
+func withDefaults(options *settings.Proxy) {
+	if options.DrainTime == 0 {
+		options.DrainTime = defaultDrainTime
+	}
+	if options.Deadline == 0 {
+		options.Deadline = defaultDeadline
+	}
+	if options.MaxCallers == 0 {
+		options.MaxCallers = defaultMaxCallers
+	}
+	if options.Peer == "" {
+		options.Peer = "127.0.0.1:0"
+	}
+}
+
+// readFiles reads the files that the settings name.
+func (p *Proxy) readFiles() error {
+	password, err := readSecret(p.options.BackendPassword)
+	if err != nil {
+		return err
+	}
+	p.credentials = adapter.Credentials{User: p.options.BackendUser, Password: password}
+	if p.options.TLSCert == "" {
+		return nil
+	}
+	certificate, err := tls.LoadX509KeyPair(p.options.TLSCert, p.options.TLSKey)
+	if err != nil {
+		return eris.Wrapf(ErrSettings, "--tls-cert, --tls-key: %v", err)
+	}
+	p.tls = &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}
+	return nil
+}
+
+// listen opens the listeners.
+func (p *Proxy) listen() error {
+	callers, err := net.Listen("tcp", p.options.Listen)
+	if err != nil {
+		return eris.Wrapf(ErrListen, "--listen: %v", err)
+	}
+	peers, err := net.Listen("tcp", p.options.Peer)
+	if err != nil {
+		_ = callers.Close()
+		return eris.Wrapf(ErrListen, "--peer: %v", err)
+	}
+	p.callers = callers
+	p.peers = peers
+	return nil
+}
+
+// readSecret reads the first line of a file; no name, no secret.
+func readSecret(name string) (string, error) {
+	if name == "" {
+		return "", nil
+	}
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return "", eris.Wrap(ErrSettings, err.Error())
+	}
+	line, _, _ := strings.Cut(string(text), "\n")
+	return strings.TrimSpace(line), nil
+}
+
+// addresses parses the addresses of the control nodes.
+func addresses(texts []string) ([]netip.AddrPort, error) {
+	if len(texts) == 0 {
+		return nil, eris.Wrap(ErrSettings, "--control: at least one address")
+	}
+	parsed := make([]netip.AddrPort, 0, len(texts))
+	for _, text := range texts {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, eris.Wrapf(ErrSettings, "--control: %v", err)
+		}
+		parsed = append(parsed, address)
+	}
+	return parsed, nil
+}
+
+func addressOf(listener net.Listener) netip.AddrPort {
+	address, err := netip.ParseAddrPort(listener.Addr().String())
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return address
+}
