--- a/internal/control/daemon/daemon.go
+++ b/internal/control/daemon/daemon.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -23,9 +24,9 @@
 	"github.com/burdockwood/burdockwood/internal/backend/adapter"
 	"github.com/burdockwood/burdockwood/internal/config/settings"
 	"github.com/burdockwood/burdockwood/internal/control/coordinator"
+	"github.com/burdockwood/burdockwood/internal/control/node"
 	"github.com/burdockwood/burdockwood/internal/control/runner"
 	"github.com/burdockwood/burdockwood/internal/control/service"
-	"github.com/burdockwood/burdockwood/internal/control/single"
 	"github.com/burdockwood/burdockwood/internal/control/state"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
@@ -50,31 +51,53 @@
 	if err != nil {
 		return eris.Wrapf(ErrStart, "listen on %q: %v", options.Listen, err)
 	}
-	address, err := netip.ParseAddrPort(listener.Addr().String())
+	machine := state.New()
+	log, err := newNode(options, key, listener, machine, logger)
 	if err != nil {
-		return eris.Wrapf(ErrStart, "listen on %q: %v", options.Listen, err)
+		return errors.Join(err, listener.Close())
 	}
 	credentials := adapter.Credentials{User: options.BackendUser, Password: password}
 	dial := func(ctx context.Context, address netip.AddrPort) (adapter.Server, error) {
 		return adapter.Dial(ctx, address, credentials)
 	}
-	machine := state.New()
-	log := single.New(machine, cluster.NodeName(options.Name), address)
 	c := coordinator.New(log, machine, parseDeclared)
 	handler := service.New(service.Options{
 		Coordinator: c, Machine: machine, Log: log, Check: checkDeclarations, Logger: logger,
 	})
 	mux := http.NewServeMux()
-	control := controlpb.NewControlServer(handler)
-	mux.Handle(control.PathPrefix(), control)
-	logger.Info("listening", "address", address.String())
+	for _, server := range []controlpb.TwirpServer{controlpb.NewControlServer(handler), controlpb.NewPeerServer(log)} {
+		mux.Handle(server.PathPrefix(), server)
+	}
+	logger.Info("listening", "address", listener.Addr().String())
 	return runAll(ctx,
 		func(ctx context.Context) error { return transport.Serve(ctx, listener, transport.Guard(key, mux)) },
-		func(ctx context.Context) error { return tick(ctx, c, machine) },
+		func(ctx context.Context) error { return tick(ctx, c, machine, log) },
 		runner.New(c, log, dial, logger).Run,
+		log.Run,
 	)
 }
 
+// newNode opens the data folder and returns the agreement protocol on it.
+func newNode(options settings.Control, key string, listener net.Listener, machine *state.Machine, logger logr.Logger) (*node.Node, error) {
+	listening, err := netip.ParseAddrPort(listener.Addr().String())
+	if err != nil {
+		return nil, eris.Wrapf(ErrStart, "listen on %q: %v", options.Listen, err)
+	}
+	name := cluster.NodeName(options.Name)
+	peers, err := parsePeers(options.Peers, name, listening)
+	if err != nil {
+		return nil, err
+	}
+	log, err := node.New(node.Options{
+		Name: name, Address: addressOf(peers, name), Peers: peers, Folder: options.Data,
+		Machine: machine, Logger: logger, Client: transport.NewClient(key, transport.Options{}),
+	})
+	if err != nil {
+		return nil, eris.Wrapf(ErrStart, "%v", err)
+	}
+	return log, nil
+}
+
 // runAll runs actors until one ends or ctx does.
 func runAll(ctx context.Context, actors ...func(context.Context) error) error {
 	var group run.Group
@@ -89,18 +112,21 @@
 	return err
 }
 
-// tick lets the coordinator decide at intervals and after each commit.
-func tick(ctx context.Context, c *coordinator.Coordinator, machine *state.Machine) error {
+// tick lets the coordinator decide at intervals, after each commit and after
+// each change of leadership.
+func tick(ctx context.Context, c *coordinator.Coordinator, machine *state.Machine, log *node.Node) error {
 	ticker := time.NewTicker(coordinator.TickInterval)
 	defer ticker.Stop()
 	for {
 		changed := machine.Changed()
+		elected := log.Changes()
 		c.Tick(time.Now())
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		case <-changed:
+		case <-elected:
 		}
 	}
 }
--- /dev/null
+++ b/internal/control/daemon/peers.go
@@ -0,0 +1,50 @@
+package daemon
+
+import (
+	"net/netip"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockwood/burdockwood/internal/control/node"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+// parsePeers reads "name=IP:port" of each control node. Without any, or where
+// self's port is 0, self is at the address that it listens on.
+func parsePeers(texts []string, self cluster.NodeName, listening netip.AddrPort) ([]node.Peer, error) {
+	if len(texts) == 0 {
+		return []node.Peer{{Name: self, Address: listening}}, nil
+	}
+	peers := make([]node.Peer, 0, len(texts))
+	listed := false
+	for _, text := range texts {
+		name, address, ok := strings.Cut(text, "=")
+		parsed, err := netip.ParseAddrPort(address)
+		if !ok || name == "" || err != nil {
+			return nil, eris.Wrapf(ErrStart, "--peer %q: want name=IP:port", text)
+		}
+		peer := node.Peer{Name: cluster.NodeName(name), Address: parsed}
+		if peer.Name == self {
+			listed = true
+			if parsed.Port() == 0 {
+				peer.Address = listening
+			}
+		}
+		peers = append(peers, peer)
+	}
+	if !listed {
+		return nil, eris.Wrapf(ErrStart, "--peer: no entry for this node, %q", self)
+	}
+	return peers, nil
+}
+
+// addressOf returns the address at which the others know a node.
+func addressOf(peers []node.Peer, name cluster.NodeName) netip.AddrPort {
+	for _, peer := range peers {
+		if peer.Name == name {
+			return peer.Address
+		}
+	}
+	return netip.AddrPort{}
+}
--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -136,10 +136,12 @@
 		promises map[cluster.ServerName]promise
 		reached  map[cluster.ServerName]bool
 		promoted cluster.Term
-		follows  map[cluster.ServerName]follow
-		next     map[key]time.Time
-		above    cluster.Term
-		wanted   *Wanted
+		// promotedAt is when the promotion was acknowledged.
+		promotedAt time.Time
+		follows    map[cluster.ServerName]follow
+		next       map[key]time.Time
+		above      cluster.Term
+		wanted     *Wanted
 		// plannedAfter is when the next planned change may begin.
 		plannedAfter time.Time
 	}
@@ -241,6 +243,7 @@
 		}
 	case Promote:
 		d.plan.promoted = max(d.plan.promoted, action.Term)
+		d.plan.promotedAt = d.now
 	case Follow:
 		d.plan.follows[action.Server] = follow{
 			term: action.Term, primary: action.Primary, at: d.now,
--- a/internal/control/failover/maintain.go
+++ b/internal/control/failover/maintain.go
@@ -147,8 +147,12 @@
 func (d *decider) promotePrimary() bool {
 	record := d.s.Record
 	server, ok := d.s.Servers[record.Primary]
-	if ok && server.Role == cluster.RolePrimary && server.Promised == record.Term {
-		d.plan.promoted = record.Term
+	if ok && server.Promised == record.Term && server.Heard.After(d.plan.promotedAt) {
+		// A primary that was started again doesn't know its role.
+		d.plan.promoted = 0
+		if server.Role == cluster.RolePrimary {
+			d.plan.promoted = record.Term
+		}
 	}
 	if d.plan.promoted != record.Term {
 		d.send(Action{Kind: Promote, Server: record.Primary, Term: record.Term})
--- a/internal/control/service/operators.go
+++ b/internal/control/service/operators.go
@@ -15,7 +15,7 @@
 const (
 	maxChangeID = 128
 	maxAuthor   = 128
-	maxText     = 4 << 20
+	maxText     = 1 << 20
 
 	// defaultHistory is the number of changes that History lists when the
 	// request states none.
