--- /dev/null
+++ b/internal/measure/relay/relay.go
@@ -0,0 +1,395 @@
+// Package relay forwards TCP connections and can delay, freeze, cut or refuse
+// them while it runs, for measurements and scenarios.
+//
+// # Usage
+//
+//	r, err := relay.Start(ctx, relay.Options{Target: address, Latency: time.Millisecond})
+//	caller.Dial(r.Address())
+//	r.Set(relay.Frozen)              // every connection
+//	r.Set(relay.Cut, "replication")  // connections of one class
+//	r.Heal()
+//
+// A frozen link holds bytes and delivers them after Heal, as a stopped process
+// does. A cut link holds bytes too, but its connections are reset by Heal, as
+// after a long partition. A refused link resets its connections and each new
+// one at once. Every buffer is bounded.
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// Open forwards.
+	Open Mode = iota
+	// Frozen holds bytes until Heal.
+	Frozen
+	// Cut holds bytes until Heal, which then resets the connections.
+	Cut
+	// Refused resets connections.
+	Refused
+
+	chunkBytes     = 16 << 10
+	maxChunks      = 64
+	maxConnections = 8192
+	dialTimeout    = 2 * time.Second
+)
+
+// ErrListen tells that the relay can't listen.
+var ErrListen = eris.New("the relay cannot listen")
+
+type (
+	// Mode is how a link treats bytes.
+	Mode uint8
+
+	// Options describe a relay.
+	Options struct {
+		// Listen is the address to listen on; empty: any port on loopback.
+		Listen string
+		Target netip.AddrPort
+		// Latency is the one-way delay.
+		Latency time.Duration
+		// Classify names the class of a connection from the first bytes
+		// that its caller sends; nil: one class "".
+		Classify func(first []byte) string
+	}
+
+	// Relay forwards connections to one target.
+	Relay struct {
+		options  Options
+		listener net.Listener
+		latency  atomic.Int64
+		group    *errgroup.Group
+
+		mu    sync.Mutex
+		all   Mode
+		modes map[string]Mode
+		links map[*link]struct{}
+	}
+
+	// link is one forwarded connection.
+	link struct {
+		relay  *Relay
+		caller net.Conn
+		target net.Conn
+
+		mu      sync.Mutex
+		class   string
+		mode    Mode
+		changed chan struct{}
+	}
+
+	chunk struct {
+		data []byte
+		due  time.Time
+	}
+)
+
+// Start listens and forwards in the background until ctx ends.
+func Start(ctx context.Context, options Options) (*Relay, error) {
+	if options.Listen == "" {
+		options.Listen = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", options.Listen)
+	if err != nil {
+		return nil, eris.Wrapf(ErrListen, "on %s: %v", options.Listen, err)
+	}
+	r := &Relay{
+		options:  options,
+		listener: listener,
+		modes:    make(map[string]Mode),
+		links:    make(map[*link]struct{}),
+	}
+	r.latency.Store(int64(options.Latency))
+	r.group, ctx = errgroup.WithContext(ctx)
+	r.group.Go(func() error {
+		<-ctx.Done()
+		return listener.Close()
+	})
+	r.group.Go(func() error { return r.accept(ctx) })
+	return r, nil
+}
+
+// Address returns the address that callers dial.
+func (r *Relay) Address() netip.AddrPort {
+	return r.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Delay sets the one-way latency.
+func (r *Relay) Delay(latency time.Duration) { r.latency.Store(int64(latency)) }
+
+// Retarget sends new connections to another address.
+func (r *Relay) Retarget(target netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.options.Target = target
+}
+
+// Set puts the links of the given classes, or every link if none is given,
+// into mode.
+func (r *Relay) Set(mode Mode, classes ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(classes) == 0 {
+		r.all = mode
+	}
+	for _, class := range classes {
+		r.modes[class] = mode
+	}
+	r.update()
+}
+
+// Heal opens all links. Connections of links that were cut are reset.
+func (r *Relay) Heal() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = Open
+	clear(r.modes)
+	r.update()
+}
+
+// Wait returns when the relay has ended.
+func (r *Relay) Wait() error {
+	err := r.group.Wait()
+	if errors.Is(err, context.Canceled) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// update tells each link its mode; mu is held.
+func (r *Relay) update() {
+	for l := range r.links {
+		l.set(r.modeOf(l.name()))
+	}
+}
+
+// modeOf returns the stricter of the relay's and the class's mode; mu is
+// held.
+func (r *Relay) modeOf(class string) Mode { return max(r.all, r.modes[class]) }
+
+func (r *Relay) accept(ctx context.Context) error {
+	for {
+		conn, err := r.listener.Accept()
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			continue
+		}
+		r.group.Go(func() error {
+			r.forward(ctx, conn)
+			return nil
+		})
+	}
+}
+
+// forward serves one connection until either side ends it.
+func (r *Relay) forward(ctx context.Context, caller net.Conn) {
+	l := &link{relay: r, caller: caller, changed: make(chan struct{})}
+	if !r.add(l) {
+		reset(caller)
+		return
+	}
+	defer r.remove(l)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, l.close)
+	defer stop()
+	first := make([]byte, chunkBytes)
+	n, err := caller.Read(first)
+	if err != nil {
+		return
+	}
+	arrived := time.Now()
+	r.classify(l, first[:n])
+	if l.await(ctx) != nil {
+		return
+	}
+	if err := l.dial(ctx); err != nil {
+		reset(caller)
+		return
+	}
+	defer l.target.Close()
+	group, ctx := errgroup.WithContext(ctx)
+	stopGroup := context.AfterFunc(ctx, l.close)
+	defer stopGroup()
+	out, back := make(chan chunk, maxChunks), make(chan chunk, maxChunks)
+	out <- chunk{data: first[:n], due: arrived.Add(r.delay())}
+	group.Go(func() error { return l.read(ctx, caller, out) })
+	group.Go(func() error { return l.write(ctx, l.target, out) })
+	group.Go(func() error { return l.read(ctx, l.target, back) })
+	group.Go(func() error { return l.write(ctx, caller, back) })
+	// Whichever direction ends first ends the link.
+	_ = group.Wait()
+}
+
+func (r *Relay) delay() time.Duration { return time.Duration(r.latency.Load()) }
+
+func (r *Relay) add(l *link) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.links) >= maxConnections || r.all == Refused {
+		return false
+	}
+	l.mode = r.modeOf("")
+	r.links[l] = struct{}{}
+	return true
+}
+
+func (r *Relay) remove(l *link) {
+	l.close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.links, l)
+}
+
+func (r *Relay) classify(l *link, first []byte) {
+	if r.options.Classify == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l.mu.Lock()
+	l.class = r.options.Classify(first)
+	l.mu.Unlock()
+	l.set(r.modeOf(l.class))
+}
+
+func (l *link) name() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.class
+}
+
+// set changes the link's mode. A link that was cut or refused ends.
+func (l *link) set(mode Mode) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if mode == l.mode {
+		return
+	}
+	if mode == Refused || l.mode == Cut {
+		l.closeLocked()
+	}
+	l.mode = mode
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// await returns once the link is open.
+func (l *link) await(ctx context.Context) error {
+	for {
+		l.mu.Lock()
+		mode, changed := l.mode, l.changed
+		l.mu.Unlock()
+		if mode == Open {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+func (l *link) dial(ctx context.Context) error {
+	l.relay.mu.Lock()
+	address := l.relay.options.Target
+	l.relay.mu.Unlock()
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	target, err := dialer.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.target = target
+	return nil
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closeLocked()
+}
+
+func (l *link) closeLocked() {
+	reset(l.caller)
+	if l.target != nil {
+		reset(l.target)
+	}
+}
+
+// read takes bytes from one side; its channel bounds what is held.
+func (l *link) read(ctx context.Context, from net.Conn, to chan<- chunk) error {
+	defer close(to)
+	for {
+		data := make([]byte, chunkBytes)
+		n, err := from.Read(data)
+		if n > 0 {
+			select {
+			case to <- chunk{data: data[:n], due: time.Now().Add(l.relay.delay())}:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+		if err != nil {
+			return nil
+		}
+	}
+}
+
+// write delivers bytes when they are due and the link is open. It ends the
+// link after the last byte.
+func (l *link) write(ctx context.Context, to net.Conn, from <-chan chunk) error {
+	for c := range from {
+		if err := sleepUntil(ctx, c.due); err != nil {
+			return err
+		}
+		if err := l.await(ctx); err != nil {
+			return err
+		}
+		if _, err := to.Write(c.data); err != nil {
+			return err
+		}
+	}
+	if err := l.await(ctx); err != nil {
+		return err
+	}
+	to.Close()
+	return net.ErrClosed
+}
+
+func sleepUntil(ctx context.Context, due time.Time) error {
+	wait := time.Until(due)
+	if wait <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// reset closes without sending what is left.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	conn.Close()
+}
