--- /dev/null
+++ b/internal/cli/factory/factory.go
@@ -0,0 +1,135 @@
+// Package factory gives commands what they need from outside: streams, the
+// clock, the environment, a client of control and the roles.
+//
+// # Usage
+//
+//	f := factory.New(version)
+//	cmd := group.NewCmdGroup(f)
+//
+//	response, err := factory.Call(ctx, f, options.Client, func(ctx context.Context, c controlpb.Control) (*controlpb.StatusResponse, error) {
+//		return c.Status(ctx, &controlpb.StatusRequest{})
+//	})
+package factory
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockwood/burdockwood/internal/cli/exit"
+	"github.com/burdockwood/burdockwood/internal/cli/iostreams"
+	"github.com/burdockwood/burdockwood/internal/config/settings"
+	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
+	"github.com/burdockwood/burdockwood/internal/rpc/leader"
+	"github.com/burdockwood/burdockwood/internal/rpc/transport"
+)
+
+const (
+	callTimeout = 5 * time.Second
+	tryTimeout  = 2 * time.Second
+)
+
+var (
+	errNotBuilt = eris.New("this role is not part of this program")
+	errDeclined = eris.New("nothing was changed")
+)
+
+type (
+	// Factory holds what commands need from outside.
+	Factory struct {
+		Streams     *iostreams.Streams
+		Now         func() time.Time
+		Environment []string
+		Version     string
+		// Client returns a client of the control nodes.
+		Client func(options settings.Client) (*leader.Client, *http.Client, error)
+		// RunProxy and RunControl run a role until ctx ends.
+		RunProxy   func(ctx context.Context, options settings.Proxy, logger logr.Logger) error
+		RunControl func(ctx context.Context, options settings.Control, logger logr.Logger) error
+	}
+
+	// Confirmation is the flag of commands that ask before they act.
+	Confirmation struct {
+		Yes bool `short:"y" long:"yes" description:"don't ask, act"`
+	}
+)
+
+// New returns the factory of the real process.
+func New(version string) *Factory {
+	return &Factory{
+		Streams:     iostreams.System(),
+		Now:         time.Now,
+		Environment: os.Environ(),
+		Version:     version,
+		Client:      newClient,
+		RunProxy: func(context.Context, settings.Proxy, logr.Logger) error {
+			return errNotBuilt
+		},
+		RunControl: func(context.Context, settings.Control, logr.Logger) error {
+			return errNotBuilt
+		},
+	}
+}
+
+// Call calls the leading control node. Errors carry an exit code.
+func Call[T any](ctx context.Context, f *Factory, options settings.Client, call func(context.Context, controlpb.Control) (T, error)) (T, error) {
+	var response T
+	client, _, err := f.Client(options)
+	if err != nil {
+		return response, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err = client.Do(ctx, tryTimeout, func(ctx context.Context, control controlpb.Control) error {
+		var err error
+		response, err = call(ctx, control)
+		return err
+	})
+	return response, exit.FromControl(err)
+}
+
+// Status asks the leading control node for all that it knows.
+func Status(ctx context.Context, f *Factory, options settings.Client) (*controlpb.StatusResponse, error) {
+	return Call(ctx, f, options, func(ctx context.Context, c controlpb.Control) (*controlpb.StatusResponse, error) {
+		return c.Status(ctx, &controlpb.StatusRequest{})
+	})
+}
+
+// Declarations asks for one version of the declarations; 0 is the newest.
+func Declarations(ctx context.Context, f *Factory, options settings.Client, version uint64) (*controlpb.GetDeclarationsResponse, error) {
+	return Call(ctx, f, options, func(ctx context.Context, c controlpb.Control) (*controlpb.GetDeclarationsResponse, error) {
+		return c.GetDeclarations(ctx, &controlpb.GetDeclarationsRequest{Version: version})
+	})
+}
+
+// Confirm asks the question unless --yes is given. Without a terminal and
+// without --yes it refuses.
+func (f *Factory) Confirm(yes Confirmation, question string) error {
+	if yes.Yes {
+		return nil
+	}
+	if !f.Streams.CanPrompt {
+		return exit.New(exit.Usage, eris.Wrapf(errDeclined, "%s", question), "add --yes to act without a question")
+	}
+	ok, err := f.Streams.Confirm(question)
+	if err != nil {
+		return err
+	}
+	if !ok {
+		return exit.New(exit.Failed, errDeclined, "")
+	}
+	return nil
+}
+
+func newClient(options settings.Client) (*leader.Client, *http.Client, error) {
+	key, err := settings.ReadSecret(options.KeyFile)
+	if err != nil {
+		return nil, nil, exit.New(exit.Usage, err, "check --key-file")
+	}
+	httpClient := transport.NewClient(key, transport.Options{})
+	return leader.New(options.ControlAddresses(), httpClient), httpClient, nil
+}
