--- a/internal/cli/apply/apply.go
+++ b/internal/cli/apply/apply.go
@@ -31,6 +31,7 @@
 
 type applyOptions struct {
 	settings.Client
+	settings.Author
 	factory.Confirmation
 	Folder   string        `short:"f" long:"folder" value-name:"DIR" description:"folder with .yaml files, read with its subfolders"`
 	DryRun   bool          `long:"dry-run" description:"show the difference and change nothing"`
@@ -38,7 +39,6 @@
 	WaitTime time.Duration `long:"wait-time" default:"30s" description:"most time to wait"`
 	ChangeID string        `long:"change-id" value-name:"ID" description:"identifier of the change; the same one again gets the first answer"`
 	Expect   string        `long:"expect-version" value-name:"N" description:"version that the change builds on; without it the version in force"`
-	Author   string        `long:"author" env:"BURDOCKWOOD_AUTHOR" description:"who changes; without it the user's name"`
 }
 
 // NewCmdApply returns the command "apply".
@@ -145,7 +145,7 @@
 		Declarations:  text,
 		ExpectVersion: version,
 		ChangeId:      options.ChangeID,
-		Author:        author(options.Author),
+		Author:        author(options.Author.Author),
 	}
 	if request.ChangeId == "" {
 		request.ChangeId = contentID(request)
--- a/internal/cli/role/role.go
+++ b/internal/cli/role/role.go
@@ -42,9 +42,8 @@
 
 	// Mode holds the flags that every role has besides its settings.
 	Mode struct {
-		CheckOnly     bool   `long:"check" description:"only say whether a start would work"`
-		PrintSettings bool   `long:"print-settings" description:"print each setting with its source and exit"`
-		LogFormat     string `long:"log-format" env:"BURDOCKWOOD_LOG_FORMAT" default:"json" choice:"json" choice:"text" description:"form of the log lines"`
+		CheckOnly     bool `long:"check" description:"only say whether a start would work"`
+		PrintSettings bool `long:"print-settings" description:"print each setting with its source and exit"`
 	}
 
 	// Start holds what Run needs of a role.
@@ -83,7 +82,7 @@
 		return err
 	}
 	level := logging.NewLevel(start.Common.LogLevel)
-	logger := logging.New(streams.Err, logging.Format(mode.LogFormat), level).WithValues("role", start.Name, "name", start.Common.Name)
+	logger := logging.New(streams.Err, logging.Format(start.Common.LogFormat), level).WithValues("role", start.Name, "name", start.Common.Name)
 	started, err := start.New(logger)
 	if err != nil {
 		return err
--- a/internal/config/settings/check.go
+++ b/internal/config/settings/check.go
@@ -28,6 +28,8 @@
 var (
 	nameForm  = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]{0,61}[A-Za-z0-9])?$`)
 	logLevels = []string{"debug", "info", "error"}
+	// An empty format is that of a role started without a command line.
+	logFormats = []string{"json", "text", ""}
 )
 
 // checker collects faults.
@@ -110,6 +112,9 @@
 	if !slices.Contains(logLevels, s.LogLevel) {
 		c.fault("log-level", fmt.Sprintf("%q is not a level", s.LogLevel), didYouMean(s.LogLevel, logLevels))
 	}
+	if !slices.Contains(logFormats, s.LogFormat) {
+		c.fault("log-format", fmt.Sprintf("%q is not a format", s.LogFormat), "write json or text")
+	}
 	c.address("admin", s.Admin, false)
 	c.file("key-file", s.KeyFile)
 }
--- a/internal/config/settings/parse.go
+++ b/internal/config/settings/parse.go
@@ -275,7 +275,7 @@
 // knownVariables returns the variables of every role and of options.
 func knownVariables(options any) []string {
 	var known []string
-	for _, role := range []any{options, &Proxy{}, &Control{}, &Client{}} {
+	for _, role := range []any{options, &Proxy{}, &Control{}, &Client{}, &Author{}} {
 		for name := range environmentKeys(role) {
 			if !slices.Contains(known, name) {
 				known = append(known, name)
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -23,6 +23,7 @@
 		Name       string `long:"name" env:"BURDOCKWOOD_NAME" description:"name of this process, unique among its role"`
 		DataCentre string `long:"data-centre" env:"BURDOCKWOOD_DATA_CENTRE" description:"data centre of this process"`
 		LogLevel   string `long:"log-level" env:"BURDOCKWOOD_LOG_LEVEL" default:"info" description:"debug, info or error"`
+		LogFormat  string `long:"log-format" env:"BURDOCKWOOD_LOG_FORMAT" default:"json" description:"json or text"`
 		Admin      string `long:"admin" env:"BURDOCKWOOD_ADMIN" description:"IP:port for health, metrics and log level; empty for none"`
 		KeyFile    string `long:"key-file" env:"BURDOCKWOOD_KEY_FILE" description:"file with the key shared by this system's processes"`
 	}
@@ -53,6 +54,11 @@
 		BackendPassword string   `long:"backend-password-file" env:"BURDOCKWOOD_BACKEND_PASSWORD_FILE" description:"file with the password at backend servers"`
 	}
 
+	// Author is the setting of commands that change declarations.
+	Author struct {
+		Author string `long:"author" env:"BURDOCKWOOD_AUTHOR" description:"who changes; without it the user's name"`
+	}
+
 	// Client are the settings of the operators' commands.
 	Client struct {
 		Control []string `long:"control" env:"BURDOCKWOOD_CONTROL" env-delim:"," default:"127.0.0.1:7400" description:"IP:port of each control node"`
