--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -97,6 +97,7 @@
 		proxies       map[cluster.ProxyName]*proxy
 		ledgers       map[ServerKey]grant.Ledger
 		registered    map[cluster.ProxyName]bool
+		dropped       map[ServerKey]time.Time
 		order         []grant.Proxy
 	}
 
@@ -250,6 +251,7 @@
 	c.proxies = map[cluster.ProxyName]*proxy{}
 	c.ledgers = map[ServerKey]grant.Ledger{}
 	c.registered = map[cluster.ProxyName]bool{}
+	c.dropped = map[ServerKey]time.Time{}
 	for name := range c.machine.View().Proxies {
 		c.registered[name] = true
 	}
--- a/internal/control/coordinator/decide.go
+++ b/internal/control/coordinator/decide.go
@@ -135,6 +135,7 @@
 	facts := state.Member{
 		Name: a.Server, Address: a.Address, DataCentre: a.DataCentre, Slots: a.Slots,
 		Connections: a.Connections, Labels: a.Labels, Incarnation: a.Incarnation,
+		Epoch: c.epoch,
 	}
 	if record, ok := c.machine.View().Groups[a.Group]; ok {
 		committed, known := record.Members[a.Server]
--- a/internal/control/coordinator/shares.go
+++ b/internal/control/coordinator/shares.go
@@ -44,7 +44,7 @@
 			key := ServerKey{Group: group, Server: server}
 			ledger, ok := c.ledgers[key]
 			if !ok {
-				ledger = grant.New(member.Connections, c.since)
+				ledger = grant.New(member.Connections, c.unknownSince(key, member))
 			}
 			c.ledgers[key] = ledger.Limit(member.Connections)
 		}
@@ -53,10 +53,24 @@
 		record, ok := view.Groups[key.Group]
 		if !ok || record.Members[key.Server].Name == "" {
 			delete(c.ledgers, key)
+			c.dropped[key] = now
 		}
 	}
 }
 
+// unknownSince returns the time until which others may have granted
+// connections of a server that this leader doesn't know of: its own beginning,
+// or that of the server if it was first committed by this leader.
+func (c *Coordinator) unknownSince(key ServerKey, member state.Member) time.Time {
+	if dropped, ok := c.dropped[key]; ok {
+		return dropped
+	}
+	if member.Epoch == c.epoch {
+		return time.Time{}
+	}
+	return c.since
+}
+
 func bySequence(a, b state.Proxy) int { return cmp.Compare(a.Sequence, b.Sequence) }
 
 // takeUses reports a proxy's uses to the ledgers.
--- a/internal/control/state/groups.go
+++ b/internal/control/state/groups.go
@@ -13,6 +13,9 @@
 		members[name] = member
 	}
 	for _, member := range command.Set {
+		if known, ok := group.Members[member.Name]; ok {
+			member.Epoch = known.Epoch
+		}
 		members[member.Name] = member
 	}
 	for _, name := range command.Forget {
--- a/internal/control/state/state.go
+++ b/internal/control/state/state.go
@@ -131,6 +131,9 @@
 		// Repairing is set while a voter that lost its disk hasn't caught up:
 		// its promise doesn't count.
 		Repairing bool `json:"repairing,omitempty"`
+		// Epoch is the epoch of the leader that first committed the server.
+		// No earlier leader can have granted connections to it.
+		Epoch uint64 `json:"epoch,omitempty"`
 	}
 
 	// Proxy is a proxy that may hold connections.
--- a/internal/proxy/caller/serve.go
+++ b/internal/proxy/caller/serve.go
@@ -131,6 +131,7 @@
 // tryUntilDone attempts the request until it is done or must not be tried
 // again.
 func (s *Session) tryUntilDone(ctx context.Context, j *job) *outcome.Error {
+	s.open()
 	for tries := 1; ; tries++ {
 		end := s.attempt(ctx, j)
 		if end.what == retry.Done {
--- a/internal/proxy/daemon/daemon.go
+++ b/internal/proxy/daemon/daemon.go
@@ -99,7 +99,7 @@
 
 // New checks the settings and opens the listeners.
 func New(options settings.Proxy, log logr.Logger) (*Proxy, error) {
-	return newProxy(options, log, dialPlatform)
+	return newProxy(options, log, adapter.Dial)
 }
 
 func newProxy(options settings.Proxy, log logr.Logger, dial upstream.Dial) (*Proxy, error) {
