Proxy: session marks, failures and shutdown

Cause: callers roam between proxies and must read their own writes there; a primary that was cut off, a lost answer and a shutdown must not break the promises. Ruled out: a fixed time after which an owner's knowledge counts as whole: the owner says since when it vouches, and a replica must be newer than that, so replicas serve callers without marks soon after a start. Change: signed marks, marks kept with two proxies by rendezvous hashing, evidence about primaries sent at once, drain. Found by the tests: an unopened answer buffer when no connection could be had (nil dereference); control heard of unconfirmed writes only with the next held heartbeat.

--- a/internal/proxy/caller/attempt.go
+++ b/internal/proxy/caller/attempt.go
@@ -86,7 +86,7 @@
 	for {
 		term := j.group.Tracker.Term()
 		candidates := j.group.Candidates(space[:0])
-		decision := route.Choose(s.need(j), candidates, s.shared.Here, time.Now())
+		decision := route.Choose(s.need(ctx, j), candidates, s.shared.Here, time.Now())
 		switch decision.Action {
 		case route.UseServer:
 			chosen := candidates[decision.Index]
@@ -107,7 +107,7 @@
 }
 
 // need is what the request demands of its server.
-func (s *Session) need(j *job) route.Need {
+func (s *Session) need(ctx context.Context, j *job) route.Need {
 	need := route.Need{
 		Write:    s.request.Kind > classify.Read || j.primaryOnly,
 		MaxAge:   j.prefs.maxAge,
@@ -117,7 +117,8 @@
 	if need.Write || need.MaxAge <= 0 {
 		return need
 	}
-	need.Mark, need.MarkKnown = s.mark(j)
+	need.Mark, need.MarkKnown = s.mark(ctx, j)
+	need.MaxAge = j.prefs.maxAge
 	return need
 }
 
@@ -148,11 +149,13 @@
 	refusal := s.confirm(ctx, keep, result, begun)
 	j.confirm = time.Since(confirming)
 	s.settle(keep, result)
+	if refusal == nil {
+		refusal = s.remember(ctx, j.group, &j.prefs, result, from)
+	}
 	if refusal != nil {
 		s.answer.data = s.answer.data[:min(from, len(s.answer.data))]
 		return ending{what: retry.Unknown, refusal: refusal}
 	}
-	s.acknowledge(j.group, j.prefs, result, from)
 	return done
 }
 
--- a/internal/proxy/caller/held.go
+++ b/internal/proxy/caller/held.go
@@ -36,12 +36,13 @@
 	s.afterRun(keep, result)
 	refusal := s.confirm(ctx, keep, result, now)
 	s.settle(keep, result)
+	if refusal == nil {
+		refusal = s.remember(ctx, keep.group, &s.own, result, from)
+	}
 	if refusal != nil {
 		s.answer.data = s.answer.data[:min(from, len(s.answer.data))]
 		s.refuse(refusal)
-		return
 	}
-	s.acknowledge(keep.group, s.own, result, from)
 }
 
 // loseUnsent ends a transaction whose primary was replaced. The request has
--- a/internal/proxy/caller/preferences.go
+++ b/internal/proxy/caller/preferences.go
@@ -9,6 +9,7 @@
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/proxy/classify"
 	"github.com/burdockwood/burdockwood/internal/proxy/outcome"
+	"github.com/burdockwood/burdockwood/internal/proxy/session"
 )
 
 const (
@@ -30,9 +31,11 @@
 	requestID string
 	session   string
 	labels    cluster.Labels
-	// carriesMark tells that the caller hands its mark on itself.
+	// carriesMark tells that the caller hands its mark on itself; verified
+	// tells that given is what a proxy had signed.
 	carriesMark bool
-	mark        string
+	verified    bool
+	given       session.Marks
 }
 
 // set changes one preference; an empty value resets it.
@@ -43,9 +46,6 @@
 		return p.setMaxAge(value)
 	case name == settingDeadline:
 		return p.setDeadline(value)
-	case name == settingMark:
-		p.mark = value
-		p.carriesMark = value != ""
 	case name == settingRequest && len(value) <= maxIdentifier:
 		p.requestID = value
 	case name == settingSession && len(value) <= maxIdentifier:
--- a/internal/proxy/caller/serve.go
+++ b/internal/proxy/caller/serve.go
@@ -12,6 +12,7 @@
 	"github.com/burdockwood/burdockwood/internal/proxy/classify"
 	"github.com/burdockwood/burdockwood/internal/proxy/outcome"
 	"github.com/burdockwood/burdockwood/internal/proxy/retry"
+	"github.com/burdockwood/burdockwood/internal/proxy/session"
 	"github.com/burdockwood/burdockwood/internal/proxy/upstream"
 	"github.com/burdockwood/burdockwood/internal/proxy/wire"
 )
@@ -31,6 +32,9 @@
 	// primaryOnly tells that a replica has refused the request.
 	primaryOnly bool
 	waited      bool
+	// known is what the session's owners know, once fetched.
+	known   session.Known
+	fetched bool
 	// times are the parts of the request's total time.
 	wait    time.Duration
 	service time.Duration
@@ -42,6 +46,7 @@
 func (s *Session) serve(ctx context.Context) error {
 	defer s.request.Reset()
 	defer s.plan.Release()
+	s.open()
 	if s.skipping && s.request.Synced {
 		s.skipping = false
 	}
@@ -95,6 +100,9 @@
 	if !j.prefs.maxAgeSet {
 		j.prefs.maxAge = j.choice.MaxAge
 	}
+	if s.request.Kind > classify.Read && len(s.shared.Snapshot().Peers) == 0 {
+		return nil, outcome.NotRun(outcome.StateNoServer, "the proxy does not know the other proxies yet", retryAfter)
+	}
 	group, err := s.shared.Upstream.Group(j.choice.Group, now)
 	if err != nil {
 		return nil, outcome.NotRun(outcome.StateNoServer, err.Error(), retryAfter)
--- a/internal/proxy/caller/session.go
+++ b/internal/proxy/caller/session.go
@@ -31,6 +31,7 @@
 	"github.com/burdockwood/burdockwood/internal/proxy/execute"
 	"github.com/burdockwood/burdockwood/internal/proxy/listen"
 	"github.com/burdockwood/burdockwood/internal/proxy/outcome"
+	"github.com/burdockwood/burdockwood/internal/proxy/session"
 	"github.com/burdockwood/burdockwood/internal/proxy/upstream"
 	"github.com/burdockwood/burdockwood/internal/proxy/view"
 	"github.com/burdockwood/burdockwood/internal/proxy/wire"
@@ -67,6 +68,7 @@
 		Here     cluster.DataCentre
 		Deadline time.Duration
 		Cancels  *Cancels
+		Marks    *session.Keeper
 		Log      logr.Logger
 		draining atomic.Bool
 	}
@@ -80,6 +82,7 @@
 		own        preferences
 		settings   settings
 		statements execute.Statements
+		marks      session.Marks
 		request    execute.Request
 		plan       execute.Plan
 		answer     *answerBuffer
--- a/internal/proxy/classify/scan.go
+++ b/internal/proxy/classify/scan.go
@@ -186,7 +186,9 @@
 	return token{kind: tokenString, text: body[:close]}
 }
 
-func isSpace(c byte) bool { return c == ' ' || c == '\t' || c == '\n' || c == '\r' || c == '\f' || c == '\v' }
+func isSpace(c byte) bool {
+	return c == ' ' || c == '\t' || c == '\n' || c == '\r' || c == '\f' || c == '\v'
+}
 
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
 
--- a/internal/proxy/daemon/daemon.go
+++ b/internal/proxy/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -34,14 +35,17 @@
 	"github.com/burdockwood/burdockwood/internal/proxy/caller"
 	"github.com/burdockwood/burdockwood/internal/proxy/choose"
 	"github.com/burdockwood/burdockwood/internal/proxy/heartbeat"
+	"github.com/burdockwood/burdockwood/internal/proxy/session"
 	"github.com/burdockwood/burdockwood/internal/proxy/upstream"
 	"github.com/burdockwood/burdockwood/internal/proxy/view"
+	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
 	"github.com/burdockwood/burdockwood/internal/rpc/leader"
 	"github.com/burdockwood/burdockwood/internal/rpc/transport"
 )
 
 const (
 	maintainInterval = time.Second
+	suspectInterval  = 100 * time.Millisecond
 	// drainPoll is the time between two looks for callers that became idle.
 	drainPoll = 20 * time.Millisecond
 	// unreadyTime is how long a proxy that shuts down still accepts callers
@@ -74,6 +78,8 @@
 		beat        *heartbeat.Beat
 		shared      *caller.Shared
 		chooser     atomic.Pointer[chooserOf]
+		marks       *session.Keeper
+		peerHandler http.Handler
 		metrics     metrics.Registry
 		workers     errgroup.Group
 		sessions    errgroup.Group
@@ -119,6 +125,7 @@
 	if err := p.listen(); err != nil {
 		return nil, err
 	}
+	client := transport.NewClient(key, transport.Options{})
 	p.chooser.Store(&chooserOf{chooser: choose.ByDatabase{}})
 	p.registry = upstream.New(upstream.Options{
 		Dial:        dial,
@@ -134,13 +141,20 @@
 			Address:     p.PeerAddress().String(),
 			DataCentre:  options.DataCentre,
 		},
-		Leader:   leader.New(controls, transport.NewClient(key, transport.Options{})),
+		Leader:   leader.New(controls, client),
 		Store:    p.store,
 		Registry: p.registry,
 		Draining: p.draining.Load,
 		Changed:  p.snapshotChanged,
 		Log:      log,
 	})
+	p.marks = session.New(session.Options{
+		Self:     cluster.ProxyName(options.Name),
+		Snapshot: p.store.Load,
+		Client:   client,
+		Started:  time.Now(),
+	})
+	p.peerHandler = transport.Guard(key, controlpb.NewSessionsServer(p.marks))
 	p.shared = &caller.Shared{
 		Snapshot: p.store.Load,
 		Upstream: p.registry,
@@ -148,6 +162,7 @@
 		Here:     cluster.DataCentre(options.DataCentre),
 		Deadline: options.Deadline,
 		Cancels:  caller.NewCancels(),
+		Marks:    p.marks,
 		Log:      log,
 	}
 	return p, nil
@@ -170,6 +185,8 @@
 		return false, "the proxy shuts down"
 	case snapshot.Epoch == 0:
 		return false, "control has not answered yet"
+	case len(snapshot.Peers) == 0:
+		return false, "control has not told the other proxies yet"
 	case snapshot.Drain:
 		return false, "the proxy is drained by an operator"
 	default:
@@ -190,6 +207,7 @@
 	add(&group, workCtx, p.beat.Hold)
 	add(&group, workCtx, p.beat.Hurry)
 	add(&group, workCtx, p.maintain)
+	add(&group, workCtx, p.suspect)
 	add(&group, workCtx, p.servePeers)
 	err := group.Run()
 	return p.finish(err)
@@ -218,6 +236,23 @@
 // goWorker starts a goroutine that ends with the process.
 func (p *Proxy) goWorker(fn func() error) { p.workers.Go(fn) }
 
+// suspect tells control at once of primaries that can't be used, until ctx
+// ends.
+func (p *Proxy) suspect(ctx context.Context) error {
+	ticker := time.NewTicker(suspectInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			if p.registry.Suspects(now) {
+				p.beat.Urgent()
+			}
+		}
+	}
+}
+
 // maintain looks after pools and groups until ctx ends.
 func (p *Proxy) maintain(ctx context.Context) error {
 	ticker := time.NewTicker(maintainInterval)
@@ -234,8 +269,7 @@
 
 // servePeers answers the other proxies until ctx ends.
 func (p *Proxy) servePeers(ctx context.Context) error {
-	<-ctx.Done()
-	return p.peers.Close()
+	return transport.Serve(ctx, p.peers, p.peerHandler)
 }
 
 // snapshotChanged takes a new snapshot's declarations into force.
--- a/internal/proxy/daemon/fake_test.go
+++ b/internal/proxy/daemon/fake_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"github.com/go-logr/logr/funcr"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/burdockwood/burdockwood/internal/backend/adapter"
 	"github.com/burdockwood/burdockwood/internal/config/settings"
@@ -494,6 +496,7 @@
 }
 
 func (c *fakeControl) Heartbeat(ctx context.Context, request *controlpb.HeartbeatRequest) (*controlpb.HeartbeatResponse, error) {
+	c.meet(request)
 	c.mu.Lock()
 	c.requests = append(c.requests, request)
 	changed := c.changed
@@ -510,7 +513,23 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.response, nil
+	return proto.Clone(c.response).(*controlpb.HeartbeatResponse), nil
+}
+
+// meet makes a proxy known to all.
+func (c *fakeControl) meet(request *controlpb.HeartbeatRequest) {
+	c.mu.Lock()
+	known := request.Leaving
+	for _, peer := range c.response.Peers {
+		known = known || (peer.Name == request.Proxy && peer.Incarnation == request.Incarnation)
+	}
+	c.mu.Unlock()
+	if known {
+		return
+	}
+	c.tell(func(r *controlpb.HeartbeatResponse) {
+		r.Peers = append(slices.Clone(r.Peers), &controlpb.ProxyPeer{Name: request.Proxy, Address: request.Address, Incarnation: request.Incarnation})
+	})
 }
 
 // suspicions returns the kinds of evidence that proxies sent.
--- /dev/null
+++ b/internal/proxy/session/owners.go
@@ -0,0 +1,44 @@
+package session
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/burdockwood/burdockwood/internal/proxy/view"
+)
+
+// Owners returns the proxies that keep a session's marks: the two with the
+// highest hash of proxy and session. A change of one proxy moves only the
+// sessions that it owned or now owns.
+func Owners(session string, peers []view.Peer) []view.Peer {
+	var first, second view.Peer
+	var firstScore, secondScore uint64
+	count := 0
+	for _, peer := range peers {
+		score := score(session, peer)
+		count++
+		switch {
+		case count == 1 || score > firstScore:
+			second, secondScore = first, firstScore
+			first, firstScore = peer, score
+		case count == 2 || score > secondScore:
+			second, secondScore = peer, score
+		}
+	}
+	switch count {
+	case 0:
+		return nil
+	case 1:
+		return []view.Peer{first}
+	default:
+		return []view.Peer{first, second}[:owners]
+	}
+}
+
+func score(session string, peer view.Peer) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(string(peer.Name))
+	_, _ = digest.WriteString("\x00")
+	_, _ = digest.WriteString(session)
+	return digest.Sum64()
+}
--- /dev/null
+++ b/internal/proxy/session/session_test.go
@@ -0,0 +1,71 @@
+package session
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/proxy/view"
+)
+
+func TestSealedMarksCannotBeChanged(t *testing.T) {
+	keys := []string{"new", "old"}
+	marks := Marks{"ledger-1": {Term: 3, Position: 812}, "a.b=c": {Term: 1, Position: 2}}
+	old := Seal(marks, []string{"old"})
+	got, err := Open(old, keys)
+	if err != nil || len(got) != 2 || got["ledger-1"] != marks["ledger-1"] || got["a.b=c"] != marks["a.b=c"] {
+		t.Fatalf("Open = %v, %v, want %v", got, err, marks)
+	}
+	if _, err := Open(old, []string{"new"}); !errors.Is(err, ErrUnverified) {
+		t.Errorf("with a dropped key: %v, want ErrUnverified", err)
+	}
+	if _, err := Open("2.key.payload-of-a-newer-release.signature", keys); !errors.Is(err, ErrUnverified) {
+		t.Errorf("newer version: %v, want ErrUnverified", err)
+	}
+	for i := range old {
+		changed := []byte(old)
+		changed[i] ^= 1
+		if _, err := Open(string(changed), keys); err == nil {
+			t.Errorf("a change of byte %d was accepted", i)
+		}
+	}
+}
+
+func TestOwnersMoveLittle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var peers []view.Peer
+		for i := range rapid.IntRange(1, 9).Draw(t, "peers") {
+			peers = append(peers, view.Peer{Name: cluster.ProxyName(fmt.Sprint("p", i))})
+		}
+		session := rapid.String().Draw(t, "session")
+		gone := rapid.IntRange(0, len(peers)-1).Draw(t, "gone")
+		before := Owners(session, peers)
+		after := Owners(session, append(append([]view.Peer(nil), peers[:gone]...), peers[gone+1:]...))
+		for _, owner := range before {
+			if owner.Name == peers[gone].Name {
+				continue
+			}
+			kept := false
+			for _, o := range after {
+				kept = kept || o.Name == owner.Name
+			}
+			if !kept {
+				t.Fatalf("owner %s was dropped when %s left", owner.Name, peers[gone].Name)
+			}
+		}
+	})
+}
+
+func FuzzOpen(f *testing.F) {
+	f.Add(Seal(Marks{"a": {Term: 1, Position: 2}}, []string{"k"}))
+	f.Add("1.x..y")
+	f.Add("")
+	f.Fuzz(func(t *testing.T, text string) {
+		if _, err := Open(text, []string{"other"}); err == nil {
+			t.Errorf("Open(%q) accepted a mark of another key", text)
+		}
+	})
+}
--- a/internal/proxy/upstream/report.go
+++ b/internal/proxy/upstream/report.go
@@ -45,6 +45,15 @@
 	return suspicions
 }
 
+// Suspects reports whether there is evidence about any primary.
+func (r *Registry) Suspects(now time.Time) bool {
+	found := false
+	r.each(func(group *Group) {
+		found = found || group.suspicion(now) != nil
+	})
+	return found
+}
+
 // suspicion returns the evidence about the group's primary, or nil.
 func (g *Group) suspicion(now time.Time) *controlpb.Suspicion {
 	state := g.state.Load()
--- a/internal/proxy/view/view.go
+++ b/internal/proxy/view/view.go
@@ -14,6 +14,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -130,8 +131,11 @@
 		snapshot.Grants = grantsOf(response.Grants, now)
 	}
 	if response.PeersSet {
-		snapshot.Peers = peersOf(response.Peers)
-		snapshot.PeersSince = now
+		peers := peersOf(response.Peers)
+		if !slices.Equal(peers, old.Peers) {
+			snapshot.Peers = peers
+			snapshot.PeersSince = now
+		}
 	}
 	if len(response.MarkKeys) > 0 {
 		snapshot.Keys = response.MarkKeys
