Scenarios over real processes; a running server hasn't lost its disk

Cause: with a frozen primary no other was promoted within 10 s. Control took an announcement that was older than the group's first promise for a lost disk, marked that voter as repairing, and had no majority without it. The same reading replaced a primary right after the formation. Ruled out: the detector (the term was begun 0.8 s after the freeze); the promise itself (the server held it).

--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -139,9 +139,12 @@
 		// promotedAt is when the promotion was acknowledged.
 		promotedAt time.Time
 		follows    map[cluster.ServerName]follow
-		next       map[key]time.Time
-		above      cluster.Term
-		wanted     *Wanted
+		// intact are the processes that can't have lost a promise: they
+		// announced one, or were there when the group's first term began.
+		intact map[cluster.ServerName]cluster.Incarnation
+		next   map[key]time.Time
+		above  cluster.Term
+		wanted *Wanted
 		// plannedAfter is when the next planned change may begin.
 		plannedAfter time.Time
 	}
@@ -206,6 +209,7 @@
 	p.promises = cloneOrNew(p.promises)
 	p.reached = cloneOrNew(p.reached)
 	p.follows = cloneOrNew(p.follows)
+	p.intact = cloneOrNew(p.intact)
 	p.next = cloneOrNew(p.next)
 	return p
 }
--- a/internal/control/failover/maintain.go
+++ b/internal/control/failover/maintain.go
@@ -18,6 +18,7 @@
 		d.form()
 		return
 	}
+	d.noteIntact()
 	if d.replacePrimary() || d.handOverPrimary() || d.changeVoters() {
 		return
 	}
@@ -34,6 +35,9 @@
 		return
 	}
 	d.plan.above = max(d.plan.above, above)
+	for _, name := range voters {
+		d.plan.intact[name] = d.s.Servers[name].Incarnation
+	}
 	d.begin(state.ReasonFormation, "", voters)
 }
 
@@ -57,7 +61,23 @@
 // primaryLostDisk reports whether the promoted primary has no promise left.
 func (d *decider) primaryLostDisk() bool {
 	server, ok := d.s.Servers[d.s.Record.Primary]
-	return ok && server.Promised == 0 && d.isLive(d.s.Record.Primary)
+	return ok && d.hasLostDisk(d.s.Record.Primary, server) && d.isLive(d.s.Record.Primary)
+}
+
+// noteIntact remembers the processes that announce a promise.
+func (d *decider) noteIntact() {
+	for name, server := range d.s.Servers {
+		if server.Promised > 0 {
+			d.plan.intact[name] = server.Incarnation
+		}
+	}
+}
+
+// hasLostDisk reports whether a voter that announces no promise has lost the
+// one it gave. An announcement may be older than the promise, but a process
+// doesn't lose its disk while it runs.
+func (d *decider) hasLostDisk(name cluster.ServerName, server registry.Server) bool {
+	return server.Promised == 0 && d.plan.intact[name] != server.Incarnation
 }
 
 // liveReplicas counts the voters besides the primary that aren't silent.
@@ -172,7 +192,7 @@
 		}
 		member := record.Members[name]
 		switch {
-		case !member.Repairing && server.Promised == 0:
+		case !member.Repairing && d.hasLostDisk(name, server):
 			member.Repairing = true
 			d.send(Action{Kind: Repair, Server: name, Member: member})
 		case member.Repairing && d.hasCaughtUp(name, server):
@@ -206,7 +226,7 @@
 		if name == record.Primary || !d.isLive(name) {
 			continue
 		}
-		if known && server.Promised == 0 && slices.Contains(record.Voters, name) && !record.Members[name].Repairing {
+		if known && d.hasLostDisk(name, server) && slices.Contains(record.Voters, name) && !record.Members[name].Repairing {
 			continue
 		}
 		done := d.plan.follows[name]
--- /dev/null
+++ b/internal/scenario/script/process_test.go
@@ -0,0 +1,165 @@
+package script_test
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	firstPort  = 21000
+	lastPort   = 31000
+	exitWithin = 40 * time.Second
+)
+
+var (
+	nextPort atomic.Int64
+
+	signals = map[string]os.Signal{
+		"KILL": syscall.SIGKILL,
+		"TERM": syscall.SIGTERM,
+		"STOP": syscall.SIGSTOP,
+		"CONT": syscall.SIGCONT,
+	}
+)
+
+type (
+	// processes are the processes that one script has started.
+	processes struct {
+		byName map[string]*process
+	}
+
+	process struct {
+		command *exec.Cmd
+		exit    errgroup.Group
+		ended   chan struct{}
+		code    int
+	}
+)
+
+// ports sets each named variable to a free address on loopback.
+func ports(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) == 0 {
+		ts.Fatalf("usage: ports NAME...")
+	}
+	for _, name := range args {
+		ts.Setenv(name, freeAddress(ts).String())
+	}
+}
+
+func freeAddress(ts *testscript.TestScript) netip.AddrPort {
+	for range lastPort - firstPort {
+		port := firstPort + (int64(os.Getpid())*37+nextPort.Add(1))%(lastPort-firstPort)
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(port))
+		listener, err := net.Listen("tcp", address.String())
+		if err != nil {
+			continue
+		}
+		ts.Check(listener.Close())
+		return address
+	}
+	ts.Fatalf("no free port between %d and %d", firstPort, lastPort)
+	return netip.AddrPort{}
+}
+
+// start runs a program as a process of its own; its output goes to NAME.log.
+func (p *processes) start(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: start NAME PROGRAM [ARGUMENT...]")
+	}
+	name := args[0]
+	if old, ok := p.byName[name]; ok && !old.hasEnded() {
+		ts.Fatalf("%s runs already", name)
+	}
+	log, err := os.OpenFile(ts.MkAbs(name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	ts.Check(err)
+	command := exec.Command(lookPath(ts, args[1]), args[2:]...)
+	command.Dir = ts.MkAbs(".")
+	command.Stdout = log
+	command.Stderr = log
+	command.Env = append(os.Environ(), "GOCOVERDIR=")
+	ts.Check(command.Start())
+	started := &process{command: command, ended: make(chan struct{})}
+	started.exit.Go(func() error {
+		defer close(started.ended)
+		defer log.Close()
+		_ = command.Wait()
+		started.code = command.ProcessState.ExitCode()
+		return nil
+	})
+	p.byName[name] = started
+	ts.Defer(func() { started.kill() })
+}
+
+// signal sends a signal to a process.
+func (p *processes) signal(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: signal NAME KILL|TERM|STOP|CONT")
+	}
+	signal, ok := signals[args[1]]
+	if !ok {
+		ts.Fatalf("unknown signal %s", args[1])
+	}
+	ts.Check(p.find(ts, args[0]).command.Process.Signal(signal))
+}
+
+// exit waits until a process has ended, and checks its exit code if given.
+func (p *processes) exit(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 1 || len(args) > 2 {
+		ts.Fatalf("usage: exit NAME [CODE]")
+	}
+	ended := p.find(ts, args[0])
+	select {
+	case <-ended.ended:
+	case <-time.After(exitWithin):
+		ts.Fatalf("%s has not ended within %v", args[0], exitWithin)
+	}
+	if len(args) == 2 && fmt.Sprint(ended.code) != args[1] {
+		ts.Fatalf("%s ended with code %d, want %s", args[0], ended.code, args[1])
+	}
+}
+
+func (p *processes) find(ts *testscript.TestScript, name string) *process {
+	found, ok := p.byName[name]
+	if !ok {
+		ts.Fatalf("%s was not started", name)
+	}
+	return found
+}
+
+func (p *process) hasEnded() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+func (p *process) kill() {
+	_ = p.command.Process.Signal(syscall.SIGCONT)
+	_ = p.command.Process.Kill()
+	_ = p.exit.Wait()
+}
+
+// lookPath finds a program in the script's PATH.
+func lookPath(ts *testscript.TestScript, program string) string {
+	for _, folder := range filepath.SplitList(ts.Getenv("PATH")) {
+		path := filepath.Join(folder, program)
+		if info, err := os.Stat(path); err == nil && !info.IsDir() {
+			return path
+		}
+	}
+	ts.Fatalf("program %s not found in %s", program, strings.ReplaceAll(ts.Getenv("PATH"), ":", " "))
+	return ""
+}
