--- a/internal/control/quorum/core.go
+++ b/internal/control/quorum/core.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -88,7 +89,7 @@
 		return nil, eris.Wrapf(ErrRestored, "committed up to %d, but the log ends at %d", c.state.Commit, c.log.last())
 	}
 	c.log.commit = max(c.state.Commit, c.log.commit)
-	c.forming.init()
+	c.forming.init(options.Random.Uint64N(math.MaxInt64) + probeRounds)
 	c.resetElection(now)
 	c.probeDue = now
 	return c, nil
@@ -207,17 +208,20 @@
 }
 
 // sameCluster reports whether m belongs to this node's cluster. A node without
-// one takes the cluster of a leader that knows its disk.
+// one takes the cluster of a leader or candidate that knows its disk: it is a
+// member there, or a learner, and has never taken part in another.
 func (c *Core) sameCluster(m Message) bool {
 	if c.formed() || m.Cluster == 0 {
 		return m.Cluster == c.state.Cluster && c.formed()
 	}
-	if m.Kind != MessageAppend && m.Kind != MessageSnapshot {
+	switch m.Kind {
+	case MessageAppend, MessageSnapshot, MessagePreVote, MessageVote:
+		c.state.Cluster = m.Cluster
+		c.out.hardStateDirty = true
+		return true
+	default:
 		return false
 	}
-	c.state.Cluster = m.Cluster
-	c.out.hardStateDirty = true
-	return true
 }
 
 // takeTerm handles a term higher than the own; false: the message is done.
--- a/internal/control/quorum/forming.go
+++ b/internal/control/quorum/forming.go
@@ -9,44 +9,56 @@
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 )
 
-// genesisTerm is the term of the first configuration's entry.
-const genesisTerm = 1
+const (
+	// genesisTerm is the term of the first configuration's entry.
+	genesisTerm = 1
+	// probeRounds is the number of latest probes whose answers count.
+	probeRounds = 4
+)
 
 var viewTable = crc64.MakeTable(crc64.ECMA)
 
-// formation is what a node without a cluster knows of the others.
+// formation is what a node without a cluster knows of the others. Only answers
+// to its own latest probes count, so that a late message of a lost disk is not
+// taken for news.
 type formation struct {
-	disks map[cluster.NodeName]cluster.Incarnation
-	// superseded are disks that a later one of the same node replaced.
-	superseded map[ID]bool
+	// round numbers the probes of this run of the node.
+	round uint64
+	seen  map[cluster.NodeName]sighting
 	// agreed are the nodes that told the same view as the own.
 	agreed map[cluster.NodeName]bool
 }
 
-func (f *formation) init() {
-	f.disks = map[cluster.NodeName]cluster.Incarnation{}
-	f.superseded = map[ID]bool{}
+// sighting is a disk and the newest probe that it answered.
+type sighting struct {
+	disk  cluster.Incarnation
+	round uint64
+}
+
+func (f *formation) init(firstRound uint64) {
+	f.round = firstRound
+	f.seen = map[cluster.NodeName]sighting{}
 	f.agreed = map[cluster.NodeName]bool{}
 }
 
-// observe takes an identity, and reports whether it is new; a new disk undoes
-// all agreement.
-func (f *formation) observe(id ID) bool {
-	old, known := f.disks[id.Node]
-	if f.superseded[id] || (known && old == id.Disk) {
-		return false
+// observe takes an identity from the answer to a probe. It reports whether the
+// identity is current and whether it is new; a new disk undoes all agreement.
+func (f *formation) observe(id ID, round uint64) (current, changed bool) {
+	old, known := f.seen[id.Node]
+	if round > f.round || f.round-round >= probeRounds {
+		return false, false
 	}
-	if known {
-		f.superseded[ID{Node: id.Node, Disk: old}] = true
+	changed = !known || old.disk != id.Disk
+	if changed && known && round < old.round {
+		return false, false
 	}
-	f.disks[id.Node] = id.Disk
-	clear(f.agreed)
-	return true
+	f.seen[id.Node] = sighting{disk: id.Disk, round: max(round, old.round)}
+	if changed {
+		clear(f.agreed)
+	}
+	return true, changed
 }
 
-// isCurrent reports whether id is the newest known disk of its node.
-func (f *formation) isCurrent(id ID) bool { return f.disks[id.Node] == id.Disk }
-
 // tickProbe asks the other nodes for their identities.
 func (c *Core) tickProbe(now time.Time) {
 	if now.Before(c.probeDue) {
@@ -56,8 +68,9 @@
 	if c.hearsLeader(now) {
 		return
 	}
+	c.forming.round++
 	for _, name := range c.otherNodes() {
-		c.send(Message{Kind: MessageProbe, To: ID{Node: name}, View: c.view()})
+		c.send(Message{Kind: MessageProbe, To: ID{Node: name}, Round: c.forming.round})
 	}
 }
 
@@ -70,15 +83,17 @@
 		c.adoptGenesis(m, now)
 		return
 	}
-	if c.forming.observe(m.From) {
+	if m.Kind == MessageProbe {
+		c.send(Message{Kind: MessageProbeAnswer, To: m.From, Round: m.Round, View: c.view()})
+		return
+	}
+	current, changed := c.forming.observe(m.From, m.Round)
+	if changed {
 		c.probeDue = now
 	}
-	if view := c.view(); view != 0 && m.View == view && c.forming.isCurrent(m.From) {
+	if view := c.view(); current && view != 0 && m.View == view {
 		c.forming.agreed[m.From.Node] = true
 	}
-	if m.Kind == MessageProbe {
-		c.send(Message{Kind: MessageProbeAnswer, To: m.From, View: c.view()})
-	}
 	c.tryForm(now)
 }
 
@@ -130,14 +145,14 @@
 func (c *Core) seenMembers() ([]Member, bool) {
 	members := make([]Member, 0, len(c.options.Roster))
 	for _, m := range c.options.Roster {
-		disk, ok := c.forming.disks[m.Node]
+		seen, ok := c.forming.seen[m.Node]
 		if m.Node == c.self.Node {
-			disk, ok = c.self.Disk, true
+			seen, ok = sighting{disk: c.self.Disk}, true
 		}
 		if !ok {
 			return nil, false
 		}
-		members = append(members, Member{ID: ID{Node: m.Node, Disk: disk}, Address: m.Address})
+		members = append(members, Member{ID: ID{Node: m.Node, Disk: seen.disk}, Address: m.Address})
 	}
 	sortMembers(members)
 	return members, true
@@ -184,6 +199,6 @@
 	c.out.hardStateDirty = true
 	c.append(Entry{Index: 1, Term: genesisTerm, Kind: EntryConfiguration, Configuration: &config})
 	c.log.commit = 1
-	c.forming.init()
+	c.forming.init(c.forming.round)
 	c.resetElection(now)
 }
--- a/internal/control/quorum/journal.go
+++ b/internal/control/quorum/journal.go
@@ -166,6 +166,10 @@
 		}
 		index--
 	}
+	if index == j.base && j.baseTerm > term {
+		// The logs part before base; its terms aren't known any more.
+		return j.base - 1, 0
+	}
 	at, _ := j.term(index)
 	return index, at
 }
--- a/internal/control/quorum/replicate.go
+++ b/internal/control/quorum/replicate.go
@@ -8,6 +8,9 @@
 	"github.com/rotisserie/eris"
 )
 
+// maxInFlight bounds the messages with entries that a follower hasn't answered.
+const maxInFlight = 16
+
 // progress is what the leader knows of a member or a learner.
 type progress struct {
 	member Member
@@ -20,7 +23,9 @@
 	probing bool
 	// waiting tells that a message is in flight while probing.
 	waiting bool
-	heard   time.Time
+	// inFlight are the last positions of messages that aren't answered.
+	inFlight []uint64
+	heard    time.Time
 	// round is the last confirmation round answered.
 	round uint64
 	// snapshot is being sent if not nil, from the byte offset on.
@@ -94,7 +99,7 @@
 }
 
 func (c *Core) canSend(p *progress) bool {
-	return p.snapshot == nil && !p.waiting && p.next <= c.log.last()
+	return p.snapshot == nil && !p.waiting && len(p.inFlight) < maxInFlight && p.next <= c.log.last()
 }
 
 // flushAppends sends new entries to the followers that lack them.
@@ -127,7 +132,10 @@
 		c.sendChunk(p)
 		return
 	}
-	entries := c.log.from(p.next, c.options.AppendBytes)
+	var entries []Entry
+	if len(p.inFlight) < maxInFlight {
+		entries = c.log.from(p.next, c.options.AppendBytes)
+	}
 	c.send(Message{
 		Kind: MessageAppend, To: p.member.ID, Index: p.next - 1, LogTerm: previous,
 		Commit: c.log.commit, Round: c.reads.round, Entries: entries,
@@ -136,7 +144,10 @@
 		p.waiting = true
 		return
 	}
-	p.next += uint64(len(entries))
+	if len(entries) > 0 {
+		p.next += uint64(len(entries))
+		p.inFlight = append(p.inFlight, p.next-1)
+	}
 }
 
 // sendBareHeartbeat tells that the leader is alive, and nothing of the log.
@@ -246,6 +257,9 @@
 	p.probing, p.waiting = false, false
 	p.match = m.Index
 	p.next = max(p.next, m.Index+1)
+	for len(p.inFlight) > 0 && p.inFlight[0] <= p.match {
+		p.inFlight = p.inFlight[1:]
+	}
 	c.advanceCommit(now)
 }
 
@@ -255,7 +269,7 @@
 		return
 	}
 	hint, _ := c.log.matchHint(m.Hint, m.HintTerm)
-	p.probing, p.waiting = true, false
+	p.probing, p.waiting, p.inFlight = true, false, nil
 	p.next = max(p.match, min(hint, m.Index)) + 1
 }
 
--- /dev/null
+++ b/internal/control/quorum/rules_test.go
@@ -0,0 +1,131 @@
+package quorum
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+// testNow is the time of all events of a test of one rule.
+var testNow = time.Unix(1_000_000, 0)
+
+func testMember(number int) Member {
+	return Member{ID: ID{Node: cluster.NodeName(fmt.Sprintf("control-%d", number)), Disk: 1}}
+}
+
+// restoredCore returns the core of the first member with a stored log.
+func restoredCore(t *testing.T, state HardState, log []Entry) *Core {
+	t.Helper()
+	self := testMember(1)
+	options := Options{Self: self, Roster: []Member{self}, Random: rand.New(rand.NewPCG(1, 1))}
+	core, err := New(options, Restored{HardState: state, Entries: log}, testNow)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return core
+}
+
+// step hands a message of the second member to the core.
+func step(t *testing.T, core *Core, m Message) {
+	t.Helper()
+	m.From, m.To, m.Cluster = testMember(2).ID, core.self, core.state.Cluster
+	if err := core.Step(m, testNow); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// entries returns empty entries of one term.
+func entries(term, from, to uint64) (list []Entry) {
+	for index := from; index <= to; index++ {
+		list = append(list, Entry{Index: index, Term: term, Kind: EntryNoop})
+	}
+	return list
+}
+
+// members returns the entry of a first configuration.
+func members(count int) Entry {
+	config := &Configuration{}
+	for number := range count {
+		config.Members = append(config.Members, testMember(number+1))
+	}
+	return Entry{Index: 1, Term: genesisTerm, Kind: EntryConfiguration, Configuration: config}
+}
+
+func TestCommitIsBoundedByTheMatchedPart(t *testing.T) {
+	tests := []struct {
+		name    string
+		message Message
+		want    uint64
+	}{
+		{name: "heartbeat before an old tail", message: Message{Index: 2, LogTerm: 1, Commit: 5}, want: 2},
+		{name: "one entry that is held", message: Message{Index: 2, LogTerm: 1, Commit: 5, Entries: entries(2, 3, 3)}, want: 3},
+		{name: "all entries", message: Message{Index: 2, LogTerm: 1, Commit: 5, Entries: entries(4, 3, 6)}, want: 5},
+		{name: "another history", message: Message{Index: 4, LogTerm: 4, Commit: 5}, want: 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			core := restoredCore(t, HardState{Term: 3, Cluster: 9}, append(entries(1, 1, 2), entries(2, 3, 5)...))
+			m := test.message
+			m.Kind, m.Term = MessageAppend, 4
+			step(t, core, m)
+			if got := core.Status().Commit; got != test.want {
+				t.Errorf("got commit index %d, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+func TestVote(t *testing.T) {
+	tests := []struct {
+		name    string
+		voted   ID
+		message Message
+		want    bool
+	}{
+		{name: "equal log", message: Message{Term: 4, Index: 3, LogTerm: 2}, want: true},
+		{name: "longer log", message: Message{Term: 4, Index: 9, LogTerm: 2}, want: true},
+		{name: "newer term in a shorter log", message: Message{Term: 4, Index: 1, LogTerm: 3}, want: true},
+		{name: "shorter log", message: Message{Term: 4, Index: 2, LogTerm: 2}},
+		{name: "older term in a longer log", message: Message{Term: 4, Index: 9, LogTerm: 1}},
+		{name: "own term, not voted", message: Message{Term: 3, Index: 3, LogTerm: 2}, want: true},
+		{name: "voted for it", voted: testMember(2).ID, message: Message{Term: 3, Index: 3, LogTerm: 2}, want: true},
+		{name: "voted for another", voted: testMember(3).ID, message: Message{Term: 3, Index: 3, LogTerm: 2}},
+		{name: "old term", message: Message{Term: 2, Index: 3, LogTerm: 2}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			log := append([]Entry{members(3)}, entries(2, 2, 3)...)
+			core := restoredCore(t, HardState{Term: 3, Vote: test.voted, Cluster: 9}, log)
+			m := test.message
+			m.Kind = MessageVote
+			step(t, core, m)
+			ready := core.Ready(testNow)
+			got := len(ready.Messages) == 1 && !ready.Messages[0].Reject
+			if got != test.want {
+				t.Errorf("got vote %v, want %v", got, test.want)
+			}
+			if kept := ready.HardState.Vote == testMember(2).ID; got && !kept {
+				t.Errorf("got stored vote %v, want %v", ready.HardState.Vote, testMember(2).ID)
+			}
+			if changed := test.voted != ready.HardState.Vote; changed && !ready.Sync {
+				t.Errorf("got a vote that isn't synced")
+			}
+		})
+	}
+}
+
+func TestEntryOfOldTermIsNotCommittedByCount(t *testing.T) {
+	core := restoredCore(t, HardState{Term: 3, Commit: 1, Cluster: 9}, append([]Entry{members(3)}, entries(2, 2, 2)...))
+	core.campaign(RoleCandidate, testNow)
+	step(t, core, Message{Kind: MessageVoteAnswer, Term: 4})
+	core.Advance(core.Ready(testNow), testNow)
+	for _, test := range []struct{ matched, want uint64 }{{matched: 2, want: 1}, {matched: 3, want: 3}} {
+		step(t, core, Message{Kind: MessageAppendAnswer, Term: 4, Index: test.matched})
+		if got := core.Status().Commit; got != test.want {
+			t.Errorf("position %d is held by a majority: got commit index %d, want %d", test.matched, got, test.want)
+		}
+	}
+}
--- a/internal/control/wal/doc.go
+++ b/internal/control/wal/doc.go
@@ -20,7 +20,8 @@
 //     after it. Each further frame is one Save.
 //   - "snapshot-<index>" is a snapshot.
 //
-// Each file begins with eight bytes that name its kind and format version. A
+// Each file begins with a header: eight bytes that name its kind and format
+// version, its sequence number and a checksum. A
 // frame is its length, the CRC-32C of its place and payload, and the payload.
 //
 // # Crashes
--- a/internal/control/wal/frame.go
+++ b/internal/control/wal/frame.go
@@ -8,9 +8,9 @@
 const (
 	magicBytes    = 8
 	sequenceBytes = 8
-	headerBytes   = magicBytes + sequenceBytes
-	lengthBytes   = 4
 	sumBytes      = 4
+	headerBytes   = magicBytes + sequenceBytes + sumBytes
+	lengthBytes   = 4
 	frameOverhead = lengthBytes + sumBytes
 
 	// The last byte of each magic is the version of the format.
@@ -21,11 +21,20 @@
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
-// appendHeader adds the header of a file. The sequence is part of each frame's
+// newHeader returns the header of a file. The sequence is part of each frame's
 // checksum, so that a frame can't be taken for one of another file.
-func appendHeader(data []byte, magic string, sequence uint64) []byte {
-	data = append(data, magic...)
-	return binary.BigEndian.AppendUint64(data, sequence)
+func newHeader(magic string, sequence uint64) []byte {
+	data := []byte(magic)
+	data = binary.BigEndian.AppendUint64(data, sequence)
+	return binary.BigEndian.AppendUint32(data, crc32.Checksum(data, castagnoli))
+}
+
+// isSoundHeader reports whether data begins with a whole header of any kind
+// and version.
+func isSoundHeader(data []byte) bool {
+	const covered = magicBytes + sequenceBytes
+	return len(data) >= headerBytes &&
+		binary.BigEndian.Uint32(data[covered:]) == crc32.Checksum(data[:covered], castagnoli)
 }
 
 // appendFrame adds a frame that will begin at the given offset of its file.
--- /dev/null
+++ b/internal/control/wal/memory_test.go
@@ -0,0 +1,152 @@
+package wal
+
+import (
+	"io/fs"
+	"maps"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/rotisserie/eris"
+)
+
+var errCrashed = eris.New("the simulated machine has crashed")
+
+type (
+	// memoryFS is a file system in memory that forgets on a crash what
+	// wasn't synced, or a part of it.
+	memoryFS struct {
+		names map[string]*memoryFile
+		// pending are the changes of names since the last SyncFolder.
+		durable map[string]*memoryFile
+		pending []func(map[string]*memoryFile)
+		// syncs counts syncs; the one numbered crashAt fails, and all after.
+		syncs   int
+		crashAt int
+	}
+
+	memoryFile struct {
+		fs     *memoryFS
+		data   []byte
+		synced int
+	}
+)
+
+func newMemoryFS() *memoryFS {
+	return &memoryFS{names: map[string]*memoryFile{}, durable: map[string]*memoryFile{}}
+}
+
+func (m *memoryFS) change(do func(map[string]*memoryFile)) {
+	do(m.names)
+	m.pending = append(m.pending, do)
+}
+
+func (m *memoryFS) List() ([]string, error) { return slices.Sorted(maps.Keys(m.names)), nil }
+
+func (m *memoryFS) ReadFile(name string) ([]byte, error) {
+	file, ok := m.names[name]
+	if !ok {
+		return nil, fs.ErrNotExist
+	}
+	return slices.Clone(file.data), nil
+}
+
+func (m *memoryFS) Create(name string) (File, error) {
+	file := &memoryFile{fs: m}
+	m.change(func(names map[string]*memoryFile) { names[name] = file })
+	return file, nil
+}
+
+func (m *memoryFS) Append(name string, size int64) (File, error) {
+	file, ok := m.names[name]
+	if !ok {
+		return nil, fs.ErrNotExist
+	}
+	file.data = file.data[:size]
+	file.synced = min(file.synced, len(file.data))
+	return file, nil
+}
+
+func (m *memoryFS) Rename(from, to string) error {
+	if _, ok := m.names[from]; !ok {
+		return fs.ErrNotExist
+	}
+	m.change(func(names map[string]*memoryFile) {
+		if file, ok := names[from]; ok {
+			names[to] = file
+			delete(names, from)
+		}
+	})
+	return nil
+}
+
+func (m *memoryFS) Remove(name string) error {
+	m.change(func(names map[string]*memoryFile) { delete(names, name) })
+	return nil
+}
+
+func (m *memoryFS) SyncFolder() error {
+	if err := m.sync(); err != nil {
+		return err
+	}
+	m.durable, m.pending = maps.Clone(m.names), nil
+	return nil
+}
+
+func (m *memoryFS) sync() error {
+	m.syncs++
+	if m.crashAt > 0 && m.syncs >= m.crashAt {
+		return errCrashed
+	}
+	return nil
+}
+
+func (f *memoryFile) Write(p []byte) (int, error) {
+	f.data = append(f.data, p...)
+	return len(p), nil
+}
+
+func (f *memoryFile) Sync() error {
+	if err := f.fs.sync(); err != nil {
+		return err
+	}
+	f.synced = len(f.data)
+	return nil
+}
+
+func (f *memoryFile) Close() error { return nil }
+
+// afterCrash returns what is found after a crash: all that was synced, and
+// parts of the rest, some of them damaged.
+func (m *memoryFS) afterCrash(random *rand.Rand) *memoryFS {
+	names := maps.Clone(m.durable)
+	for _, change := range m.pending {
+		if random.IntN(2) == 0 {
+			change(names)
+		}
+	}
+	after := newMemoryFS()
+	for name, file := range names {
+		data := slices.Clone(file.data[:file.synced])
+		data = append(data, leftover(file.data[file.synced:], random)...)
+		after.names[name] = &memoryFile{fs: after, data: data, synced: len(data)}
+	}
+	after.durable = maps.Clone(after.names)
+	return after
+}
+
+// leftover returns what may be left of bytes that weren't synced.
+func leftover(data []byte, random *rand.Rand) []byte {
+	if len(data) == 0 {
+		return nil
+	}
+	left := slices.Clone(data[:random.IntN(len(data)+1)])
+	switch random.IntN(3) {
+	case 0: // pages were allocated, but never written
+		clear(left)
+	case 1:
+		if len(left) > 0 {
+			left[random.IntN(len(left))] ^= 0x40
+		}
+	}
+	return left
+}
--- a/internal/control/wal/wal.go
+++ b/internal/control/wal/wal.go
@@ -215,7 +215,7 @@
 
 // writeFile makes a file of one frame durable under its name.
 func (l *Log) writeFile(name, magic string, payload []byte) error {
-	data := appendHeader(nil, magic, 0)
+	data := newHeader(magic, 0)
 	data = appendFrame(data, 0, headerBytes, payload)
 	file, err := l.fs.Create(name + temporary)
 	if err != nil {
@@ -254,8 +254,8 @@
 
 // checkMagic refuses a file of another kind or version.
 func checkMagic(name string, data []byte, magic string) error {
-	if len(data) < headerBytes || string(data[:magicBytes-1]) != magic[:magicBytes-1] {
-		return eris.Wrapf(ErrCorrupt, "%s: not a file of burdockwood", name)
+	if !isSoundHeader(data) || string(data[:magicBytes-1]) != magic[:magicBytes-1] {
+		return eris.Wrapf(ErrCorrupt, "%s: its header is damaged, or it is no file of burdockwood", name)
 	}
 	if data[magicBytes-1] != magic[magicBytes-1] {
 		return eris.Wrapf(ErrVersion, "%s: version %d", name, data[magicBytes-1])
@@ -264,7 +264,7 @@
 }
 
 func segmentBytes(sequence uint64, base []byte) []byte {
-	data := appendHeader(nil, segmentMagic, sequence)
+	data := newHeader(segmentMagic, sequence)
 	return appendFrame(data, sequence, headerBytes, base)
 }
 
--- /dev/null
+++ b/internal/control/wal/wal_test.go
@@ -0,0 +1,307 @@
+package wal
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"reflect"
+	"slices"
+	"testing"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockwood/burdockwood/internal/control/quorum"
+)
+
+const nodeName = "control-1"
+
+// model is what a log should hold.
+type model struct {
+	id       quorum.ID
+	state    quorum.HardState
+	snapshot *quorum.Snapshot
+	entries  []quorum.Entry
+}
+
+// first returns the position after the snapshot.
+func (m *model) first() uint64 {
+	if m.snapshot == nil {
+		return 1
+	}
+	return m.snapshot.Index + 1
+}
+
+// save applies a random Save to the model and the log.
+func (m *model) save(l *Log, random *rand.Rand) error {
+	m.state.Term++
+	m.state.Vote = quorum.ID{Node: nodeName, Disk: 7}
+	at := m.first() + uint64(random.IntN(len(m.entries)+1))
+	var entries []quorum.Entry
+	for i := range random.IntN(4) {
+		data := bytes.Repeat([]byte{byte(at)}, 1+random.IntN(30))
+		entries = append(entries, quorum.Entry{Index: at + uint64(i), Term: m.state.Term, Kind: quorum.EntryCommand, Data: data})
+	}
+	if len(entries) > 0 {
+		m.entries = append(slices.Clone(m.entries[:at-m.first()]), entries...)
+	}
+	return l.Save(m.state, entries)
+}
+
+// compact applies a snapshot in the middle of the entries.
+func (m *model) compact(l *Log, random *rand.Rand) error {
+	count := 1 + random.IntN(len(m.entries))
+	last := m.entries[count-1]
+	m.snapshot = &quorum.Snapshot{
+		Index: last.Index, Term: last.Term, Data: bytes.Repeat([]byte("s"), random.IntN(50)+1),
+		Configuration: quorum.Configuration{Members: []quorum.Member{{
+			ID: quorum.ID{Node: nodeName, Disk: 7}, Address: netip.MustParseAddrPort("127.0.0.1:7400"),
+		}}},
+	}
+	m.entries = slices.Clone(m.entries[count:])
+	return l.SaveSnapshot(m.snapshot, m.state, m.entries)
+}
+
+func (m *model) step(l *Log, random *rand.Rand) error {
+	if len(m.entries) > 0 && random.IntN(6) == 0 {
+		return m.compact(l, random)
+	}
+	return m.save(l, random)
+}
+
+// equals reports whether the log was restored as the model is.
+func (m *model) equals(opened Opened) bool {
+	r := opened.Restored
+	return (m.id == quorum.ID{} || m.id == opened.ID) && r.HardState == m.state &&
+		reflect.DeepEqual(r.Snapshot, m.snapshot) && len(r.Entries) == len(m.entries) &&
+		(len(m.entries) == 0 || reflect.DeepEqual(r.Entries, m.entries))
+}
+
+func TestCrashAtEachSync(t *testing.T) {
+	const (
+		seeds = 40
+		steps = 30
+		more  = 5
+	)
+	for seed := uint64(1); seed <= seeds; seed++ {
+		for crashAt := 1; ; crashAt++ {
+			fs := newMemoryFS()
+			fs.crashAt = crashAt
+			random := rand.New(rand.NewPCG(seed, 0))
+			before, after := runUntilCrash(fs, random, steps)
+			if fs.syncs < crashAt {
+				break
+			}
+			left := fs.afterCrash(rand.New(rand.NewPCG(seed, uint64(crashAt))))
+			l, opened, err := Open(left, nodeName)
+			if err != nil {
+				t.Fatalf("seed %d, crash at sync %d: got error %v", seed, crashAt, err)
+			}
+			found := &after
+			if !after.equals(opened) {
+				found = &before
+			}
+			if !found.equals(opened) {
+				t.Fatalf("seed %d, crash at sync %d: got %+v, want %+v or %+v", seed, crashAt, opened, before, after)
+			}
+			goOn(t, left, l, *found, random, more)
+		}
+	}
+}
+
+// runUntilCrash returns the model before and after the operation during which
+// the machine crashed.
+func runUntilCrash(fs *memoryFS, random *rand.Rand, steps int) (before, after model) {
+	l, opened, err := Open(fs, nodeName)
+	if err != nil {
+		return before, after
+	}
+	after.id = opened.ID
+	for range steps {
+		before = after
+		if err := after.step(l, random); err != nil {
+			return before, after
+		}
+	}
+	return after, after
+}
+
+// goOn checks that a recovered log can be written and read again.
+func goOn(t *testing.T, fs *memoryFS, l *Log, m model, random *rand.Rand, steps int) {
+	t.Helper()
+	for range steps {
+		if err := m.step(l, random); err != nil {
+			t.Fatalf("after recovery: got error %v", err)
+		}
+	}
+	if _, opened, err := Open(fs, nodeName); err != nil || !m.equals(opened) {
+		t.Fatalf("after recovery: got %+v and error %v, want %+v", opened, err, m)
+	}
+}
+
+func TestDamage(t *testing.T) {
+	segment := segmentName(firstSequence)
+	tests := []struct {
+		name    string
+		damage  func(fs *memoryFS)
+		node    string
+		wantErr error
+		wantCut bool
+	}{
+		{name: "none", damage: func(*memoryFS) {}},
+		{name: "flipped bit in the middle", damage: flip(segment, 120), wantErr: ErrCorrupt},
+		{name: "flipped bit in the base", damage: flip(segment, headerBytes+frameOverhead), wantErr: ErrCorrupt},
+		{name: "flipped bit in the last frame", damage: flip(segment, -3), wantCut: true},
+		{name: "cut in the last frame", damage: cut(segment, 5), wantCut: true},
+		{name: "flipped bit in the header", damage: flip(segment, 2), wantErr: ErrCorrupt},
+		{name: "newer format", damage: renew(segment), wantErr: ErrVersion},
+		{name: "no segment", damage: remove(segment), wantErr: ErrCorrupt},
+		{name: "no identity", damage: remove(identityName), wantErr: ErrCorrupt},
+		{name: "damaged identity", damage: flip(identityName, -1), wantErr: ErrCorrupt},
+		{name: "another node", damage: func(*memoryFS) {}, node: "control-2", wantErr: ErrWrongNode},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			fs := newMemoryFS()
+			l, _, err := Open(fs, nodeName)
+			if err != nil {
+				t.Fatal(err)
+			}
+			m := model{}
+			random := rand.New(rand.NewPCG(1, 0))
+			for range 20 {
+				if err := m.save(l, random); err != nil {
+					t.Fatal(err)
+				}
+			}
+			test.damage(fs)
+			node := quorum.ID{Node: nodeName}.Node
+			if test.node != "" {
+				node = quorum.ID{Node: "control-2"}.Node
+			}
+			_, opened, err := Open(fs, node)
+			if !eris.Is(err, test.wantErr) {
+				t.Fatalf("got error %v, want %v", err, test.wantErr)
+			}
+			if got := opened.CutBytes > 0; got != test.wantCut {
+				t.Errorf("got %d bytes cut, want a cut: %v", opened.CutBytes, test.wantCut)
+			}
+		})
+	}
+}
+
+// flip changes a bit of a file; a negative place counts from its end.
+func flip(name string, at int) func(*memoryFS) {
+	return func(fs *memoryFS) {
+		data := fs.names[name].data
+		if at < 0 {
+			at += len(data)
+		}
+		data[at] ^= 0x10
+	}
+}
+
+// renew gives a file the header of the next format version.
+func renew(name string) func(*memoryFS) {
+	return func(fs *memoryFS) {
+		magic := []byte(segmentMagic)
+		magic[magicBytes-1]++
+		copy(fs.names[name].data, newHeader(string(magic), firstSequence))
+	}
+}
+
+func cut(name string, bytes int) func(*memoryFS) {
+	return func(fs *memoryFS) {
+		file := fs.names[name]
+		file.data = file.data[:len(file.data)-bytes]
+	}
+}
+
+func remove(name string) func(*memoryFS) {
+	return func(fs *memoryFS) { delete(fs.names, name) }
+}
+
+func TestFailedSyncIsFinal(t *testing.T) {
+	fs := newMemoryFS()
+	l, _, err := Open(fs, nodeName)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fs.crashAt = fs.syncs + 1
+	for i := range 2 {
+		if err := l.Save(quorum.HardState{Term: 1}, nil); !eris.Is(err, ErrFailed) {
+			t.Errorf("save %d: got error %v, want %v", i, err, ErrFailed)
+		}
+		fs.crashAt = 0 // the disk works again, but what it holds is unknown
+	}
+}
+
+func TestFolder(t *testing.T) {
+	path := t.TempDir() + "/new/data"
+	folder, err := OpenFolder(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := OpenFolder(path); !eris.Is(err, ErrInUse) {
+		t.Errorf("got error %v for a folder in use, want %v", err, ErrInUse)
+	}
+	l, opened, err := Open(folder, nodeName)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := model{id: opened.ID}
+	random := rand.New(rand.NewPCG(1, 0))
+	for range 200 {
+		if err := m.step(l, random); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := folder.Close(); err != nil {
+		t.Fatal(err)
+	}
+	folder, err = OpenFolder(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, opened, err = Open(folder, nodeName)
+	if err != nil || !m.equals(opened) {
+		t.Errorf("got %+v and error %v, want %+v", opened, err, m)
+	}
+	names, err := folder.List()
+	if want := 3; err != nil || len(names) != want {
+		t.Errorf("got files %v and error %v, want %d files", names, err, want)
+	}
+}
+
+func BenchmarkRecovery(b *testing.B) {
+	for _, count := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("entries-%d", count), func(b *testing.B) {
+			fs := newMemoryFS()
+			l, _, err := Open(fs, nodeName)
+			if err != nil {
+				b.Fatal(err)
+			}
+			const batch = 10
+			for at := 1; at <= count; at += batch {
+				var entries []quorum.Entry
+				for i := range batch {
+					entries = append(entries, quorum.Entry{
+						Index: uint64(at + i), Term: 1, Kind: quorum.EntryCommand, Data: make([]byte, 200),
+					})
+				}
+				if err := l.Save(quorum.HardState{Term: 1}, entries); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, _, err := Open(fs, nodeName); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
