--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -1,4 +1,10 @@
 // Command measure runs loads and faults against the real components.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/burdockwood/burdockwood/internal/measure/command"
+)
+
+func main() { os.Exit(command.Main()) }
--- /dev/null
+++ b/internal/measure/bed/bed.go
@@ -0,0 +1,308 @@
+// Package bed starts the real components in one process, connected over
+// loopback through relays that give the latencies and the faults.
+//
+// # Usage
+//
+//	b, err := bed.Start(ctx, bed.Options{Profile: p, Folder: folder}, logger)
+//	defer b.Stop()
+//	addresses := b.Proxies()
+//	err = b.Kill(b.Primary())
+//
+// Each server sits behind a relay, whose address it announces. The relay
+// tells the connections of replicas, control and proxies apart by their
+// start-up message, so that a fault can cut some of them only.
+package bed
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"path/filepath"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/burdockwood/burdockwood/internal/config/settings"
+	controldaemon "github.com/burdockwood/burdockwood/internal/control/daemon"
+	"github.com/burdockwood/burdockwood/internal/measure/profile"
+	"github.com/burdockwood/burdockwood/internal/measure/relay"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	proxydaemon "github.com/burdockwood/burdockwood/internal/proxy/daemon"
+	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
+	"github.com/burdockwood/burdockwood/internal/rpc/leader"
+	"github.com/burdockwood/burdockwood/internal/rpc/transport"
+	"github.com/burdockwood/burdockwood/internal/standin/wire"
+)
+
+const (
+	// Group is the name of the group and of its callers' database.
+	Group = "ledger-1"
+
+	// ClassReplication are the connections of replicas to a server.
+	ClassReplication = "replication"
+	// ClassControl are the connections of control to a server.
+	ClassControl = "control"
+	// ClassProxy are the connections of proxies to a server.
+	ClassProxy = "proxy"
+
+	servers     = 3
+	controls    = 3
+	controlUser = "control"
+	drainTime   = time.Second
+	deadline    = 5 * time.Second
+	maxCallers  = 5000
+	startLimit  = 30 * time.Second
+	startPoll   = 20 * time.Millisecond
+	callLimit   = 2 * time.Second
+
+	declarations = `format: burdockwood-1
+groups:
+  - name: ` + Group + `
+    labels: {service: measured}
+    servers: 3
+selectors:
+  - name: callers
+    priority: 1
+    groups: {service: measured}
+    tenant: callers
+    weight: 1
+`
+)
+
+var (
+	// ErrStart tells that the bed didn't come up.
+	ErrStart = eris.New("the measured system did not start")
+	// ErrUnsettled tells that the group has no primary that its replicas
+	// follow.
+	ErrUnsettled = eris.New("the group did not settle")
+)
+
+type (
+	// Options describe a bed.
+	Options struct {
+		Profile profile.Profile
+		Folder  string
+		// Lag is the time after which replicas apply what they received.
+		Lag time.Duration
+		// Synced makes servers sync each commit.
+		Synced bool
+		// Direct starts the servers alone, the first as primary.
+		Direct bool
+	}
+
+	// Bed is a running system.
+	Bed struct {
+		options  Options
+		logger   logr.Logger
+		ctx      context.Context
+		cancel   context.CancelFunc
+		group    *errgroup.Group
+		servers  []*Server
+		controls []netip.AddrPort
+		// beats are the relays between the proxies and control.
+		beats   []*relay.Relay
+		proxies []*relay.Relay
+		direct  []netip.AddrPort
+		started time.Time
+	}
+)
+
+// Start starts the system and waits until it serves a write.
+func Start(ctx context.Context, options Options, logger logr.Logger) (*Bed, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	b := &Bed{options: options, logger: logger, ctx: ctx, cancel: cancel, group: &errgroup.Group{}}
+	if err := b.start(); err != nil {
+		b.Stop()
+		return nil, eris.Wrapf(ErrStart, "%v", err)
+	}
+	b.started = time.Now()
+	return b, nil
+}
+
+// Stop ends everything.
+func (b *Bed) Stop() error {
+	b.cancel()
+	err := b.group.Wait()
+	for _, s := range b.servers {
+		s.wait()
+	}
+	return err
+}
+
+func (b *Bed) start() error {
+	if !b.options.Direct {
+		if err := b.startControls(); err != nil {
+			return err
+		}
+	}
+	for i := range servers {
+		if err := b.addServer(i); err != nil {
+			return err
+		}
+	}
+	if b.options.Direct {
+		return b.follow()
+	}
+	if err := b.declare(); err != nil {
+		return err
+	}
+	for i := range b.options.Profile.Proxies {
+		if err := b.startProxy(i); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithTimeout(b.ctx, startLimit)
+	defer cancel()
+	_, err := b.Settled(ctx)
+	return err
+}
+
+func (b *Bed) startControls() error {
+	addresses, err := reserve(controls)
+	if err != nil {
+		return err
+	}
+	b.controls = addresses
+	var peers []string
+	for i, address := range addresses {
+		peers = append(peers, fmt.Sprintf("%s=%s", controlName(i), address))
+	}
+	for i, address := range addresses {
+		options := settings.Control{
+			Common:      settings.Common{Name: controlName(i), DataCentre: string(b.place(i))},
+			Listen:      address.String(),
+			Data:        filepath.Join(b.options.Folder, controlName(i)),
+			Peers:       peers,
+			BackendUser: controlUser,
+		}
+		b.group.Go(func() error {
+			return controldaemon.Run(b.ctx, options, b.logger.WithName(options.Name))
+		})
+		beat, err := b.relay(relay.Options{Target: address, Latency: b.options.Profile.Latency})
+		if err != nil {
+			return err
+		}
+		b.beats = append(b.beats, beat)
+	}
+	return nil
+}
+
+func (b *Bed) startProxy(i int) error {
+	options := settings.Proxy{
+		Common:      settings.Common{Name: fmt.Sprintf("proxy-%d", i+1), DataCentre: string(b.place(i))},
+		Listen:      "127.0.0.1:0",
+		Peer:        "127.0.0.1:0",
+		BackendUser: "burdockwood",
+		DrainTime:   drainTime,
+		Deadline:    deadline,
+		MaxCallers:  maxCallers,
+	}
+	for _, beat := range b.beats {
+		options.Control = append(options.Control, beat.Address().String())
+	}
+	proxy, err := proxydaemon.New(options, b.logger.WithName(options.Name))
+	if err != nil {
+		return err
+	}
+	b.group.Go(func() error { return proxy.Run(b.ctx) })
+	front, err := b.relay(relay.Options{Target: proxy.Address(), Latency: b.options.Profile.CallerLatency})
+	if err != nil {
+		return err
+	}
+	b.proxies = append(b.proxies, front)
+	b.direct = append(b.direct, proxy.Address())
+	return nil
+}
+
+func (b *Bed) relay(options relay.Options) (*relay.Relay, error) {
+	r, err := relay.Start(b.ctx, options)
+	if err != nil {
+		return nil, err
+	}
+	b.group.Go(r.Wait)
+	return r, nil
+}
+
+// declare gives the declarations to control.
+func (b *Bed) declare() error {
+	ctx, cancel := context.WithTimeout(b.ctx, startLimit)
+	defer cancel()
+	client := leader.New(b.controls, transport.NewClient("", transport.Options{}))
+	request := &controlpb.ApplyRequest{Declarations: declarations, ChangeId: "measure", Author: "measure"}
+	return client.Do(ctx, callLimit, func(ctx context.Context, control controlpb.Control) error {
+		response, err := control.Apply(ctx, request)
+		if err != nil {
+			return err
+		}
+		if !response.Accepted {
+			return eris.Wrapf(ErrStart, "declarations: %s", response.Reason)
+		}
+		return nil
+	})
+}
+
+// Callers returns the addresses that callers use.
+func (b *Bed) Callers() []netip.AddrPort {
+	if b.options.Direct {
+		return []netip.AddrPort{b.servers[0].relay.Address()}
+	}
+	addresses := make([]netip.AddrPort, 0, len(b.proxies))
+	for _, p := range b.proxies {
+		addresses = append(addresses, p.Address())
+	}
+	return addresses
+}
+
+// Direct returns the first proxy's own address, past its relay.
+func (b *Bed) Direct() netip.AddrPort { return b.direct[0] }
+
+// ControlBytes returns the bytes between proxies and control for each proxy
+// and second since the start.
+func (b *Bed) ControlBytes(now time.Time) float64 {
+	var total int64
+	for _, beat := range b.beats {
+		total += beat.Bytes()
+	}
+	seconds := now.Sub(b.started).Seconds()
+	if len(b.proxies) == 0 || seconds <= 0 {
+		return 0
+	}
+	return float64(total) / float64(len(b.proxies)) / seconds
+}
+
+func (b *Bed) place(i int) cluster.DataCentre {
+	places := b.options.Profile.DataCentres
+	return places[i%len(places)]
+}
+
+func controlName(i int) string { return fmt.Sprintf("control-%d", i+1) }
+
+// reserve returns n addresses on loopback that are free now.
+func reserve(n int) ([]netip.AddrPort, error) {
+	var addresses []netip.AddrPort
+	for range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().(*net.TCPAddr).AddrPort())
+	}
+	return addresses, nil
+}
+
+// classify names the class of a connection by its start-up message.
+func classify(first []byte) string {
+	switch {
+	case bytes.Contains(first, []byte("\x00database\x00"+wire.ReplicationDatabase+"\x00")):
+		return ClassReplication
+	case bytes.Contains(first, []byte("user\x00"+controlUser+"\x00")):
+		return ClassControl
+	default:
+		return ClassProxy
+	}
+}
--- a/internal/measure/checker/checker.go
+++ b/internal/measure/checker/checker.go
@@ -152,7 +152,7 @@
 	switch {
 	case o.Outcome == history.Done && least == 0:
 		c.note(&c.findings.Lost, "lost: %s of member %d sequence %d, answered at %v", o.ID, o.Member, o.Sequence, o.Return)
-	case o.Outcome == history.NotRun && most > 0:
+	case (o.Outcome == history.NotRun || o.Outcome == history.NotSent) && most > 0:
 		c.note(&c.findings.FalseNotRun, "false not-run: %s of member %d sequence %d: %s", o.ID, o.Member, o.Sequence, o.Reason)
 	case o.Outcome == history.Failed && most > 0:
 		c.note(&c.findings.FalseNotRun, "ran in spite of an error: %s of member %d sequence %d: %s", o.ID, o.Member, o.Sequence, o.Reason)
--- a/internal/measure/history/history.go
+++ b/internal/measure/history/history.go
@@ -28,6 +28,8 @@
 	Done Outcome = "done"
 	// NotRun tells that the request was refused and didn't run.
 	NotRun Outcome = "not-run"
+	// NotSent tells that the caller had no connection to send it on.
+	NotSent Outcome = "not-sent"
 	// Unknown tells that the request may have run.
 	Unknown Outcome = "unknown"
 	// Failed tells that a server answered with an error, so that nothing
--- /dev/null
+++ b/internal/measure/load/caller.go
@@ -0,0 +1,318 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/burdockwood/burdockwood/internal/measure/history"
+)
+
+const (
+	markParameter = "burdockwood.mark"
+	notRunDetail  = "not run"
+
+	connectTimeout = 3 * time.Second
+	requestTimeout = 8 * time.Second
+
+	insertSQL = "INSERT INTO ledger (request, part, member, sequence, amount) VALUES ($1, $2, $3, $4, $5) RETURNING request"
+	readSQL   = "SELECT $1 AS echo, coalesce(max(sequence), 0), coalesce(sum(CASE WHEN part > 0 THEN 1 ELSE 0 END), 0) FROM ledger WHERE member = $2"
+	countSQL  = "SELECT $1 AS echo, count(*) FROM ledger WHERE request = $1"
+)
+
+// errAnswer tells that an answer doesn't have the asked shape.
+var errAnswer = errors.New("the answer has another shape than asked for")
+
+type (
+	// caller is one session. It sends one request at a time.
+	caller struct {
+		options  Options
+		session  int
+		carries  bool // hands its mark on from proxy to proxy
+		mark     string
+		sequence int64
+		conns    []*connection
+	}
+
+	// connection is a caller's connection to one proxy.
+	connection struct {
+		conn *pgconn.PgConn
+		mark string // the mark that the proxy has from this caller
+	}
+
+	// attempt is a request under way.
+	attempt struct {
+		operation history.Operation
+		sent      bool // something that could run has been sent
+		committed bool // COMMIT has been sent
+	}
+)
+
+func newCaller(options Options, session int) *caller {
+	return &caller{
+		options: options,
+		session: session,
+		carries: session%2 == 0,
+		conns:   make([]*connection, len(options.Addresses)),
+	}
+}
+
+// serve sends the request and returns what became of it.
+func (c *caller) serve(ctx context.Context, r request, clock func() time.Duration) history.Operation {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	a := &attempt{operation: history.Operation{
+		ID:      r.id,
+		Session: c.session,
+		Kind:    r.kind,
+		Proxy:   r.proxy,
+		Member:  r.member,
+		MaxAge:  r.maxAge,
+		Invoke:  clock(),
+	}}
+	err := c.perform(ctx, a)
+	a.operation.Return = clock()
+	a.operation.Outcome = a.outcome(err)
+	if err != nil {
+		a.operation.Reason = err.Error()
+		c.after(r.proxy, err)
+	}
+	return a.operation
+}
+
+func (c *caller) perform(ctx context.Context, a *attempt) error {
+	o := &a.operation
+	connection, err := c.connect(ctx, o.Proxy)
+	if err != nil {
+		return fmt.Errorf("connect: %w", err)
+	}
+	if err := c.handOn(ctx, connection); err != nil {
+		return err
+	}
+	a.sent = true
+	switch o.Kind {
+	case history.Write:
+		err = c.write(ctx, connection, a)
+	case history.Transaction:
+		err = c.transaction(ctx, connection, a)
+	default:
+		err = c.read(ctx, connection, o)
+	}
+	if err == nil && !o.Kind.Reads() {
+		c.remember(connection)
+	}
+	return err
+}
+
+// connect returns the caller's connection to a proxy, opened if needed.
+func (c *caller) connect(ctx context.Context, proxy int) (*connection, error) {
+	if known := c.conns[proxy]; known != nil && !known.conn.IsClosed() {
+		return known, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	conn, err := Dial(ctx, c.options.Addresses[proxy], c.options.Database, "session-"+strconv.Itoa(c.session))
+	if err != nil {
+		return nil, err
+	}
+	c.conns[proxy] = &connection{conn: conn}
+	return c.conns[proxy], nil
+}
+
+// Dial opens a connection for a caller with the given session identity.
+func Dial(ctx context.Context, address netip.AddrPort, database, session string) (*pgconn.PgConn, error) {
+	config, err := pgconn.ParseConfig("sslmode=disable")
+	if err != nil {
+		return nil, err
+	}
+	config.Host = address.Addr().String()
+	config.Port = address.Port()
+	config.User = "measure"
+	config.Database = database
+	config.Fallbacks = nil
+	config.RuntimeParams["options"] = "-c burdockwood.session=" + session
+	return pgconn.ConnectConfig(ctx, config)
+}
+
+// handOn gives the proxy the caller's newest mark.
+func (c *caller) handOn(ctx context.Context, connection *connection) error {
+	if !c.carries || c.mark == connection.mark {
+		return nil
+	}
+	_, err := connection.conn.Exec(ctx, "SET "+markParameter+" = '"+c.mark+"'").ReadAll()
+	if err == nil {
+		connection.mark = c.mark
+	}
+	return err
+}
+
+// remember keeps the mark of an answered write.
+func (c *caller) remember(connection *connection) {
+	if mark := connection.conn.ParameterStatus(markParameter); mark != "" {
+		c.mark, connection.mark = mark, mark
+	}
+}
+
+func (c *caller) write(ctx context.Context, connection *connection, a *attempt) error {
+	c.sequence++
+	a.operation.Sequence = c.sequence
+	a.committed = true
+	return c.insert(ctx, connection, &a.operation, 0)
+}
+
+// insert adds one row and takes the echo from its answer.
+func (c *caller) insert(ctx context.Context, connection *connection, o *history.Operation, part int) error {
+	row, err := exec(ctx, connection, insertSQL, 1,
+		o.ID, strconv.Itoa(part), strconv.Itoa(o.Member), strconv.FormatInt(o.Sequence, 10), "40")
+	if err != nil {
+		return err
+	}
+	o.Echo = row[0]
+	return nil
+}
+
+func (c *caller) transaction(ctx context.Context, connection *connection, a *attempt) error {
+	c.sequence++
+	o := &a.operation
+	o.Sequence = c.sequence
+	if _, err := connection.conn.Exec(ctx, "BEGIN").ReadAll(); err != nil {
+		return err
+	}
+	if err := c.insert(ctx, connection, o, 1); err != nil {
+		return err
+	}
+	row, err := exec(ctx, connection, countSQL, 2, o.ID)
+	if err != nil {
+		return err
+	}
+	if o.Between, err = strconv.Atoi(row[1]); err != nil {
+		return err
+	}
+	if err := c.insert(ctx, connection, o, 2); err != nil {
+		return err
+	}
+	a.committed = true
+	results, err := connection.conn.Exec(ctx, "COMMIT").ReadAll()
+	if err == nil && (len(results) != 1 || results[0].CommandTag.String() != "COMMIT") {
+		return fmt.Errorf("%w: COMMIT", errAnswer)
+	}
+	return err
+}
+
+func (c *caller) read(ctx context.Context, connection *connection, o *history.Operation) error {
+	query := readSQL
+	if o.MaxAge > 0 {
+		query = fmt.Sprintf("/* burdockwood: max-age=%dms */ %s", o.MaxAge.Milliseconds(), readSQL)
+	}
+	row, err := exec(ctx, connection, query, 3, o.ID, strconv.Itoa(o.Member))
+	if err != nil {
+		return err
+	}
+	o.Echo = row[0]
+	if o.Sequence, err = strconv.ParseInt(row[1], 10, 64); err != nil {
+		return err
+	}
+	o.Parts, err = strconv.Atoi(row[2])
+	return err
+}
+
+// exec executes a statement that answers one row of the given width.
+func exec(ctx context.Context, connection *connection, query string, width int, arguments ...string) ([]string, error) {
+	parameters := make([][]byte, len(arguments))
+	for i, text := range arguments {
+		parameters[i] = []byte(text)
+	}
+	result := connection.conn.ExecParams(ctx, query, parameters, nil, nil, nil).Read()
+	if result.Err != nil {
+		return nil, result.Err
+	}
+	if len(result.Rows) != 1 || len(result.Rows[0]) != width {
+		return nil, fmt.Errorf("%w: %d rows", errAnswer, len(result.Rows))
+	}
+	row := make([]string, width)
+	for i, value := range result.Rows[0] {
+		row[i] = string(value)
+	}
+	return row, nil
+}
+
+// after drops a connection that an error may have left within a transaction.
+func (c *caller) after(proxy int, err error) {
+	connection := c.conns[proxy]
+	if connection == nil {
+		return
+	}
+	var refusal *pgconn.PgError
+	if errors.As(err, &refusal) && connection.conn.TxStatus() == 'I' {
+		return
+	}
+	c.conns[proxy] = nil
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	connection.conn.Close(ctx)
+}
+
+// close ends the caller's connections.
+func (c *caller) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
+	defer cancel()
+	for _, connection := range c.conns {
+		if connection != nil {
+			connection.conn.Close(ctx)
+		}
+	}
+}
+
+// outcome tells what a caller may conclude from the end of its request.
+func (a *attempt) outcome(err error) history.Outcome {
+	if err == nil {
+		return history.Done
+	}
+	if !a.sent {
+		return history.NotSent
+	}
+	var refusal *pgconn.PgError
+	if !errors.As(err, &refusal) {
+		return a.unanswered()
+	}
+	switch {
+	case strings.HasPrefix(refusal.Detail, notRunDetail):
+		return history.NotRun
+	case a.operation.Kind == history.Transaction && !a.committed:
+		return history.Failed
+	case mayHaveRun(refusal.Code):
+		return history.Unknown
+	default:
+		return history.Failed
+	}
+}
+
+// unanswered is the outcome of a request whose answer was lost. A transaction
+// whose COMMIT wasn't sent leaves nothing.
+func (a *attempt) unanswered() history.Outcome {
+	if a.operation.Kind == history.Transaction && !a.committed {
+		return history.Failed
+	}
+	return history.Unknown
+}
+
+// mayHaveRun reports whether a request that ended with the SQLSTATE may have
+// run: classes connection, intervention, system and internal errors.
+func mayHaveRun(state string) bool {
+	switch state {
+	case "57P03", "57P05":
+		return false
+	}
+	for _, class := range []string{"08", "57", "58", "XX"} {
+		if strings.HasPrefix(state, class) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/measure/profile/profile.go
@@ -0,0 +1,103 @@
+// Package profile holds the sizes and the load of each user of the brief.
+//
+// # Usage
+//
+//	p, ok := profile.Named("guild")
+//	kind := p.Mix.Pick(random.Float64())
+package profile
+
+import (
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/measure/history"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+type (
+	// Mix gives the share of each kind of request; the shares add up to 1.
+	Mix struct {
+		Write       float64
+		OwnRead     float64
+		AgedRead    float64
+		Transaction float64
+	}
+
+	// Profile is a user's places, servers and load.
+	Profile struct {
+		Name        string
+		DataCentres []cluster.DataCentre
+		// Latency is one way between data centres.
+		Latency time.Duration
+		// CallerLatency is one way between a caller and a proxy.
+		CallerLatency time.Duration
+		Proxies       int
+		Slots         int
+		Connections   int
+		ConnectDelay  time.Duration
+		// ServiceTime is the time of one statement in its slot.
+		ServiceTime time.Duration
+		// Sessions is the number of callers.
+		Sessions int
+		// Rate is the number of requests started a second.
+		Rate    float64
+		Mix     Mix
+		MaxAges []time.Duration
+	}
+)
+
+var profiles = []Profile{
+	{
+		Name:          "guild",
+		DataCentres:   []cluster.DataCentre{"perth-a", "perth-b", "bunbury", "geraldton"},
+		Latency:       time.Millisecond,
+		CallerLatency: time.Millisecond,
+		Proxies:       6,
+		Slots:         2,
+		Connections:   16,
+		ConnectDelay:  10 * time.Millisecond,
+		ServiceTime:   5 * time.Millisecond,
+		Sessions:      200,
+		Rate:          100,
+		Mix:           Mix{Write: 0.35, OwnRead: 0.30, AgedRead: 0.30, Transaction: 0.05},
+		MaxAges:       []time.Duration{2 * time.Second, 10 * time.Second},
+	},
+	{
+		Name:          "ecouri",
+		DataCentres:   []cluster.DataCentre{"buc-a", "buc-b", "buc-c", "buc-d"},
+		Latency:       1500 * time.Microsecond,
+		CallerLatency: time.Millisecond,
+		Proxies:       6,
+		Slots:         5,
+		Connections:   50,
+		ConnectDelay:  30 * time.Millisecond,
+		ServiceTime:   5 * time.Millisecond,
+		Sessions:      200,
+		Rate:          200,
+		Mix:           Mix{Write: 0.09, OwnRead: 0.08, AgedRead: 0.80, Transaction: 0.03},
+		MaxAges:       []time.Duration{time.Second, 5 * time.Second},
+	},
+}
+
+// Named returns the profile of a user.
+func Named(name string) (Profile, bool) {
+	for _, p := range profiles {
+		if p.Name == name {
+			return p, true
+		}
+	}
+	return Profile{}, false
+}
+
+// Pick returns the kind for a number from 0 to 1.
+func (m Mix) Pick(number float64) history.Kind {
+	switch {
+	case number < m.Write:
+		return history.Write
+	case number < m.Write+m.OwnRead:
+		return history.OwnRead
+	case number < m.Write+m.OwnRead+m.Transaction:
+		return history.Transaction
+	default:
+		return history.AgedRead
+	}
+}
--- a/internal/measure/relay/relay.go
+++ b/internal/measure/relay/relay.go
@@ -68,6 +68,7 @@
 		options  Options
 		listener net.Listener
 		latency  atomic.Int64
+		bytes    atomic.Int64
 		group    *errgroup.Group
 
 		mu    sync.Mutex
@@ -127,6 +128,9 @@
 // Delay sets the one-way latency.
 func (r *Relay) Delay(latency time.Duration) { r.latency.Store(int64(latency)) }
 
+// Bytes returns the number of bytes forwarded, both ways.
+func (r *Relay) Bytes() int64 { return r.bytes.Load() }
+
 // Retarget sends new connections to another address.
 func (r *Relay) Retarget(target netip.AddrPort) {
 	r.mu.Lock()
@@ -363,6 +367,7 @@
 		if _, err := to.Write(c.data); err != nil {
 			return err
 		}
+		l.relay.bytes.Add(int64(len(c.data)))
 	}
 	if err := l.await(ctx); err != nil {
 		return err
--- /dev/null
+++ b/internal/measure/trial/trial.go
@@ -0,0 +1,305 @@
+// Package trial does one run: it starts a system, loads it, brings about a
+// fault, waits until the system has settled and checks the history.
+//
+// # Usage
+//
+//	result, err := trial.Run(ctx, trial.Options{Profile: p, Fault: trial.Kill, Seed: 1}, logger)
+//	fmt.Println(result.Findings.Total(), result.Gap)
+package trial
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/burdockwood/burdockwood/internal/measure/bed"
+	"github.com/burdockwood/burdockwood/internal/measure/checker"
+	"github.com/burdockwood/burdockwood/internal/measure/gap"
+	"github.com/burdockwood/burdockwood/internal/measure/history"
+	"github.com/burdockwood/burdockwood/internal/measure/load"
+	"github.com/burdockwood/burdockwood/internal/measure/profile"
+)
+
+const (
+	// None brings about no fault.
+	None Fault = "none"
+	// Kill ends the primary without a farewell and starts it again later.
+	Kill Fault = "kill"
+	// Freeze stops the primary's traffic without closing anything.
+	Freeze Fault = "freeze"
+	// Cut separates the primary from control and its replicas.
+	Cut Fault = "cut"
+	// Overload doubles the rate of requests for a while.
+	Overload Fault = "overload"
+
+	surge       = 2
+	settleLimit = 20 * time.Second
+	schemaLimit = 10 * time.Second
+	schemaPause = 50 * time.Millisecond
+)
+
+// ErrTrial tells that a run couldn't be done or judged.
+var ErrTrial = eris.New("the run failed")
+
+type (
+	// Fault is what is brought about in a run.
+	Fault string
+
+	// Options describe a run.
+	Options struct {
+		Profile  profile.Profile
+		Fault    Fault
+		Seed     uint64
+		Duration time.Duration
+		Lag      time.Duration
+		Synced   bool
+		Direct   bool
+	}
+
+	// Result is what a run gave.
+	Result struct {
+		Operations []history.Operation
+		Findings   checker.Findings
+		Promotions int
+		// FaultAt is when the fault was brought about.
+		FaultAt time.Duration
+		// HasGap tells that the run had a fault of a primary.
+		HasGap bool
+		// Gap is the failover gap.
+		Gap time.Duration
+		// GapEnded is false if no write landed after the fault.
+		GapEnded     bool
+		PrimaryReads int
+		ReplicaReads int
+		// ControlBytes are per proxy and second.
+		ControlBytes float64
+		Elapsed      time.Duration
+	}
+)
+
+// Known reports whether the fault is one of the constants.
+func (f Fault) Known() bool {
+	switch f {
+	case None, Kill, Freeze, Cut, Overload:
+		return true
+	}
+	return false
+}
+
+// ofPrimary reports whether the fault takes the primary away.
+func (f Fault) ofPrimary() bool { return f == Kill || f == Freeze || f == Cut }
+
+// Run does one run. Errors: ErrTrial.
+func Run(ctx context.Context, options Options, logger logr.Logger) (*Result, error) {
+	folder, err := os.MkdirTemp("", "measure-")
+	if err != nil {
+		return nil, eris.Wrapf(ErrTrial, "%v", err)
+	}
+	defer os.RemoveAll(folder)
+	b, err := bed.Start(ctx, bed.Options{
+		Profile: options.Profile,
+		Folder:  folder,
+		Lag:     options.Lag,
+		Synced:  options.Synced,
+		Direct:  options.Direct,
+	}, logger)
+	if err != nil {
+		return nil, eris.Wrapf(ErrTrial, "%v", err)
+	}
+	result, err := run(ctx, b, options)
+	if stopErr := b.Stop(); err == nil && stopErr != nil {
+		err = stopErr
+	}
+	if err != nil {
+		return nil, eris.Wrapf(ErrTrial, "seed %d: %v", options.Seed, err)
+	}
+	return result, nil
+}
+
+func run(ctx context.Context, b *bed.Bed, options Options) (*Result, error) {
+	if err := CreateSchema(ctx, b); err != nil {
+		return nil, err
+	}
+	result := &Result{FaultAt: options.Duration / 3}
+	before := count(b)
+	recorder := history.New()
+	started := time.Now()
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		return load.Run(groupCtx, loadOptions(b, options, started), recorder)
+	})
+	group.Go(func() error { return disturb(groupCtx, b, options, started) })
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	result.Elapsed = time.Since(started)
+	result.ControlBytes = b.ControlBytes(time.Now())
+	settleCtx, cancel := context.WithTimeout(ctx, settleLimit)
+	defer cancel()
+	primary, err := b.Settled(settleCtx)
+	if err != nil {
+		return nil, err
+	}
+	after := count(b)
+	rows, err := readRows(settleCtx, primary)
+	if err != nil {
+		return nil, err
+	}
+	result.Operations = recorder.Operations()
+	result.Findings = checker.Check(result.Operations, rows)
+	result.Promotions = after.promotions - before.promotions
+	result.PrimaryReads = after.primaryReads - before.primaryReads
+	result.ReplicaReads = after.replicaReads - before.replicaReads
+	result.HasGap = options.Fault.ofPrimary()
+	if result.HasGap {
+		result.Gap, result.GapEnded = gap.Longest(result.Operations, result.FaultAt)
+	}
+	return result, nil
+}
+
+func loadOptions(b *bed.Bed, options Options, started time.Time) load.Options {
+	l := load.Options{
+		Profile:   options.Profile,
+		Addresses: b.Callers(),
+		Database:  bed.Group,
+		Seed:      options.Seed,
+		Duration:  options.Duration,
+		Started:   started,
+	}
+	if options.Fault == Overload {
+		l.Surge, l.SurgeFrom, l.SurgeTo = surge, options.Duration/3, options.Duration*2/3
+	}
+	return l
+}
+
+// disturb brings about the fault at a third of the run and ends it at two
+// thirds.
+func disturb(ctx context.Context, b *bed.Bed, options Options, started time.Time) error {
+	if !options.Fault.ofPrimary() {
+		return nil
+	}
+	if err := sleepUntil(ctx, started.Add(options.Duration/3)); err != nil {
+		return err
+	}
+	victim := b.Primary()
+	if victim == nil {
+		return eris.New("there is no primary to disturb")
+	}
+	switch options.Fault {
+	case Kill:
+		victim.Kill()
+	case Freeze:
+		victim.Freeze()
+	case Cut:
+		victim.Cut()
+	}
+	if err := sleepUntil(ctx, started.Add(options.Duration*2/3)); err != nil {
+		return err
+	}
+	if options.Fault == Kill {
+		return victim.Restart()
+	}
+	victim.Heal()
+	return nil
+}
+
+func sleepUntil(ctx context.Context, at time.Time) error {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// counters are sums over the servers of a bed.
+type counters struct {
+	promotions   int
+	primaryReads int
+	replicaReads int
+}
+
+func count(b *bed.Bed) counters {
+	var c counters
+	for _, s := range b.Servers() {
+		c.promotions += s.Promotions()
+		primary, replica := s.Reads()
+		c.primaryReads += primary
+		c.replicaReads += replica
+	}
+	return c
+}
+
+// CreateSchema creates the measured table through the first caller address,
+// and waits until it is served.
+func CreateSchema(ctx context.Context, b *bed.Bed) error {
+	ctx, cancel := context.WithTimeout(ctx, schemaLimit)
+	defer cancel()
+	for _, statement := range bed.Schema {
+		if err := execute(ctx, b, statement); err != nil {
+			return eris.Wrapf(ErrTrial, "create the schema: %v", err)
+		}
+	}
+	if _, err := b.Settled(ctx); err != nil {
+		return err
+	}
+	return nil
+}
+
+// execute repeats a statement that may be repeated until it is done.
+func execute(ctx context.Context, b *bed.Bed, statement string) error {
+	for {
+		err := try(ctx, b, statement)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		if sleepErr := sleepUntil(ctx, time.Now().Add(schemaPause)); sleepErr != nil {
+			return err
+		}
+	}
+}
+
+func try(ctx context.Context, b *bed.Bed, statement string) error {
+	conn, err := load.Dial(ctx, b.Callers()[0], bed.Group, "schema")
+	if err != nil {
+		return err
+	}
+	defer conn.Close(ctx)
+	_, err = conn.Exec(ctx, statement).ReadAll()
+	return err
+}
+
+// readRows reads what is left at the end from the primary itself.
+func readRows(ctx context.Context, primary *bed.Server) ([]checker.Row, error) {
+	conn, err := load.Dial(ctx, primary.Address(), bed.Group, "checker")
+	if err != nil {
+		return nil, eris.Wrapf(ErrTrial, "read the rows: %v", err)
+	}
+	defer conn.Close(ctx)
+	results, err := conn.Exec(ctx, "SELECT request, part FROM ledger").ReadAll()
+	if err != nil {
+		return nil, eris.Wrapf(ErrTrial, "read the rows: %v", err)
+	}
+	var rows []checker.Row
+	for _, r := range results[0].Rows {
+		part, err := strconv.Atoi(string(r[1]))
+		if err != nil {
+			return nil, eris.Wrapf(ErrTrial, "part %q", r[1])
+		}
+		rows = append(rows, checker.Row{Request: string(r[0]), Part: part})
+	}
+	return rows, nil
+}
+
+// String describes the run in a line.
+func (r *Result) String() string {
+	return fmt.Sprintf("%d requests, %d findings, %d promotions, gap %v", len(r.Operations), r.Findings.Total(), r.Promotions, r.Gap.Round(time.Millisecond))
+}
--- a/internal/standin/daemon/daemon.go
+++ b/internal/standin/daemon/daemon.go
@@ -91,6 +91,7 @@
 	// Server is a running server.
 	Server struct {
 		engine  *engine.Engine
+		wire    *wire.Server
 		address netip.AddrPort
 		group   *errgroup.Group
 	}
@@ -123,11 +124,11 @@
 		options.Advertise = address
 	}
 	group := &errgroup.Group{}
-	server := &Server{engine: e, address: address, group: group}
+	server := &Server{engine: e, wire: newWire(e, options, logger), address: address, group: group}
 	logger.Info("listening", "address", address.String(), "server", string(options.Server))
 	group.Go(func() error {
 		defer e.Close()
-		return serve(ctx, e, options, listener, logger)
+		return server.serve(ctx, options, listener, logger)
 	})
 	return server, nil
 }
@@ -138,6 +139,13 @@
 // State returns the server's present state.
 func (s *Server) State() engine.State { return s.engine.State() }
 
+// Reads returns the number of reads served on ordinary connections as primary
+// and as replica.
+func (s *Server) Reads() (primary, replica int) { return s.wire.Reads() }
+
+// Promotions returns how often the server became primary since its start.
+func (s *Server) Promotions() int { return s.engine.Promotions() }
+
 // Wait returns when the server has ended; nil if it was told to.
 func (s *Server) Wait() error { return s.group.Wait() }
 
@@ -198,8 +206,8 @@
 	return err
 }
 
-func serve(ctx context.Context, e *engine.Engine, options Options, listener net.Listener, logger logr.Logger) error {
-	server := wire.New(e, wire.Options{
+func newWire(e *engine.Engine, options Options, logger logr.Logger) *wire.Server {
+	return wire.New(e, wire.Options{
 		Server:            options.Server,
 		Group:             options.Group,
 		DataCentre:        options.DataCentre,
@@ -210,12 +218,16 @@
 		ServiceTime:       options.ServiceTime,
 		IdleInTransaction: options.IdleInTransaction,
 	}, logger)
+}
+
+func (s *Server) serve(ctx context.Context, options Options, listener net.Listener, logger logr.Logger) error {
+	e := s.engine
 	follow := follower.New(e, follower.Options{User: defaultUser, Password: options.Password}, logger)
 	var actors run.Group
-	add(&actors, ctx, func(ctx context.Context) error { return server.Serve(ctx, listener) })
+	add(&actors, ctx, func(ctx context.Context) error { return s.wire.Serve(ctx, listener) })
 	add(&actors, ctx, func(ctx context.Context) error { return e.ApplyDue(ctx, time.Now) })
 	add(&actors, ctx, follow.Run)
-	add(&actors, ctx, func(ctx context.Context) error { return leave(ctx, e, server, options.Leave) })
+	add(&actors, ctx, func(ctx context.Context) error { return leave(ctx, e, s.wire, options.Leave) })
 	if len(options.Control) > 0 {
 		add(&actors, ctx, announce(e, options, logger).Run)
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -89,6 +89,8 @@
 		// shipDelay and applyLag are time.Duration values.
 		shipDelay atomic.Int64
 		applyLag  atomic.Int64
+		// promotions counts the changes to primary since the start.
+		promotions atomic.Int64
 
 		// writer holds the one right to change the database.
 		writer chan struct{}
@@ -223,9 +225,13 @@
 		s.Role, s.Term, s.Source = cluster.RolePrimary, term, netip.AddrPort{}
 		s.Received, s.Applied = first.Mark(), first.Mark()
 	})
+	e.promotions.Add(1)
 	return e.State(), nil
 }
 
+// Promotions returns how often the server became primary since its start.
+func (e *Engine) Promotions() int { return int(e.promotions.Load()) }
+
 // Follow makes the server a replica of the primary at source in term. Errors:
 // ErrStaleTerm, ErrNotReady, ErrStorage.
 func (e *Engine) Follow(term cluster.Term, source netip.AddrPort) (State, error) {
--- a/internal/standin/wire/execute.go
+++ b/internal/standin/wire/execute.go
@@ -90,6 +90,7 @@
 	if s.tx != nil {
 		result, err = s.tx.Run(ctx, logged, false)
 	} else {
+		s.server.countRead()
 		result, err = s.server.engine.Query(ctx, logged)
 	}
 	if err != nil {
--- a/internal/standin/wire/server.go
+++ b/internal/standin/wire/server.go
@@ -71,6 +71,9 @@
 		open    atomic.Int64
 		admin   atomic.Int64
 		nextPID atomic.Uint32
+		// primaryReads and replicaReads count reads by the server's role.
+		primaryReads atomic.Int64
+		replicaReads atomic.Int64
 
 		mu           sync.Mutex
 		sessions     map[uint32]*session
@@ -102,6 +105,20 @@
 // Open returns the number of ordinary connections.
 func (s *Server) Open() int { return int(s.open.Load()) }
 
+// Reads returns the number of statements outside write transactions that read
+// on ordinary connections, while the server was primary and replica.
+func (s *Server) Reads() (primary, replica int) {
+	return int(s.primaryReads.Load()), int(s.replicaReads.Load())
+}
+
+func (s *Server) countRead() {
+	if s.engine.State().Role == cluster.RolePrimary {
+		s.primaryReads.Add(1)
+	} else {
+		s.replicaReads.Add(1)
+	}
+}
+
 // Serve accepts connections until ctx ends, then closes all of them without
 // a farewell.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
