Proxy: joined with control's grants and the platform interface

Cause: the proxy had been tried against fakes only. Ruled out: grants as one number: a part (floor) outlives the lease. Change: adapter.Dial in use, floors of grants, readiness tells what is missing (control, peers, grants), a test of the whole path over the real control and stand-in servers in one process. Conclusion: the path is whole; next are its cost and the missing parts.

--- a/internal/proxy/caller/local.go
+++ b/internal/proxy/caller/local.go
@@ -1,8 +1,6 @@
 package caller
 
 import (
-	"encoding/binary"
-
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/burdockwood/burdockwood/internal/proxy/classify"
@@ -119,14 +117,3 @@
 	copy(s.answer.data[at+n:], s.answer.data[at:len(s.answer.data)-n])
 	copy(s.answer.data[at:], messages)
 }
-
-// setStatus rewrites the transaction status of the answer's last message, if
-// that is a ReadyForQuery.
-func setStatus(answer []byte, status byte) {
-	const readyLength = 6
-	at := len(answer) - readyLength
-	if at < 0 || answer[at] != wire.ReadyForQuery || binary.BigEndian.Uint32(answer[at+1:]) != readyLength-1 {
-		return
-	}
-	answer[len(answer)-1] = status
-}
--- a/internal/proxy/daemon/daemon.go
+++ b/internal/proxy/daemon/daemon.go
@@ -187,6 +187,8 @@
 		return false, "control has not answered yet"
 	case len(snapshot.Peers) == 0:
 		return false, "control has not told the other proxies yet"
+	case len(snapshot.Groups) > 0 && len(snapshot.Grants) == 0:
+		return false, "control has not granted connections to backend servers yet"
 	case snapshot.Drain:
 		return false, "the proxy is drained by an operator"
 	default:
--- a/internal/proxy/daemon/fake_test.go
+++ b/internal/proxy/daemon/fake_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/netip"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -609,5 +611,9 @@
 	if _, ok := t.(*testing.B); ok {
 		return logr.Discard()
 	}
-	return funcr.New(func(prefix, args string) {}, funcr.Options{})
+	return funcr.New(func(prefix, args string) {
+		if os.Getenv("BW_LOG") != "" {
+			fmt.Println(args)
+		}
+	}, funcr.Options{})
 }
--- /dev/null
+++ b/internal/proxy/daemon/system_test.go
@@ -0,0 +1,153 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/burdockwood/burdockwood/internal/backend/adapter"
+	"github.com/burdockwood/burdockwood/internal/config/settings"
+	control "github.com/burdockwood/burdockwood/internal/control/daemon"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
+	"github.com/burdockwood/burdockwood/internal/rpc/leader"
+	"github.com/burdockwood/burdockwood/internal/rpc/transport"
+	standin "github.com/burdockwood/burdockwood/internal/standin/daemon"
+)
+
+// freeAddress returns an address on which nothing listens now.
+func freeAddress(t testing.TB) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// declare makes the group known to control.
+func declare(t testing.TB, ctx context.Context, address string) {
+	client := leader.New([]netip.AddrPort{netip.MustParseAddrPort(address)}, transport.NewClient("", transport.Options{}))
+	ctx, cancel := context.WithTimeout(ctx, testTime)
+	defer cancel()
+	err := client.Do(ctx, 0, func(ctx context.Context, c controlpb.Control) error {
+		_, err := c.Apply(ctx, &controlpb.ApplyRequest{
+			Declarations: "format: burdockwood-1\ngroups:\n  - name: ledger\n    servers: 3\n",
+			ChangeId:     "first",
+			Author:       "test",
+		})
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// system is control, three stand-in servers and two proxies in one process.
+type system struct {
+	proxies []*Proxy
+	servers []*standin.Server
+	stops   []context.CancelFunc
+}
+
+func startSystem(t testing.TB, change func(*standin.Options)) *system {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	t.Cleanup(func() {
+		cancel()
+		_ = group.Wait()
+	})
+	address := freeAddress(t)
+	options := settings.Control{Listen: address, Data: filepath.Join(t.TempDir(), "control"), Peers: []string{"c1=" + address}, BackendUser: "burdockwood"}
+	options.Name = "c1"
+	options.DataCentre = "perth-a"
+	log := testLog(t)
+	group.Go(func() error { return control.Run(ctx, options, log) })
+	declare(t, ctx, address)
+	s := &system{}
+	for i := range 3 {
+		serverCtx, stop := context.WithCancel(ctx)
+		server := standin.Options{
+			Listen:      "127.0.0.1:0",
+			Data:        filepath.Join(t.TempDir(), fmt.Sprint("server", i)),
+			Server:      cluster.ServerName(fmt.Sprint("s", i)),
+			Group:       "ledger",
+			DataCentre:  "perth-a",
+			Control:     []netip.AddrPort{netip.MustParseAddrPort(address)},
+			Slots:       4,
+			Connections: 48,
+			Unsynced:    true,
+		}
+		if change != nil {
+			change(&server)
+		}
+		running, err := standin.Start(serverCtx, server, log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.servers = append(s.servers, running)
+		s.stops = append(s.stops, stop)
+	}
+	for i := range 2 {
+		proxy := settings.Proxy{Listen: "127.0.0.1:0", Control: []string{address}, BackendUser: "burdockwood", DrainTime: time.Second}
+		proxy.Name = fmt.Sprint("p", i)
+		proxy.DataCentre = "perth-a"
+		p, err := newProxy(proxy, log, adapter.Dial)
+		if err != nil {
+			t.Fatal(err)
+		}
+		group.Go(func() error { return p.Run(ctx) })
+		s.proxies = append(s.proxies, p)
+	}
+	for _, p := range s.proxies {
+		waitFor(t, "the proxy knows a primary", func() bool {
+			g := p.store.Load().Groups["ledger"]
+			ready, _ := p.Ready()
+			return ready && g != nil && g.Primary != ""
+		})
+	}
+	return s
+}
+
+// The whole path over the real control and stand-in servers.
+func TestSystem(t *testing.T) {
+	s := startSystem(t, nil)
+	writer := connect(t, s.proxies[0], "")
+	reader := connect(t, s.proxies[1], "")
+	ctx := testContext(t)
+	if _, err := writer.Exec(ctx, "create table kv (k text primary key, v text)"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := writer.Exec(ctx, "insert into kv (k, v) values ($1, $2)", "a", "0"); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 50 {
+		want := fmt.Sprint(i)
+		put(t, writer, "a", want)
+		if got := value(t, reader, "a"); got != want {
+			t.Fatalf("value = %q, want %q", got, want)
+		}
+	}
+	tx, err := writer.Begin(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tx.Exec(ctx, "update kv set v = $1 where k = $2", "tx", "a"); err != nil {
+		t.Fatal(err)
+	}
+	if err := tx.Commit(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := reader.Exec(ctx, "set burdockwood.max_age = '10s'"); err != nil {
+		t.Fatal(err)
+	}
+	if got := value(t, reader, "a"); got != "tx" {
+		t.Errorf("aged read = %q, want tx", got)
+	}
+}
--- a/internal/proxy/pool/pool.go
+++ b/internal/proxy/pool/pool.go
@@ -4,9 +4,9 @@
 // # Usage
 //
 //	p := pool.New(open, group.Go)
-//	p.SetLimit(4, expires)
-//	c, err := p.Acquire(ctx, "ledger-1")
-//	defer p.Release(c)
+//	p.SetLimit(pool.Limit{Connections: 4}, now)
+//	c, err := p.Acquire(ctx, "ledger-1", now)
+//	defer p.Release(c, now)
 //
 // Connections are opened in the background, one ahead of need while the grant
 // has room. A connection goes back only if it is clean; any other is closed.
@@ -60,11 +60,19 @@
 		// closing counts connections that size still holds until they are
 		// closed.
 		closing int
-		limit   int
-		expires time.Time
+		limit   Limit
 		closed  bool
 	}
 
+	// Limit is the number of connections that are granted.
+	Limit struct {
+		Connections int
+		// Floor is the part of Connections that stays after Expires.
+		Floor int
+		// Expires is when the grant ends; zero: never.
+		Expires time.Time
+	}
+
 	// Use is what a pool holds and wants.
 	Use struct {
 		Open   int
@@ -87,12 +95,11 @@
 	return &Pool{open: open, run: run}
 }
 
-// SetLimit sets the number of connections that are granted, until expires;
-// zero: for good. Idle connections beyond it are closed.
-func (p *Pool) SetLimit(limit int, expires, now time.Time) {
+// SetLimit sets the number of connections that are granted. Idle connections
+// beyond it are closed.
+func (p *Pool) SetLimit(limit Limit, now time.Time) {
 	p.mu.Lock()
 	p.limit = limit
-	p.expires = expires
 	surplus := p.surplus(now)
 	p.openMore("", now)
 	p.mu.Unlock()
@@ -172,10 +179,10 @@
 
 // allowed is the number of connections that the grant allows now.
 func (p *Pool) allowed(now time.Time) int {
-	if !p.expires.IsZero() && now.After(p.expires) {
-		return 0
+	if !p.limit.Expires.IsZero() && now.After(p.limit.Expires) {
+		return p.limit.Floor
 	}
-	return p.limit
+	return p.limit.Connections
 }
 
 // takeIdle returns a live idle connection for the database, or nil. One for
--- a/internal/proxy/upstream/upstream.go
+++ b/internal/proxy/upstream/upstream.go
@@ -204,7 +204,7 @@
 	limit := 0
 	for _, server := range g.Servers() {
 		grant := snapshot.Grants[server.Key]
-		server.Pool.SetLimit(grant.Connections, grant.Expires, now)
+		server.Pool.SetLimit(pool.Limit(grant), now)
 		limit += grant.Connections
 	}
 	g.Gate.SetLimit(max(limit, 1), now)
--- a/internal/proxy/view/view.go
+++ b/internal/proxy/view/view.go
@@ -71,6 +71,8 @@
 	// Grant is the right to hold connections to a server.
 	Grant struct {
 		Connections int
+		// Floor is the part of Connections that stays after Expires.
+		Floor int
 		// Expires is when the right ends; zero: never.
 		Expires time.Time
 	}
@@ -217,7 +219,7 @@
 		if !ok {
 			continue
 		}
-		grant := Grant{Connections: int(message.Connections)}
+		grant := Grant{Connections: int(message.Connections), Floor: int(message.Floor)}
 		if message.ExpiresMs > 0 {
 			grant.Expires = now.Add(time.Duration(message.ExpiresMs) * time.Millisecond)
 		}
