--- a/internal/measure/command/command.go
+++ b/internal/measure/command/command.go
@@ -210,7 +210,7 @@
 // table prints reports from files as a table.
 func table(files []string) error {
 	if len(files) == 0 {
-		return fmt.Errorf("%w: measure report file.json...", errUsage)
+		return fmt.Errorf("%w: measure report FILE [FILE]", errUsage)
 	}
 	reports := make([]report.Report, len(files))
 	for i, name := range files {
