--- a/internal/scenario/script/process_test.go
+++ b/internal/scenario/script/process_test.go
@@ -37,6 +37,8 @@
 	// processes are the processes that one script has started.
 	processes struct {
 		byName map[string]*process
+		// lag is the time after which replicas apply what they receive.
+		lag string
 	}
 
 	process struct {
--- a/internal/scenario/script/script_test.go
+++ b/internal/scenario/script/script_test.go
@@ -17,23 +17,32 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
+			env.Values[sessionsKey] = &sessions{byName: map[string]*session{}}
 			env.Values[processesKey] = &processes{byName: map[string]*process{}}
 			return nil
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"ports":     ports,
-			"sql":       sql,
-			"command":   command,
-			"start":     withProcesses((*processes).start),
-			"signal":    withProcesses((*processes).signal),
-			"exit":      withProcesses((*processes).exit),
-			"system":    withProcesses((*processes).system),
-			"again":     withProcesses((*processes).again),
-			"primary":   primary,
-			"caught-up": caughtUp,
-			"disk":      disk,
-			"replaced":  replaced,
-			"same":      same,
+			"ports":      ports,
+			"sql":        sql,
+			"command":    command,
+			"start":      withProcesses((*processes).start),
+			"signal":     withProcesses((*processes).signal),
+			"exit":       withProcesses((*processes).exit),
+			"system":     withProcesses((*processes).system),
+			"again":      withProcesses((*processes).again),
+			"primary":    primary,
+			"caught-up":  caughtUp,
+			"disk":       disk,
+			"replaced":   replaced,
+			"pause":      pause,
+			"connect":    withSessions((*sessions).connect),
+			"query":      withSessions((*sessions).query),
+			"background": withSessions((*sessions).background),
+			"finish":     withSessions((*sessions).finish),
+			"cancel":     withSessions((*sessions).cancel),
+			"leader":     controlLeader,
+			"in-force":   inForce,
+			"same":       same,
 		},
 		RequireExplicitExec: true,
 	})
@@ -45,6 +54,12 @@
 	}
 }
 
+func withSessions(fn func(*sessions, *testscript.TestScript, bool, []string)) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		fn(ts.Value(sessionsKey).(*sessions), ts, neg, args)
+	}
+}
+
 // TestMain makes the test binary serve as the programs that scripts run.
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
--- a/internal/scenario/script/sql_test.go
+++ b/internal/scenario/script/sql_test.go
@@ -84,16 +84,10 @@
 func runSQL(ts *testscript.TestScript, options sqlOptions) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), statementTimeout)
 	defer cancel()
-	config, err := pgconn.ParseConfig(fmt.Sprintf("host=%s port=%d sslmode=disable", options.address.Addr(), options.address.Port()))
+	config, err := options.config()
 	if err != nil {
 		return "", err
 	}
-	config.Database = options.database
-	config.User = options.user
-	config.Password = options.password
-	if startup := options.startup(); startup != "" {
-		config.RuntimeParams["options"] = startup
-	}
 	conn, err := pgconn.ConnectConfig(ctx, config)
 	if err != nil {
 		return "", err
@@ -106,6 +100,21 @@
 	return formatResults(results), err
 }
 
+// config returns the settings of a connection.
+func (o sqlOptions) config() (*pgconn.Config, error) {
+	config, err := pgconn.ParseConfig(fmt.Sprintf("host=%s port=%d sslmode=disable", o.address.Addr(), o.address.Port()))
+	if err != nil {
+		return nil, err
+	}
+	config.Database = o.database
+	config.User = o.user
+	config.Password = o.password
+	if startup := o.startup(); startup != "" {
+		config.RuntimeParams["options"] = startup
+	}
+	return config, nil
+}
+
 // startup returns the startup options that present the caller's session.
 func (o sqlOptions) startup() string {
 	var parts []string
--- a/internal/scenario/script/status_test.go
+++ b/internal/scenario/script/status_test.go
@@ -94,6 +94,38 @@
 	})
 }
 
+// controlLeader sets the named variable to the name of the leading control node.
+func controlLeader(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: leader VARIABLE")
+	}
+	awaitStatus(ts, "a leader", func(status *controlpb.StatusResponse) bool {
+		for _, node := range status.GetNodes() {
+			if node.GetLeader() {
+				ts.Setenv(args[0], node.GetName())
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// inForce waits until all three proxies have the given version in force.
+func inForce(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: in-force VERSION")
+	}
+	awaitStatus(ts, "version "+args[0]+" on every proxy", func(status *controlpb.StatusResponse) bool {
+		got := 0
+		for _, proxy := range status.GetProxies() {
+			if strconv.FormatUint(proxy.GetVersion(), 10) == args[0] {
+				got++
+			}
+		}
+		return got == systemSize
+	})
+}
+
 // same checks that two words are equal.
 func same(ts *testscript.TestScript, neg bool, args []string) {
 	if len(args) != 2 {
--- a/internal/scenario/script/system_test.go
+++ b/internal/scenario/script/system_test.go
@@ -34,10 +34,14 @@
 
 // system starts three control nodes, three backend servers and three proxies
 // as separate processes and sets CONTROL_A, PROXY_A, SERVER_A and so on to
-// their addresses, CONTROLS to all control nodes.
+// their addresses, CONTROLS to all control nodes. Replicas apply what they
+// receive after LAG.
 func (p *processes) system(ts *testscript.TestScript, neg bool, args []string) {
-	if neg || len(args) != 0 {
-		ts.Fatalf("usage: system")
+	if neg || len(args) > 1 {
+		ts.Fatalf("usage: system [LAG]")
+	}
+	if len(args) == 1 {
+		p.lag = args[0]
 	}
 	var names []string
 	for _, letter := range letters {
@@ -97,6 +101,9 @@
 		"--listen=" + ts.Getenv("SERVER_"+strings.ToUpper(letter)), "--data=" + ts.MkAbs(name), "--key-file=key",
 		fmt.Sprintf("--slots=%d", slots), fmt.Sprintf("--connections=%d", connLimit), "--connect-delay=10ms",
 	}
+	if p.lag != "" {
+		args = append(args, "--apply-lag="+p.lag)
+	}
 	p.start(ts, false, append(args, controlFlags(ts)...))
 }
 
