Measuring: rows are read past the connections

Cause: at the end of a run the proxies hold all of the primary's connections; the checker's read was refused with 53300 and each run failed. Ruled out: ending the proxies first: the group must settle with them. Change: the stand-in answers the checker's read in process.

--- a/internal/measure/bed/server.go
+++ b/internal/measure/bed/server.go
@@ -179,6 +179,16 @@
 	return s.promotions + s.server.Promotions()
 }
 
+// Query reads from the server's database, outside its connections, which
+// proxies may have used up.
+func (s *Server) Query(ctx context.Context, sql string) ([][]any, error) {
+	server := s.running()
+	if server == nil {
+		return nil, eris.Wrap(ErrUnsettled, "the server is killed")
+	}
+	return server.Query(ctx, sql)
+}
+
 func (s *Server) running() *standin.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/measure/trial/trial.go
+++ b/internal/measure/trial/trial.go
@@ -11,7 +11,6 @@
 	"context"
 	"fmt"
 	"os"
-	"strconv"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -279,22 +278,18 @@
 
 // readRows reads what is left at the end from the primary itself.
 func readRows(ctx context.Context, primary *bed.Server) ([]checker.Row, error) {
-	conn, err := load.Dial(ctx, primary.Address(), bed.Group, "checker")
+	values, err := primary.Query(ctx, "SELECT request, part FROM ledger")
 	if err != nil {
 		return nil, eris.Wrapf(ErrTrial, "read the rows: %v", err)
 	}
-	defer conn.Close(ctx)
-	results, err := conn.Exec(ctx, "SELECT request, part FROM ledger").ReadAll()
-	if err != nil {
-		return nil, eris.Wrapf(ErrTrial, "read the rows: %v", err)
-	}
-	var rows []checker.Row
-	for _, r := range results[0].Rows {
-		part, err := strconv.Atoi(string(r[1]))
-		if err != nil {
-			return nil, eris.Wrapf(ErrTrial, "part %q", r[1])
+	rows := make([]checker.Row, len(values))
+	for i, v := range values {
+		request, isText := v[0].(string)
+		part, isInt := v[1].(int64)
+		if !isText || !isInt {
+			return nil, eris.Wrapf(ErrTrial, "row %v", v)
 		}
-		rows = append(rows, checker.Row{Request: string(r[0]), Part: part})
+		rows[i] = checker.Row{Request: request, Part: int(part)}
 	}
 	return rows, nil
 }
--- a/internal/standin/daemon/daemon.go
+++ b/internal/standin/daemon/daemon.go
@@ -146,6 +146,15 @@
 // Promotions returns how often the server became primary since its start.
 func (s *Server) Promotions() int { return s.engine.Promotions() }
 
+// Query reads from the server's database, outside its connections.
+func (s *Server) Query(ctx context.Context, sql string) ([][]any, error) {
+	result, err := s.engine.Query(ctx, shiplog.Statement{SQL: sql})
+	if err != nil {
+		return nil, err
+	}
+	return result.Rows, nil
+}
+
 // Wait returns when the server has ended; nil if it was told to.
 func (s *Server) Wait() error { return s.group.Wait() }
 
