Failover gap: not hidden by idle pauses

Cause: the longest pause between landed writes could be one in which no write was sent; a gap of 60 ms was reported as 17 ms. Ruled out: a denser load of writes: it moves the noise without removing it. Change: the gap of each pause counts from its first write that couldn't land; the longest of these is reported.

--- a/internal/measure/gap/gap.go
+++ b/internal/measure/gap/gap.go
@@ -16,8 +16,9 @@
 	"github.com/burdockwood/burdockwood/internal/measure/history"
 )
 
-// Longest returns the longest gap that ended after the fault. It is false if
-// no write landed after the fault. No gap gives 0.
+// Longest returns the longest gap that ended after the fault. It includes the
+// time of the write that landed, so it's never below that. It is false if no
+// write landed after the fault.
 func Longest(operations []history.Operation, faultAt time.Duration) (length time.Duration, ended bool) {
 	var writes []history.Operation
 	var landed []time.Duration
@@ -31,17 +32,26 @@
 		}
 	}
 	sort.Slice(landed, func(i, j int) bool { return landed[i] < landed[j] })
-	from, to, ended := pauseAfter(landed, faultAt)
-	if !ended {
-		return 0, false
+	previous := time.Duration(0)
+	for _, at := range landed {
+		if at > faultAt {
+			length, ended = max(length, within(writes, max(previous, faultAt), at)), true
+		}
+		previous = at
 	}
+	return length, ended
+}
+
+// within returns the gap in a pause between two landed writes: the time from
+// when the first write of those that couldn't land was sent.
+func within(writes []history.Operation, from, to time.Duration) time.Duration {
 	first := to
 	for _, w := range writes {
 		if w.Invoke < to && delayed(w, from, to) {
-			first = min(first, max(w.Invoke, faultAt, from))
+			first = min(first, max(w.Invoke, from))
 		}
 	}
-	return to - first, true
+	return to - first
 }
 
 // delayed reports whether a write that was sent before to couldn't land
@@ -52,16 +62,3 @@
 	}
 	return w.Return > from
 }
-
-// pauseAfter returns the longest pause between landed writes that ends after
-// the fault.
-func pauseAfter(landed []time.Duration, faultAt time.Duration) (from, to time.Duration, ended bool) {
-	previous := time.Duration(0)
-	for _, at := range landed {
-		if at > faultAt && (!ended || at-previous > to-from) {
-			from, to, ended = previous, at, true
-		}
-		previous = at
-	}
-	return from, to, ended
-}
--- a/internal/measure/gap/gap_test.go
+++ b/internal/measure/gap/gap_test.go
@@ -29,6 +29,8 @@
 			write(70, 90, history.Done), write(95, 150, history.Unknown), write(290, 300, history.Done)}},
 		{name: "a pause between callers only", want: 10 * time.Millisecond, ended: true, operations: []history.Operation{
 			write(80, 90, history.Done), write(290, 300, history.Done)}},
+		{name: "a longer pause between callers later", want: 40 * time.Millisecond, ended: true, operations: []history.Operation{
+			write(80, 90, history.Done), write(110, 115, history.NotRun), write(140, 150, history.Done), write(395, 400, history.Done)}},
 		{name: "no write lands again", operations: []history.Operation{
 			write(80, 90, history.Done), write(120, 500, history.Unknown)}},
 	}
