Proxy: fewer locks and timers on the path of a request

Cause: the profile showed timers set for each message, a system call under the pool's lock, and a registry lookup twice a request. Ruled out: confirmation (the poll runs beside the request). Change: read deadlines only within transactions, liveness looked at outside the lock, busy flags on connections in place of a locked set.

--- a/internal/proxy/caller/attempt.go
+++ b/internal/proxy/caller/attempt.go
@@ -164,8 +164,8 @@
 	s.answer.spilled = false
 	s.answer.refusal = nil
 	keep.server.Enter(keep.conn)
-	s.shared.Cancels.runs(s.key, keep.conn)
-	defer s.shared.Cancels.runs(s.key, nil)
+	s.cancel.runs(keep.conn)
+	defer s.cancel.runs(nil)
 	s.plan.Build(&s.request, keep.conn)
 	if err := execute.Send(keep.conn, &s.plan); err != nil {
 		return execute.Result{}, err
@@ -191,6 +191,10 @@
 	}
 	s.answer.spilled = true
 	s.answer.data = answer.Buf
+	// The backend connection must not wait for a caller that doesn't read.
+	if err := s.net.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
 	err := s.send()
 	answer.Buf = s.answer.data
 	return err
@@ -292,7 +296,6 @@
 
 // put gives a connection back. What isn't clean is closed there.
 func (s *Session) put(keep *held) {
-	keep.conn.SetDeadline(time.Time{})
 	keep.server.Pool.Release(keep.conn, time.Now())
 }
 
--- a/internal/proxy/caller/cancel.go
+++ b/internal/proxy/caller/cancel.go
@@ -42,7 +42,7 @@
 )
 
 // add registers a session under a new key.
-func (c *Cancels) add(s *Session) cancelKey {
+func (c *Cancels) add(s *Session) *cancelEntry {
 	key := cancelKey{}
 	// Read never fails.
 	_, _ = rand.Read(key.secret[:])
@@ -51,12 +51,12 @@
 		key.id = c.next.Add(1)
 		entry.key = key
 		if _, taken := c.sessions.LoadOrStore(key.id, entry); !taken {
-			return key
+			return entry
 		}
 	}
 }
 
-func (c *Cancels) remove(key cancelKey) { c.sessions.Delete(key.id) }
+func (c *Cancels) remove(entry *cancelEntry) { c.sessions.Delete(entry.key.id) }
 
 // Each calls fn for every session.
 func (c *Cancels) Each(fn func(*Session)) {
@@ -106,15 +106,10 @@
 }
 
 // runs records on which connection the session's request runs; nil: none.
-func (c *Cancels) runs(key cancelKey, on *conn.Conn) {
-	found, ok := c.sessions.Load(key.id)
-	if !ok {
-		return
-	}
-	entry := found.(*cancelEntry)
-	entry.mu.Lock()
-	entry.running = on
-	entry.mu.Unlock()
+func (e *cancelEntry) runs(on *conn.Conn) {
+	e.mu.Lock()
+	e.running = on
+	e.mu.Unlock()
 }
 
 // message returns the BackendKeyData of the key.
--- a/internal/proxy/caller/greet.go
+++ b/internal/proxy/caller/greet.go
@@ -41,7 +41,7 @@
 		buf = outcome.Append(buf, &greeting[i])
 	}
 	buf = outcome.Append(buf, &pgproto3.ParameterStatus{Name: "application_name", Value: s.who.Application})
-	buf = outcome.Append(buf, s.key.message())
+	buf = outcome.Append(buf, s.cancel.key.message())
 	s.answer.data = outcome.AppendReady(buf, s.status)
 	return s.flush()
 }
--- a/internal/proxy/caller/session.go
+++ b/internal/proxy/caller/session.go
@@ -92,8 +92,10 @@
 		held *held
 		// skipping tells that messages are dropped up to the next Sync.
 		skipping bool
-		key      cancelKey
-		idle     atomic.Bool
+		// bounded tells that reads from the caller have a deadline.
+		bounded bool
+		cancel  *cancelEntry
+		idle    atomic.Bool
 	}
 
 	answerBuffer struct {
@@ -125,8 +127,8 @@
 // Run serves the caller until it leaves or the proxy shuts down.
 func (s *Session) Run(ctx context.Context, startup *listen.Startup) error {
 	defer s.release()
-	s.key = s.shared.Cancels.add(s)
-	defer s.shared.Cancels.remove(s.key)
+	s.cancel = s.shared.Cancels.add(s)
+	defer s.shared.Cancels.remove(s.cancel)
 	if err := s.greet(startup); err != nil {
 		return s.ended(err)
 	}
@@ -187,7 +189,7 @@
 // way.
 func (s *Session) next() (wire.Message, error) {
 	resting := len(s.request.Items) == 0 && s.held == nil && s.status == wire.StatusIdle
-	if err := s.net.SetReadDeadline(s.readDeadline()); err != nil {
+	if err := s.boundRead(); err != nil {
 		return nil, err
 	}
 	if resting && s.reader.Buffered() == 0 {
@@ -205,15 +207,21 @@
 		return nil, s.fatal(outcome.Fatal(outcome.StateIdleTransaction, "the transaction was idle too long and is rolled back"))
 	}
 	// A shutdown woke the read; what has come in part is read on.
+	s.bounded = true
 	return s.next()
 }
 
-// readDeadline bounds the wait of a caller within a transaction.
-func (s *Session) readDeadline() time.Time {
-	if s.held == nil || s.held.pinned {
-		return time.Time{}
+// boundRead bounds the wait for a caller within a transaction.
+func (s *Session) boundRead() error {
+	inTransaction := s.held != nil && !s.held.pinned
+	if !inTransaction && !s.bounded {
+		return nil
+	}
+	s.bounded = inTransaction
+	if !inTransaction {
+		return s.net.SetReadDeadline(time.Time{})
 	}
-	return time.Now().Add(idleTransaction)
+	return s.net.SetReadDeadline(time.Now().Add(idleTransaction))
 }
 
 // reject answers a message that can't be part of a request. In the extended
@@ -274,9 +282,6 @@
 	if len(s.answer.data) == 0 {
 		return nil
 	}
-	if err := s.net.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
 	_, err := s.net.Write(s.answer.data)
 	s.answer.data = s.answer.data[:0]
 	return err
--- a/internal/proxy/confirm/confirm.go
+++ b/internal/proxy/confirm/confirm.go
@@ -62,6 +62,7 @@
 		samples   []age.Sample
 		age       age.Tracker
 		published atomic.Pointer[[]Progress]
+		inForce   atomic.Uint64
 		scratch   []time.Time
 	}
 
@@ -129,6 +130,7 @@
 	t.primary = primary
 	if term > t.term {
 		t.term = term
+		t.inForce.Store(uint64(term))
 		t.confirmed = time.Time{}
 		t.samples = t.samples[:0]
 	}
@@ -239,11 +241,7 @@
 }
 
 // Term returns the term in force.
-func (t *Tracker) Term() cluster.Term {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.term
-}
+func (t *Tracker) Term() cluster.Term { return cluster.Term(t.inForce.Load()) }
 
 // Progress returns how far each server is. The slice must not be changed.
 func (t *Tracker) Progress() []Progress { return *t.published.Load() }
--- a/internal/proxy/conn/conn.go
+++ b/internal/proxy/conn/conn.go
@@ -33,6 +33,10 @@
 	// keeps at the server.
 	maxStatements = 256
 	closeTimeout  = 100 * time.Millisecond
+	// smallRequest is the length in bytes up to which a request fits the
+	// socket's buffer, so that sending it can't block.
+	smallRequest = 16 << 10
+	sendTimeout  = 10 * time.Second
 
 	stateTooManyConnections = "53300"
 	stateStartingUp         = "57P03"
@@ -72,6 +76,7 @@
 
 		net      net.Conn
 		reader   *wire.Reader
+		busy     atomic.Bool
 		poisoned atomic.Bool
 		used     time.Time
 	}
@@ -126,6 +131,12 @@
 
 // Send writes whole messages.
 func (c *Conn) Send(messages []byte) error {
+	if len(messages) > smallRequest {
+		if err := c.net.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
+			c.poisoned.Store(true)
+			return eris.Wrap(ErrLost, err.Error())
+		}
+	}
 	if _, err := c.net.Write(messages); err != nil {
 		c.poisoned.Store(true)
 		return eris.Wrap(ErrLost, err.Error())
@@ -143,14 +154,26 @@
 	return message, nil
 }
 
-// SetDeadline bounds the reads and writes under way and those that follow;
-// zero: no bound. Any goroutine may call it.
+// SetDeadline bounds the reads under way and those that follow. Any goroutine may call it.
 func (c *Conn) SetDeadline(deadline time.Time) {
-	if err := c.net.SetDeadline(deadline); err != nil {
+	if err := c.net.SetReadDeadline(deadline); err != nil {
 		c.poisoned.Store(true)
 	}
 }
 
+// SetBusy records whether a request runs on the connection.
+func (c *Conn) SetBusy(busy bool) { c.busy.Store(busy) }
+
+// Interrupt ends the request that runs on the connection after grace; the
+// connection isn't used again. Any goroutine may call it.
+func (c *Conn) Interrupt(grace time.Duration) {
+	if !c.busy.Load() {
+		return
+	}
+	c.Poison()
+	c.SetDeadline(time.Now().Add(grace))
+}
+
 // Poison marks the connection as not to be used again. Any goroutine may call
 // it.
 func (c *Conn) Poison() { c.poisoned.Store(true) }
--- a/internal/proxy/conn/quiet.go
+++ b/internal/proxy/conn/quiet.go
@@ -18,10 +18,9 @@
 	}
 	quiet := false
 	var one [1]byte
-	err = control.Read(func(fd uintptr) bool {
+	err = control.Control(func(fd uintptr) {
 		_, _, peekErr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = peekErr == syscall.EAGAIN || peekErr == syscall.EWOULDBLOCK
-		return true
 	})
 	return err == nil && quiet
 }
--- a/internal/proxy/daemon/fake_test.go
+++ b/internal/proxy/daemon/fake_test.go
@@ -515,6 +515,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if request.Revision == c.response.Revision {
+		return &controlpb.HeartbeatResponse{Version: c.response.Version, Revision: c.response.Revision, LeaderEpoch: c.response.LeaderEpoch}, nil
+	}
 	return proto.Clone(c.response).(*controlpb.HeartbeatResponse), nil
 }
 
--- a/internal/proxy/pool/pool.go
+++ b/internal/proxy/pool/pool.go
@@ -53,6 +53,7 @@
 
 		mu      sync.Mutex
 		idle    []*conn.Conn
+		all     map[*conn.Conn]struct{}
 		waiters []*waiter
 		// size counts connections idle, in use and being opened.
 		size    int
@@ -92,7 +93,7 @@
 
 // New returns a pool without a grant.
 func New(open Open, run Go) *Pool {
-	return &Pool{open: open, run: run}
+	return &Pool{open: open, run: run, all: map[*conn.Conn]struct{}{}}
 }
 
 // SetLimit sets the number of connections that are granted. Idle connections
@@ -108,20 +109,41 @@
 
 // Acquire returns a connection for the database, at the latest when ctx ends.
 func (p *Pool) Acquire(ctx context.Context, database string, now time.Time) (*conn.Conn, error) {
+	for {
+		c, w, err := p.takeOrWait(database, now)
+		if err != nil {
+			return nil, err
+		}
+		if c == nil {
+			return p.await(ctx, w)
+		}
+		// The look at the socket is a system call, so the lock isn't held.
+		if c.IsAlive() {
+			return c, nil
+		}
+		c.Poison()
+		p.Release(c, now)
+	}
+}
+
+// takeOrWait returns an idle connection, or a waiter for the next one.
+func (p *Pool) takeOrWait(database string, now time.Time) (*conn.Conn, *waiter, error) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.closed {
-		p.mu.Unlock()
-		return nil, ErrClosed
+		return nil, nil, ErrClosed
 	}
 	if c := p.takeIdle(database, now); c != nil {
 		p.openMore(database, now)
-		p.mu.Unlock()
-		return c, nil
+		return c, nil, nil
 	}
 	w := &waiter{database: database, ready: make(chan result, 1)}
 	p.waiters = append(p.waiters, w)
 	p.openMore(database, now)
-	p.mu.Unlock()
+	return nil, w, nil
+}
+
+func (p *Pool) await(ctx context.Context, w *waiter) (*conn.Conn, error) {
 	select {
 	case r := <-w.ready:
 		return r.conn, r.err
@@ -156,6 +178,15 @@
 	p.retire(surplus)
 }
 
+// Interrupt ends the requests that run on the pool's connections after grace.
+func (p *Pool) Interrupt(grace time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.all {
+		c.Interrupt(grace)
+	}
+}
+
 // Use returns what the pool holds and wants.
 func (p *Pool) Use() Use {
 	p.mu.Lock()
@@ -185,22 +216,17 @@
 	return p.limit.Connections
 }
 
-// takeIdle returns a live idle connection for the database, or nil. One for
-// another database is closed if the grant has no room else.
+// takeIdle returns an idle connection for the database, or nil. One for another
+// database is closed if the grant has no room else.
 func (p *Pool) takeIdle(database string, now time.Time) *conn.Conn {
 	if p.allowed(now) == 0 {
 		return nil
 	}
 	for i := len(p.idle) - 1; i >= 0; i-- {
-		c := p.idle[i]
-		if c.Options.Database != database {
-			continue
-		}
-		p.idle = append(p.idle[:i], p.idle[i+1:]...)
-		if c.IsAlive() {
+		if c := p.idle[i]; c.Options.Database == database {
+			p.idle = append(p.idle[:i], p.idle[i+1:]...)
 			return c
 		}
-		p.retireLater(c)
 	}
 	if len(p.idle) > 0 && p.size >= p.allowed(now) {
 		p.dropOldest()
@@ -235,6 +261,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for _, c := range conns {
+		delete(p.all, c)
+	}
 	p.size -= len(conns)
 	p.closing -= len(conns)
 	p.openMore("", time.Now())
@@ -283,6 +312,7 @@
 		return
 	}
 	c.Touch(time.Now())
+	p.all[c] = struct{}{}
 	p.hand(c)
 	p.mu.Unlock()
 }
--- a/internal/proxy/upstream/server.go
+++ b/internal/proxy/upstream/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -36,9 +35,6 @@
 		outstanding atomic.Int64
 		service     atomic.Int64 // nanoseconds
 		facts       atomic.Pointer[facts]
-
-		mu   sync.Mutex
-		busy map[*conn.Conn]struct{}
 	}
 
 	// facts are what control tells about a server; nothing in it changes.
@@ -60,7 +56,6 @@
 		Address: member.Address,
 		Pool:    pool.New(g.connOpener(member.Address), options.Go),
 		stop:    stop,
-		busy:    map[*conn.Conn]struct{}{},
 	}
 	server.watcher = watch.New(watch.Options{
 		Dial: func(ctx context.Context) (adapter.Server, error) {
@@ -108,18 +103,14 @@
 // Enter records that a request runs on the connection.
 func (s *Server) Enter(c *conn.Conn) {
 	s.outstanding.Add(1)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.busy[c] = struct{}{}
+	c.SetBusy(true)
 }
 
 // Leave records that the request has ended after service; zero doesn't count
 // as a measurement.
 func (s *Server) Leave(c *conn.Conn, service time.Duration) {
 	s.outstanding.Add(-1)
-	s.mu.Lock()
-	delete(s.busy, c)
-	s.mu.Unlock()
+	c.SetBusy(false)
 	if service <= 0 {
 		return
 	}
@@ -128,15 +119,7 @@
 }
 
 // interrupt ends what runs on the server shortly.
-func (s *Server) interrupt() {
-	deadline := time.Now().Add(interruptGrace)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.busy {
-		c.Poison()
-		c.SetDeadline(deadline)
-	}
-}
+func (s *Server) interrupt() { s.Pool.Interrupt(interruptGrace) }
 
 // Health returns how the server answers the watcher.
 func (s *Server) Health() watch.Health { return s.watcher.Health() }
