--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -136,10 +136,15 @@
 		promises map[cluster.ServerName]promise
 		reached  map[cluster.ServerName]bool
 		promoted cluster.Term
-		follows  map[cluster.ServerName]follow
-		next     map[key]time.Time
-		above    cluster.Term
-		wanted   *Wanted
+		// promotedAt is when the promotion was acknowledged.
+		promotedAt time.Time
+		follows    map[cluster.ServerName]follow
+		// intact are the processes that can't have lost a promise: they
+		// announced one, or were there when the group's first term began.
+		intact map[cluster.ServerName]cluster.Incarnation
+		next   map[key]time.Time
+		above  cluster.Term
+		wanted *Wanted
 		// plannedAfter is when the next planned change may begin.
 		plannedAfter time.Time
 	}
@@ -204,6 +209,7 @@
 	p.promises = cloneOrNew(p.promises)
 	p.reached = cloneOrNew(p.reached)
 	p.follows = cloneOrNew(p.follows)
+	p.intact = cloneOrNew(p.intact)
 	p.next = cloneOrNew(p.next)
 	return p
 }
@@ -241,6 +247,7 @@
 		}
 	case Promote:
 		d.plan.promoted = max(d.plan.promoted, action.Term)
+		d.plan.promotedAt = d.now
 	case Follow:
 		d.plan.follows[action.Server] = follow{
 			term: action.Term, primary: action.Primary, at: d.now,
