Proxy: passwords, TLS, request identifiers, metrics

Ruled out: keeping identifiers in proxies (a failover or the death of a proxy would forget them); a bare identifier without a fingerprint of the request (a second request under it would be swallowed). Change: authn, meter, idempotency and the runs around them. A resend touches the record, so that confirming that write confirms the first one. Conclusion: what a resend gets is the command tag, not rows of RETURNING.

--- a/internal/proxy/caller/attempt.go
+++ b/internal/proxy/caller/attempt.go
@@ -77,6 +77,9 @@
 		s.put(keep)
 		return notRun(err.Error(), retryAfter)
 	}
+	if s.isOnce(j) {
+		return s.runOnce(ctx, j, keep)
+	}
 	return s.runOn(ctx, j, keep)
 }
 
@@ -145,6 +148,19 @@
 		return end
 	}
 	s.afterRun(keep, result)
+	if s.request.Kind == classify.Begin && result.Failure == nil && j.prefs.requestID != "" {
+		if refusal := s.recordTransaction(j, keep); refusal != nil {
+			s.answer.data = s.answer.data[:from]
+			s.put(keep)
+			return ending{what: retry.Unknown, refusal: refusal}
+		}
+	}
+	return s.finish(ctx, j, keep, result, begun, from)
+}
+
+// finish confirms an answer, gives the connection back or keeps it, and makes
+// a write part of the session.
+func (s *Session) finish(ctx context.Context, j *job, keep *held, result execute.Result, begun time.Time, from int) ending {
 	confirming := time.Now()
 	refusal := s.confirm(ctx, keep, result, begun)
 	j.confirm = time.Since(confirming)
@@ -223,6 +239,7 @@
 func (s *Session) afterRun(keep *held, result execute.Result) {
 	if s.request.Kind == classify.Pin && result.Failure == nil {
 		keep.pinned = true
+		s.shared.Meter.Pin()
 	}
 	if s.request.Kind != classify.Set || result.Failure != nil || s.request.Executes == 0 {
 		return
--- /dev/null
+++ b/internal/proxy/caller/once.go
@@ -0,0 +1,180 @@
+package caller
+
+import (
+	"context"
+	"encoding/binary"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/backend/adapter"
+	"github.com/burdockwood/burdockwood/internal/proxy/classify"
+	"github.com/burdockwood/burdockwood/internal/proxy/execute"
+	"github.com/burdockwood/burdockwood/internal/proxy/idempotency"
+	"github.com/burdockwood/burdockwood/internal/proxy/outcome"
+	"github.com/burdockwood/burdockwood/internal/proxy/retry"
+	"github.com/burdockwood/burdockwood/internal/proxy/wire"
+)
+
+const (
+	tagCommit    = "COMMIT"
+	textRollback = "ROLLBACK"
+)
+
+// isOnce reports whether the request carries an identifier and may have
+// effects, outside a transaction.
+func (s *Session) isOnce(j *job) bool {
+	return j.prefs.requestID != "" && s.request.Kind == classify.Write
+}
+
+func (s *Session) record(prefs *preferences) idempotency.Record {
+	return idempotency.Record{ID: prefs.requestID, Request: s.request.Fingerprint()}
+}
+
+// runOnce runs a request that carries an identifier: in one transaction with
+// the record of the identifier, or not at all if that is recorded already.
+func (s *Session) runOnce(ctx context.Context, j *job, keep *held) ending {
+	if s.request.About.Count > 1 {
+		s.put(keep)
+		s.refuse(outcome.New(outcome.StateUnsupported, "a request with burdockwood.request_id must be one statement, or a transaction"))
+		return done
+	}
+	record := s.record(&j.prefs)
+	fresh, end := s.openRecord(keep, record.Begin(""))
+	if end.what != retry.Done {
+		s.put(keep)
+		return end
+	}
+	if !fresh {
+		return s.answerAgain(ctx, j, keep, record)
+	}
+	begun := time.Now()
+	from := len(s.answer.data)
+	result, err := s.exchange(ctx, keep, begun)
+	j.service = time.Since(begun)
+	keep.server.Leave(keep.conn, j.service)
+	if err != nil {
+		s.answer.data = s.answer.data[:min(from, len(s.answer.data))]
+		s.put(keep)
+		return notRun("the backend server was lost before the commit", retryAfter)
+	}
+	if result.Status != wire.StatusInTransaction {
+		return s.rollBackOnce(keep)
+	}
+	return s.commitOnce(ctx, j, keep, record, result, from)
+}
+
+// openRecord opens the transaction by text and reports whether the identifier
+// was fresh. The table is made on demand.
+func (s *Session) openRecord(keep *held, text string) (fresh bool, end ending) {
+	for range 2 {
+		result, err := runQuietly(keep.conn, text)
+		if err != nil {
+			return false, notRun("the backend server was lost before the request", retryAfter)
+		}
+		if result.failure == nil {
+			return true, done
+		}
+		if _, err := runQuietly(keep.conn, textRollback); err != nil {
+			return false, notRun("the backend server was lost before the request", retryAfter)
+		}
+		switch result.failure.Code {
+		case idempotency.StateUnique:
+			return false, done
+		case idempotency.StateNoTable:
+			if _, err := runQuietly(keep.conn, idempotency.CreateTable); err != nil {
+				return false, notRun("the backend server was lost before the request", retryAfter)
+			}
+		default:
+			return false, notRun("the identifier can't be recorded: "+result.failure.Message, retryAfter)
+		}
+	}
+	return false, notRun("the table of identifiers can't be made", retryAfter)
+}
+
+// rollBackOnce ends a request that failed: its identifier stays free.
+func (s *Session) rollBackOnce(keep *held) ending {
+	if _, err := runQuietly(keep.conn, textRollback); err != nil {
+		keep.conn.Poison()
+	}
+	setStatus(s.answer.data, wire.StatusIdle)
+	s.put(keep)
+	return done
+}
+
+// commitOnce commits the request with its record and confirms both.
+func (s *Session) commitOnce(ctx context.Context, j *job, keep *held, record idempotency.Record, result execute.Result, from int) ending {
+	committed, err := runQuietly(keep.conn, record.Commit(result.Tag))
+	if err != nil {
+		s.answer.data = s.answer.data[:min(from, len(s.answer.data))]
+		s.put(keep)
+		return unknown("the backend server was lost before the commit was answered")
+	}
+	if committed.failure != nil {
+		s.answer.data = s.answer.data[:min(from, len(s.answer.data))]
+		_, _ = runQuietly(keep.conn, textRollback)
+		keep.conn.Poison()
+		s.put(keep)
+		if committed.failure.Code == adapter.StateNotPrimary {
+			return notRun("the server is no longer primary", retryAfter)
+		}
+		return notRun("the commit was refused: "+committed.failure.Message, retryAfter)
+	}
+	setStatus(s.answer.data, wire.StatusIdle)
+	result.Mark = committed.mark
+	result.Status = wire.StatusIdle
+	return s.finish(ctx, j, keep, result, time.Now(), from)
+}
+
+// answerAgain answers a resend with the first outcome, once that is confirmed.
+func (s *Session) answerAgain(ctx context.Context, j *job, keep *held, record idempotency.Record) ending {
+	touched, err := runQuietly(keep.conn, record.Touch())
+	if err != nil || touched.failure != nil {
+		keep.conn.Poison()
+		s.put(keep)
+		return unknown("the request was sent before; its outcome can't be read now")
+	}
+	found, err := runQuietly(keep.conn, record.Find())
+	if err != nil || len(found.row) != 2 {
+		keep.conn.Poison()
+		s.put(keep)
+		return unknown("the request was sent before; its outcome can't be read now")
+	}
+	if found.row[0] != record.Request {
+		s.put(keep)
+		refusal := outcome.New(outcome.StateBadValue, "burdockwood.request_id was used for another request")
+		refusal.Detail = outcome.DetailNotRun
+		s.refuse(refusal)
+		return done
+	}
+	from := len(s.answer.data)
+	s.succeed(found.row[1])
+	result := execute.Result{Status: wire.StatusIdle, Mark: touched.mark, Completed: 1, Tag: found.row[1]}
+	return s.finish(ctx, j, keep, result, time.Now(), from)
+}
+
+// recordTransaction records the identifier of a transaction that has just
+// begun. A nil result lets it go on.
+func (s *Session) recordTransaction(j *job, keep *held) *outcome.Error {
+	record := idempotency.Record{ID: j.prefs.requestID, Request: tagCommit}
+	result, err := runQuietly(keep.conn, record.Insert(tagCommit))
+	if err == nil && result.failure == nil {
+		return nil
+	}
+	keep.conn.Poison()
+	if err != nil || result.failure.Code != idempotency.StateUnique {
+		return outcome.NotRun(outcome.StateNoServer, "the identifier can't be recorded", retryAfter)
+	}
+	refusal := outcome.New(idempotency.StateUnique, "the transaction with this burdockwood.request_id was committed before")
+	refusal.Detail = "first outcome: " + tagCommit
+	return refusal
+}
+
+// setStatus rewrites the transaction status of the answer's last message, if
+// that is a ReadyForQuery.
+func setStatus(answer []byte, status byte) {
+	const readyLength = 6
+	at := len(answer) - readyLength
+	if at < 0 || answer[at] != wire.ReadyForQuery || binary.BigEndian.Uint32(answer[at+1:]) != readyLength-1 {
+		return
+	}
+	answer[len(answer)-1] = status
+}
--- /dev/null
+++ b/internal/proxy/caller/quiet.go
@@ -0,0 +1,87 @@
+package caller
+
+import (
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockwood/burdockwood/internal/backend/adapter"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/proxy/conn"
+	"github.com/burdockwood/burdockwood/internal/proxy/wire"
+)
+
+// quietResult is the answer to a simple query of the proxy's own.
+type quietResult struct {
+	status  byte
+	mark    cluster.Mark
+	failure *pgproto3.ErrorResponse
+	// row is the last row, as text.
+	row []string
+}
+
+// runQuietly runs a simple query whose answer the caller doesn't see. An error
+// means that the connection is lost.
+func runQuietly(c *conn.Conn, text string) (quietResult, error) {
+	var result quietResult
+	query, err := (&pgproto3.Query{String: text}).Encode(nil)
+	if err != nil {
+		return result, eris.Wrap(conn.ErrLost, err.Error())
+	}
+	if err := c.Send(query); err != nil {
+		return result, err
+	}
+	for result.status == 0 {
+		message, err := c.Next()
+		if err != nil {
+			return result, err
+		}
+		if err := result.take(message); err != nil {
+			c.Poison()
+			return result, eris.Wrap(conn.ErrLost, err.Error())
+		}
+	}
+	return result, nil
+}
+
+func (r *quietResult) take(message wire.Message) error {
+	switch message.Type() {
+	case wire.ErrorResponse:
+		failure := &pgproto3.ErrorResponse{}
+		if err := failure.Decode(message.Body()); err != nil {
+			return err
+		}
+		if r.failure == nil {
+			r.failure = failure
+		}
+	case wire.DataRow:
+		var row pgproto3.DataRow
+		if err := row.Decode(message.Body()); err != nil {
+			return err
+		}
+		r.row = r.row[:0]
+		for _, value := range row.Values {
+			r.row = append(r.row, string(value))
+		}
+	case wire.ParameterStatus:
+		r.parameter(message)
+	case wire.ReadyForQuery:
+		var ready pgproto3.ReadyForQuery
+		if err := ready.Decode(message.Body()); err != nil {
+			return err
+		}
+		r.status = ready.TxStatus
+	}
+	return nil
+}
+
+func (r *quietResult) parameter(message wire.Message) {
+	name, value, _ := strings.Cut(string(message.Body()), "\x00")
+	if name != adapter.PositionParameter {
+		return
+	}
+	if mark, err := cluster.ParseMark(strings.TrimRight(value, "\x00")); err == nil {
+		r.mark = mark
+	}
+}
--- a/internal/proxy/caller/serve.go
+++ b/internal/proxy/caller/serve.go
@@ -10,6 +10,7 @@
 	"github.com/burdockwood/burdockwood/internal/proxy/admit"
 	"github.com/burdockwood/burdockwood/internal/proxy/choose"
 	"github.com/burdockwood/burdockwood/internal/proxy/classify"
+	"github.com/burdockwood/burdockwood/internal/proxy/meter"
 	"github.com/burdockwood/burdockwood/internal/proxy/outcome"
 	"github.com/burdockwood/burdockwood/internal/proxy/retry"
 	"github.com/burdockwood/burdockwood/internal/proxy/session"
@@ -72,14 +73,42 @@
 	j.group.Budget.Request()
 	permit, err := j.group.Gate.Acquire(ctx, admit.Request{Tenant: j.choice.Tenant, Weight: j.choice.Weight, Deadline: j.deadline}, j.start)
 	if err != nil {
-		s.refuse(admissionRefusal(err))
+		refusal := admissionRefusal(err)
+		s.refuse(refusal)
+		s.measure(j, refusal, time.Now())
 		return
 	}
 	refusal = s.tryUntilDone(ctx, j)
-	permit.Release(j.service, time.Now())
+	now := time.Now()
+	permit.Release(j.service, now)
 	if refusal != nil {
 		s.refuse(refusal)
 	}
+	s.measure(j, refusal, now)
+}
+
+// measure records the request in the metrics.
+func (s *Session) measure(j *job, refusal *outcome.Error, now time.Time) {
+	s.shared.Meter.Record(j.choice.Tenant, meter.Request{
+		Outcome: outcomeOf(refusal),
+		Read:    s.request.Kind == classify.Read && s.request.Executes > 0,
+		Replica: j.replica,
+		Wait:    j.wait,
+		Service: j.service,
+		Confirm: j.confirm,
+		Total:   now.Sub(j.start),
+	})
+}
+
+func outcomeOf(refusal *outcome.Error) meter.Outcome {
+	switch {
+	case refusal == nil:
+		return meter.Done
+	case refusal.IsNotRun():
+		return meter.NotRun
+	default:
+		return meter.Unknown
+	}
 }
 
 // prepare chooses the request's group and deadline.
@@ -159,6 +188,7 @@
 		if !pause(ctx, decision.Pause) {
 			return end.refusal
 		}
+		s.shared.Meter.Retry()
 	}
 }
 
--- a/internal/proxy/caller/session.go
+++ b/internal/proxy/caller/session.go
@@ -30,6 +30,7 @@
 	"github.com/burdockwood/burdockwood/internal/proxy/choose"
 	"github.com/burdockwood/burdockwood/internal/proxy/execute"
 	"github.com/burdockwood/burdockwood/internal/proxy/listen"
+	"github.com/burdockwood/burdockwood/internal/proxy/meter"
 	"github.com/burdockwood/burdockwood/internal/proxy/outcome"
 	"github.com/burdockwood/burdockwood/internal/proxy/session"
 	"github.com/burdockwood/burdockwood/internal/proxy/upstream"
@@ -69,6 +70,7 @@
 		Deadline time.Duration
 		Cancels  *Cancels
 		Marks    *session.Keeper
+		Meter    *meter.Meter
 		Log      logr.Logger
 		draining atomic.Bool
 	}
--- a/internal/proxy/caller/settings.go
+++ b/internal/proxy/caller/settings.go
@@ -6,11 +6,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/jackc/pgx/v5/pgproto3"
-
 	"github.com/burdockwood/burdockwood/internal/proxy/classify"
 	"github.com/burdockwood/burdockwood/internal/proxy/conn"
-	"github.com/burdockwood/burdockwood/internal/proxy/wire"
 )
 
 const (
@@ -66,43 +63,14 @@
 		text = resetAll + "; " + text
 	}
 	c.Settings = unknownSettings
-	if err := runQuietly(c, text); err != nil {
-		return err
-	}
-	c.Settings = s.fingerprint
-	return nil
-}
-
-// runQuietly runs a simple query whose answer nobody sees.
-func runQuietly(c *conn.Conn, text string) error {
-	query, err := (&pgproto3.Query{String: text}).Encode(nil)
+	result, err := runQuietly(c, text)
 	if err != nil {
-		return eris.Wrap(errSettings, err.Error())
-	}
-	if err := c.Send(query); err != nil {
 		return err
 	}
-	var failure error
-	for {
-		message, err := c.Next()
-		if err != nil {
-			return err
-		}
-		switch message.Type() {
-		case wire.ErrorResponse:
-			c.Poison()
-			failure = eris.Wrap(errSettings, errorText(message))
-		case wire.ReadyForQuery:
-			return failure
-		}
-	}
-}
-
-// errorText returns the message of an ErrorResponse.
-func errorText(message wire.Message) string {
-	var response pgproto3.ErrorResponse
-	if err := response.Decode(message.Body()); err != nil {
-		return "malformed error"
+	if result.failure != nil {
+		c.Poison()
+		return eris.Wrapf(errSettings, "%s: %s", result.failure.Code, result.failure.Message)
 	}
-	return response.Code + ": " + response.Message
+	c.Settings = s.fingerprint
+	return nil
 }
--- a/internal/proxy/daemon/accept.go
+++ b/internal/proxy/daemon/accept.go
@@ -116,5 +116,8 @@
 
 // authenticate checks the caller.
 func (p *Proxy) authenticate(startup *listen.Startup) error {
+	if err := p.passwords.Get().Check(startup.Messages, startup.User); err != nil {
+		return err
+	}
 	return startup.Conn.SetDeadline(time.Time{})
 }
--- a/internal/proxy/daemon/daemon.go
+++ b/internal/proxy/daemon/daemon.go
@@ -25,16 +25,19 @@
 
 	"github.com/go-logr/logr"
 	"github.com/oklog/run"
-	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockwood/burdockwood/internal/backend/adapter"
 	"github.com/burdockwood/burdockwood/internal/config/settings"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/ops/keys"
+	"github.com/burdockwood/burdockwood/internal/ops/metrics"
+	"github.com/burdockwood/burdockwood/internal/proxy/authn"
 	"github.com/burdockwood/burdockwood/internal/proxy/caller"
 	"github.com/burdockwood/burdockwood/internal/proxy/choose"
 	"github.com/burdockwood/burdockwood/internal/proxy/heartbeat"
+	"github.com/burdockwood/burdockwood/internal/proxy/meter"
 	"github.com/burdockwood/burdockwood/internal/proxy/session"
 	"github.com/burdockwood/burdockwood/internal/proxy/upstream"
 	"github.com/burdockwood/burdockwood/internal/proxy/view"
@@ -71,6 +74,8 @@
 		log         logr.Logger
 		credentials adapter.Credentials
 		tls         *tls.Config
+		passwords   *authn.File
+		reloaders   []keys.Reloader
 		callers     net.Listener
 		peers       net.Listener
 		store       *view.Store
@@ -110,7 +115,7 @@
 
 func newProxy(options settings.Proxy, log logr.Logger, dial upstream.Dial) (*Proxy, error) {
 	withDefaults(&options)
-	p := &Proxy{options: options, log: log, store: view.NewStore(), metrics: metrics.NewRegistry()}
+	p := &Proxy{options: options, log: log, store: view.NewStore(), metrics: metrics.New()}
 	if err := p.readFiles(); err != nil {
 		return nil, err
 	}
@@ -163,6 +168,7 @@
 		Deadline: options.Deadline,
 		Cancels:  caller.NewCancels(),
 		Marks:    p.marks,
+		Meter:    meter.New(p.metrics),
 		Log:      log,
 	}
 	return p, nil
@@ -210,6 +216,9 @@
 	add(&group, workCtx, p.beat.Hurry)
 	add(&group, workCtx, p.maintain)
 	add(&group, workCtx, p.suspect)
+	add(&group, workCtx, func(ctx context.Context) error {
+		return keys.Watch(ctx, p.log, keys.DefaultInterval, p.reloaders...)
+	})
 	add(&group, workCtx, p.servePeers)
 	err := group.Run()
 	return p.finish(err)
--- a/internal/proxy/daemon/setup.go
+++ b/internal/proxy/daemon/setup.go
@@ -11,6 +11,8 @@
 
 	"github.com/burdockwood/burdockwood/internal/backend/adapter"
 	"github.com/burdockwood/burdockwood/internal/config/settings"
+	"github.com/burdockwood/burdockwood/internal/ops/keys"
+	"github.com/burdockwood/burdockwood/internal/proxy/authn"
 )
 
 // withDefaults fills settings that were made without the command line.
@@ -36,14 +38,23 @@
 		return err
 	}
 	p.credentials = adapter.Credentials{User: p.options.BackendUser, Password: password}
+	passwords, err := authn.LoadFile(p.options.PasswordFile)
+	if err != nil {
+		return eris.Wrapf(ErrSettings, "--password-file: %v", err)
+	}
+	p.passwords = passwords
+	if p.options.PasswordFile != "" {
+		p.reloaders = append(p.reloaders, passwords)
+	}
 	if p.options.TLSCert == "" {
 		return nil
 	}
-	certificate, err := tls.LoadX509KeyPair(p.options.TLSCert, p.options.TLSKey)
+	certificate, err := keys.LoadCertificate(p.options.TLSCert, p.options.TLSKey)
 	if err != nil {
 		return eris.Wrapf(ErrSettings, "--tls-cert, --tls-key: %v", err)
 	}
-	p.tls = &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}
+	p.reloaders = append(p.reloaders, certificate)
+	p.tls = &tls.Config{GetCertificate: certificate.Get, MinVersion: tls.VersionTLS12}
 	return nil
 }
 
--- a/internal/proxy/daemon/system_test.go
+++ b/internal/proxy/daemon/system_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockwood/burdockwood/internal/backend/adapter"
@@ -150,4 +151,56 @@
 	if got := value(t, reader, "a"); got != "tx" {
 		t.Errorf("aged read = %q, want tx", got)
 	}
+	t.Run("request identifiers", func(t *testing.T) { testRequestIdentifiers(t, s) })
+}
+
+// A resend under one identifier runs once and gets the first outcome through
+// any proxy, in both protocols and for whole transactions.
+func testRequestIdentifiers(t *testing.T, s *system) {
+	ctx := testContext(t)
+	first := connect(t, s.proxies[0], "burdockwood.request_id=payment-1")
+	second := connect(t, s.proxies[1], "burdockwood.request_id=payment-1")
+	if _, err := first.Exec(ctx, "insert into kv (k, v) values ('count', '0')"); err != nil {
+		t.Fatal(err)
+	}
+	add := "update kv set v = v + 1 where k = $1"
+	for i, conn := range []*pgx.Conn{first, second, first, second} {
+		if _, err := conn.Exec(ctx, "set burdockwood.request_id = 'payment-2'"); err != nil {
+			t.Fatal(err)
+		}
+		tag, err := conn.Exec(ctx, add, "count")
+		if err != nil || tag.String() != "UPDATE 1" {
+			t.Fatalf("send %d = %v, %v, want UPDATE 1", i, tag, err)
+		}
+		if got := value(t, conn, "count"); got != "1" {
+			t.Errorf("after send %d the count is %s, want 1", i, got)
+		}
+	}
+	if _, err := second.Exec(ctx, add, "another"); state(err) != "22023" {
+		t.Errorf("another request under the identifier = %v, want 22023", err)
+	}
+	for i, conn := range []*pgx.Conn{first, second} {
+		if _, err := conn.Exec(ctx, "set burdockwood.request_id = 'payment-3'"); err != nil {
+			t.Fatal(err)
+		}
+		tx, err := conn.Begin(ctx)
+		if i == 1 {
+			if state(err) != "23505" {
+				t.Errorf("resent transaction = %v, want 23505", err)
+			}
+			break
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := tx.Exec(ctx, add, "count"); err != nil {
+			t.Fatal(err)
+		}
+		if err := tx.Commit(ctx); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := value(t, second, "count"); got != "2" {
+		t.Errorf("count = %s, want 2", got)
+	}
 }
