--- a/internal/proxy/caller/attempt.go
+++ b/internal/proxy/caller/attempt.go
@@ -77,6 +77,9 @@
 		s.put(keep)
 		return notRun(err.Error(), retryAfter)
 	}
+	if s.isOnce(j) {
+		return s.runOnce(ctx, j, keep)
+	}
 	return s.runOn(ctx, j, keep)
 }
 
@@ -145,6 +148,19 @@
 		return end
 	}
 	s.afterRun(keep, result)
+	if s.request.Kind == classify.Begin && result.Failure == nil && j.prefs.requestID != "" {
+		if refusal := s.recordTransaction(j, keep); refusal != nil {
+			s.answer.data = s.answer.data[:from]
+			s.put(keep)
+			return ending{what: retry.Unknown, refusal: refusal}
+		}
+	}
+	return s.finish(ctx, j, keep, result, begun, from)
+}
+
+// finish confirms an answer, gives the connection back or keeps it, and makes
+// a write part of the session.
+func (s *Session) finish(ctx context.Context, j *job, keep *held, result execute.Result, begun time.Time, from int) ending {
 	confirming := time.Now()
 	refusal := s.confirm(ctx, keep, result, begun)
 	j.confirm = time.Since(confirming)
@@ -164,8 +180,8 @@
 	s.answer.spilled = false
 	s.answer.refusal = nil
 	keep.server.Enter(keep.conn)
-	s.shared.Cancels.runs(s.key, keep.conn)
-	defer s.shared.Cancels.runs(s.key, nil)
+	s.cancel.runs(keep.conn)
+	defer s.cancel.runs(nil)
 	s.plan.Build(&s.request, keep.conn)
 	if err := execute.Send(keep.conn, &s.plan); err != nil {
 		return execute.Result{}, err
@@ -191,6 +207,10 @@
 	}
 	s.answer.spilled = true
 	s.answer.data = answer.Buf
+	// The backend connection must not wait for a caller that doesn't read.
+	if err := s.net.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
 	err := s.send()
 	answer.Buf = s.answer.data
 	return err
@@ -219,6 +239,7 @@
 func (s *Session) afterRun(keep *held, result execute.Result) {
 	if s.request.Kind == classify.Pin && result.Failure == nil {
 		keep.pinned = true
+		s.shared.Meter.Pin()
 	}
 	if s.request.Kind != classify.Set || result.Failure != nil || s.request.Executes == 0 {
 		return
@@ -292,7 +313,6 @@
 
 // put gives a connection back. What isn't clean is closed there.
 func (s *Session) put(keep *held) {
-	keep.conn.SetDeadline(time.Time{})
 	keep.server.Pool.Release(keep.conn, time.Now())
 }
 
