Leaving servers are let go at once; a primary silent to control only is used

Cause: the script 'leaving' ended after 40 s: proxies kept idle connections to a server that leaves, and the hand-over of a leaving primary came 5 s late, since a proposal that was held back counted as a planned change. A primary that control doesn't hear was marked unusable on the proxies, which would stop all writes although callers reach it. Ruled out: a shorter pause between planned changes (it keeps a flapping label from moving the primary each second). Change: no grant counts for a replica that leaves or is silent; the pause begins when a change is proposed; the primary in force is always a candidate.

--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -298,13 +298,16 @@
 	d.actions = append(d.actions, action)
 }
 
-// begin proposes a term above all that are known.
-func (d *decider) begin(reason state.Reason, target cluster.ServerName, voters []cluster.ServerName) {
+// begin proposes a term above all that are known, and reports whether it did:
+// a proposal that was made just now isn't made again.
+func (d *decider) begin(reason state.Reason, target cluster.ServerName, voters []cluster.ServerName) bool {
 	base := d.s.Record.HighestTerm()
+	before := len(d.actions)
 	d.send(Action{Kind: Begin, Begin: state.BeginTerm{
 		Group: d.s.Record.Name, Base: base, Above: d.plan.above,
 		Reason: reason, Target: target, Voters: slices.Clone(voters),
 	}})
+	return len(d.actions) > before
 }
 
 // address returns where a server was announced, or its committed address.
--- a/internal/control/failover/maintain.go
+++ b/internal/control/failover/maintain.go
@@ -107,8 +107,9 @@
 	if !ok {
 		return false
 	}
-	d.plan.plannedAfter = d.now.Add(plannedPause)
-	d.begin(state.ReasonSwitchover, target, record.Voters)
+	if d.begin(state.ReasonSwitchover, target, record.Voters) {
+		d.plan.plannedAfter = d.now.Add(plannedPause)
+	}
 	return true
 }
 
@@ -147,8 +148,9 @@
 	if slices.Equal(voters, record.Voters) || !slices.Contains(voters, record.Primary) {
 		return false
 	}
-	d.plan.plannedAfter = d.now.Add(plannedPause)
-	d.begin(state.ReasonVoters, record.Primary, voters)
+	if d.begin(state.ReasonVoters, record.Primary, voters) {
+		d.plan.plannedAfter = d.now.Add(plannedPause)
+	}
 	return true
 }
 
--- a/internal/proxy/upstream/server.go
+++ b/internal/proxy/upstream/server.go
@@ -41,9 +41,12 @@
 	facts struct {
 		dataCentre cluster.DataCentre
 		slots      int
-		usable     bool
-		primary    bool
-		since      time.Time
+		// usable is false for a replica that leaves or is silent. A primary
+		// is used until another one is in force: control may be all that
+		// doesn't hear it.
+		usable  bool
+		primary bool
+		since   time.Time
 	}
 )
 
@@ -81,7 +84,7 @@
 	next := &facts{
 		dataCentre: member.DataCentre,
 		slots:      member.Slots,
-		usable:     member.Usable,
+		usable:     member.Usable || primary,
 		primary:    primary,
 	}
 	old := s.facts.Load()
--- a/internal/proxy/upstream/upstream.go
+++ b/internal/proxy/upstream/upstream.go
@@ -204,6 +204,10 @@
 	limit := 0
 	for _, server := range g.Servers() {
 		grant := snapshot.Grants[server.Key]
+		if !server.facts.Load().usable {
+			// A server that leaves waits for its connections to end.
+			grant = view.Grant{}
+		}
 		server.Pool.SetLimit(pool.Limit(grant), now)
 		limit += grant.Connections
 	}
