Measuring: faults of proxies and control, chaos

Change: package fault plans the steps; proxies and control nodes have relays of their own and can be killed, cut and started again; kinds proxy-cut, control-cut, control-lost, proxy-kill, chaos. Open: a control leader that reaches only one other control node, and neither servers nor proxies, keeps its lead and blocks failover.

--- a/internal/measure/bed/bed.go
+++ b/internal/measure/bed/bed.go
@@ -16,22 +16,18 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
+	"errors"
 	"net"
 	"net/netip"
-	"path/filepath"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/burdockwood/burdockwood/internal/config/settings"
-	controldaemon "github.com/burdockwood/burdockwood/internal/control/daemon"
 	"github.com/burdockwood/burdockwood/internal/measure/profile"
 	"github.com/burdockwood/burdockwood/internal/measure/relay"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
-	proxydaemon "github.com/burdockwood/burdockwood/internal/proxy/daemon"
 	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
 	"github.com/burdockwood/burdockwood/internal/rpc/leader"
 	"github.com/burdockwood/burdockwood/internal/rpc/transport"
@@ -44,20 +40,17 @@
 
 	// ClassReplication are the connections of replicas to a server.
 	ClassReplication = "replication"
-	// ClassControl are the connections of control to a server.
-	ClassControl = "control"
-	// ClassProxy are the connections of proxies to a server.
-	ClassProxy = "proxy"
 
-	servers     = 3
-	controls    = 3
-	controlUser = "control"
-	drainTime   = time.Second
-	deadline    = 5 * time.Second
-	maxCallers  = 5000
-	startLimit  = 30 * time.Second
-	startPoll   = 20 * time.Millisecond
-	callLimit   = 2 * time.Second
+	servers    = 3
+	controls   = 3
+	directUser = "direct"
+	nowhere    = "127.0.0.1:1"
+	drainTime  = time.Second
+	deadline   = 5 * time.Second
+	maxCallers = 5000
+	startLimit = 30 * time.Second
+	startPoll  = 20 * time.Millisecond
+	callLimit  = 2 * time.Second
 
 	declarations = `format: burdockwood-1
 groups:
@@ -102,12 +95,9 @@
 		cancel   context.CancelFunc
 		group    *errgroup.Group
 		servers  []*Server
-		controls []netip.AddrPort
-		// beats are the relays between the proxies and control.
-		beats   []*relay.Relay
-		proxies []*relay.Relay
-		direct  []netip.AddrPort
-		started time.Time
+		controls []*Control
+		proxies  []*Proxy
+		started  time.Time
 	}
 )
 
@@ -126,11 +116,17 @@
 // Stop ends everything.
 func (b *Bed) Stop() error {
 	b.cancel()
-	err := b.group.Wait()
+	errs := []error{b.group.Wait()}
+	for _, p := range b.proxies {
+		errs = append(errs, p.group.Wait())
+	}
+	for _, c := range b.controls {
+		errs = append(errs, c.group.Wait())
+	}
 	for _, s := range b.servers {
 		s.wait()
 	}
-	return err
+	return errors.Join(errs...)
 }
 
 func (b *Bed) start() error {
@@ -151,7 +147,7 @@
 		return err
 	}
 	for i := range b.options.Profile.Proxies {
-		if err := b.startProxy(i); err != nil {
+		if err := b.addProxy(i); err != nil {
 			return err
 		}
 	}
@@ -161,63 +157,6 @@
 	return err
 }
 
-func (b *Bed) startControls() error {
-	addresses, err := reserve(controls)
-	if err != nil {
-		return err
-	}
-	b.controls = addresses
-	var peers []string
-	for i, address := range addresses {
-		peers = append(peers, fmt.Sprintf("%s=%s", controlName(i), address))
-	}
-	for i, address := range addresses {
-		options := settings.Control{
-			Common:      settings.Common{Name: controlName(i), DataCentre: string(b.place(i))},
-			Listen:      address.String(),
-			Data:        filepath.Join(b.options.Folder, controlName(i)),
-			Peers:       peers,
-			BackendUser: controlUser,
-		}
-		b.group.Go(func() error {
-			return controldaemon.Run(b.ctx, options, b.logger.WithName(options.Name))
-		})
-		beat, err := b.relay(relay.Options{Target: address, Latency: b.options.Profile.Latency})
-		if err != nil {
-			return err
-		}
-		b.beats = append(b.beats, beat)
-	}
-	return nil
-}
-
-func (b *Bed) startProxy(i int) error {
-	options := settings.Proxy{
-		Common:      settings.Common{Name: fmt.Sprintf("proxy-%d", i+1), DataCentre: string(b.place(i))},
-		Listen:      "127.0.0.1:0",
-		Peer:        "127.0.0.1:0",
-		BackendUser: "burdockwood",
-		DrainTime:   drainTime,
-		Deadline:    deadline,
-		MaxCallers:  maxCallers,
-	}
-	for _, beat := range b.beats {
-		options.Control = append(options.Control, beat.Address().String())
-	}
-	proxy, err := proxydaemon.New(options, b.logger.WithName(options.Name))
-	if err != nil {
-		return err
-	}
-	b.group.Go(func() error { return proxy.Run(b.ctx) })
-	front, err := b.relay(relay.Options{Target: proxy.Address(), Latency: b.options.Profile.CallerLatency})
-	if err != nil {
-		return err
-	}
-	b.proxies = append(b.proxies, front)
-	b.direct = append(b.direct, proxy.Address())
-	return nil
-}
-
 func (b *Bed) relay(options relay.Options) (*relay.Relay, error) {
 	r, err := relay.Start(b.ctx, options)
 	if err != nil {
@@ -231,7 +170,11 @@
 func (b *Bed) declare() error {
 	ctx, cancel := context.WithTimeout(b.ctx, startLimit)
 	defer cancel()
-	client := leader.New(b.controls, transport.NewClient("", transport.Options{}))
+	var addresses []netip.AddrPort
+	for _, c := range b.controls {
+		addresses = append(addresses, c.address)
+	}
+	client := leader.New(addresses, transport.NewClient("", transport.Options{}))
 	request := &controlpb.ApplyRequest{Declarations: declarations, ChangeId: "measure", Author: "measure"}
 	return client.Do(ctx, callLimit, func(ctx context.Context, control controlpb.Control) error {
 		response, err := control.Apply(ctx, request)
@@ -252,20 +195,28 @@
 	}
 	addresses := make([]netip.AddrPort, 0, len(b.proxies))
 	for _, p := range b.proxies {
-		addresses = append(addresses, p.Address())
+		addresses = append(addresses, p.front.Address())
 	}
 	return addresses
 }
 
+// Proxies returns all proxies.
+func (b *Bed) Proxies() []*Proxy { return b.proxies }
+
+// Controls returns all control nodes.
+func (b *Bed) Controls() []*Control { return b.controls }
+
 // Direct returns the first proxy's own address, past its relay.
-func (b *Bed) Direct() netip.AddrPort { return b.direct[0] }
+func (b *Bed) Direct() netip.AddrPort { return b.proxies[0].address }
 
 // ControlBytes returns the bytes between proxies and control for each proxy
 // and second since the start.
 func (b *Bed) ControlBytes(now time.Time) float64 {
 	var total int64
-	for _, beat := range b.beats {
-		total += beat.Bytes()
+	for _, p := range b.proxies {
+		for _, beat := range p.beats {
+			total += beat.Bytes()
+		}
 	}
 	seconds := now.Sub(b.started).Seconds()
 	if len(b.proxies) == 0 || seconds <= 0 {
@@ -279,8 +230,6 @@
 	return places[i%len(places)]
 }
 
-func controlName(i int) string { return fmt.Sprintf("control-%d", i+1) }
-
 // reserve returns n addresses on loopback that are free now.
 func reserve(n int) ([]netip.AddrPort, error) {
 	var addresses []netip.AddrPort
@@ -295,14 +244,16 @@
 	return addresses, nil
 }
 
-// classify names the class of a connection by its start-up message.
+// classify names the class of a connection to a server by its start-up
+// message: the name of the control node or proxy, or ClassReplication.
 func classify(first []byte) string {
-	switch {
-	case bytes.Contains(first, []byte("\x00database\x00"+wire.ReplicationDatabase+"\x00")):
+	if bytes.Contains(first, []byte("database\x00"+wire.ReplicationDatabase+"\x00")) {
 		return ClassReplication
-	case bytes.Contains(first, []byte("user\x00"+controlUser+"\x00")):
-		return ClassControl
-	default:
-		return ClassProxy
 	}
+	_, after, found := bytes.Cut(first, []byte("user\x00"))
+	if !found {
+		return ""
+	}
+	user, _, _ := bytes.Cut(after, []byte{0})
+	return string(user)
 }
--- /dev/null
+++ b/internal/measure/bed/control.go
@@ -0,0 +1,129 @@
+package bed
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/netip"
+	"path/filepath"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/burdockwood/burdockwood/internal/config/settings"
+	controldaemon "github.com/burdockwood/burdockwood/internal/control/daemon"
+	"github.com/burdockwood/burdockwood/internal/measure/relay"
+)
+
+// Control is one control node. Its peers reach it through its relay; proxies
+// and servers through relays of their own.
+type Control struct {
+	bed     *Bed
+	options settings.Control
+	address netip.AddrPort
+	relay   *relay.Relay
+	group   *errgroup.Group
+	cancel  context.CancelFunc
+}
+
+// startControls starts all control nodes.
+func (b *Bed) startControls() error {
+	addresses, err := reserve(controls)
+	if err != nil {
+		return err
+	}
+	var peers []string
+	for i, address := range addresses {
+		front, err := b.relay(relay.Options{Target: address, Latency: b.options.Profile.Latency, Classify: classifyPeer})
+		if err != nil {
+			return err
+		}
+		peers = append(peers, fmt.Sprintf("%s=%s", controlName(i), front.Address()))
+		b.controls = append(b.controls, &Control{bed: b, address: address, relay: front})
+	}
+	for i, c := range b.controls {
+		c.options = settings.Control{
+			Common:      settings.Common{Name: controlName(i), DataCentre: string(b.place(i))},
+			Listen:      c.address.String(),
+			Data:        filepath.Join(b.options.Folder, controlName(i)),
+			Peers:       peers,
+			BackendUser: controlName(i),
+		}
+		c.run()
+	}
+	return nil
+}
+
+func (c *Control) run() {
+	ctx, cancel := context.WithCancel(c.bed.ctx)
+	c.cancel, c.group = cancel, &errgroup.Group{}
+	c.group.Go(func() error {
+		return controldaemon.Run(ctx, c.options, c.bed.logger.WithName(c.options.Name))
+	})
+}
+
+// set puts every link of the node into a mode.
+func (c *Control) set(mode relay.Mode) {
+	c.relay.Set(mode)
+	for _, other := range c.bed.controls {
+		other.relay.Set(mode, c.options.Name)
+	}
+	for _, s := range c.bed.servers {
+		s.relay.Set(mode, c.options.Name)
+	}
+	for _, r := range c.bed.toControl(c) {
+		r.Set(mode)
+	}
+}
+
+// toControl returns the relays of proxies and servers to a node.
+func (b *Bed) toControl(c *Control) []*relay.Relay {
+	var all []*relay.Relay
+	for i, known := range b.controls {
+		if known != c {
+			continue
+		}
+		for _, p := range b.proxies {
+			all = append(all, p.beats[i])
+		}
+		for _, s := range b.servers {
+			all = append(all, s.announce[i])
+		}
+	}
+	return all
+}
+
+// Kill ends the node without a farewell.
+func (c *Control) Kill() error {
+	c.set(relay.Refused)
+	c.cancel()
+	return c.group.Wait()
+}
+
+// Restart starts a killed node again with its data.
+func (c *Control) Restart() {
+	c.set(relay.Open)
+	c.run()
+}
+
+// Cut separates the node from everything, without closing anything.
+func (c *Control) Cut() { c.set(relay.Cut) }
+
+// Heal ends a cut.
+func (c *Control) Heal() { c.set(relay.Open) }
+
+func controlName(i int) string { return fmt.Sprintf("control-%d", i+1) }
+
+// classifyPeer names the control node that a connection to another comes
+// from: its name comes before that of the receiver in the first message.
+func classifyPeer(first []byte) string {
+	class, earliest := "", len(first)
+	for i := range controls {
+		// A protobuf string has its length in front.
+		name := controlName(i)
+		at := bytes.Index(first, append([]byte{byte(len(name))}, name...))
+		if at >= 0 && at < earliest {
+			class, earliest = name, at
+		}
+	}
+	return class
+}
--- a/internal/measure/bed/server.go
+++ b/internal/measure/bed/server.go
@@ -47,7 +47,7 @@
 // addServer starts server i and the relays around it.
 func (b *Bed) addServer(i int) error {
 	p := b.options.Profile
-	front, err := b.relay(relay.Options{Target: netip.MustParseAddrPort("127.0.0.1:1"), Latency: p.Latency, Classify: classify})
+	front, err := b.relay(relay.Options{Target: netip.MustParseAddrPort(nowhere), Latency: p.Latency, Classify: classify})
 	if err != nil {
 		return err
 	}
@@ -74,7 +74,7 @@
 		s.options.PrimaryTerm = 1
 	}
 	for _, control := range b.controls {
-		r, err := b.relay(relay.Options{Target: control, Latency: p.Latency})
+		r, err := b.relay(relay.Options{Target: control.address, Latency: p.Latency})
 		if err != nil {
 			return err
 		}
@@ -119,31 +119,49 @@
 
 // Restart starts a killed server again with its data.
 func (s *Server) Restart() error {
-	s.relay.Heal()
+	s.relay.Set(relay.Open)
 	return s.run()
 }
 
 // Freeze stops all traffic from and to the server without closing anything.
 func (s *Server) Freeze() {
 	s.relay.Set(relay.Frozen)
-	for _, r := range s.announce {
-		r.Set(relay.Frozen)
-	}
+	s.setAnnounce(relay.Frozen)
 }
 
 // Cut separates the server from control and from its replicas.
 func (s *Server) Cut() {
-	s.relay.Set(relay.Cut, ClassReplication, ClassControl)
-	for _, r := range s.announce {
-		r.Set(relay.Cut)
+	s.relay.Set(relay.Cut, ClassReplication)
+	s.CutControl()
+}
+
+// CutControl separates the server from control.
+func (s *Server) CutControl() {
+	for _, c := range s.bed.controls {
+		s.relay.Set(relay.Cut, c.options.Name)
 	}
+	s.setAnnounce(relay.Cut)
 }
 
-// Heal ends a freeze or a cut.
+// CutProxy separates the server from one proxy.
+func (s *Server) CutProxy(p *Proxy) { s.relay.Set(relay.Cut, p.options.Name) }
+
+// Heal ends a freeze or a cut of the server.
 func (s *Server) Heal() {
-	s.relay.Heal()
+	s.relay.Set(relay.Open)
+	s.relay.Set(relay.Open, ClassReplication)
+	for _, c := range s.bed.controls {
+		s.relay.Set(relay.Open, c.options.Name)
+	}
+	s.setAnnounce(relay.Open)
+}
+
+// HealProxy ends a cut between the server and one proxy.
+func (s *Server) HealProxy(p *Proxy) { s.relay.Set(relay.Open, p.options.Name) }
+
+func (s *Server) setAnnounce(mode relay.Mode) {
 	for _, r := range s.announce {
-		r.Heal()
+		r.Set(mode)
 	}
 }
 
@@ -206,7 +224,7 @@
 	ctx, cancel := context.WithTimeout(b.ctx, startLimit)
 	defer cancel()
 	for _, s := range b.servers[1:] {
-		server, err := adapter.Dial(ctx, s.Address(), adapter.Credentials{User: controlUser})
+		server, err := adapter.Dial(ctx, s.Address(), adapter.Credentials{User: directUser})
 		if err != nil {
 			return err
 		}
--- a/internal/measure/command/command.go
+++ b/internal/measure/command/command.go
@@ -24,6 +24,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/burdockwood/burdockwood/internal/measure/bench"
+	"github.com/burdockwood/burdockwood/internal/measure/fault"
 	"github.com/burdockwood/burdockwood/internal/measure/profile"
 	"github.com/burdockwood/burdockwood/internal/measure/report"
 	"github.com/burdockwood/burdockwood/internal/measure/trial"
@@ -48,7 +49,7 @@
 // settings are the flags of the program.
 type settings struct {
 	Profile  string        `long:"profile" default:"guild" choice:"guild" choice:"ecouri" description:"whose sizes and load"`
-	Fault    string        `long:"fault" default:"none" choice:"none" choice:"kill" choice:"freeze" choice:"cut" choice:"overload" description:"what is brought about in each run"`
+	Fault    string        `long:"fault" default:"none" choice:"none" choice:"kill" choice:"freeze" choice:"cut" choice:"overload" choice:"proxy-cut" choice:"control-cut" choice:"control-lost" choice:"proxy-kill" choice:"chaos" description:"what is brought about in each run"`
 	Runs     int           `long:"runs" default:"1" description:"number of runs"`
 	Seed     uint64        `long:"seed" default:"1" description:"seed of the first run; each next one adds 1"`
 	Duration time.Duration `long:"duration" default:"9s" description:"time of the load in each run; the fault lasts its second third"`
@@ -115,7 +116,7 @@
 		return fmt.Errorf("%w: --duration: up to %v", errUsage, maxLength)
 	case s.Rate <= 0:
 		return fmt.Errorf("%w: --rate: above 0", errUsage)
-	case s.Direct && s.Fault != string(trial.None):
+	case s.Direct && s.Fault != string(fault.None):
 		return fmt.Errorf("%w: --direct: only with --fault none, since nothing fails over", errUsage)
 	}
 	return nil
@@ -141,7 +142,7 @@
 		}
 		result, err := trial.Run(ctx, trial.Options{
 			Profile:  p,
-			Fault:    trial.Fault(s.Fault),
+			Fault:    fault.Kind(s.Fault),
 			Seed:     s.Seed + uint64(i),
 			Duration: s.Duration,
 			Lag:      s.Lag,
--- /dev/null
+++ b/internal/measure/fault/fault.go
@@ -0,0 +1,150 @@
+// Package fault plans what is brought about in a run.
+//
+// # Usage
+//
+//	for _, step := range fault.Plan(fault.Chaos, seed, 24*time.Second) {
+//		// At step.At do step.Action to step.Target, and end it at step.Until.
+//	}
+//
+// A plan depends on its arguments alone.
+package fault
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// None brings about no fault.
+	None Kind = "none"
+	// Killed ends the primary without a farewell and starts it again later.
+	Killed Kind = "kill"
+	// Frozen stops the primary's traffic without closing anything.
+	Frozen Kind = "freeze"
+	// CutOff separates the primary from control and its replicas.
+	CutOff Kind = "cut"
+	// Overload doubles the rate of requests for a while.
+	Overload Kind = "overload"
+	// ProxyCut separates the primary from one proxy only.
+	ProxyCut Kind = "proxy-cut"
+	// ControlCut separates the primary from control only.
+	ControlCut Kind = "control-cut"
+	// ControlLost cuts off a control node and kills the primary meanwhile.
+	ControlLost Kind = "control-lost"
+	// ProxyKilled ends a proxy without a farewell.
+	ProxyKilled Kind = "proxy-kill"
+	// Chaos brings about many of these, some together.
+	Chaos Kind = "chaos"
+
+	// Kill ends a process without a farewell; its end starts it again.
+	Kill Action = iota
+	// Freeze holds all traffic of a process.
+	Freeze
+	// Cut separates a process: a server from control and its replicas, a
+	// control node from everything.
+	Cut
+	// CutProxy separates a server from one proxy.
+	CutProxy
+	// CutControl separates a server from control.
+	CutControl
+
+	// Primary is the server that is primary when the step begins.
+	Primary Target = iota
+	// Replica is a server that is not.
+	Replica
+	// Proxy is a proxy.
+	Proxy
+	// Control is a control node.
+	Control
+
+	chaosPause   = 1500 * time.Millisecond
+	chaosLongest = 2500 * time.Millisecond
+	chaosQuiet   = 4 * time.Second
+)
+
+type (
+	// Kind is the fault of a run.
+	Kind string
+	// Action is what is done to a process.
+	Action uint8
+	// Target is the kind of a process.
+	Target uint8
+
+	// Step is one fault of a plan.
+	Step struct {
+		At     time.Duration
+		Until  time.Duration
+		Action Action
+		Target Target
+		// Index chooses among proxies and control nodes.
+		Index int
+	}
+
+	choice struct {
+		action Action
+		target Target
+	}
+)
+
+var chaosChoices = []choice{
+	{Kill, Primary}, {Kill, Primary}, {Freeze, Primary}, {Cut, Primary},
+	{Kill, Replica}, {Freeze, Replica}, {Kill, Proxy}, {CutProxy, Primary},
+	{CutControl, Primary}, {Kill, Control}, {Cut, Control},
+}
+
+// Kinds returns every kind.
+func Kinds() []Kind {
+	return []Kind{None, Killed, Frozen, CutOff, Overload, ProxyCut, ControlCut, ControlLost, ProxyKilled, Chaos}
+}
+
+// TakesPrimary reports whether the kind takes the primary away, so that a
+// failover is expected.
+func (k Kind) TakesPrimary() bool {
+	switch k {
+	case Killed, Frozen, CutOff, ControlLost, Chaos:
+		return true
+	}
+	return false
+}
+
+// Plan returns the steps of a run of the given length, by time of beginning.
+// Single faults last the second third of the run.
+func Plan(kind Kind, seed uint64, length time.Duration) []Step {
+	step := Step{At: length / 3, Until: length * 2 / 3, Target: Primary}
+	switch kind {
+	case Killed:
+		step.Action = Kill
+	case Frozen:
+		step.Action = Freeze
+	case CutOff:
+		step.Action = Cut
+	case ProxyCut:
+		step.Action = CutProxy
+	case ControlCut:
+		step.Action = CutControl
+	case ProxyKilled:
+		step.Action, step.Target = Kill, Proxy
+	case ControlLost:
+		lost := Step{At: length / 6, Until: step.Until, Action: Cut, Target: Control, Index: int(seed % 3)}
+		step.Action = Kill
+		return []Step{lost, step}
+	case Chaos:
+		return chaos(seed, length)
+	default:
+		return nil
+	}
+	return []Step{step}
+}
+
+// chaos draws steps that may overlap, with a quiet time at the end.
+func chaos(seed uint64, length time.Duration) []Step {
+	random := rand.New(rand.NewPCG(seed, uint64(length)))
+	var steps []Step
+	for at := chaosPause; at < length-chaosQuiet; {
+		c := chaosChoices[random.IntN(len(chaosChoices))]
+		lasts := chaosLongest/4 + time.Duration(random.Int64N(int64(chaosLongest*3/4)))
+		steps = append(steps, Step{At: at, Until: at + lasts, Action: c.action, Target: c.target, Index: random.IntN(1 << 16)})
+		at += time.Duration(random.Int64N(int64(2 * chaosPause)))
+	}
+	return steps
+}
--- a/internal/measure/trial/trial.go
+++ b/internal/measure/trial/trial.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	result, err := trial.Run(ctx, trial.Options{Profile: p, Fault: trial.Kill, Seed: 1}, logger)
+//	result, err := trial.Run(ctx, trial.Options{Profile: p, Fault: fault.Killed, Seed: 1}, logger)
 //	fmt.Println(result.Findings.Total(), result.Gap)
 package trial
 
@@ -19,6 +19,7 @@
 
 	"github.com/burdockwood/burdockwood/internal/measure/bed"
 	"github.com/burdockwood/burdockwood/internal/measure/checker"
+	"github.com/burdockwood/burdockwood/internal/measure/fault"
 	"github.com/burdockwood/burdockwood/internal/measure/gap"
 	"github.com/burdockwood/burdockwood/internal/measure/history"
 	"github.com/burdockwood/burdockwood/internal/measure/load"
@@ -26,17 +27,6 @@
 )
 
 const (
-	// None brings about no fault.
-	None Fault = "none"
-	// Kill ends the primary without a farewell and starts it again later.
-	Kill Fault = "kill"
-	// Freeze stops the primary's traffic without closing anything.
-	Freeze Fault = "freeze"
-	// Cut separates the primary from control and its replicas.
-	Cut Fault = "cut"
-	// Overload doubles the rate of requests for a while.
-	Overload Fault = "overload"
-
 	surge       = 2
 	settleLimit = 20 * time.Second
 	schemaLimit = 10 * time.Second
@@ -47,13 +37,10 @@
 var ErrTrial = eris.New("the run failed")
 
 type (
-	// Fault is what is brought about in a run.
-	Fault string
-
 	// Options describe a run.
 	Options struct {
 		Profile  profile.Profile
-		Fault    Fault
+		Fault    fault.Kind
 		Seed     uint64
 		Duration time.Duration
 		Lag      time.Duration
@@ -82,18 +69,6 @@
 	}
 )
 
-// Known reports whether the fault is one of the constants.
-func (f Fault) Known() bool {
-	switch f {
-	case None, Kill, Freeze, Cut, Overload:
-		return true
-	}
-	return false
-}
-
-// ofPrimary reports whether the fault takes the primary away.
-func (f Fault) ofPrimary() bool { return f == Kill || f == Freeze || f == Cut }
-
 // Run does one run. Errors: ErrTrial.
 func Run(ctx context.Context, options Options, logger logr.Logger) (*Result, error) {
 	folder, err := os.MkdirTemp("", "measure-")
@@ -125,7 +100,7 @@
 	if err := CreateSchema(ctx, b); err != nil {
 		return nil, err
 	}
-	result := &Result{FaultAt: options.Duration / 3}
+	result := &Result{FaultAt: faultAt(options)}
 	before := count(b)
 	recorder := history.New()
 	started := time.Now()
@@ -155,7 +130,7 @@
 	result.Promotions = after.promotions - before.promotions
 	result.PrimaryReads = after.primaryReads - before.primaryReads
 	result.ReplicaReads = after.replicaReads - before.replicaReads
-	result.HasGap = options.Fault.ofPrimary()
+	result.HasGap = options.Fault.TakesPrimary()
 	if result.HasGap {
 		result.Gap, result.GapEnded = gap.Longest(result.Operations, result.FaultAt)
 	}
@@ -171,43 +146,12 @@
 		Duration:  options.Duration,
 		Started:   started,
 	}
-	if options.Fault == Overload {
+	if options.Fault == fault.Overload {
 		l.Surge, l.SurgeFrom, l.SurgeTo = surge, options.Duration/3, options.Duration*2/3
 	}
 	return l
 }
 
-// disturb brings about the fault at a third of the run and ends it at two
-// thirds.
-func disturb(ctx context.Context, b *bed.Bed, options Options, started time.Time) error {
-	if !options.Fault.ofPrimary() {
-		return nil
-	}
-	if err := sleepUntil(ctx, started.Add(options.Duration/3)); err != nil {
-		return err
-	}
-	victim := b.Primary()
-	if victim == nil {
-		return eris.New("there is no primary to disturb")
-	}
-	switch options.Fault {
-	case Kill:
-		victim.Kill()
-	case Freeze:
-		victim.Freeze()
-	case Cut:
-		victim.Cut()
-	}
-	if err := sleepUntil(ctx, started.Add(options.Duration*2/3)); err != nil {
-		return err
-	}
-	if options.Fault == Kill {
-		return victim.Restart()
-	}
-	victim.Heal()
-	return nil
-}
-
 func sleepUntil(ctx context.Context, at time.Time) error {
 	timer := time.NewTimer(time.Until(at))
 	defer timer.Stop()
