--- a/internal/control/codec/codec.go
+++ b/internal/control/codec/codec.go
@@ -22,8 +22,13 @@
 	"github.com/burdockwood/burdockwood/internal/rpc/peerpb"
 )
 
-// version is the version of a batch of messages.
-const version = 1
+const (
+	// version is the version of a batch of messages.
+	version = 1
+	// maxCounter bounds positions, terms and the like in a message, so that
+	// sums of them can't overflow.
+	maxCounter = 1 << 60
+)
 
 var (
 	// ErrMalformed tells that bytes aren't what they should be.
@@ -258,6 +263,10 @@
 }
 
 func messageFromPB(pb *peerpb.Message) (quorum.Message, error) {
+	highest := max(pb.GetTerm(), pb.GetIndex(), pb.GetLogTerm(), pb.GetCommit(), pb.GetHint(), pb.GetOffset(), pb.GetTotal())
+	if highest > maxCounter {
+		return quorum.Message{}, eris.Wrapf(ErrMalformed, "a counter is %d", highest)
+	}
 	entries, err := entriesFromPB(pb.GetEntries())
 	if err != nil {
 		return quorum.Message{}, err
--- a/internal/control/node/cluster_test.go
+++ b/internal/control/node/cluster_test.go
@@ -39,6 +39,13 @@
 		commands []string
 	}
 
+	// countMachine counts the commands and has a state of fixed size.
+	countMachine struct {
+		listMachine
+		state [4 << 20]byte
+		count uint64
+	}
+
 	// process is one run of a control node.
 	process struct {
 		node    *node.Node
@@ -80,6 +87,15 @@
 	return slices.Clone(m.commands)
 }
 
+func (m *countMachine) Apply(uint64, []byte) []byte {
+	m.count++
+	return nil
+}
+
+func (m *countMachine) Snapshot() ([]byte, error) { return slices.Clone(m.state[:]), nil }
+
+func (m *countMachine) Restore([]byte) error { return nil }
+
 // newNodes prepares count nodes on free ports of the loopback address.
 func newNodes(t testing.TB, count int, adjust func(*node.Options)) *nodes {
 	t.Helper()
@@ -241,3 +257,10 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 }
+
+// newLimited returns a group of at most limit goroutines.
+func newLimited(limit int) *errgroup.Group {
+	group := &errgroup.Group{}
+	group.SetLimit(limit)
+	return group
+}
--- a/internal/control/node/loop.go
+++ b/internal/control/node/loop.go
@@ -56,6 +56,7 @@
 	var group run.Group
 	group.Add(func() error { return n.loop(ctx) }, func(error) { cancel() })
 	group.Add(func() error { return n.send(ctx) }, func(error) { cancel() })
+	group.Add(func() error { return n.writeSnapshots(ctx) }, func(error) { cancel() })
 	err := group.Run()
 	if ctx.Err() != nil && errors.Is(err, ctx.Err()) {
 		err = nil
@@ -96,6 +97,10 @@
 		case <-timer.C:
 		case e := <-n.events:
 			batch = n.drain(e)
+		case err := <-n.written:
+			if err := n.useSnapshot(err); err != nil {
+				return err
+			}
 		}
 		if err := n.step(batch); err != nil {
 			return err
@@ -188,17 +193,13 @@
 	replies.finish()
 	n.publish(n.core.Status())
 	n.answerReads()
-	return n.compact()
+	return n.takeSnapshot()
 }
 
 // store makes the core's work durable.
 func (n *Node) store(ready quorum.Ready) error {
-	if s := ready.Snapshot; s != nil {
-		if err := n.log.SaveSnapshot(s, ready.HardState, ready.Entries); err != nil {
-			return err
-		}
-		n.logger.Info("installed a snapshot of the leader", "index", s.Index)
-		return n.restore(s)
+	if ready.Snapshot != nil {
+		return n.install(ready)
 	}
 	if !ready.Sync {
 		return nil
@@ -206,16 +207,6 @@
 	return n.log.Save(ready.HardState, ready.Entries)
 }
 
-// restore replaces the machine's state.
-func (n *Node) restore(s *quorum.Snapshot) error {
-	if err := n.machine.Restore(s.Data); err != nil {
-		return eris.Wrapf(err, "restore the snapshot of position %d", s.Index)
-	}
-	n.applied, n.snapshotIndex = s.Index, s.Index
-	n.index.Store(s.Index)
-	return nil
-}
-
 // apply hands committed commands to the machine and answers their proposals.
 func (n *Node) apply(entries []quorum.Entry) {
 	for _, e := range entries {
@@ -274,26 +265,6 @@
 	}
 }
 
-// compact takes a snapshot once the log has grown enough.
-func (n *Node) compact() error {
-	grown := n.applied - n.snapshotIndex
-	if grown == 0 || (grown < n.options.SnapshotEntries && n.log.Size() < n.options.SnapshotBytes) {
-		return nil
-	}
-	data, err := n.machine.Snapshot()
-	if err != nil {
-		return eris.Wrap(err, "take a snapshot")
-	}
-	s := n.core.Compact(data)
-	state, entries := n.core.Tail()
-	if err := n.log.SaveSnapshot(s, state, entries); err != nil {
-		return err
-	}
-	n.snapshotIndex = s.Index
-	n.logger.V(1).Info("took a snapshot", "index", s.Index, "bytes", len(data))
-	return nil
-}
-
 // failAll answers everything that waits when Run ends.
 func (n *Node) failAll() {
 	n.failProposals()
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -106,9 +106,11 @@
 		machine replica.Machine
 		senders map[cluster.NodeName]*sender
 
-		events chan event
-		done   chan struct{}
-		ended  atomic.Bool
+		events  chan event
+		toWrite chan *quorum.Snapshot
+		written chan error
+		done    chan struct{}
+		ended   atomic.Bool
 
 		// The fields below belong to Run's goroutine.
 		proposals     map[uint64]*proposal
@@ -116,7 +118,10 @@
 		nextToken     uint64
 		applied       uint64
 		snapshotIndex uint64
-		membersDue    time.Time
+		snapshotBytes int
+		// writing is the snapshot that is being written, or nil.
+		writing    *quorum.Snapshot
+		membersDue time.Time
 
 		view    atomic.Pointer[view]
 		members atomic.Pointer[[]replica.MemberInfo]
@@ -146,6 +151,8 @@
 		now:       options.Now,
 		machine:   options.Machine,
 		events:    make(chan event, eventQueue),
+		toWrite:   make(chan *quorum.Snapshot, 1),
+		written:   make(chan error, 1),
 		done:      make(chan struct{}),
 		proposals: map[uint64]*proposal{},
 		reads:     map[uint64]*read{},
--- a/internal/control/quorum/election.go
+++ b/internal/control/quorum/election.go
@@ -2,9 +2,18 @@
 
 import "time"
 
-// resetElection sets the time of the next campaign.
+// resetElection sets the time of the next campaign. A sole member has nobody to
+// wait for.
 func (c *Core) resetElection(now time.Time) {
-	c.electionDeadline = now.Add(randomTimeout(c.options.Random, &c.options))
+	c.electionDeadline = now
+	if !c.isSoleMember() {
+		c.electionDeadline = now.Add(randomTimeout(c.options.Random, &c.options))
+	}
+}
+
+func (c *Core) isSoleMember() bool {
+	active := c.log.active()
+	return len(active) == 1 && len(active[0].Members) == 1 && active[0].Has(c.self)
 }
 
 // canCampaign reports whether this node votes in an active configuration.
@@ -35,9 +44,6 @@
 	if c.role == RoleLeader {
 		c.failReads()
 	}
-	if leader != c.leader || c.role != RoleFollower {
-		c.incoming = incomingSnapshot{}
-	}
 	c.role = RoleFollower
 	c.leader = leader
 	c.progress = nil
@@ -57,6 +63,10 @@
 		c.state.Vote = c.self
 		c.out.hardStateDirty = true
 		kind = MessageVote
+	} else {
+		// All members may have other disks by now; then only the answer to
+		// a probe tells that the own one was replaced too.
+		c.probeOthers()
 	}
 	for _, m := range c.activeMembers() {
 		if m.ID == c.self {
--- a/internal/control/quorum/faults_test.go
+++ b/internal/control/quorum/faults_test.go
@@ -99,6 +99,14 @@
 	if n.core != nil {
 		configs = append(configs, n.core.log.active()...)
 	}
+	if n.core != nil && n.core.role == RoleLeader {
+		// A learner that is lost now may still be taken in.
+		for id, p := range n.core.progress {
+			if n.core.isLearner(id) {
+				configs = append(configs, withMember(n.core.log.newest(), p.member))
+			}
+		}
+	}
 	if n.core != nil && !n.core.formed() {
 		// The others may form a cluster of what this node has agreed to.
 		if members, complete := n.core.seenMembers(); complete {
--- a/internal/control/quorum/forming.go
+++ b/internal/control/quorum/forming.go
@@ -68,6 +68,11 @@
 	if c.hearsLeader(now) {
 		return
 	}
+	c.probeOthers()
+}
+
+// probeOthers asks the listed nodes by name, whatever their disks are now.
+func (c *Core) probeOthers() {
 	c.forming.round++
 	for _, name := range c.otherNodes() {
 		c.send(Message{Kind: MessageProbe, To: ID{Node: name}, Round: c.forming.round})
--- a/internal/control/quorum/replicate.go
+++ b/internal/control/quorum/replicate.go
@@ -31,6 +31,8 @@
 	// snapshot is being sent if not nil, from the byte offset on.
 	snapshot *Snapshot
 	offset   uint64
+	// beats counts the heartbeats since the last part of a snapshot.
+	beats int
 }
 
 // syncProgress makes the leader follow exactly the active members and the
@@ -122,7 +124,7 @@
 	if p.snapshot != nil {
 		if heartbeat {
 			c.sendBareHeartbeat(p)
-			c.sendChunk(p)
+			c.sendChunkAgain(p)
 		}
 		return
 	}
--- a/internal/control/quorum/snapshot.go
+++ b/internal/control/quorum/snapshot.go
@@ -2,15 +2,22 @@
 
 import "time"
 
-// incomingSnapshot is a snapshot of which parts have come.
+// chunkBeats is the number of heartbeats without an answer after which a part
+// of a snapshot is sent again.
+const chunkBeats = 4
+
+// incomingSnapshot is a snapshot of which parts have come. Another leader's
+// bytes for the same position may differ.
 type incomingSnapshot struct {
-	index uint64
-	term  uint64
-	data  []byte
+	leader     ID
+	leaderTerm uint64
+	index      uint64
+	data       []byte
 }
 
 // sendChunk sends the part of a snapshot from the offset on.
 func (c *Core) sendChunk(p *progress) {
+	p.beats = 0
 	s := p.snapshot
 	end := min(p.offset+uint64(c.options.ChunkBytes), uint64(len(s.Data)))
 	config := s.Configuration
@@ -20,6 +27,14 @@
 	})
 }
 
+// sendChunkAgain repeats a part that wasn't answered for some heartbeats.
+func (c *Core) sendChunkAgain(p *progress) {
+	p.beats++
+	if p.beats >= chunkBeats {
+		c.sendChunk(p)
+	}
+}
+
 func (c *Core) stepSnapshot(m Message, now time.Time) {
 	c.follow(m.From, now)
 	if m.Index <= c.log.commit {
@@ -27,8 +42,8 @@
 		return
 	}
 	in := &c.incoming
-	if in.index != m.Index || in.term != m.LogTerm {
-		*in = incomingSnapshot{index: m.Index, term: m.LogTerm}
+	if in.leader != m.From || in.leaderTerm != m.Term || in.index != m.Index {
+		*in = incomingSnapshot{leader: m.From, leaderTerm: m.Term, index: m.Index}
 	}
 	if m.Offset == uint64(len(in.data)) {
 		in.data = append(in.data, m.Chunk...)
--- a/internal/control/wal/wal.go
+++ b/internal/control/wal/wal.go
@@ -150,15 +150,30 @@
 // SaveSnapshot makes a snapshot, the hard state and the entries after the
 // snapshot durable, in place of all that was stored before.
 func (l *Log) SaveSnapshot(s *quorum.Snapshot, state quorum.HardState, entries []quorum.Entry) error {
-	if l.failed != nil {
-		return l.failed
+	if err := l.WriteSnapshot(s); err != nil {
+		return l.fail(err)
 	}
+	return l.UseSnapshot(s, state, entries)
+}
+
+// WriteSnapshot makes the file of a snapshot durable, without effect until
+// UseSnapshot. It may run beside Save in another goroutine.
+func (l *Log) WriteSnapshot(s *quorum.Snapshot) error {
 	payload, err := codec.EncodeSnapshot(s)
 	if err != nil {
-		return l.fail(err)
+		return eris.Wrap(ErrFailed, err.Error())
 	}
 	if err := l.writeFile(snapshotName(s.Index), snapshotMagic, payload); err != nil {
-		return l.fail(err)
+		return eris.Wrap(ErrFailed, err.Error())
+	}
+	return nil
+}
+
+// UseSnapshot begins the stored log anew with a written snapshot, the hard
+// state and the entries after the snapshot, and removes what was stored before.
+func (l *Log) UseSnapshot(s *quorum.Snapshot, state quorum.HardState, entries []quorum.Entry) error {
+	if l.failed != nil {
+		return l.failed
 	}
 	old := l.file
 	base := codec.Frame{Base: true, HardState: state, Entries: entries, SnapshotIndex: s.Index}
