--- a/internal/control/node/cluster_test.go
+++ b/internal/control/node/cluster_test.go
@@ -41,7 +41,6 @@
 
 	// countMachine counts the commands and has a state of fixed size.
 	countMachine struct {
-		listMachine
 		state [4 << 20]byte
 		count uint64
 	}
