A planned change isn't forgotten while another term begins

Cause: asked for within 500 ms of the group's formation, a switchover set its pause of 5 s although its begin was held back by the pause after the last begin; the operator waited 5 s. Ruled out: slow promises and positions (the log shows 5 s between the call and the term begun, 3 ms from there to the term in force). Change: the pause starts only when the change begins. Left: a drain of a primary right after a planned change waits out the 5 s pause between planned changes.

--- a/internal/control/failover/maintain.go
+++ b/internal/control/failover/maintain.go
@@ -100,15 +100,24 @@
 	if d.plan.wanted == nil && !d.isLeaving(record.Primary) {
 		return false
 	}
-	if d.s.Verdict != detect.Fine || d.now.Before(d.plan.plannedAfter) {
+	if d.s.Verdict != detect.Fine {
 		return false
 	}
 	target, ok := d.successor()
 	if !ok {
 		return false
 	}
+	return d.beginPlanned(state.ReasonSwitchover, target, record.Voters)
+}
+
+// beginPlanned begins a planned change and returns true, unless another one or
+// another term began just now.
+func (d *decider) beginPlanned(reason state.Reason, target cluster.ServerName, voters []cluster.ServerName) bool {
+	if d.now.Before(d.plan.plannedAfter) || d.now.Before(d.plan.next[key{kind: Begin}]) {
+		return false
+	}
 	d.plan.plannedAfter = d.now.Add(plannedPause)
-	d.begin(state.ReasonSwitchover, target, record.Voters)
+	d.begin(reason, target, voters)
 	return true
 }
 
@@ -140,16 +149,14 @@
 // changeVoters begins a term with other voters and the same primary.
 func (d *decider) changeVoters() bool {
 	record := d.s.Record
-	if d.s.Verdict != detect.Fine || d.now.Before(d.plan.plannedAfter) || d.plan.promoted != record.Term {
+	if d.s.Verdict != detect.Fine || d.plan.promoted != record.Term {
 		return false
 	}
 	voters := registry.Voters(record.Voters, d.s.Servers, d.isReady, d.s.Declared, d.s.LeaderSince, d.now)
 	if slices.Equal(voters, record.Voters) || !slices.Contains(voters, record.Primary) {
 		return false
 	}
-	d.plan.plannedAfter = d.now.Add(plannedPause)
-	d.begin(state.ReasonVoters, record.Primary, voters)
-	return true
+	return d.beginPlanned(state.ReasonVoters, record.Primary, voters)
 }
 
 // isReady reports whether a server has nearly caught up with the primary.
--- a/internal/control/failover/target_test.go
+++ b/internal/control/failover/target_test.go
@@ -1,10 +1,12 @@
 package failover_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/burdockwood/burdockwood/internal/control/failover"
+	"github.com/burdockwood/burdockwood/internal/control/registry"
 	"github.com/burdockwood/burdockwood/internal/control/state"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 )
@@ -62,3 +64,45 @@
 		})
 	}
 }
+
+// TestSwitchoverSoonAfterAnotherTerm asks for a switchover while the pause
+// after the last begin still runs.
+func TestSwitchoverSoonAfterAnotherTerm(t *testing.T) {
+	now := time.Unix(1000, 0)
+	voters := []cluster.ServerName{"a", "b", "c"}
+	record := &state.Group{Name: "g", Term: 1, Primary: "a", Voters: voters, Members: map[cluster.ServerName]state.Member{}}
+	servers := func() registry.Servers {
+		known := registry.Servers{}
+		for i, name := range voters {
+			address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i+1))
+			status := cluster.ServerStatus{Server: name, Group: "g", Role: cluster.RoleReplica, Promised: 1, Received: cluster.Mark{Term: 1, Position: 9}}
+			if name == "a" {
+				status.Role = cluster.RolePrimary
+			}
+			known[name] = registry.Server{Announcement: cluster.Announcement{ServerStatus: status, Address: address, Incarnation: 1}, Heard: now}
+			record.Members[name] = state.Member{Name: name, Address: address}
+		}
+		return known
+	}
+	var plan failover.Plan
+	begun := time.Duration(-1)
+	step := func(event failover.Event) {
+		var actions []failover.Action
+		plan, actions = failover.Decide(plan, failover.Situation{Record: record, Servers: servers(), Declared: 3}, event, now)
+		for _, action := range actions {
+			if action.Kind == failover.Begin && begun < 0 {
+				begun = now.Sub(time.Unix(1000, 0))
+			}
+		}
+	}
+	step(failover.Event{Action: failover.Action{Kind: failover.Begin}, Outcome: failover.OutcomeDone})
+	step(failover.Event{Action: failover.Action{Kind: failover.Promote, Server: "a", Term: 1}, Outcome: failover.OutcomeDone})
+	plan = plan.Want(failover.Wanted{To: "b", Term: 1})
+	for range 100 {
+		step(failover.Event{})
+		now = now.Add(100 * time.Millisecond)
+	}
+	if begun < 0 || begun > time.Second {
+		t.Errorf("begun after %v, want within 1s", begun)
+	}
+}
