Proxy: a poll only when somebody wants a newer answer

Cause: each read woke the watchers twice; the second wake started a poll that nobody wanted and that the next read had to wait out. Ruled out: two polls in flight (doubles the load on every server). Change: the tracker keeps the newest time that is wanted; a watcher polls until its answer covers it. A read's confirmation counts from its arrival, so the poll starts before the request is sent.

--- a/internal/proxy/caller/attempt.go
+++ b/internal/proxy/caller/attempt.go
@@ -128,10 +128,9 @@
 // runOn runs the request on a connection, confirms the answer, and gives the
 // connection back or keeps it for the transaction.
 func (s *Session) runOn(ctx context.Context, j *job, keep *held) ending {
-	s.open()
 	begun := time.Now()
 	from := len(s.answer.data)
-	result, err := s.exchange(ctx, keep, begun)
+	result, err := s.exchange(ctx, keep, j.start)
 	j.service = time.Since(begun)
 	keep.server.Leave(keep.conn, j.service)
 	if err != nil {
@@ -155,7 +154,7 @@
 			return ending{what: retry.Unknown, refusal: refusal}
 		}
 	}
-	return s.finish(ctx, j, keep, result, begun, from)
+	return s.finish(ctx, j, keep, result, j.start, from)
 }
 
 // finish confirms an answer, gives the connection back or keeps it, and makes
@@ -175,10 +174,15 @@
 	return done
 }
 
-// exchange sends the request and reads the whole answer.
-func (s *Session) exchange(ctx context.Context, keep *held, begun time.Time) (execute.Result, error) {
+// exchange sends the request and reads the whole answer. Answers of a primary
+// need a confirmation of polls sent at or after since.
+func (s *Session) exchange(ctx context.Context, keep *held, since time.Time) (execute.Result, error) {
 	s.answer.spilled = false
 	s.answer.refusal = nil
+	if keep.primary && s.request.Kind <= classify.Read {
+		// The poll that confirms the read runs beside it.
+		keep.group.Tracker.Poke(since)
+	}
 	keep.server.Enter(keep.conn)
 	s.cancel.runs(keep.conn)
 	defer s.cancel.runs(nil)
@@ -186,11 +190,8 @@
 	if err := execute.Send(keep.conn, &s.plan); err != nil {
 		return execute.Result{}, err
 	}
-	if keep.primary && s.request.Kind <= classify.Read {
-		keep.group.Tracker.Poke()
-	}
 	answer := execute.Answer{Buf: s.answer.data, Bound: answerBound}
-	answer.Spill = func() error { return s.spill(ctx, keep, &answer, begun) }
+	answer.Spill = func() error { return s.spill(ctx, keep, &answer, since) }
 	result, err := execute.Run(keep.conn, &s.plan, &answer)
 	s.answer.data = answer.Buf
 	return result, err
@@ -198,9 +199,9 @@
 
 // spill releases the collected part of a large answer once the term is
 // confirmed.
-func (s *Session) spill(ctx context.Context, keep *held, answer *execute.Answer, begun time.Time) error {
+func (s *Session) spill(ctx context.Context, keep *held, answer *execute.Answer, since time.Time) error {
 	if !s.answer.spilled && keep.primary {
-		if err := keep.group.Tracker.Read(ctx, keep.term, begun); err != nil {
+		if err := keep.group.Tracker.Read(ctx, keep.term, since); err != nil {
 			s.answer.refusal = readRefusal(err)
 			return err
 		}
--- a/internal/proxy/confirm/confirm.go
+++ b/internal/proxy/confirm/confirm.go
@@ -57,7 +57,9 @@
 		servers   []server
 		voters    int
 		confirmed time.Time
-		reads     []*waiter
+		// wanted is the newest time after which an answer is wanted.
+		wanted time.Time
+		reads  []*waiter
 		writes    []*waiter
 		samples   []age.Sample
 		age       age.Tracker
@@ -170,8 +172,11 @@
 	w := &waiter{since: since, began: since, done: make(chan error, 1)}
 	at, _ := slices.BinarySearchFunc(t.reads, since, func(o *waiter, s time.Time) int { return o.since.Compare(s) })
 	t.reads = slices.Insert(t.reads, at, w)
+	news := t.want(since)
 	t.mu.Unlock()
-	t.wake(t.WakeReads)
+	if news {
+		t.wake(t.WakeReads)
+	}
 	return t.await(ctx, w)
 }
 
@@ -194,9 +199,26 @@
 	return t.await(ctx, w)
 }
 
-// Poke asks for a poll, so that a read that is about to be answered finds it
-// under way.
-func (t *Tracker) Poke() { t.wake(t.WakeReads) }
+// Poke asks for polls sent at or after since, so that a read that is about to
+// be answered finds them under way.
+func (t *Tracker) Poke(since time.Time) {
+	t.mu.Lock()
+	news := t.want(since)
+	t.mu.Unlock()
+	if news {
+		t.wake(t.WakeReads)
+	}
+}
+
+// want records that answers after since are wanted, and reports whether that
+// is news.
+func (t *Tracker) want(since time.Time) bool {
+	if !since.After(t.wanted) {
+		return false
+	}
+	t.wanted = since
+	return true
+}
 
 // Pending returns the least mark that waits for the server; false if none.
 func (t *Tracker) Pending(name cluster.ServerName) (cluster.Mark, bool) {
@@ -218,16 +240,12 @@
 	return least, found
 }
 
-// HasReads reports whether a read waits that the server's last poll doesn't
-// cover.
-func (t *Tracker) HasReads(name cluster.ServerName) bool {
+// Wants reports whether a newer answer of the server is wanted than the last.
+func (t *Tracker) Wants(name cluster.ServerName) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	i := t.index(name)
-	if i < 0 || len(t.reads) == 0 {
-		return false
-	}
-	return t.servers[i].sent.Before(t.reads[len(t.reads)-1].since)
+	return i >= 0 && t.servers[i].sent.Before(t.wanted)
 }
 
 // Oldest returns since when the oldest write waits; zero if none.
--- a/internal/proxy/watch/watch.go
+++ b/internal/proxy/watch/watch.go
@@ -139,16 +139,23 @@
 			continue
 		}
 		w.options.Tracker.Observe(w.options.Server, sent, status)
-		if w.options.Tracker.HasReads(w.options.Server) {
-			continue
-		}
+		w.rest(ctx, ticker)
+	}
+	return nil
+}
+
+// rest waits until the next poll is due: somebody wants a newer answer, or the
+// interval has passed.
+func (w *Watcher) rest(ctx context.Context, ticker *time.Ticker) {
+	for !w.options.Tracker.Wants(w.options.Server) {
 		select {
 		case <-ctx.Done():
+			return
 		case <-ticker.C:
+			return
 		case <-w.polls:
 		}
 	}
-	return nil
 }
 
 // Waits asks the server to tell when it holds the writes that wait, until ctx
