Proxy: tests of the protocol: pipelines, settings, pinned sessions, database/sql

Cause: the scenarios covered failures, less so what ordinary clients send. Conclusion: nothing had to be mended.

--- a/internal/proxy/confirm/confirm.go
+++ b/internal/proxy/confirm/confirm.go
@@ -58,8 +58,8 @@
 		voters    int
 		confirmed time.Time
 		// wanted is the newest time after which an answer is wanted.
-		wanted time.Time
-		reads  []*waiter
+		wanted    time.Time
+		reads     []*waiter
 		writes    []*waiter
 		samples   []age.Sample
 		age       age.Tracker
--- a/internal/proxy/daemon/fake_test.go
+++ b/internal/proxy/daemon/fake_test.go
@@ -51,6 +51,7 @@
 	// detached replicas receive no log.
 	detached bool
 	executed []string
+	prepared []string
 }
 
 // fakeGroup is a primary with replicas that receive its log at once.
@@ -216,6 +217,7 @@
 			return nil
 		}
 		f.statements[m.Name] = m.Query
+		f.server.set(func(s *fakeServer) { s.prepared = append(s.prepared, m.Query) })
 		f.backend.Send(&pgproto3.ParseComplete{})
 	case *pgproto3.Bind:
 		sql, ok := f.statements[m.PreparedStatement]
@@ -320,6 +322,9 @@
 			f.fail("57014", "canceled")
 			return
 		}
+	case strings.Contains(sql, "primary_only") && s.isReplica():
+		f.fail(adapter.StateReadOnly, "read only")
+		return
 	case strings.Contains(sql, "name"):
 		value = s.name
 	case len(params) > 0:
--- /dev/null
+++ b/internal/proxy/daemon/protocol_test.go
@@ -0,0 +1,236 @@
+package daemon
+
+import (
+	"context"
+	"database/sql"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	_ "github.com/jackc/pgx/v5/stdlib"
+	"golang.org/x/sync/errgroup"
+)
+
+// Refused requests leave the session usable.
+func TestRefusedRequests(t *testing.T) {
+	g := newFakeGroup(t, 3)
+	p, _ := startProxy(t, "p1", g, newFakeControl(t, standardResponse(g, 4)), nil)
+	conn := connect(t, p, "")
+	tests := []struct{ sql, want string }{
+		{"copy kv from stdin", "0A000"},
+		{"set burdockwood.nothing = 'x'", "22023"},
+		{"set burdockwood.mark = 'forged'", "22023"},
+		{"set burdockwood.deadline = '-1s'", "22023"},
+		{"/* burdockwood: max-age=soon */ select name", "22023"},
+	}
+	for _, test := range tests {
+		if _, err := conn.Exec(testContext(t), test.sql); state(err) != test.want {
+			t.Errorf("%s: %v, want %s", test.sql, err, test.want)
+		}
+	}
+	if err := conn.PgConn().ExecPrepared(testContext(t), "nowhere", nil, nil, nil).Read().Err; state(err) != "26000" {
+		t.Errorf("unknown statement: %v, want 26000", err)
+	}
+	put(t, conn, "a", "1")
+}
+
+// Pipelined requests are answered whole and in order.
+func TestPipeline(t *testing.T) {
+	g := newFakeGroup(t, 3)
+	p, _ := startProxy(t, "p1", g, newFakeControl(t, standardResponse(g, 4)), nil)
+	conn := connect(t, p, "")
+	ctx := testContext(t)
+	pipeline := conn.PgConn().StartPipeline(ctx)
+	for i := range 20 {
+		pipeline.SendQueryParams("update kv set v = $1 where k = $2", [][]byte{[]byte(fmt.Sprint(i)), []byte("a")}, nil, nil, nil)
+		pipeline.SendQueryParams(benchQuery, [][]byte{[]byte("a")}, nil, nil, nil)
+		if i%5 == 4 {
+			pipeline.SendFlushRequest()
+		}
+		if err := pipeline.Sync(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range 20 {
+		for part := range 2 {
+			results, err := pipeline.GetResults()
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := results.(*pgconn.ResultReader).Read()
+			if part == 1 && string(got.Rows[0][0]) != fmt.Sprint(i) {
+				t.Errorf("answer %d = %q, want %d", i, got.Rows[0][0], i)
+			}
+		}
+		if results, err := pipeline.GetResults(); err != nil {
+			t.Fatalf("sync %d: %T, %v", i, results, err)
+		}
+	}
+	if err := pipeline.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A failed statement in a pipeline skips the rest up to the Sync, and no more.
+func TestFailedPipeline(t *testing.T) {
+	g := newFakeGroup(t, 3)
+	p, _ := startProxy(t, "p1", g, newFakeControl(t, standardResponse(g, 1)), nil)
+	conn := connect(t, p, "")
+	ctx := testContext(t)
+	pipeline := conn.PgConn().StartPipeline(ctx)
+	pipeline.SendQueryPrepared("nowhere", nil, nil, nil)
+	pipeline.SendQueryParams("update kv set v = $1 where k = $2", [][]byte{[]byte("1"), []byte("a")}, nil, nil, nil)
+	if err := pipeline.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := pipeline.GetResults(); state(err) != "26000" {
+		t.Errorf("pipeline = %v, want 26000", err)
+	}
+	_ = pipeline.Close()
+	if got := value(t, conn, "a"); got != "" {
+		t.Errorf("value = %q, want none", got)
+	}
+}
+
+// Settings follow their session and no other; what can't be replayed keeps its
+// connection.
+func TestSessionState(t *testing.T) {
+	g := newFakeGroup(t, 3)
+	p, _ := startProxy(t, "p1", g, newFakeControl(t, standardResponse(g, 1)), nil)
+	ctx := testContext(t)
+	one := connect(t, p, "")
+	other := connect(t, p, "")
+	if _, err := one.Exec(ctx, "set search_path = 'guild'"); err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		put(t, one, "a", "1")
+		put(t, other, "b", "2")
+	}
+	// The server has one connection: it is given the settings of whoever
+	// uses it.
+	log := strings.Join(g.servers[0].log(), ";")
+	if got := strings.Count(log, "SET search_path = 'guild'"); got != 3 {
+		t.Errorf("the setting was replayed %d times, want 3", got)
+	}
+	if got := strings.Count(log, "RESET ALL"); got < 3 {
+		t.Errorf("settings were reset %d times, want at least 3", got)
+	}
+	if _, err := one.Exec(ctx, "listen allowance"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := other.Exec(ctx, "set burdockwood.deadline = '200ms'"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := other.Exec(ctx, "select name"); state(err) != "57P03" {
+		t.Errorf("while the only connection is pinned: %v, want 57P03", err)
+	}
+	closeNow(one)
+	waitFor(t, "the pinned connection is gone", func() bool {
+		_, err := other.Exec(ctx, "select name")
+		return err == nil
+	})
+}
+
+// A large answer arrives whole, one that breaks off half-way as an error.
+func TestLargeAnswers(t *testing.T) {
+	g := newFakeGroup(t, 3)
+	p, _ := startProxy(t, "p1", g, newFakeControl(t, standardResponse(g, 4)), nil)
+	conn := connect(t, p, "")
+	large := strings.Repeat("show day ", 200_000)
+	put(t, conn, "a", large)
+	if got := value(t, conn, "a"); got != large {
+		t.Errorf("answer has %d bytes, want %d", len(got), len(large))
+	}
+}
+
+// A read that a replica refuses goes to the primary, since it did not run.
+func TestRefusedByReplica(t *testing.T) {
+	g := newFakeGroup(t, 3)
+	p, _ := startProxy(t, "p1", g, newFakeControl(t, standardResponse(g, 4)), nil)
+	conn := connect(t, p, "burdockwood.max_age=1m")
+	put(t, conn, "a", "1")
+	waitFor(t, "a replica answers", func() bool {
+		var server string
+		err := conn.QueryRow(testContext(t), "select name").Scan(&server)
+		return err == nil && server != "a"
+	})
+	var server string
+	if err := conn.QueryRow(testContext(t), "select primary_only name").Scan(&server); err != nil || server != "a" {
+		t.Errorf("answered by %q, %v, want the primary", server, err)
+	}
+}
+
+// database/sql works with its default settings over few connections.
+func TestDatabaseSQL(t *testing.T) {
+	g := newFakeGroup(t, 3)
+	p, _ := startProxy(t, "p1", g, newFakeControl(t, standardResponse(g, 2)), nil)
+	db, err := sql.Open("pgx", dsn(p, ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer db.Close()
+	db.SetMaxOpenConns(8)
+	ctx := testContext(t)
+	statement, err := db.PrepareContext(ctx, benchQuery)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer statement.Close()
+	var group errgroup.Group
+	for worker := range 8 {
+		group.Go(func() error {
+			key := fmt.Sprint(worker)
+			for i := range 20 {
+				if err := transfer(ctx, db, key, fmt.Sprint(i)); err != nil {
+					return err
+				}
+				var got string
+				if err := statement.QueryRowContext(ctx, key).Scan(&got); err != nil {
+					return err
+				}
+				if got != fmt.Sprint(i) {
+					return fmt.Errorf("value = %q, want %d", got, i)
+				}
+			}
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func transfer(ctx context.Context, db *sql.DB, key, value string) error {
+	tx, err := db.BeginTx(ctx, nil)
+	if err != nil {
+		return err
+	}
+	if _, err := tx.ExecContext(ctx, "update kv set v = $1 where k = $2", value, key); err != nil {
+		return errors.Join(err, tx.Rollback())
+	}
+	return tx.Commit()
+}
+
+// A statement is prepared once on each connection, however many callers use
+// it.
+func TestStatementsAreShared(t *testing.T) {
+	g := newFakeGroup(t, 3)
+	p, _ := startProxy(t, "p1", g, newFakeControl(t, standardResponse(g, 1)), nil)
+	for range 5 {
+		conn := connect(t, p, "")
+		put(t, conn, "a", "1")
+		if got := value(t, conn, "a"); got != "1" {
+			t.Errorf("value = %q, want 1", got)
+		}
+	}
+	s := g.servers[0]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if got := len(slices.Compact(slices.Sorted(slices.Values(s.prepared)))); got != len(s.prepared) || got != 2 {
+		t.Errorf("prepared %q, want each of 2 statements once", s.prepared)
+	}
+}
