Compare: servers without relays

Cause: the comparison put a relay between the proxy and its servers, but none before the direct callers.

--- a/internal/measure/bed/bed.go
+++ b/internal/measure/bed/bed.go
@@ -85,6 +85,9 @@
 		Synced bool
 		// Direct starts the servers alone, the first as primary.
 		Direct bool
+		// Bare lets servers announce their own address in place of their
+		// relay's: no latency and no faults, but no cost of the relay either.
+		Bare bool
 	}
 
 	// Bed is a running system.
--- a/internal/measure/bed/server.go
+++ b/internal/measure/bed/server.go
@@ -66,6 +66,9 @@
 		ApplyLag:     b.options.Lag,
 		Unsynced:     !b.options.Synced,
 	}}
+	if b.options.Bare {
+		s.options.Advertise = netip.AddrPort{}
+	}
 	if b.options.Direct {
 		// Every caller has a connection of its own.
 		s.options.Connections = 0
--- a/internal/measure/bench/bench.go
+++ b/internal/measure/bench/bench.go
@@ -88,7 +88,7 @@
 	p := options.Profile
 	p.Proxies, p.Latency, p.CallerLatency, p.ConnectDelay, p.ServiceTime = mostProxys, 0, 0, 0, 0
 	p.Slots, p.Connections = maxConns, maxConns
-	b, err := bed.Start(ctx, bed.Options{Profile: p, Folder: folder}, logger)
+	b, err := bed.Start(ctx, bed.Options{Profile: p, Folder: folder, Bare: true}, logger)
 	if err != nil {
 		return nil, eris.Wrapf(ErrBench, "%v", err)
 	}
