Repeat a lost campaign sooner

Cause: when two followers campaign at once and split the votes, both waited a whole election timeout again. Ruled out: shorter timeouts for all (more elections for nothing, see before). Change: the next campaign follows after half the random timeout.

--- a/internal/control/quorum/election.go
+++ b/internal/control/quorum/election.go
@@ -56,7 +56,9 @@
 	c.role = role
 	c.leader = ID{}
 	c.votes = map[ID]bool{c.self: true}
-	c.resetElection(now)
+	// Answers come within a round trip, so a lost campaign is repeated
+	// sooner than a silent leader is given up.
+	c.electionDeadline = now.Add(randomTimeout(c.options.Random, &c.options) / 2)
 	kind, term := MessagePreVote, c.state.Term+1
 	if role == RoleCandidate {
 		c.state.Term = term
