--- /dev/null
+++ b/internal/cli/apply/apply.go
@@ -0,0 +1,130 @@
+// Package apply holds the command that puts declarations from files in force.
+//
+// # Usage
+//
+//	cmd := apply.NewCmdApply(f)
+package apply
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/cli/command"
+	"github.com/burdockwood/burdockwood/internal/cli/declared"
+	"github.com/burdockwood/burdockwood/internal/cli/factory"
+	"github.com/burdockwood/burdockwood/internal/config/declaration"
+	"github.com/burdockwood/burdockwood/internal/config/settings"
+)
+
+type applyOptions struct {
+	settings.Client
+	settings.Author
+	factory.Confirmation
+	Folder   string        `short:"f" long:"folder" value-name:"DIR" description:"folder with .yaml files, read with its subfolders"`
+	DryRun   bool          `long:"dry-run" description:"show the difference and change nothing"`
+	Wait     bool          `long:"wait" description:"wait until every live proxy has the version in force"`
+	WaitTime time.Duration `long:"wait-time" default:"30s" description:"most time to wait"`
+	ChangeID string        `long:"change-id" value-name:"ID" description:"identifier of the change; the same one again gets the first answer"`
+	Expect   string        `long:"expect-version" value-name:"N" description:"version that the change builds on; without it the version in force"`
+}
+
+// NewCmdApply returns the command "apply".
+func NewCmdApply(f *factory.Factory) *command.Command {
+	options := &applyOptions{}
+	return &command.Command{
+		Name:  "apply",
+		Short: "Put declarations from files in force",
+		Long: `Put declarations from files in force. The files hold all groups and selectors:
+what they leave out is removed. A change builds on one version; if another
+change came first, control refuses this one and tells which won (exit code 4).
+After a lost answer, run the same command again: the change's identifier is
+made from its content, so it is accepted at most once.`,
+		Example: `burdockwood apply -f examples/guild --dry-run
+burdockwood apply -f examples/guild --wait
+burdockwood apply -f declarations --expect-version 41 --change-id release-7 --yes`,
+		Options: options,
+		Run: func(ctx context.Context, _ command.Call) error {
+			return applyRun(ctx, f, options)
+		},
+	}
+}
+
+// Check returns the faults of the flags.
+func (o *applyOptions) Check() settings.Faults {
+	faults := o.Client.Check()
+	if o.Folder == "" {
+		faults = append(faults, settings.Fault{Setting: "--folder", Text: "is missing", Fix: "name the folder with -f"})
+	}
+	if _, err := strconv.ParseUint(o.Expect, 10, 64); o.Expect != "" && err != nil {
+		faults = append(faults, settings.Fault{Setting: "--expect-version", Text: fmt.Sprintf("%q is not a version", o.Expect), Fix: "write a whole number"})
+	}
+	return faults
+}
+
+// expected returns the version that the change builds on.
+func (o *applyOptions) expected(inForce uint64) uint64 {
+	if version, err := strconv.ParseUint(o.Expect, 10, 64); err == nil {
+		return version
+	}
+	return inForce
+}
+
+func applyRun(ctx context.Context, f *factory.Factory, options *applyOptions) error {
+	next, err := declared.FromFolder(options.Folder)
+	if err != nil {
+		return err
+	}
+	current, err := declared.FromControl(ctx, f, options.Client, 0)
+	if err != nil {
+		return err
+	}
+	differences := current.Declarations.Diff(next)
+	if options.DryRun {
+		return dryRun(f, current, differences)
+	}
+	if len(differences) == 0 && options.ChangeID == "" && options.Expect == "" {
+		if _, err := fmt.Fprintf(f.Streams.Out, "version %d is in force already, nothing to change\n", current.Version); err != nil {
+			return err
+		}
+		return waitIfAsked(ctx, f, options, current.Version)
+	}
+	if err := confirmRemovals(f, options, differences); err != nil {
+		return err
+	}
+	request, err := declared.NewRequest(next, options.expected(current.Version), options.ChangeID, options.Author)
+	if err != nil {
+		return err
+	}
+	version, err := declared.Send(ctx, f, options.Client, request)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(f.Streams.Out, "version %d is accepted (%d differences, change %s)\n", version, len(differences), request.GetChangeId()); err != nil {
+		return err
+	}
+	return waitIfAsked(ctx, f, options, version)
+}
+
+func dryRun(f *factory.Factory, current declared.Current, differences []declaration.Difference) error {
+	if err := declared.WriteDiff(f.Streams.Out, differences); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(f.Streams.Out, "%d differences from version %d; nothing was changed\n", len(differences), current.Version)
+	return err
+}
+
+// confirmRemovals asks before groups or selectors are removed.
+func confirmRemovals(f *factory.Factory, options *applyOptions, differences []declaration.Difference) error {
+	removed := 0
+	for _, d := range differences {
+		if d.Action == declaration.Removed {
+			removed++
+		}
+	}
+	if removed == 0 {
+		return nil
+	}
+	return f.Confirm(options.Confirmation, fmt.Sprintf("Remove %d groups or selectors that the files leave out?", removed))
+}
