--- a/internal/control/failover/establish.go
+++ b/internal/control/failover/establish.go
@@ -22,7 +22,7 @@
 	}
 	for _, name := range d.participants(pending) {
 		if _, ok := d.plan.promises[name]; !ok {
-			d.send(Action{Kind: Promise, Server: name, Term: pending.Term})
+			d.sendToVoter(Action{Kind: Promise, Server: name, Term: pending.Term})
 		}
 	}
 	if d.hasQuorum(pending) {
@@ -42,7 +42,7 @@
 	late := d.now.Sub(d.plan.started) > plannedTimeout
 	stopped, ok := d.plan.promises[primary]
 	if !ok {
-		d.send(Action{Kind: Promise, Server: primary, Term: pending.Term})
+		d.sendToVoter(Action{Kind: Promise, Server: primary, Term: pending.Term})
 		if late {
 			d.begin(state.ReasonFailover, "", d.s.Record.Voters)
 		}
--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -66,6 +66,9 @@
 	// OutcomeFailed tells that the action failed or that its outcome is
 	// unknown.
 	OutcomeFailed
+	// OutcomeLostDisk tells that nothing was asked of the server, since its
+	// promise is below the action's LeastPromised.
+	OutcomeLostDisk
 )
 
 const (
@@ -74,8 +77,10 @@
 	// WaitAtMost bounds the time of one Wait.
 	WaitAtMost = 200 * time.Millisecond
 
-	resendAfter    = 2 * CallTimeout
-	retryPause     = 100 * time.Millisecond
+	resendAfter = 2 * CallTimeout
+	retryPause  = 100 * time.Millisecond
+	// waitPause is the least time between two waits that end early.
+	waitPause      = 20 * time.Millisecond
 	beginPause     = 500 * time.Millisecond
 	plannedTimeout = 1500 * time.Millisecond
 	plannedPause   = 5 * time.Second
@@ -102,9 +107,15 @@
 		Term    cluster.Term
 		Mark    cluster.Mark
 		Primary netip.AddrPort
-		Begin   state.BeginTerm
-		Commit  state.CommitTerm
-		Member  state.Member
+		// Incarnation is the server's newest known one when the action was
+		// decided.
+		Incarnation cluster.Incarnation
+		// LeastPromised is what the server must have promised before a
+		// Promise or Follow: a voter without a promise has lost its disk.
+		LeastPromised cluster.Term
+		Begin         state.BeginTerm
+		Commit        state.CommitTerm
+		Member        state.Member
 	}
 
 	// Event is the outcome of an action; the zero Event reports none.
@@ -141,7 +152,9 @@
 		follows    map[cluster.ServerName]follow
 		next       map[key]time.Time
 		above      cluster.Term
-		wanted     *Wanted
+		// lost are voters found without their disk.
+		lost   map[cluster.ServerName]bool
+		wanted *Wanted
 		// plannedAfter is when the next planned change may begin.
 		plannedAfter time.Time
 	}
@@ -206,6 +219,7 @@
 	p.promises = cloneOrNew(p.promises)
 	p.reached = cloneOrNew(p.reached)
 	p.follows = cloneOrNew(p.follows)
+	p.lost = cloneOrNew(p.lost)
 	p.next = cloneOrNew(p.next)
 	return p
 }
@@ -226,6 +240,9 @@
 	at := key{action.Kind, action.Server}
 	if event.Outcome != OutcomeDone {
 		d.plan.next[at] = d.now.Add(retryPause)
+		if event.Outcome == OutcomeLostDisk {
+			d.plan.lost[action.Server] = true
+		}
 		if event.Outcome == OutcomeStale {
 			d.plan.above = max(d.plan.above, event.Before.Promised, event.Status.Promised)
 		}
@@ -238,7 +255,9 @@
 	case Promise:
 		d.foldPromise(event)
 	case Wait:
-		if action.Term == d.plan.term && event.Status.Received.Covers(action.Mark) {
+		if !event.Status.Received.Covers(action.Mark) {
+			d.plan.next[at] = d.now.Add(waitPause)
+		} else if action.Term == d.plan.term {
 			d.plan.reached[action.Server] = true
 		}
 	case Promote:
@@ -247,7 +266,7 @@
 	case Follow:
 		d.plan.follows[action.Server] = follow{
 			term: action.Term, primary: action.Primary, at: d.now,
-			incarnation: d.s.Servers[action.Server].Incarnation,
+			incarnation: action.Incarnation,
 		}
 	}
 }
@@ -259,7 +278,7 @@
 	}
 	d.startTerm(pending)
 	member := d.s.Record.Members[event.Action.Server]
-	lost := d.s.Record.Term > 0 && (member.Repairing || event.Before.Promised == 0)
+	lost := member.Repairing
 	// A disk lost after an earlier promise shows as a shorter log.
 	if earlier, ok := d.plan.promises[event.Action.Server]; ok {
 		lost = lost || earlier.lost || event.Status.Received.Compare(earlier.received) < 0
@@ -290,10 +309,28 @@
 	action.Group = d.s.Record.Name
 	if action.Server != "" {
 		action.Address = d.address(action.Server)
+		action.Incarnation = d.s.Servers[action.Server].Incarnation
 	}
 	d.actions = append(d.actions, action)
 }
 
+// sendToVoter returns a Promise or Follow to a server, or a Repair first if it
+// has lost its disk.
+func (d *decider) sendToVoter(action Action) {
+	record := d.s.Record
+	member, ok := record.Members[action.Server]
+	if d.plan.lost[action.Server] && ok && !member.Repairing {
+		member.Repairing = true
+		d.send(Action{Kind: Repair, Server: action.Server, Member: member})
+		return
+	}
+	delete(d.plan.lost, action.Server)
+	if record.Term > 0 && !member.Repairing {
+		action.LeastPromised = 1
+	}
+	d.send(action)
+}
+
 // begin proposes a term above all that are known.
 func (d *decider) begin(reason state.Reason, target cluster.ServerName, voters []cluster.ServerName) {
 	base := d.s.Record.HighestTerm()
--- a/internal/control/failover/maintain.go
+++ b/internal/control/failover/maintain.go
@@ -136,7 +136,7 @@
 func (d *decider) isReady(name cluster.ServerName) bool {
 	record := d.s.Record
 	primary, ok := d.s.Servers[record.Primary]
-	if !ok || d.plan.follows[name].term != record.Term {
+	if !ok || d.plan.follows[name].term != record.Term || record.Members[name].Repairing {
 		return false
 	}
 	server := d.s.Servers[name]
@@ -148,9 +148,10 @@
 	record := d.s.Record
 	server, ok := d.s.Servers[record.Primary]
 	if ok && server.Promised == record.Term && server.Heard.After(d.plan.promotedAt) {
-		// A primary that was started again doesn't know its role.
+		// A primary that was started again doesn't know its role, and one of
+		// an earlier term has no entry of this term.
 		d.plan.promoted = 0
-		if server.Role == cluster.RolePrimary {
+		if server.Role == cluster.RolePrimary && server.Received.Term == record.Term {
 			d.plan.promoted = record.Term
 		}
 	}
@@ -161,20 +162,19 @@
 	return true
 }
 
-// repairVoters marks voters that lost their disk, and unmarks those that have
-// caught up.
+// repairVoters marks voters that lost their disk, and unmarks servers that
+// have caught up.
 func (d *decider) repairVoters() {
 	record := d.s.Record
-	for _, name := range record.Voters {
+	for _, name := range slices.Sorted(maps.Keys(record.Members)) {
 		server, ok := d.s.Servers[name]
 		if !ok || name == record.Primary {
 			continue
 		}
 		member := record.Members[name]
 		switch {
-		case !member.Repairing && server.Promised == 0:
-			member.Repairing = true
-			d.send(Action{Kind: Repair, Server: name, Member: member})
+		case !member.Repairing && server.Promised == 0 && slices.Contains(record.Voters, name):
+			d.plan.lost[name] = true
 		case member.Repairing && d.hasCaughtUp(name, server):
 			member.Repairing = false
 			d.send(Action{Kind: Repair, Server: name, Member: member})
@@ -194,7 +194,7 @@
 		followed.repaired = primary.Received
 		d.plan.follows[name] = followed
 	}
-	return !followed.repaired.IsZero() && server.Received.Covers(followed.repaired)
+	return !followed.repaired.IsZero() && server.Heard.After(followed.at) && server.Received.Covers(followed.repaired)
 }
 
 // followPrimary makes every other member follow the primary.
@@ -202,17 +202,19 @@
 	record := d.s.Record
 	primary := d.address(record.Primary)
 	for _, name := range slices.Sorted(maps.Keys(record.Members)) {
-		server, known := d.s.Servers[name]
+		server := d.s.Servers[name]
 		if name == record.Primary || !d.isLive(name) {
 			continue
 		}
-		if known && server.Promised == 0 && slices.Contains(record.Voters, name) && !record.Members[name].Repairing {
-			continue
-		}
 		done := d.plan.follows[name]
 		if done.term == record.Term && done.primary == primary && done.incarnation == server.Incarnation {
 			continue
 		}
-		d.send(Action{Kind: Follow, Server: name, Term: record.Term, Primary: primary})
+		follow := Action{Kind: Follow, Server: name, Term: record.Term, Primary: primary}
+		if slices.Contains(record.Voters, name) {
+			d.sendToVoter(follow)
+		} else {
+			d.send(follow)
+		}
 	}
 }
--- a/internal/control/runner/errors.go
+++ b/internal/control/runner/errors.go
@@ -2,5 +2,10 @@
 
 import "github.com/rotisserie/eris"
 
-// errWrongServer tells that another server than expected is at an address.
-var errWrongServer = eris.New("another backend server answers at this address")
+var (
+	// errWrongServer tells that another server than expected is at an
+	// address.
+	errWrongServer = eris.New("another backend server answers at this address")
+	// errLostDisk tells that a server lacks the promise it once made.
+	errLostDisk = eris.New("the backend server has lost its promise")
+)
--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -145,6 +145,8 @@
 		event.Outcome = failover.OutcomeDone
 	case errors.Is(err, adapter.ErrStaleTerm):
 		event.Outcome = failover.OutcomeStale
+	case errors.Is(err, errLostDisk):
+		event.Outcome = failover.OutcomeLostDisk
 	}
 	if err != nil {
 		r.logger.V(1).Info("call to a backend server failed", "group", action.Group, "server", action.Server,
@@ -163,6 +165,9 @@
 	if before.Group != action.Group || before.Server != action.Server {
 		return errWrongServer
 	}
+	if before.Promised < action.LeastPromised {
+		return errLostDisk
+	}
 	switch action.Kind {
 	case failover.Promise:
 		event.Status, err = server.Promise(ctx, action.Term)
