--- a/internal/control/failover/maintain.go
+++ b/internal/control/failover/maintain.go
@@ -44,7 +44,7 @@
 		d.plan.above = max(d.plan.above, d.s.Servers[name].Promised)
 	}
 	overtaken := d.plan.above > record.Term
-	if !overtaken && !d.s.Verdict.Replace() && !d.primaryLostDisk() {
+	if !overtaken && !d.s.Verdict.Replace() && !d.plan.lost[record.Primary] {
 		return false
 	}
 	if d.liveReplicas() < cluster.Majority(len(record.Voters)) && !overtaken {
@@ -54,12 +54,6 @@
 	return true
 }
 
-// primaryLostDisk reports whether the promoted primary has no promise left.
-func (d *decider) primaryLostDisk() bool {
-	server, ok := d.s.Servers[d.s.Record.Primary]
-	return ok && server.Promised == 0 && d.isLive(d.s.Record.Primary)
-}
-
 // liveReplicas counts the voters besides the primary that aren't silent.
 func (d *decider) liveReplicas() int {
 	count := 0
@@ -80,15 +74,24 @@
 	if d.plan.wanted == nil && !d.isLeaving(record.Primary) {
 		return false
 	}
-	if d.s.Verdict != detect.Fine || d.now.Before(d.plan.plannedAfter) {
+	if d.s.Verdict != detect.Fine {
 		return false
 	}
 	target, ok := d.successor()
 	if !ok {
 		return false
 	}
+	return d.beginPlanned(state.ReasonSwitchover, target, record.Voters)
+}
+
+// beginPlanned begins a planned change and returns true, unless another one or
+// another term began just now.
+func (d *decider) beginPlanned(reason state.Reason, target cluster.ServerName, voters []cluster.ServerName) bool {
+	if d.now.Before(d.plan.plannedAfter) || d.now.Before(d.plan.next[key{kind: Begin}]) {
+		return false
+	}
 	d.plan.plannedAfter = d.now.Add(plannedPause)
-	d.begin(state.ReasonSwitchover, target, record.Voters)
+	d.begin(reason, target, voters)
 	return true
 }
 
@@ -120,16 +123,14 @@
 // changeVoters begins a term with other voters and the same primary.
 func (d *decider) changeVoters() bool {
 	record := d.s.Record
-	if d.s.Verdict != detect.Fine || d.now.Before(d.plan.plannedAfter) || d.plan.promoted != record.Term {
+	if d.s.Verdict != detect.Fine || d.plan.promoted != record.Term {
 		return false
 	}
 	voters := registry.Voters(record.Voters, d.s.Servers, d.isReady, d.s.Declared, d.s.LeaderSince, d.now)
 	if slices.Equal(voters, record.Voters) || !slices.Contains(voters, record.Primary) {
 		return false
 	}
-	d.plan.plannedAfter = d.now.Add(plannedPause)
-	d.begin(state.ReasonVoters, record.Primary, voters)
-	return true
+	return d.beginPlanned(state.ReasonVoters, record.Primary, voters)
 }
 
 // isReady reports whether a server has nearly caught up with the primary.
@@ -143,27 +144,26 @@
 	return server.Received.Term == primary.Received.Term && server.Received.Position+readyLag >= primary.Received.Position
 }
 
-// promotePrimary returns true once the primary is known to be promoted.
+// promotePrimary returns true once the primary is known to be promoted. One
+// that was started again doesn't know its role, and one of an earlier term has
+// no entry of this term.
 func (d *decider) promotePrimary() bool {
 	record := d.s.Record
 	server, ok := d.s.Servers[record.Primary]
-	if ok && server.Promised == record.Term && server.Heard.After(d.plan.promotedAt) {
-		// A primary that was started again doesn't know its role, and one of
-		// an earlier term has no entry of this term.
+	if ok && server.Heard.After(d.plan.promotedAt) {
 		d.plan.promoted = 0
-		if server.Role == cluster.RolePrimary && server.Received.Term == record.Term {
+		if server.Role == cluster.RolePrimary && server.Promised == record.Term && server.Received.Term == record.Term {
 			d.plan.promoted = record.Term
 		}
 	}
-	if d.plan.promoted != record.Term {
-		d.send(Action{Kind: Promote, Server: record.Primary, Term: record.Term})
-		return false
+	if d.plan.promoted == record.Term {
+		return true
 	}
-	return true
+	d.send(Action{Kind: Promote, Server: record.Primary, Term: record.Term, LeastPromised: 1})
+	return false
 }
 
-// repairVoters marks voters that lost their disk, and unmarks servers that
-// have caught up.
+// repairVoters unmarks servers that have caught up after a lost disk.
 func (d *decider) repairVoters() {
 	record := d.s.Record
 	for _, name := range slices.Sorted(maps.Keys(record.Members)) {
@@ -172,10 +172,7 @@
 			continue
 		}
 		member := record.Members[name]
-		switch {
-		case !member.Repairing && server.Promised == 0 && slices.Contains(record.Voters, name):
-			d.plan.lost[name] = true
-		case member.Repairing && d.hasCaughtUp(name, server):
+		if member.Repairing && d.hasCaughtUp(name, server) {
 			member.Repairing = false
 			d.send(Action{Kind: Repair, Server: name, Member: member})
 		}
--- a/internal/control/wal/wal.go
+++ b/internal/control/wal/wal.go
@@ -150,15 +150,30 @@
 // SaveSnapshot makes a snapshot, the hard state and the entries after the
 // snapshot durable, in place of all that was stored before.
 func (l *Log) SaveSnapshot(s *quorum.Snapshot, state quorum.HardState, entries []quorum.Entry) error {
-	if l.failed != nil {
-		return l.failed
+	if err := l.WriteSnapshot(s); err != nil {
+		return l.fail(err)
 	}
+	return l.UseSnapshot(s, state, entries)
+}
+
+// WriteSnapshot makes the file of a snapshot durable, without effect until
+// UseSnapshot. It may run beside Save in another goroutine.
+func (l *Log) WriteSnapshot(s *quorum.Snapshot) error {
 	payload, err := codec.EncodeSnapshot(s)
 	if err != nil {
-		return l.fail(err)
+		return eris.Wrap(ErrFailed, err.Error())
 	}
 	if err := l.writeFile(snapshotName(s.Index), snapshotMagic, payload); err != nil {
-		return l.fail(err)
+		return eris.Wrap(ErrFailed, err.Error())
+	}
+	return nil
+}
+
+// UseSnapshot begins the stored log anew with a written snapshot, the hard
+// state and the entries after the snapshot, and removes what was stored before.
+func (l *Log) UseSnapshot(s *quorum.Snapshot, state quorum.HardState, entries []quorum.Entry) error {
+	if l.failed != nil {
+		return l.failed
 	}
 	old := l.file
 	base := codec.Frame{Base: true, HardState: state, Entries: entries, SnapshotIndex: s.Index}
@@ -215,7 +230,7 @@
 
 // writeFile makes a file of one frame durable under its name.
 func (l *Log) writeFile(name, magic string, payload []byte) error {
-	data := appendHeader(nil, magic, 0)
+	data := newHeader(magic, 0)
 	data = appendFrame(data, 0, headerBytes, payload)
 	file, err := l.fs.Create(name + temporary)
 	if err != nil {
@@ -254,8 +269,8 @@
 
 // checkMagic refuses a file of another kind or version.
 func checkMagic(name string, data []byte, magic string) error {
-	if len(data) < headerBytes || string(data[:magicBytes-1]) != magic[:magicBytes-1] {
-		return eris.Wrapf(ErrCorrupt, "%s: not a file of burdockwood", name)
+	if !isSoundHeader(data) || string(data[:magicBytes-1]) != magic[:magicBytes-1] {
+		return eris.Wrapf(ErrCorrupt, "%s: its header is damaged, or it is no file of burdockwood", name)
 	}
 	if data[magicBytes-1] != magic[magicBytes-1] {
 		return eris.Wrapf(ErrVersion, "%s: version %d", name, data[magicBytes-1])
@@ -264,7 +279,7 @@
 }
 
 func segmentBytes(sequence uint64, base []byte) []byte {
-	data := appendHeader(nil, segmentMagic, sequence)
+	data := newHeader(segmentMagic, sequence)
 	return appendFrame(data, sequence, headerBytes, base)
 }
 
