--- a/internal/cli/role/role.go
+++ b/internal/cli/role/role.go
@@ -112,7 +112,7 @@
 	if err != nil && ctx.Err() == nil {
 		return err
 	}
-	logger.Info("stopped")
+	logger.Info("process ends")
 	return nil
 }
 
--- a/internal/config/declaration/examples_test.go
+++ b/internal/config/declaration/examples_test.go
@@ -19,6 +19,7 @@
 		{"guild", "ledger-north", "crew", declaration.KindAgedRead, "balances"},
 		{"guild", "ledger-north", "crew", declaration.KindWrite, ""},
 		{"guild", "ledger-north", "clerk", declaration.KindRead, "reconciliation"},
+		{"guild", "ledger-nort", "payroll", declaration.KindWrite, ""},
 		{"ecouri", "cases-west", "office", declaration.KindWrite, "submissions"},
 		{"ecouri", "cases-west", "faculty", declaration.KindWrite, "evidence"},
 		{"ecouri", "cases-west", "editor", declaration.KindRead, "drafts"},
--- a/internal/ops/metrics/write.go
+++ b/internal/ops/metrics/write.go
@@ -41,9 +41,9 @@
 // WritePrometheus writes the registry in the Prometheus text format.
 func WritePrometheus(w io.Writer, registry Registry) error {
 	all := make(families)
-	registry.Each(func(name string, metric any) {
-		all.add(name, metric)
-	})
+	for _, name := range names(registry) {
+		all.add(name, registry.Get(name))
+	}
 	for _, name := range slices.Sorted(maps.Keys(all)) {
 		if _, err := expfmt.MetricFamilyToText(w, all[name]); err != nil {
 			return err
@@ -75,6 +75,15 @@
 	return encoder.Encode(all)
 }
 
+// names returns the names in the registry, sorted, so that the text of two
+// looks can be compared.
+func names(registry Registry) []string {
+	var all []string
+	registry.Each(func(name string, _ any) { all = append(all, name) })
+	slices.Sort(all)
+	return all
+}
+
 func (f families) add(name string, metric any) {
 	base, labels := splitName(name)
 	entry := &dto.Metric{Label: labels}
