TLS between the system's processes, keys that change without a restart

Cause: connections between processes carried the shared key in the clear, and a new key needed a restart of everything, during which processes with different keys refused each other. Ruled out: checking names in certificates, since addresses are IP numbers that change with VMs; a second port for TLS. A proxy whose peers can't reach it is refused by the check of its settings. Contracts: transport gains Keyring, StaticKey, NewClientWith and GuardWith; the former functions keep their meaning, but Options.TLS now also covers http:// addresses, which is what transport.URL returns. settings gains Internal.

--- a/internal/cli/factory/factory.go
+++ b/internal/cli/factory/factory.go
@@ -30,6 +30,7 @@
 	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
 	"github.com/burdockwood/burdockwood/internal/rpc/leader"
 	"github.com/burdockwood/burdockwood/internal/rpc/transport"
+	"github.com/burdockwood/burdockwood/internal/rpc/trust"
 )
 
 const (
@@ -139,11 +140,11 @@
 }
 
 func newClient(options settings.Client) (*leader.Client, *http.Client, error) {
-	key, err := settings.ReadSecret(options.KeyFile)
+	trusted, err := trust.Load(options.KeyFile, options.Internal)
 	if err != nil {
-		return nil, nil, exit.New(exit.Usage, err, "check --key-file")
+		return nil, nil, exit.New(exit.Usage, err, "check the files")
 	}
-	httpClient := transport.NewClient(key, transport.Options{})
+	httpClient := trusted.Client(transport.Options{})
 	return leader.New(options.ControlAddresses(), httpClient), httpClient, nil
 }
 
--- a/internal/config/settings/address.go
+++ b/internal/config/settings/address.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"os"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -43,19 +42,6 @@
 // AdminAddress returns the admin address and whether there is one.
 func (s *Common) AdminAddress() (netip.AddrPort, bool) { return addressOf(s.Admin), s.Admin != "" }
 
-// ReadSecret returns the text of a key or password file without surrounding
-// space; "" for an empty name.
-func ReadSecret(name string) (string, error) {
-	if name == "" {
-		return "", nil
-	}
-	text, err := os.ReadFile(name)
-	if err != nil {
-		return "", eris.Wrap(err, "read the secret")
-	}
-	return strings.TrimSpace(string(text)), nil
-}
-
 // addressOf returns the zero address for a malformed text.
 func addressOf(text string) netip.AddrPort {
 	address, _ := netip.ParseAddrPort(text)
--- a/internal/config/settings/check.go
+++ b/internal/config/settings/check.go
@@ -45,6 +45,7 @@
 	c.address("listen", p.Listen, true)
 	c.address("peer", p.Peer, false)
 	c.reachable("peer", p.Peer)
+	c.peer(p)
 	c.differ("listen", p.Listen, "peer", p.Peer)
 	c.differ("listen", p.Listen, "admin", p.Admin)
 	c.addresses("control", p.Control)
@@ -76,6 +77,7 @@
 	var c checker
 	c.addresses("control", s.Control)
 	c.file("key-file", s.KeyFile)
+	c.internal(s.Internal)
 	return c.faults
 }
 
@@ -117,6 +119,30 @@
 	}
 	c.address("admin", s.Admin, false)
 	c.file("key-file", s.KeyFile)
+	c.internal(s.Internal)
+}
+
+// internal checks that the three files are given together and fit.
+func (c *checker) internal(s Internal) {
+	if s.InternalCert == "" && s.InternalKey == "" && s.InternalCA == "" {
+		return
+	}
+	missing := false
+	for _, file := range []struct{ setting, name string }{
+		{"internal-cert", s.InternalCert}, {"internal-key", s.InternalKey}, {"internal-ca", s.InternalCA},
+	} {
+		if file.name == "" {
+			c.fault(file.setting, "is missing beside the other --internal settings", "set all three or none")
+			missing = true
+		}
+	}
+	if missing {
+		return
+	}
+	if _, err := tls.LoadX509KeyPair(s.InternalCert, s.InternalKey); err != nil {
+		c.fault("internal-cert", "can't load the certificate and key: "+err.Error(), "check both files, in PEM form")
+	}
+	c.file("internal-ca", s.InternalCA)
 }
 
 func (c *checker) required(setting, value string) {
@@ -144,6 +170,19 @@
 	}
 }
 
+// peer refuses a proxy on a VM of its own whose peers can't reach it.
+func (c *checker) peer(p *Proxy) {
+	peer, peerErr := netip.ParseAddrPort(p.Peer)
+	isLocal := p.Peer == "" || peerErr == nil && peer.Addr().IsLoopback()
+	for _, text := range p.Control {
+		control, err := netip.ParseAddrPort(text)
+		if err == nil && !control.Addr().IsLoopback() && isLocal {
+			c.fault("peer", "other proxies can't reach this one, but control is on another VM", "write the VM's own IP number and a port")
+			return
+		}
+	}
+}
+
 func (c *checker) addresses(setting string, values []string) {
 	if len(values) == 0 {
 		c.required(setting, "")
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -18,14 +18,23 @@
 import "time"
 
 type (
+	// Internal are the settings of TLS between the system's own processes;
+	// all are given or none.
+	Internal struct {
+		InternalCert string `long:"internal-cert" env:"BURDOCKWOOD_INTERNAL_CERT" description:"certificate file for connections between the system's processes"`
+		InternalKey  string `long:"internal-key" env:"BURDOCKWOOD_INTERNAL_KEY" description:"key file for connections between the system's processes"`
+		InternalCA   string `long:"internal-ca" env:"BURDOCKWOOD_INTERNAL_CA" description:"certificate file of the authority of all the system's processes"`
+	}
+
 	// Common are the settings that every role has.
 	Common struct {
+		Internal
 		Name       string `long:"name" env:"BURDOCKWOOD_NAME" description:"name of this process, unique among its role"`
 		DataCentre string `long:"data-centre" env:"BURDOCKWOOD_DATA_CENTRE" description:"data centre of this process"`
 		LogLevel   string `long:"log-level" env:"BURDOCKWOOD_LOG_LEVEL" default:"info" description:"debug, info or error"`
 		LogFormat  string `long:"log-format" env:"BURDOCKWOOD_LOG_FORMAT" default:"json" description:"json or text"`
 		Admin      string `long:"admin" env:"BURDOCKWOOD_ADMIN" description:"IP:port for health, metrics and log level; empty for none"`
-		KeyFile    string `long:"key-file" env:"BURDOCKWOOD_KEY_FILE" description:"file with the key shared by this system's processes"`
+		KeyFile    string `long:"key-file" env:"BURDOCKWOOD_KEY_FILE" description:"file with the keys shared by this system's processes, one a line; the first is presented"`
 	}
 
 	// Proxy are the settings of the role "proxy".
@@ -61,7 +70,8 @@
 
 	// Client are the settings of the operators' commands.
 	Client struct {
+		Internal
 		Control []string `long:"control" env:"BURDOCKWOOD_CONTROL" env-delim:"," default:"127.0.0.1:7400" description:"IP:port of each control node"`
-		KeyFile string   `long:"key-file" env:"BURDOCKWOOD_KEY_FILE" description:"file with the key shared by this system's processes"`
+		KeyFile string   `long:"key-file" env:"BURDOCKWOOD_KEY_FILE" description:"file with the keys shared by this system's processes, one a line; the first is presented"`
 	}
 )
--- a/internal/config/settings/settings_test.go
+++ b/internal/config/settings/settings_test.go
@@ -69,6 +69,8 @@
 		{"empty key file", []string{"--key-file=" + empty}, nil, []string{"--key-file: " + empty + " is empty"}},
 		{"ranges", []string{"--deadline=2h", "--max-callers=0"}, nil, []string{"--deadline: 2h0m0s is out of range", "--max-callers: 0 is out of range"}},
 		{"same address", []string{"--admin=127.0.0.1:6432"}, nil, []string{"--admin: 127.0.0.1:6432 is the address of --listen too"}},
+		{"part of the internal settings", []string{"--internal-cert=x"}, nil, []string{"--internal-key: is missing", "--internal-ca: is missing"}},
+		{"peer that others can't reach", []string{"--control=10.0.0.1:7400"}, nil, []string{"--peer: other proxies can't reach this one"}},
 		{"unreachable peer address", []string{"--peer=0.0.0.0:1"}, nil, []string{"--peer: 0.0.0.0:1 is no address that others can reach"}},
 	}
 	for _, test := range tests {
--- a/internal/control/daemon/daemon.go
+++ b/internal/control/daemon/daemon.go
@@ -29,8 +29,10 @@
 	"github.com/burdockwood/burdockwood/internal/control/service"
 	"github.com/burdockwood/burdockwood/internal/control/state"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/ops/keys"
 	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
 	"github.com/burdockwood/burdockwood/internal/rpc/transport"
+	"github.com/burdockwood/burdockwood/internal/rpc/trust"
 )
 
 // ErrStart tells why a control node can't start.
@@ -39,9 +41,9 @@
 // Run runs a control node until ctx ends. Errors: ErrStart, or why the node
 // stopped.
 func Run(ctx context.Context, options settings.Control, logger logr.Logger) error {
-	key, err := readSecret(options.KeyFile)
+	trusted, err := trust.Load(options.KeyFile, options.Internal)
 	if err != nil {
-		return err
+		return eris.Wrapf(ErrStart, "%v", err)
 	}
 	password, err := readSecret(options.BackendPassword)
 	if err != nil {
@@ -52,7 +54,7 @@
 		return eris.Wrapf(ErrStart, "listen on %q: %v", options.Listen, err)
 	}
 	machine := state.New()
-	log, err := newNode(options, key, listener, machine, logger)
+	log, err := newNode(options, trusted, listener, machine, logger)
 	if err != nil {
 		return errors.Join(err, listener.Close())
 	}
@@ -70,7 +72,12 @@
 	}
 	logger.Info("listening", "address", listener.Addr().String())
 	return runAll(ctx,
-		func(ctx context.Context) error { return transport.Serve(ctx, listener, transport.Guard(key, mux)) },
+		func(ctx context.Context) error {
+			return transport.Serve(ctx, trusted.Listener(listener), trusted.Guard(mux))
+		},
+		func(ctx context.Context) error {
+			return keys.Watch(ctx, logger, keys.DefaultInterval, trusted.Reloaders()...)
+		},
 		func(ctx context.Context) error { return tick(ctx, c, machine, log) },
 		runner.New(c, log, dial, logger).Run,
 		log.Run,
@@ -78,7 +85,7 @@
 }
 
 // newNode opens the data folder and returns the agreement protocol on it.
-func newNode(options settings.Control, key string, listener net.Listener, machine *state.Machine, logger logr.Logger) (*node.Node, error) {
+func newNode(options settings.Control, trusted *trust.Trust, listener net.Listener, machine *state.Machine, logger logr.Logger) (*node.Node, error) {
 	listening, err := netip.ParseAddrPort(listener.Addr().String())
 	if err != nil {
 		return nil, eris.Wrapf(ErrStart, "listen on %q: %v", options.Listen, err)
@@ -90,7 +97,7 @@
 	}
 	log, err := node.New(node.Options{
 		Name: name, Address: addressOf(peers, name), Peers: peers, Folder: options.Data,
-		Machine: machine, Logger: logger, Client: transport.NewClient(key, transport.Options{}),
+		Machine: machine, Logger: logger, Client: trusted.Client(transport.Options{}),
 	})
 	if err != nil {
 		return nil, eris.Wrapf(ErrStart, "%v", err)
--- a/internal/proxy/daemon/daemon.go
+++ b/internal/proxy/daemon/daemon.go
@@ -44,6 +44,7 @@
 	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
 	"github.com/burdockwood/burdockwood/internal/rpc/leader"
 	"github.com/burdockwood/burdockwood/internal/rpc/transport"
+	"github.com/burdockwood/burdockwood/internal/rpc/trust"
 )
 
 const (
@@ -73,6 +74,7 @@
 		options     settings.Proxy
 		log         logr.Logger
 		credentials adapter.Credentials
+		trust       *trust.Trust
 		tls         *tls.Config
 		passwords   *authn.File
 		reloaders   []keys.Reloader
@@ -123,14 +125,15 @@
 	if err != nil {
 		return nil, err
 	}
-	key, err := readSecret(options.KeyFile)
+	p.trust, err = trust.Load(options.KeyFile, options.Internal)
 	if err != nil {
-		return nil, err
+		return nil, eris.Wrapf(ErrSettings, "%v", err)
 	}
+	p.reloaders = append(p.reloaders, p.trust.Reloaders()...)
 	if err := p.listen(); err != nil {
 		return nil, err
 	}
-	client := transport.NewClient(key, transport.Options{})
+	client := p.trust.Client(transport.Options{})
 	p.chooser.Store(&chooserOf{chooser: choose.ByDatabase{}})
 	p.registry = upstream.New(upstream.Options{
 		Dial:        dial,
@@ -159,7 +162,7 @@
 		Client:   client,
 		Started:  time.Now(),
 	})
-	p.peerHandler = transport.Guard(key, controlpb.NewSessionsServer(p.marks))
+	p.peerHandler = p.trust.Guard(controlpb.NewSessionsServer(p.marks))
 	p.shared = &caller.Shared{
 		Snapshot: p.store.Load,
 		Upstream: p.registry,
@@ -280,7 +283,7 @@
 
 // servePeers answers the other proxies until ctx ends.
 func (p *Proxy) servePeers(ctx context.Context) error {
-	return transport.Serve(ctx, p.peers, p.peerHandler)
+	return transport.Serve(ctx, p.trust.Listener(p.peers), p.peerHandler)
 }
 
 // snapshotChanged takes a new snapshot's declarations into force.
--- a/internal/rpc/transport/transport.go
+++ b/internal/rpc/transport/transport.go
@@ -9,7 +9,8 @@
 //	handler := transport.Guard(key, mux)
 //	err := transport.Serve(ctx, listener, handler)
 //
-// A request without the key is answered with 401 before its body is read.
+// A request without the key is answered with 401 before its body is read. Keys
+// that change while the process runs come from a Keyring.
 package transport
 
 import (
@@ -20,6 +21,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -45,7 +47,8 @@
 	Options struct {
 		// DialTimeout bounds the time to open a connection; zero: 500 ms.
 		DialTimeout time.Duration
-		// TLS turns on TLS; nil: plain TCP.
+		// TLS turns on TLS, also for addresses that URL returns; nil: plain
+		// TCP.
 		TLS *tls.Config
 		// Traffic counts the bytes of all connections, if set.
 		Traffic *Traffic
@@ -57,13 +60,26 @@
 		Received atomic.Int64
 	}
 
+	// Keyring holds the keys by which processes of the system know each
+	// other.
+	Keyring interface {
+		// Present returns the key that a request carries; "" for none.
+		Present() string
+		// Accepts reports whether a request with that key is admitted.
+		Accepts(key string) bool
+	}
+
+	// StaticKey is a keyring with one key; the empty one admits every
+	// request.
+	StaticKey string
+
 	countedConn struct {
 		net.Conn
 		traffic *Traffic
 	}
 
 	keyedRoundTripper struct {
-		key  string
+		ring Keyring
 		next http.RoundTripper
 	}
 )
@@ -84,46 +100,82 @@
 
 // RoundTrip adds the key to a request.
 func (t *keyedRoundTripper) RoundTrip(request *http.Request) (*http.Response, error) {
-	if t.key == "" {
+	key := t.ring.Present()
+	if key == "" {
 		return t.next.RoundTrip(request)
 	}
 	keyed := request.Clone(request.Context())
-	keyed.Header.Set(keyHeader, keyScheme+t.key)
+	keyed.Header.Set(keyHeader, keyScheme+key)
 	return t.next.RoundTrip(keyed)
 }
 
+// Present returns the key.
+func (k StaticKey) Present() string { return string(k) }
+
+// Accepts compares in constant time.
+func (k StaticKey) Accepts(key string) bool {
+	return k == "" || subtle.ConstantTimeCompare([]byte(key), []byte(k)) == 1
+}
+
 // NewClient returns an HTTP client that presents key with each request.
 // Callers bound each call with its context.
 func NewClient(key string, options Options) *http.Client {
+	return NewClientWith(StaticKey(key), options)
+}
+
+// NewClientWith is NewClient with a keyring.
+func NewClientWith(ring Keyring, options Options) *http.Client {
+	next := &http.Transport{
+		DialContext:         dialer(options),
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+	return &http.Client{Transport: &keyedRoundTripper{ring: ring, next: next}}
+}
+
+// dialer opens connections as the options say.
+func dialer(options Options) func(ctx context.Context, network, address string) (net.Conn, error) {
 	timeout := options.DialTimeout
 	if timeout == 0 {
 		timeout = defaultDialTimeout
 	}
-	dialer := &net.Dialer{Timeout: timeout, KeepAlive: headerTimeout}
-	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
-		if err != nil || options.Traffic == nil {
-			return conn, err
+	tcp := &net.Dialer{Timeout: timeout, KeepAlive: headerTimeout}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := tcp.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
 		}
-		return &countedConn{Conn: conn, traffic: options.Traffic}, nil
+		if options.Traffic != nil {
+			conn = &countedConn{Conn: conn, traffic: options.Traffic}
+		}
+		if options.TLS == nil {
+			return conn, nil
+		}
+		return handshake(ctx, conn, options.TLS, timeout)
 	}
-	next := &http.Transport{
-		DialContext:         dial,
-		TLSClientConfig:     options.TLS,
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+}
+
+// handshake turns a connection into one with TLS.
+func handshake(ctx context.Context, conn net.Conn, config *tls.Config, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	secured := tls.Client(conn, config)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		return nil, errors.Join(err, conn.Close())
 	}
-	return &http.Client{Transport: &keyedRoundTripper{key: key, next: next}}
+	return secured, nil
 }
 
 // Guard answers 401 to each request that lacks the key. An empty key admits
 // every request.
-func Guard(key string, next http.Handler) http.Handler {
-	want := []byte(keyScheme + key)
+func Guard(key string, next http.Handler) http.Handler { return GuardWith(StaticKey(key), next) }
+
+// GuardWith is Guard with a keyring.
+func GuardWith(ring Keyring, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		got := []byte(r.Header.Get(keyHeader))
-		if key != "" && subtle.ConstantTimeCompare(got, want) != 1 {
+		key, _ := strings.CutPrefix(r.Header.Get(keyHeader), keyScheme)
+		if !ring.Accepts(key) {
 			http.Error(w, "wrong or missing key: check --key-file", http.StatusUnauthorized)
 			return
 		}
--- a/internal/standin/announcer/announcer.go
+++ b/internal/standin/announcer/announcer.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -20,6 +21,7 @@
 	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
 	"github.com/burdockwood/burdockwood/internal/rpc/leader"
 	"github.com/burdockwood/burdockwood/internal/rpc/transport"
+	"github.com/burdockwood/burdockwood/internal/rpc/trust"
 	"github.com/burdockwood/burdockwood/internal/standin/engine"
 )
 
@@ -32,8 +34,10 @@
 type (
 	// Options describe the server.
 	Options struct {
-		Control     []netip.AddrPort
-		Key         string
+		Control []netip.AddrPort
+		Key     string
+		// Trust takes the place of Key, if set.
+		Trust       *trust.Trust
 		Server      cluster.ServerName
 		Group       cluster.GroupName
 		Address     netip.AddrPort
@@ -55,10 +59,18 @@
 
 // New returns an announcer for the engine.
 func New(e *engine.Engine, options Options, logger logr.Logger) *Announcer {
-	client := leader.New(options.Control, transport.NewClient(options.Key, transport.Options{DialTimeout: tryTimeout}))
+	client := leader.New(options.Control, httpClient(options))
 	return &Announcer{engine: e, options: options, client: client, logger: logger}
 }
 
+func httpClient(options Options) *http.Client {
+	dial := transport.Options{DialTimeout: tryTimeout}
+	if options.Trust != nil {
+		return options.Trust.Client(dial)
+	}
+	return transport.NewClient(options.Key, dial)
+}
+
 // Run announces until ctx ends.
 func (a *Announcer) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -12,7 +12,6 @@
 	"net/netip"
 	"os"
 	"os/signal"
-	"strings"
 	"syscall"
 	"time"
 
@@ -21,7 +20,10 @@
 	"github.com/jessevdk/go-flags"
 	"golang.org/x/sync/errgroup"
 
+	config "github.com/burdockwood/burdockwood/internal/config/settings"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/ops/keys"
+	"github.com/burdockwood/burdockwood/internal/rpc/trust"
 	"github.com/burdockwood/burdockwood/internal/standin/daemon"
 )
 
@@ -33,6 +35,7 @@
 
 // settings are the flags of the program.
 type settings struct {
+	config.Internal
 	Name          string            `long:"name" required:"true" description:"name of the server, unique within its group"`
 	Group         string            `long:"group" required:"true" description:"group of the server"`
 	DataCentre    string            `long:"data-centre" description:"data centre of the server"`
@@ -57,7 +60,7 @@
 	leave         <-chan struct{}
 	controlPlaces []netip.AddrPort
 	advertised    netip.AddrPort
-	key           string
+	trusted       *trust.Trust
 }
 
 // Main runs the program and returns its exit code.
@@ -99,12 +102,8 @@
 			return nil, fmt.Errorf("--advertise: %w", err)
 		}
 	}
-	if s.KeyFile != "" {
-		key, err := os.ReadFile(s.KeyFile)
-		if err != nil {
-			return nil, fmt.Errorf("--key-file: %w", err)
-		}
-		s.key = strings.TrimSpace(string(key))
+	if s.trusted, err = trust.Load(s.KeyFile, s.Internal); err != nil {
+		return nil, err
 	}
 	return s, nil
 }
@@ -124,6 +123,9 @@
 		defer cancel()
 		return daemon.Run(ctx, s.options(), logger(s.Verbose))
 	})
+	group.Go(func() error {
+		return keys.Watch(ctx, logger(s.Verbose), keys.DefaultInterval, s.trusted.Reloaders()...)
+	})
 	group.Go(func() error {
 		for left := false; ; {
 			select {
@@ -152,7 +154,7 @@
 		DataCentre:        cluster.DataCentre(s.DataCentre),
 		Labels:            s.Labels,
 		Control:           s.controlPlaces,
-		Key:               s.key,
+		Trust:             s.trusted,
 		Password:          s.Password,
 		Slots:             s.Slots,
 		Connections:       s.Connections,
--- a/internal/standin/daemon/daemon.go
+++ b/internal/standin/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/rpc/trust"
 	"github.com/burdockwood/burdockwood/internal/standin/announcer"
 	"github.com/burdockwood/burdockwood/internal/standin/engine"
 	"github.com/burdockwood/burdockwood/internal/standin/follower"
@@ -68,6 +69,8 @@
 		// Control are the control nodes to announce to; empty: none.
 		Control []netip.AddrPort
 		Key     string
+		// Trust takes the place of Key, if set.
+		Trust *trust.Trust
 		// Password is asked of clients; empty trusts them.
 		Password          string
 		Slots             int
@@ -256,6 +259,7 @@
 	return announcer.New(e, announcer.Options{
 		Control:     options.Control,
 		Key:         options.Key,
+		Trust:       options.Trust,
 		Server:      options.Server,
 		Group:       options.Group,
 		Address:     options.Advertise,
