Comparison: aged reads beside confirmed ones

Cause: a read of the newest data waits for a majority's confirmation, so its ratio mixes the proxy's own cost with that of the promise. Ruled out: leaving the confirmed read out: it's what callers get by default.

--- a/internal/measure/bench/bench.go
+++ b/internal/measure/bench/bench.go
@@ -35,9 +35,10 @@
 
 	insertSQL  = "INSERT INTO ledger (request, part, member, sequence, amount) VALUES ('row', 0, 1, 1, 40)"
 	readSQL    = "SELECT amount FROM ledger WHERE id = $1"
+	ageSetting = "SET burdockwood.max_age = '10s'"
 	statement  = "read"
 	maxConns   = 200
-	mostProxys = 1
+	oneProxy   = 1
 )
 
 // ErrBench tells that a comparison couldn't be done.
@@ -63,10 +64,23 @@
 
 	// Comparison is a proxy's side against the direct one.
 	Comparison struct {
-		Direct          Side    `json:"direct"`
-		Proxy           Side    `json:"proxy"`
-		LatencyRatio    float64 `json:"latency-ratio"`
-		ThroughputRatio float64 `json:"throughput-ratio"`
+		Direct Side `json:"direct"`
+		// Proxy reads the newest data, which replicas must confirm.
+		Proxy Side `json:"proxy"`
+		// Aged reads accept data of a stated age.
+		Aged                Side    `json:"aged"`
+		LatencyRatio        float64 `json:"latency-ratio"`
+		ThroughputRatio     float64 `json:"throughput-ratio"`
+		AgedLatencyRatio    float64 `json:"aged-latency-ratio"`
+		AgedThroughputRatio float64 `json:"aged-throughput-ratio"`
+	}
+
+	// way is one way of reading.
+	way struct {
+		address netip.AddrPort
+		side    *Side
+		// setting is executed on each connection first.
+		setting string
 	}
 
 	// round counts what callers did.
@@ -86,7 +100,7 @@
 	}
 	defer os.RemoveAll(folder)
 	p := options.Profile
-	p.Proxies, p.Latency, p.CallerLatency, p.ConnectDelay, p.ServiceTime = mostProxys, 0, 0, 0, 0
+	p.Proxies, p.Latency, p.CallerLatency, p.ConnectDelay, p.ServiceTime = oneProxy, 0, 0, 0, 0
 	p.Slots, p.Connections = maxConns, maxConns
 	b, err := bed.Start(ctx, bed.Options{Profile: p, Folder: folder}, logger)
 	if err != nil {
@@ -111,19 +125,22 @@
 		return nil, err
 	}
 	result := &Comparison{}
-	sides := []struct {
-		address netip.AddrPort
-		side    *Side
-	}{{direct, &result.Direct}, {proxy, &result.Proxy}}
+	ways := []way{
+		{address: direct, side: &result.Direct},
+		{address: proxy, side: &result.Proxy},
+		{address: proxy, side: &result.Aged, setting: ageSetting},
+	}
 	for range rounds {
-		for _, s := range sides {
-			if err := measure(ctx, s.address, s.side, options.Duration); err != nil {
+		for _, w := range ways {
+			if err := w.measure(ctx, options.Duration); err != nil {
 				return nil, err
 			}
 		}
 	}
 	result.LatencyRatio = result.Proxy.MedianMicros / result.Direct.MedianMicros
 	result.ThroughputRatio = result.Proxy.PerSecond / result.Direct.PerSecond
+	result.AgedLatencyRatio = result.Aged.MedianMicros / result.Direct.MedianMicros
+	result.AgedThroughputRatio = result.Aged.PerSecond / result.Direct.PerSecond
 	return result, nil
 }
 
@@ -137,16 +154,17 @@
 	return err
 }
 
-// measure adds one round of a side: the mean over the rounds is kept.
-func measure(ctx context.Context, address netip.AddrPort, side *Side, duration time.Duration) error {
-	single, err := run(ctx, address, 1, duration)
+// measure adds one round: the mean over the rounds is kept.
+func (w way) measure(ctx context.Context, duration time.Duration) error {
+	single, err := w.run(ctx, 1, duration)
 	if err != nil {
 		return err
 	}
-	many, err := run(ctx, address, callers, duration)
+	many, err := w.run(ctx, callers, duration)
 	if err != nil {
 		return err
 	}
+	side := w.side
 	slices.Sort(single.times)
 	median := single.times[len(single.times)/2]
 	side.MedianMicros += float64(median.Nanoseconds()) / 1000 / rounds
@@ -156,7 +174,7 @@
 }
 
 // run lets n callers read one row again and again.
-func run(ctx context.Context, address netip.AddrPort, n int, duration time.Duration) (*round, error) {
+func (w way) run(ctx context.Context, n int, duration time.Duration) (*round, error) {
 	conns := make([]*pgconn.PgConn, 0, n)
 	defer func() {
 		for _, conn := range conns {
@@ -164,11 +182,16 @@
 		}
 	}()
 	for range n {
-		conn, err := load.Dial(ctx, address, bed.Group, "bench")
+		conn, err := load.Dial(ctx, w.address, bed.Group, "bench")
 		if err != nil {
 			return nil, err
 		}
 		conns = append(conns, conn)
+		if w.setting != "" {
+			if _, err := conn.Exec(ctx, w.setting).ReadAll(); err != nil {
+				return nil, err
+			}
+		}
 		if _, err := conn.Prepare(ctx, statement, readSQL, nil); err != nil {
 			return nil, err
 		}
--- a/internal/measure/command/command.go
+++ b/internal/measure/command/command.go
@@ -16,6 +16,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/pprof"
 	"syscall"
 	"time"
 
@@ -59,6 +60,7 @@
 	Direct   bool          `long:"direct" description:"callers reach the primary without proxies"`
 	Compare  bool          `long:"compare" description:"compare reads through a proxy with direct ones"`
 	JSON     bool          `long:"json" description:"print JSON"`
+	Profiled string        `long:"cpu-profile" description:"file for a profile of processor time"`
 	History  string        `long:"history" description:"file for the requests of the last run, as JSON"`
 	Verbose  bool          `long:"verbose" description:"log what the components do"`
 }
@@ -100,12 +102,36 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	stopProfile, err := s.startProfile()
+	if err != nil {
+		return err
+	}
+	defer stopProfile()
 	if s.Compare {
 		return s.compare(ctx)
 	}
 	return s.measure(ctx)
 }
 
+// startProfile writes a profile of processor time until the returned function
+// is called.
+func (s *settings) startProfile() (stop func(), err error) {
+	if s.Profiled == "" {
+		return func() {}, nil
+	}
+	file, err := os.Create(s.Profiled)
+	if err != nil {
+		return nil, err
+	}
+	if err := pprof.StartCPUProfile(file); err != nil {
+		return nil, errors.Join(err, file.Close())
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		file.Close()
+	}, nil
+}
+
 func (s *settings) check(rest []string) error {
 	switch {
 	case len(rest) > 0:
