Detect: a cut-off primary that control can't probe is replaced

Cause: a failing probe of control's own came before the proxies' reports that the log reaches no majority, and gave the verdict 'fine'. Ruled out: counting unconfirmed reports before the probe in every case: two proxies' reports are too few while the primary answers control. Change: a probe that fails for 250 ms and two proxies' reports of an unconfirmed log give 'cut-off'; most proxies' reports still do alone.

--- a/internal/control/detect/detect.go
+++ b/internal/control/detect/detect.go
@@ -144,6 +144,8 @@
 		return Dead
 	case failing && failingFor >= ProbeFailingFor && count.longest >= FrozenAfter && enough(unreachable, evidence.LiveProxies):
 		return Frozen
+	case failing && failingFor >= ProbeFailingFor && enough(count.unconfirmed, evidence.LiveProxies):
+		return CutOff
 	case failing:
 		return Fine
 	case isMost(count.unconfirmed, evidence.LiveProxies):
