--- a/internal/measure/bed/bed.go
+++ b/internal/measure/bed/bed.go
@@ -116,19 +116,23 @@
 	return b, nil
 }
 
-// Stop ends everything.
+// Stop ends everything: the proxies first, which tell control that they leave.
 func (b *Bed) Stop() error {
-	b.cancel()
-	errs := []error{b.group.Wait()}
+	var errs []error
+	for _, p := range b.proxies {
+		p.cancel()
+	}
 	for _, p := range b.proxies {
 		errs = append(errs, p.group.Wait())
 	}
+	b.cancel()
 	for _, c := range b.controls {
 		errs = append(errs, c.group.Wait())
 	}
 	for _, s := range b.servers {
 		s.wait()
 	}
+	errs = append(errs, b.group.Wait())
 	return errors.Join(errs...)
 }
 
--- a/internal/measure/bed/proxy.go
+++ b/internal/measure/bed/proxy.go
@@ -50,8 +50,11 @@
 		return err
 	}
 	p.front = front
+	if err := p.run(); err != nil {
+		return err
+	}
 	b.proxies = append(b.proxies, p)
-	return p.run()
+	return nil
 }
 
 func (p *Proxy) run() error {
--- a/internal/standin/wire/execute.go
+++ b/internal/standin/wire/execute.go
@@ -6,12 +6,9 @@
 	"regexp"
 	"strconv"
 	"strings"
-	"time"
 
-	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/jackc/pgx/v5/pgtype"
 
-	"github.com/burdockwood/burdockwood/internal/backend/adapter"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/standin/engine"
 	"github.com/burdockwood/burdockwood/internal/standin/shiplog"
@@ -136,76 +133,6 @@
 	return sleep(ctx, s.server.options.ServiceTime+sleepTime(statement, arguments))
 }
 
-// openTx opens the transaction that writes, if it isn't open.
-func (s *session) openTx(ctx context.Context) error {
-	if s.tx != nil {
-		return nil
-	}
-	tx, err := s.server.engine.Begin(ctx)
-	if err != nil {
-		return err
-	}
-	s.tx = tx
-	return nil
-}
-
-// commitBlock ends an explicit transaction.
-func (s *session) commitBlock(ctx context.Context) (*answer, error) {
-	if s.failed {
-		s.rollback()
-		return &answer{tag: "ROLLBACK"}, nil
-	}
-	mark, err := s.commit(ctx)
-	if err != nil {
-		return nil, err
-	}
-	s.reportMark(mark)
-	return &answer{tag: "COMMIT"}, nil
-}
-
-// commit ends the transaction and returns the log's end, zero if nothing was
-// written.
-func (s *session) commit(ctx context.Context) (cluster.Mark, error) {
-	tx := s.tx
-	s.reset()
-	if tx == nil {
-		return cluster.Mark{}, nil
-	}
-	return tx.Commit(ctx, time.Now())
-}
-
-func (s *session) rollback() {
-	if s.tx != nil {
-		s.tx.Rollback()
-	}
-	s.reset()
-}
-
-func (s *session) reset() {
-	s.tx, s.explicit, s.failed, s.savepoints = nil, false, false, 0
-}
-
-func (s *session) savepoint(ctx context.Context, statement sqltext.Statement) (*answer, error) {
-	if !s.explicit {
-		return nil, fail("25P01", statement.Word(0)+" can only be used in transaction blocks")
-	}
-	if err := s.openTx(ctx); err != nil {
-		return nil, err
-	}
-	if _, err := s.tx.Run(ctx, shiplog.Statement{SQL: statement.SQL}, true); err != nil {
-		return nil, err
-	}
-	switch statement.Kind {
-	case sqltext.Savepoint:
-		s.savepoints++
-	case sqltext.Release:
-		s.savepoints--
-	case sqltext.RollbackTo:
-		s.failed = false
-	}
-	return &answer{tag: statement.Word(0)}, nil
-}
-
 func (s *session) setting(statement sqltext.Statement) *answer {
 	if statement.Word(0) == "DISCARD" {
 		clear(s.statements)
@@ -244,60 +171,6 @@
 	return &answer{tag: "DEALLOCATE"}
 }
 
-// resolve finds the columns of a prepared statement.
-func (s *session) resolve(ctx context.Context, p *prepared) error {
-	if p.described {
-		return nil
-	}
-	columns, err := s.columns(ctx, p.statement)
-	if err != nil {
-		return err
-	}
-	p.columns, p.described = columns, true
-	return nil
-}
-
-func (s *session) columns(ctx context.Context, statement sqltext.Statement) ([]column, error) {
-	switch statement.Kind {
-	case sqltext.Show:
-		return s.show(statement).columns, nil
-	case sqltext.Platform:
-		return statusColumns(), nil
-	case sqltext.Read, sqltext.Write:
-	default:
-		return nil, nil
-	}
-	query, ok := describable(statement)
-	if !ok {
-		return nil, nil
-	}
-	if known, ok := s.server.description(query); ok {
-		return known, nil
-	}
-	arguments := make([]shiplog.Value, statement.Parameters)
-	described, err := s.server.engine.Describe(ctx, shiplog.Statement{SQL: s.rewrite(query), Arguments: arguments})
-	if err != nil {
-		return nil, err
-	}
-	columns := columnsOf(described, nil)
-	s.server.keepDescription(query, columns)
-	return columns, nil
-}
-
-// describable returns a query with the columns that a statement answers;
-// false if it answers none.
-func describable(statement sqltext.Statement) (string, bool) {
-	if statement.Kind == sqltext.Read {
-		return statement.SQL, true
-	}
-	list := returning.FindStringSubmatch(statement.SQL)
-	table := targetTable.FindStringSubmatch(statement.SQL)
-	if list == nil || table == nil {
-		return "", false
-	}
-	return "SELECT " + list[1] + " FROM " + table[1], true
-}
-
 // rewrite replaces what only the session can answer.
 func (s *session) rewrite(sql string) string {
 	if !strings.Contains(sql, "recovery") {
@@ -329,82 +202,6 @@
 	}
 }
 
-func (s *session) send(message pgproto3.BackendMessage) { s.outbox = append(s.outbox, message) }
-
-// report notes an error: the transaction fails.
-func (s *session) report(err error) {
-	s.send(response(err))
-	if !s.explicit {
-		s.rollback()
-		return
-	}
-	s.failed = true
-	if s.savepoints == 0 && s.tx != nil {
-		s.tx.Rollback()
-		s.tx = nil
-	}
-}
-
-// reportMark tells the client the log's end.
-func (s *session) reportMark(mark cluster.Mark) {
-	if !mark.IsZero() {
-		s.send(&pgproto3.ParameterStatus{Name: adapter.PositionParameter, Value: mark.String()})
-	}
-}
-
-// finish commits what runs outside a transaction block and sends all answers.
-func (s *session) finish(ctx context.Context) error {
-	if !s.explicit && s.tx != nil {
-		s.finishImplicit(ctx)
-	}
-	if !s.explicit {
-		clear(s.portals)
-	}
-	s.send(&pgproto3.ReadyForQuery{TxStatus: s.status()})
-	return s.flush()
-}
-
-// finishImplicit commits, and puts the outcome in place of the last
-// CommandComplete, which must not be sent before it.
-func (s *session) finishImplicit(ctx context.Context) {
-	mark, err := s.commit(ctx)
-	var last pgproto3.BackendMessage
-	n := len(s.outbox)
-	if n > 0 {
-		if complete, ok := s.outbox[n-1].(*pgproto3.CommandComplete); ok {
-			s.outbox, last = s.outbox[:n-1], complete
-		}
-	}
-	if err != nil {
-		s.send(response(err))
-		return
-	}
-	s.reportMark(mark)
-	if last != nil {
-		s.send(last)
-	}
-}
-
-func (s *session) status() byte {
-	switch {
-	case s.failed:
-		return 'E'
-	case s.explicit:
-		return 'T'
-	default:
-		return 'I'
-	}
-}
-
-func (s *session) flush() error {
-	for _, message := range s.outbox {
-		s.backend.Send(message)
-	}
-	clear(s.outbox)
-	s.outbox = s.outbox[:0]
-	return s.backend.Flush()
-}
-
 func writeTag(statement sqltext.Statement, result *engine.Result) string {
 	switch word := statement.Word(0); word {
 	case "INSERT", "REPLACE":
@@ -417,54 +214,3 @@
 		return word
 	}
 }
-
-// sleepTime returns the time that the statement's call of pg_sleep asks for.
-func sleepTime(statement sqltext.Statement, arguments []shiplog.Value) time.Duration {
-	if !statement.Has("PG_SLEEP") {
-		return 0
-	}
-	call := sleepCall.FindStringSubmatch(statement.SQL)
-	if call == nil {
-		return 0
-	}
-	text := call[1]
-	if number, ok := strings.CutPrefix(text, "?"); ok {
-		text = argumentText(arguments, number)
-	}
-	seconds, err := strconv.ParseFloat(text, 64)
-	if err != nil {
-		return 0
-	}
-	return time.Duration(seconds * float64(time.Second))
-}
-
-func argumentText(arguments []shiplog.Value, number string) string {
-	n, err := strconv.Atoi(number)
-	if err != nil || n < 1 || n > len(arguments) {
-		return ""
-	}
-	switch v := arguments[n-1]; {
-	case v.Int != nil:
-		return strconv.FormatInt(*v.Int, 10)
-	case v.Real != nil:
-		return strconv.FormatFloat(*v.Real, 'g', -1, 64)
-	case v.Text != nil:
-		return *v.Text
-	default:
-		return ""
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
