Proxy: admission apart for the primary and for replicas, sized by slots

Cause: one gate for each group let reads of a stated age wait behind the primary's queue, and its limit (all granted connections) left the queueing to the servers, where it isn't fair. Ruled out: holding the permit until the confirmation (the slot is free then). Change: two gates; limits by the proxy's part of the slots with headroom 2.

--- a/internal/proxy/caller/attempt.go
+++ b/internal/proxy/caller/attempt.go
@@ -161,6 +161,7 @@
 // a write part of the session.
 func (s *Session) finish(ctx context.Context, j *job, keep *held, result execute.Result, begun time.Time, from int) ending {
 	confirming := time.Now()
+	j.leave(confirming)
 	refusal := s.confirm(ctx, keep, result, begun)
 	j.confirm = time.Since(confirming)
 	s.settle(keep, result)
--- a/internal/proxy/caller/serve.go
+++ b/internal/proxy/caller/serve.go
@@ -28,6 +28,7 @@
 	prefs    preferences
 	choice   choose.Choice
 	group    *upstream.Group
+	permit   admit.Permit
 	start    time.Time
 	deadline time.Time
 	// primaryOnly tells that a replica has refused the request.
@@ -71,22 +72,37 @@
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	j.group.Budget.Request()
-	permit, err := j.group.Gate.Acquire(ctx, admit.Request{Tenant: j.choice.Tenant, Weight: j.choice.Weight, Deadline: j.deadline}, j.start)
+	permit, err := s.gate(j).Acquire(ctx, admit.Request{Tenant: j.choice.Tenant, Weight: j.choice.Weight, Deadline: j.deadline}, j.start)
 	if err != nil {
 		refusal := admissionRefusal(err)
 		s.refuse(refusal)
 		s.measure(j, refusal, time.Now())
 		return
 	}
+	j.permit = permit
 	refusal = s.tryUntilDone(ctx, j)
 	now := time.Now()
-	permit.Release(j.service, now)
+	j.leave(now)
 	if refusal != nil {
 		s.refuse(refusal)
 	}
 	s.measure(j, refusal, now)
 }
 
+// gate returns the admission that the request has to pass.
+func (s *Session) gate(j *job) *admit.Gate {
+	if s.request.Kind <= classify.Read && j.prefs.maxAge > 0 {
+		return j.group.ReplicaGate
+	}
+	return j.group.PrimaryGate
+}
+
+// leave gives the permit back, once: the server's part of the work is done.
+func (j *job) leave(now time.Time) {
+	j.permit.Release(j.service, now)
+	j.permit = admit.Permit{}
+}
+
 // measure records the request in the metrics.
 func (s *Session) measure(j *job, refusal *outcome.Error, now time.Time) {
 	s.shared.Meter.Record(j.choice.Tenant, meter.Request{
--- a/internal/proxy/upstream/server.go
+++ b/internal/proxy/upstream/server.go
@@ -41,9 +41,11 @@
 	facts struct {
 		dataCentre cluster.DataCentre
 		slots      int
-		usable     bool
-		primary    bool
-		since      time.Time
+		// connections is the most that the server accepts from all proxies.
+		connections int
+		usable      bool
+		primary     bool
+		since       time.Time
 	}
 )
 
@@ -79,10 +81,11 @@
 
 func (s *Server) update(member view.Member, primary bool, now time.Time) {
 	next := &facts{
-		dataCentre: member.DataCentre,
-		slots:      member.Slots,
-		usable:     member.Usable,
-		primary:    primary,
+		dataCentre:  member.DataCentre,
+		slots:       member.Slots,
+		connections: member.Connections,
+		usable:      member.Usable,
+		primary:     primary,
 	}
 	old := s.facts.Load()
 	if old == nil {
--- a/internal/proxy/upstream/upstream.go
+++ b/internal/proxy/upstream/upstream.go
@@ -38,6 +38,11 @@
 	IdleTime = 2 * time.Minute
 
 	dialTimeout = time.Second
+	// slotHeadroom multiplies a proxy's part of a server's slots.
+	slotHeadroom = 2
+	// leastShare is the least number of requests that a proxy lets run at a
+	// server at once, its grant allowing.
+	leastShare = 2
 )
 
 // ErrNoGroup tells that control knows no such group.
@@ -71,8 +76,11 @@
 	Group struct {
 		Name    cluster.GroupName
 		Tracker *confirm.Tracker
-		Gate    *admit.Gate
-		Budget  *retry.Budget
+		// PrimaryGate and ReplicaGate admit the requests that go to the
+		// primary, and the reads that a replica may answer.
+		PrimaryGate *admit.Gate
+		ReplicaGate *admit.Gate
+		Budget      *retry.Budget
 
 		registry *Registry
 		state    atomic.Pointer[state]
@@ -118,11 +126,12 @@
 		return nil, pool.ErrClosed
 	}
 	group := &Group{
-		Name:     name,
-		Tracker:  confirm.New(),
-		Gate:     admit.NewGate(admit.Config{}),
-		Budget:   retry.New(retry.Config{}),
-		registry: r,
+		Name:        name,
+		Tracker:     confirm.New(),
+		PrimaryGate: admit.NewGate(admit.Config{}),
+		ReplicaGate: admit.NewGate(admit.Config{}),
+		Budget:      retry.New(retry.Config{}),
+		registry:    r,
 	}
 	group.used.Store(now.UnixMilli())
 	group.state.Store(&state{})
@@ -201,13 +210,32 @@
 	if old.source != source {
 		g.replace(old, source, now)
 	}
-	limit := 0
+	atPrimary, atReplicas := 0, 0
 	for _, server := range g.Servers() {
 		grant := snapshot.Grants[server.Key]
 		server.Pool.SetLimit(pool.Limit(grant), now)
-		limit += grant.Connections
+		known := server.facts.Load()
+		share := slotShare(grant.Connections, known.connections, known.slots)
+		switch {
+		case known.primary:
+			atPrimary += share
+		case known.usable:
+			atReplicas += share
+		}
+	}
+	g.PrimaryGate.SetLimit(max(atPrimary, 1), now)
+	g.ReplicaGate.SetLimit(max(atReplicas, atPrimary, 1), now)
+}
+
+// slotShare is the number of requests that this proxy lets run at a server at
+// once: its part of the slots by the connections that it was granted, with
+// slotHeadroom for the time on the network and for uneven proxies.
+func slotShare(granted, connections, slots int) int {
+	if connections <= 0 || slots <= 0 {
+		return granted
 	}
-	g.Gate.SetLimit(max(limit, 1), now)
+	share := (slotHeadroom*slots*granted + connections - 1) / connections
+	return min(granted, max(share, leastShare))
 }
 
 // replace puts a new state of the group in force.
