--- a/internal/proxy/upstream/server.go
+++ b/internal/proxy/upstream/server.go
@@ -41,6 +41,8 @@
 	facts struct {
 		dataCentre cluster.DataCentre
 		slots      int
+		// connections is the most that the server accepts from all proxies.
+		connections int
 		// usable is false for a replica that leaves or is silent. A primary
 		// is used until another one is in force: control may be all that
 		// doesn't hear it.
@@ -82,10 +84,11 @@
 
 func (s *Server) update(member view.Member, primary bool, now time.Time) {
 	next := &facts{
-		dataCentre: member.DataCentre,
-		slots:      member.Slots,
-		usable:     member.Usable || primary,
-		primary:    primary,
+		dataCentre:  member.DataCentre,
+		slots:       member.Slots,
+		connections: member.Connections,
+		usable:      member.Usable || primary,
+		primary:     primary,
 	}
 	old := s.facts.Load()
 	if old == nil {
