Detection counts the proxies that use the group; control's own view of a stalled log

Cause: the script primary-cut-off found no new primary within 8 s, and cut-from-replicas none within 13 s: one of three proxies had traffic, and the silence of the two others counted as their consent with the primary. With one proxy in use a frozen primary would never have been replaced. Ruled out: the cut itself (control's probe failed, the proxy reported); the promise of the term (never begun). Change: only proxies that use the group, or report on it, count as witnesses; a report that the log is unconfirmed joins those that can't reach the primary when control's probe fails too; with an answering primary, one proxy's report needs control's own view that the log reaches no majority (detect.Stall, from the announcements).

--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -123,6 +123,7 @@
 		plan     failover.Plan
 		reports  map[cluster.ProxyName]detect.Report
 		probe    detect.Probe
+		stall    detect.Stall
 		probeAt  time.Time
 		term     cluster.Term
 		verdict  detect.Verdict
--- a/internal/control/coordinator/decide.go
+++ b/internal/control/coordinator/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"net/netip"
 	"time"
 
@@ -40,6 +41,7 @@
 	if !ok {
 		record = &state.Group{Name: name}
 	}
+	g.observeStall(record, now)
 	c.judge(g, record, now)
 	situation := failover.Situation{
 		Record:      record,
@@ -57,6 +59,35 @@
 	c.publish(g, record, situation.Drained, now)
 }
 
+// observeStall follows whether the primary's log reaches a majority.
+func (g *group) observeStall(record *state.Group, now time.Time) {
+	primary, ok := g.servers[record.Primary]
+	if !ok || primary.Received.Term != record.Term {
+		g.stall = detect.Stall{}
+		return
+	}
+	held := make([]cluster.Mark, 0, len(record.Voters))
+	for _, name := range record.Voters {
+		held = append(held, g.servers[name].Received)
+	}
+	slices.SortFunc(held, func(a, b cluster.Mark) int { return b.Compare(a) })
+	g.stall = g.stall.Observe(primary.Received, held[cluster.Majority(len(held))-1], now)
+}
+
+// witnesses counts the live proxies that can tell something of the group.
+func (c *Coordinator) witnesses(g *group, record *state.Group, now time.Time) int {
+	key := ServerKey{Group: record.Name, Server: record.Primary}
+	count := 0
+	for name, p := range c.proxies {
+		_, uses := p.uses[key]
+		_, reports := g.reports[name]
+		if p.isLive(now) && (uses || reports) {
+			count++
+		}
+	}
+	return count
+}
+
 // judge forms the verdict on a group's primary and probes a suspected one.
 func (c *Coordinator) judge(g *group, record *state.Group, now time.Time) {
 	if g.term != record.Term {
@@ -70,9 +101,10 @@
 		return
 	}
 	g.verdict = detect.Judge(detect.Evidence{
-		Reports:     mapValues(g.reports),
-		LiveProxies: c.liveProxies(now),
-		Probe:       g.probe,
+		Reports:   mapValues(g.reports),
+		Witnesses: c.witnesses(g, record, now),
+		Probe:     g.probe,
+		Stalled:   g.stall.IsStalled(now),
 	}, now)
 	if now.Sub(g.probeAt) < probeInterval || record.Primary == "" || record.Pending != nil {
 		return
--- a/internal/control/coordinator/proxies.go
+++ b/internal/control/coordinator/proxies.go
@@ -164,16 +164,6 @@
 	}
 }
 
-func (c *Coordinator) liveProxies(now time.Time) int {
-	live := 0
-	for _, p := range c.proxies {
-		if p.isLive(now) {
-			live++
-		}
-	}
-	return live
-}
-
 func (p *proxy) isLive(now time.Time) bool { return now.Sub(p.heard) <= ProxySilentAfter }
 
 // livePeers returns the live proxies in order of name.
--- a/internal/control/detect/detect.go
+++ b/internal/control/detect/detect.go
@@ -95,9 +95,13 @@
 	// Evidence is all that is known about one primary.
 	Evidence struct {
 		Reports []Report
-		// LiveProxies is the number of proxies heard lately.
-		LiveProxies int
-		Probe       Probe
+		// Witnesses is the number of live proxies that use the group, or have
+		// reported on it: others can't tell anything.
+		Witnesses int
+		Probe     Probe
+		// Stalled tells that control itself holds that the primary's log
+		// reaches no majority.
+		Stalled bool
 	}
 
 	tally struct {
@@ -142,15 +146,15 @@
 		return Dead
 	case failing && count.gone >= quorumOfReports:
 		return Dead
-	case failing && failingFor >= ProbeFailingFor && count.longest >= FrozenAfter && enough(unreachable, evidence.LiveProxies):
+	case failing && failingFor >= ProbeFailingFor && count.longest >= FrozenAfter && enough(unreachable, evidence.Witnesses):
 		return Frozen
-	case failing && failingFor >= ProbeFailingFor && enough(count.unconfirmed, evidence.LiveProxies):
+	case failing && failingFor >= ProbeFailingFor && enough(unreachable+count.unconfirmed, evidence.Witnesses):
 		return CutOff
 	case failing:
 		return Fine
-	case isMost(count.unconfirmed, evidence.LiveProxies):
+	case isMost(count.unconfirmed, evidence.Witnesses) && (count.unconfirmed >= quorumOfReports || evidence.Stalled):
 		return CutOff
-	case isMost(unreachable, evidence.LiveProxies) && count.longest >= CutOffAfter && !evidence.Probe.OK.IsZero():
+	case isMost(unreachable, evidence.Witnesses) && unreachable >= quorumOfReports && count.longest >= CutOffAfter && !evidence.Probe.OK.IsZero():
 		return CutOff
 	case count.silent > 0 && !evidence.Probe.OK.IsZero():
 		return Overloaded
@@ -184,9 +188,10 @@
 
 func isGone(kind Kind) bool { return kind == KindRefused || kind == KindReset }
 
-// enough reports whether the proxies that agree outweigh one proxy's fault.
-func enough(agreeing, live int) bool {
-	return agreeing >= quorumOfReports || (agreeing == 1 && live <= 1)
+// enough reports whether the proxies that agree, together with control's own
+// failing probe, outweigh one proxy's fault.
+func enough(agreeing, witnesses int) bool {
+	return agreeing >= quorumOfReports || isMost(agreeing, witnesses)
 }
 
-func isMost(agreeing, live int) bool { return agreeing > 0 && 2*agreeing > live }
+func isMost(agreeing, witnesses int) bool { return agreeing > 0 && 2*agreeing > witnesses }
--- a/internal/control/detect/detect_test.go
+++ b/internal/control/detect/detect_test.go
@@ -35,7 +35,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			got := detect.Judge(detect.Evidence{Reports: reports(test.reports), LiveProxies: 6, Probe: test.probe}, now)
+			got := detect.Judge(detect.Evidence{Reports: reports(test.reports), Witnesses: 6, Probe: test.probe}, now)
 			if got != test.want {
 				t.Errorf("got %v, want %v", got, test.want)
 			}
--- a/internal/scenario/script/process_test.go
+++ b/internal/scenario/script/process_test.go
@@ -37,6 +37,7 @@
 	// processes are the processes that one script has started.
 	processes struct {
 		byName map[string]*process
+		links  map[string]*links
 		// lag is the time after which replicas apply what they receive.
 		lag string
 	}
--- a/internal/scenario/script/script_test.go
+++ b/internal/scenario/script/script_test.go
@@ -18,7 +18,7 @@
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
 			env.Values[sessionsKey] = &sessions{byName: map[string]*session{}}
-			env.Values[processesKey] = &processes{byName: map[string]*process{}}
+			env.Values[processesKey] = &processes{byName: map[string]*process{}, links: map[string]*links{}}
 			return nil
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
@@ -34,6 +34,8 @@
 			"caught-up":  caughtUp,
 			"disk":       disk,
 			"replaced":   replaced,
+			"cut":        withProcesses((*processes).cut),
+			"heal":       withProcesses((*processes).heal),
 			"pause":      pause,
 			"connect":    withSessions((*sessions).connect),
 			"query":      withSessions((*sessions).query),
@@ -42,6 +44,7 @@
 			"cancel":     withSessions((*sessions).cancel),
 			"leader":     controlLeader,
 			"in-force":   inForce,
+			"term":       term,
 			"same":       same,
 		},
 		RequireExplicitExec: true,
--- a/internal/scenario/script/status_test.go
+++ b/internal/scenario/script/status_test.go
@@ -37,6 +37,22 @@
 	})
 }
 
+// term sets the named variable to the group's term.
+func term(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: term VARIABLE")
+	}
+	awaitStatus(ts, "a term", func(status *controlpb.StatusResponse) bool {
+		for _, group := range status.GetGroups() {
+			if group.GetName() == groupName && group.GetTerm() > 0 {
+				ts.Setenv(args[0], strconv.FormatUint(group.GetTerm(), 10))
+				return true
+			}
+		}
+		return false
+	})
+}
+
 // caughtUp waits until the named server is a replica that has applied what the
 // primary has.
 func caughtUp(ts *testscript.TestScript, neg bool, args []string) {
--- a/internal/scenario/script/system_test.go
+++ b/internal/scenario/script/system_test.go
@@ -46,7 +46,7 @@
 	var names []string
 	for _, letter := range letters {
 		upper := strings.ToUpper(letter)
-		names = append(names, "CONTROL_"+upper, "PROXY_"+upper, "PEER_"+upper, "SERVER_"+upper, "ADMIN_"+upper)
+		names = append(names, "CONTROL_"+upper, "PROXY_"+upper, "PEER_"+upper, "SERVER_"+upper, "BACKEND_"+upper, "ADMIN_"+upper)
 	}
 	ports(ts, false, names)
 	var controls []string
@@ -59,6 +59,7 @@
 	ts.Check(os.WriteFile(ts.MkAbs("declarations/guild.yaml"), []byte(declarations), 0o644))
 	for _, letter := range letters {
 		p.startControl(ts, letter)
+		p.openLinks(ts, letter)
 		p.startServer(ts, letter)
 		p.startProxy(ts, letter)
 	}
@@ -86,7 +87,7 @@
 	name := "control-" + letter
 	args := []string{
 		name, "burdockwood", "control", "run", "--name=" + name, "--data-centre=perth-" + letter,
-		"--listen=" + ts.Getenv("CONTROL_"+strings.ToUpper(letter)), "--data=" + ts.MkAbs(name), "--key-file=key",
+		"--listen=" + ts.Getenv("CONTROL_"+strings.ToUpper(letter)), "--data=" + ts.MkAbs(name), "--key-file=key", "--backend-user=" + classControl,
 	}
 	for _, other := range letters {
 		args = append(args, fmt.Sprintf("--peer=control-%s=%s", other, ts.Getenv("CONTROL_"+strings.ToUpper(other))))
@@ -98,13 +99,16 @@
 	name := "server-" + letter
 	args := []string{
 		name, "standin", "--name=" + name, "--group=" + groupName, "--data-centre=perth-" + letter,
-		"--listen=" + ts.Getenv("SERVER_"+strings.ToUpper(letter)), "--data=" + ts.MkAbs(name), "--key-file=key",
+		"--listen=" + ts.Getenv("BACKEND_"+strings.ToUpper(letter)), "--advertise=" + ts.Getenv("SERVER_"+strings.ToUpper(letter)), "--data=" + ts.MkAbs(name), "--key-file=key",
 		fmt.Sprintf("--slots=%d", slots), fmt.Sprintf("--connections=%d", connLimit), "--connect-delay=10ms",
 	}
 	if p.lag != "" {
 		args = append(args, "--apply-lag="+p.lag)
 	}
-	p.start(ts, false, append(args, controlFlags(ts)...))
+	for _, r := range p.links[name].announce {
+		args = append(args, "--control="+r.Address().String())
+	}
+	p.start(ts, false, args)
 }
 
 func (p *processes) startProxy(ts *testscript.TestScript, letter string) {
@@ -113,7 +117,7 @@
 	args := []string{
 		name, "burdockwood", "proxy", "run", "--name=" + name, "--data-centre=perth-" + letter,
 		"--listen=" + ts.Getenv("PROXY_"+upper), "--peer=" + ts.Getenv("PEER_"+upper),
-		"--admin=" + ts.Getenv("ADMIN_"+upper), "--key-file=key",
+		"--admin=" + ts.Getenv("ADMIN_"+upper), "--key-file=key", "--backend-user=" + name,
 	}
 	p.start(ts, false, append(args, controlFlags(ts)...))
 }
