A failover leaves the old primary out; one witness and control's view suffice

First, a proxy without a waiting write counted as consent. Second, the old primary's promise was among the first two, and its unconfirmed entries made its log the longest, so it was chosen again. Also, two runs of the scripts at once took each other's ports. Ruled out: slower announcements (control saw the stall after 1.7 s). Change: a report of an unconfirmed log together with control's own view of the stall replaces the primary; a failover waits up to 300 ms for a majority without the old primary and then doesn't count it; scripts listen on a loopback address of their own process.

--- a/internal/control/coordinator/decide.go
+++ b/internal/control/coordinator/decide.go
@@ -2,8 +2,8 @@
 
 import (
 	"maps"
-	"slices"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/burdockwood/burdockwood/internal/control/detect"
--- a/internal/control/detect/detect.go
+++ b/internal/control/detect/detect.go
@@ -152,7 +152,9 @@
 		return CutOff
 	case failing:
 		return Fine
-	case isMost(count.unconfirmed, evidence.Witnesses) && (count.unconfirmed >= quorumOfReports || evidence.Stalled):
+	case count.unconfirmed > 0 && evidence.Stalled:
+		return CutOff
+	case isMost(count.unconfirmed, evidence.Witnesses) && count.unconfirmed >= quorumOfReports:
 		return CutOff
 	case isMost(unreachable, evidence.Witnesses) && unreachable >= quorumOfReports && count.longest >= CutOffAfter && !evidence.Probe.OK.IsZero():
 		return CutOff
--- a/internal/control/failover/establish.go
+++ b/internal/control/failover/establish.go
@@ -25,11 +25,32 @@
 			d.sendToVoter(Action{Kind: Promise, Server: name, Term: pending.Term})
 		}
 	}
-	if d.hasQuorum(pending) && !d.awaitsTarget(pending) {
+	if d.hasQuorum(pending) && !d.awaitsTarget(pending) && !d.awaitsOthers(pending) {
 		d.choose(pending)
 	}
 }
 
+// replacesPrimary reports whether the old primary is to lose its place. It may
+// hold the longest log, by entries that no majority confirmed, and be the very
+// server whose log reaches nobody.
+func (d *decider) replacesPrimary(pending *state.Pending) bool {
+	return d.s.Record.Term > 0 && pending.Reason == state.ReasonFailover && pending.Target != d.s.Record.Primary
+}
+
+// othersSuffice reports whether the old voters besides the primary are a
+// majority that promised: they hold every confirmed entry.
+func (d *decider) othersSuffice() bool {
+	old := d.s.Record.Voters
+	others := slices.DeleteFunc(slices.Clone(old), func(name cluster.ServerName) bool { return name == d.s.Record.Primary })
+	return d.promised(others) >= cluster.Majority(len(old))
+}
+
+// awaitsOthers reports whether a failover still waits for promises that make
+// the old primary's unnecessary.
+func (d *decider) awaitsOthers(pending *state.Pending) bool {
+	return d.replacesPrimary(pending) && !d.othersSuffice() && d.now.Sub(d.plan.started) <= othersTimeout
+}
+
 // awaitsTarget reports whether a planned change still waits for the promise of
 // the server that it is for.
 func (d *decider) awaitsTarget(pending *state.Pending) bool {
@@ -116,6 +137,9 @@
 
 // choose commits the most advanced server as primary.
 func (d *decider) choose(pending *state.Pending) {
+	if d.replacesPrimary(pending) && d.othersSuffice() {
+		d.avoid = d.s.Record.Primary
+	}
 	best := d.longestLog()
 	if !d.newVotersHold(pending, best) {
 		d.begin(state.ReasonFailover, "", d.s.Record.Voters)
@@ -133,8 +157,8 @@
 
 func (d *decider) longestLog() cluster.Mark {
 	var best cluster.Mark
-	for _, p := range d.plan.promises {
-		if !p.lost && p.received.Compare(best) > 0 {
+	for name, p := range d.plan.promises {
+		if name != d.avoid && !p.lost && p.received.Compare(best) > 0 {
 			best = p.received
 		}
 	}
@@ -163,7 +187,7 @@
 	bestRank := -1
 	for _, name := range pending.Voters {
 		p, ok := d.plan.promises[name]
-		if !ok || p.lost || p.received.Compare(log) < 0 {
+		if !ok || p.lost || name == d.avoid || p.received.Compare(log) < 0 {
 			continue
 		}
 		if rank := d.rank(pending, name); rank > bestRank {
--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -84,6 +84,9 @@
 	beginPause     = 500 * time.Millisecond
 	plannedTimeout = 1500 * time.Millisecond
 	plannedPause   = 5 * time.Second
+	// othersTimeout is how long a failover waits for promises of servers other
+	// than the old primary.
+	othersTimeout = 300 * time.Millisecond
 	// formationTimeout is how long a formation waits for all its voters
 	// before it is tried with those that are live then.
 	formationTimeout = 3 * time.Second
@@ -192,6 +195,8 @@
 		s       Situation
 		now     time.Time
 		actions []Action
+		// avoid is a server that is not to become primary; empty: none.
+		avoid cluster.ServerName
 	}
 )
 
--- a/internal/scenario/script/process_test.go
+++ b/internal/scenario/script/process_test.go
@@ -60,10 +60,14 @@
 	}
 }
 
+// freeAddress returns an address that no other run of these scripts uses: the
+// host part is made from the number of this process.
 func freeAddress(ts *testscript.TestScript) netip.AddrPort {
+	pid := os.Getpid()
+	host := netip.AddrFrom4([4]byte{127, byte(pid>>16&0x7f) + 1, byte(pid >> 8), byte(pid)})
 	for range lastPort - firstPort {
-		port := firstPort + (int64(os.Getpid())*37+nextPort.Add(1))%(lastPort-firstPort)
-		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(port))
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		address := netip.AddrPortFrom(host, uint16(port))
 		listener, err := net.Listen("tcp", address.String())
 		if err != nil {
 			continue
@@ -71,7 +75,7 @@
 		ts.Check(listener.Close())
 		return address
 	}
-	ts.Fatalf("no free port between %d and %d", firstPort, lastPort)
+	ts.Fatalf("no free port between %d and %d on %v", firstPort, lastPort, host)
 	return netip.AddrPort{}
 }
 
