--- a/internal/control/quorum/core.go
+++ b/internal/control/quorum/core.go
@@ -44,6 +44,8 @@
 	electionDeadline time.Time
 	heartbeatDue     time.Time
 	probeDue         time.Time
+	// beatCommit is the leader's commit index at the last heartbeat.
+	beatCommit uint64
 
 	votes    map[ID]bool
 	progress map[ID]*progress
@@ -295,30 +297,6 @@
 	return first, c.state.Term, nil
 }
 
-// Compact takes a snapshot of the state machine as it is after all applied
-// entries, and returns it as it is to be stored. Entries that it covers are
-// dropped but for the last Options.KeepEntries.
-func (c *Core) Compact(data []byte) *Snapshot {
-	index := c.log.applied
-	term, _ := c.log.term(index)
-	s := &Snapshot{Index: index, Term: term, Configuration: c.log.configBefore(index), Data: data}
-	c.out.latest = s
-	c.log.forgetConfigs(index)
-	if keep := uint64(c.options.KeepEntries); index > keep {
-		c.log.trim(index - keep)
-	}
-	return s
-}
-
-// Tail returns the hard state and the entries after the newest snapshot, which
-// are to be stored with it.
-func (c *Core) Tail() (HardState, []Entry) {
-	if c.out.latest == nil {
-		return c.hardState(), c.log.slice(c.log.base+1, c.log.last())
-	}
-	return c.hardState(), c.log.slice(c.out.latest.Index+1, c.log.last())
-}
-
 func (c *Core) hardState() HardState {
 	state := c.state
 	state.Commit = c.log.commit
--- a/internal/control/quorum/election.go
+++ b/internal/control/quorum/election.go
@@ -98,6 +98,7 @@
 	c.votes = nil
 	c.progress = map[ID]*progress{}
 	c.reads = readQueue{}
+	c.beatCommit = c.log.last()
 	c.syncProgress(now)
 	c.append(Entry{Index: c.log.last() + 1, Term: c.state.Term, Kind: EntryNoop})
 	c.heartbeatDue = now.Add(c.options.Heartbeat)
--- a/internal/control/quorum/members.go
+++ b/internal/control/quorum/members.go
@@ -56,14 +56,15 @@
 }
 
 // changeMembers takes one caught-up learner in, in the place of the member of
-// the same node, if no change is under way.
+// the same node, if no change is under way. Caught up is a learner that holds
+// what was committed a heartbeat ago: under load none holds all of the present.
 func (c *Core) changeMembers(now time.Time) {
 	if term, _ := c.log.term(c.log.commit); c.log.changing() || term != c.state.Term {
 		return
 	}
 	for _, id := range sortedIDs(c.progress) {
 		p := c.progress[id]
-		if !c.isLearner(id) || p.snapshot != nil || p.match < c.log.commit {
+		if !c.isLearner(id) || p.snapshot != nil || p.match < c.beatCommit {
 			continue
 		}
 		old, replaces := c.log.newest().Find(id.Node)
--- a/internal/control/quorum/replicate.go
+++ b/internal/control/quorum/replicate.go
@@ -71,6 +71,7 @@
 	}
 	c.dropSilentLearners(now)
 	c.changeMembers(now)
+	c.beatCommit = c.log.commit
 	c.broadcast()
 }
 
--- a/internal/control/quorum/scenario_test.go
+++ b/internal/control/quorum/scenario_test.go
@@ -149,6 +149,24 @@
 	}
 }
 
+func TestReplacementUnderLoad(t *testing.T) {
+	s := newSimulation(5, 3, calm)
+	s.runUntil(t, "equal nodes", s.settled)
+	lost := s.nodes[0]
+	s.slow, s.slowBy = lost.member.Node, 10*time.Millisecond
+	s.crash(lost)
+	lost.disk = s.newDisk(lost)
+	for end := s.now.Add(30 * time.Second); s.now.Before(end); {
+		s.runFor(t, time.Millisecond)
+		s.propose()
+		leader := s.leading()
+		if leader != nil && leader.core.log.committedConfig().Has(lost.disk.id) {
+			return
+		}
+	}
+	t.Errorf("got no replacement under load:%s", s.describe())
+}
+
 func TestRetiredDiskStops(t *testing.T) {
 	s := newSimulation(4, 3, calm)
 	s.runUntil(t, "equal nodes", s.settled)
--- a/internal/control/quorum/simulation_test.go
+++ b/internal/control/quorum/simulation_test.go
@@ -71,7 +71,10 @@
 		flights []flight
 		faults  simFaults
 		// cutOff holds the ends of cuts between pairs of nodes, by direction.
-		cutOff   map[[2]cluster.NodeName]time.Time
+		cutOff map[[2]cluster.NodeName]time.Time
+		// slow is a node whose messages take longer by slowBy.
+		slow     cluster.NodeName
+		slowBy   time.Duration
 		nextDisk uint64
 		nextRead uint64
 		commands uint64
@@ -257,6 +260,9 @@
 	if s.faults.extraDelay > 0 {
 		delay += time.Duration(s.random.Int64N(int64(s.faults.extraDelay)))
 	}
+	if s.slow == m.From.Node || s.slow == m.To.Node {
+		delay += s.slowBy
+	}
 	s.flights = append(s.flights, flight{at: s.now.Add(delay), message: m})
 }
 
--- a/internal/control/quorum/snapshot.go
+++ b/internal/control/quorum/snapshot.go
@@ -2,9 +2,14 @@
 
 import "time"
 
-// chunkBeats is the number of heartbeats without an answer after which a part
-// of a snapshot is sent again.
-const chunkBeats = 4
+const (
+	// chunkBeats is the number of heartbeats without an answer after which a
+	// part of a snapshot is sent again.
+	chunkBeats = 4
+	// maxKeepFactor times Options.KeepEntries is the number of entries by
+	// which a follower may be behind and still be kept entries for.
+	maxKeepFactor = 20
+)
 
 // incomingSnapshot is a snapshot of which parts have come. Another leader's
 // bytes for the same position may differ.
@@ -15,6 +20,48 @@
 	data       []byte
 }
 
+// Compact takes a snapshot of the state machine as it is after all applied
+// entries, and returns it as it is to be stored. Entries that it covers are
+// dropped but for the last Options.KeepEntries, and on the leader for those that
+// a follower lacks, within bounds.
+func (c *Core) Compact(data []byte) *Snapshot {
+	index := c.log.applied
+	term, _ := c.log.term(index)
+	s := &Snapshot{Index: index, Term: term, Configuration: c.log.configBefore(index), Data: data}
+	c.out.latest = s
+	c.log.forgetConfigs(index)
+	c.log.trim(c.trimTo(index))
+	return s
+}
+
+// trimTo returns the last position that isn't needed in memory any more.
+func (c *Core) trimTo(index uint64) uint64 {
+	keep := uint64(c.options.KeepEntries)
+	if index <= keep {
+		return 0
+	}
+	to := index - keep
+	for _, p := range c.progress {
+		held := p.match
+		if p.snapshot != nil {
+			held = p.snapshot.Index
+		}
+		if p.member.ID != c.self && held+keep*maxKeepFactor > index {
+			to = min(to, held)
+		}
+	}
+	return to
+}
+
+// Tail returns the hard state and the entries after the newest snapshot, which
+// are to be stored with it.
+func (c *Core) Tail() (HardState, []Entry) {
+	if c.out.latest == nil {
+		return c.hardState(), c.log.slice(c.log.base+1, c.log.last())
+	}
+	return c.hardState(), c.log.slice(c.out.latest.Index+1, c.log.last())
+}
+
 // sendChunk sends the part of a snapshot from the offset on.
 func (c *Core) sendChunk(p *progress) {
 	p.beats = 0
