Candidates bring the first configuration along

Ruled out: taking no cluster from candidates (a member that never took part couldn't vote after a compaction, as found before). Change: pre-votes and votes carry the first configuration while the log holds it, and a node without a cluster forms it from there. An entry of an unknown kind, in a message or a file, is an error that asks for an upgrade, as is an unknown version; before, it would have been skipped.

--- a/internal/control/codec/codec.go
+++ b/internal/control/codec/codec.go
@@ -23,7 +23,9 @@
 )
 
 const (
-	// version is the version of a batch of messages.
+	// version is the version of a batch of messages. It is raised only for
+	// what an older release must not ignore, and then one release after the
+	// one that can read it.
 	version = 1
 	// maxCounter bounds positions, terms and the like in a message, so that
 	// sums of them can't overflow.
@@ -241,6 +243,9 @@
 			Index: pb.GetIndex(), Term: pb.GetTerm(), Kind: quorum.EntryKind(pb.GetKind()),
 			Data: pb.GetData(), Configuration: config,
 		}
+		if pb.GetKind() > uint32(quorum.EntryConfiguration) {
+			return nil, eris.Wrapf(ErrVersion, "entry %d has the kind %d", e.Index, pb.GetKind())
+		}
 		if e.Index == 0 || e.Index != list[0].GetIndex()+uint64(i) {
 			return nil, eris.Wrapf(ErrMalformed, "entry %d at place %d after entry %d", e.Index, i, list[0].GetIndex())
 		}
--- a/internal/control/quorum/core.go
+++ b/internal/control/quorum/core.go
@@ -31,42 +31,44 @@
 	ErrRestored = eris.New("quorum: the stored state is inconsistent")
 )
 
-// Core is the state of one node. It isn't safe for concurrent use.
-type Core struct {
-	options Options
-	self    ID
-	state   HardState
-	log     journal
-	role    Role
-
-	leader           ID
-	leaderHeard      time.Time
-	electionDeadline time.Time
-	heartbeatDue     time.Time
-	probeDue         time.Time
-	// beatCommit is the leader's commit index at the last heartbeat.
-	beatCommit uint64
-
-	votes    map[ID]bool
-	progress map[ID]*progress
-	reads    readQueue
-	forming  formation
-	incoming incomingSnapshot
-
-	out output
-}
+type (
+	// Core is the state of one node. It isn't safe for concurrent use.
+	Core struct {
+		options Options
+		self    ID
+		state   HardState
+		log     journal
+		role    Role
+
+		leader           ID
+		leaderHeard      time.Time
+		electionDeadline time.Time
+		heartbeatDue     time.Time
+		probeDue         time.Time
+		// beatCommit is the leader's commit index at the last heartbeat.
+		beatCommit uint64
+
+		votes    map[ID]bool
+		progress map[ID]*progress
+		reads    readQueue
+		forming  formation
+		incoming incomingSnapshot
+		// latest is the snapshot that slow followers get; nil: none yet.
+		latest *Snapshot
+
+		out output
+	}
 
-// output collects the work for the next Ready.
-type output struct {
-	hardStateDirty bool
-	// unsaved is the first position to store; zero: none.
-	unsaved  uint64
-	snapshot *Snapshot
-	// latest is the snapshot that slow followers get.
-	latest   *Snapshot
-	messages []Message
-	reads    []ReadState
-}
+	// output collects the work for the next Ready.
+	output struct {
+		hardStateDirty bool
+		// unsaved is the first position to store; zero: none.
+		unsaved  uint64
+		snapshot *Snapshot
+		messages []Message
+		reads    []ReadState
+	}
+)
 
 // New returns the core of a node that has just started with what it found in
 // its data folder.
@@ -78,7 +80,7 @@
 	c := &Core{options: options, self: options.Self.ID, state: restored.HardState}
 	if s := restored.Snapshot; s != nil {
 		c.log.reset(s)
-		c.out.latest = s
+		c.latest = s
 	}
 	for _, e := range restored.Entries {
 		if e.Index != c.log.last()+1 {
@@ -186,14 +188,13 @@
 
 // Step takes a message. An error is fatal: the node must stop.
 func (c *Core) Step(m Message, now time.Time) error {
-	switch m.Kind {
-	case MessageProbe, MessageProbeAnswer:
+	if m.Kind == MessageProbe || m.Kind == MessageProbeAnswer {
 		if m.To.Node == c.self.Node && (m.To.Disk == 0 || m.To == c.self) {
 			c.stepProbe(m, now)
 		}
 		return nil
 	}
-	if m.To != c.self || !c.sameCluster(m) {
+	if m.To != c.self || !c.sameCluster(m, now) {
 		return nil
 	}
 	if m.Kind == MessageRetired {
@@ -211,19 +212,25 @@
 
 // sameCluster reports whether m belongs to this node's cluster. A node without
 // one takes the cluster of a leader or candidate that knows its disk: it is a
-// member there, or a learner, and has never taken part in another.
-func (c *Core) sameCluster(m Message) bool {
+// member there, or a learner, and has never taken part in another. As long as
+// candidates have the first configuration they bring it along, so that it isn't
+// only on the candidate's disk when it is elected.
+func (c *Core) sameCluster(m Message, now time.Time) bool {
 	if c.formed() || m.Cluster == 0 {
 		return m.Cluster == c.state.Cluster && c.formed()
 	}
 	switch m.Kind {
-	case MessageAppend, MessageSnapshot, MessagePreVote, MessageVote:
-		c.state.Cluster = m.Cluster
-		c.out.hardStateDirty = true
-		return true
+	case MessagePreVote, MessageVote:
+		if c.adoptGenesis(m, now) {
+			return true
+		}
+	case MessageAppend, MessageSnapshot:
 	default:
 		return false
 	}
+	c.state.Cluster = m.Cluster
+	c.out.hardStateDirty = true
+	return true
 }
 
 // takeTerm handles a term higher than the own; false: the message is done.
--- a/internal/control/quorum/election.go
+++ b/internal/control/quorum/election.go
@@ -74,7 +74,10 @@
 		if m.ID == c.self {
 			continue
 		}
-		c.send(Message{Kind: kind, To: m.ID, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm()})
+		c.send(Message{
+			Kind: kind, To: m.ID, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm(),
+			Configuration: c.genesis(),
+		})
 	}
 	c.countVotes(now)
 }
--- a/internal/control/quorum/forming.go
+++ b/internal/control/quorum/forming.go
@@ -125,13 +125,15 @@
 	return c.log.entries[0].Configuration
 }
 
-// adoptGenesis forms the cluster that another node has formed already.
-func (c *Core) adoptGenesis(m Message, now time.Time) {
+// adoptGenesis forms the cluster that another node has formed already, if the
+// message brings its first configuration.
+func (c *Core) adoptGenesis(m Message, now time.Time) bool {
 	config := m.Configuration
 	if config == nil || !config.Has(c.self) || viewOf(config.Members) != m.Cluster {
-		return
+		return false
 	}
 	c.form(*config, now)
+	return true
 }
 
 // view identifies the known disks of all listed nodes; zero: some are unknown.
--- a/internal/control/quorum/replicate.go
+++ b/internal/control/quorum/replicate.go
@@ -131,7 +131,7 @@
 	}
 	previous, ok := c.log.term(p.next - 1)
 	if !ok {
-		p.snapshot, p.offset = c.out.latest, 0
+		p.snapshot, p.offset = c.latest, 0
 		c.sendChunk(p)
 		return
 	}
--- a/internal/control/quorum/rules_test.go
+++ b/internal/control/quorum/rules_test.go
@@ -129,3 +129,25 @@
 		}
 	}
 }
+
+func TestCandidateBringsTheFirstConfiguration(t *testing.T) {
+	for _, kind := range []MessageKind{MessagePreVote, MessageVote} {
+		core := restoredCore(t, HardState{}, nil)
+		config := members(3).Configuration
+		other := restoredCore(t, HardState{Term: 1, Commit: 1, Cluster: viewOf(config.Members)}, []Entry{members(3)})
+		other.campaign(map[MessageKind]Role{MessagePreVote: RolePreCandidate, MessageVote: RoleCandidate}[kind], testNow)
+		for _, m := range other.Ready(testNow).Messages {
+			if m.Kind != kind || m.To != testMember(2).ID {
+				continue
+			}
+			// The node without a cluster is the second member.
+			core.self, core.options.Self = m.To, testMember(2)
+			if err := core.Step(m, testNow); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := core.Status(); !got.Voter || got.Last != 1 {
+			t.Errorf("message kind %d: got %+v, want a member with the first entry", kind, got)
+		}
+	}
+}
--- a/internal/control/quorum/snapshot.go
+++ b/internal/control/quorum/snapshot.go
@@ -28,7 +28,7 @@
 	index := c.log.applied
 	term, _ := c.log.term(index)
 	s := &Snapshot{Index: index, Term: term, Configuration: c.log.configBefore(index), Data: data}
-	c.out.latest = s
+	c.latest = s
 	c.log.forgetConfigs(index)
 	c.log.trim(c.trimTo(index))
 	return s
@@ -56,10 +56,10 @@
 // Tail returns the hard state and the entries after the newest snapshot, which
 // are to be stored with it.
 func (c *Core) Tail() (HardState, []Entry) {
-	if c.out.latest == nil {
+	if c.latest == nil {
 		return c.hardState(), c.log.slice(c.log.base+1, c.log.last())
 	}
-	return c.hardState(), c.log.slice(c.out.latest.Index+1, c.log.last())
+	return c.hardState(), c.log.slice(c.latest.Index+1, c.log.last())
 }
 
 // sendChunk sends the part of a snapshot from the offset on.
@@ -116,7 +116,7 @@
 	c.log.reset(s)
 	c.out.unsaved = 0
 	c.out.snapshot = s
-	c.out.latest = s
+	c.latest = s
 }
 
 func (c *Core) stepSnapshotAnswer(m Message, now time.Time) {
--- a/internal/control/wal/replay.go
+++ b/internal/control/wal/replay.go
@@ -72,6 +72,9 @@
 			break
 		}
 		frame, err := codec.DecodeFrame(payload)
+		if eris.Is(err, codec.ErrVersion) {
+			return segment{}, eris.Wrapf(ErrVersion, "%s: frame at byte %d: %v", name, s.end, err)
+		}
 		if err != nil {
 			return segment{}, eris.Wrapf(ErrCorrupt, "%s: frame at byte %d: %v", name, s.end, err)
 		}
--- a/internal/control/wal/wal_test.go
+++ b/internal/control/wal/wal_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/burdockwood/burdockwood/internal/control/codec"
 	"github.com/burdockwood/burdockwood/internal/control/quorum"
 )
 
@@ -172,6 +173,7 @@
 		{name: "cut in the last frame", damage: cut(segment, 5), wantCut: true},
 		{name: "flipped bit in the header", damage: flip(segment, 2), wantErr: ErrCorrupt},
 		{name: "newer format", damage: renew(segment), wantErr: ErrVersion},
+		{name: "entry of a newer kind", damage: appendNewer(segment), wantErr: ErrVersion},
 		{name: "no segment", damage: remove(segment), wantErr: ErrCorrupt},
 		{name: "no identity", damage: remove(identityName), wantErr: ErrCorrupt},
 		{name: "damaged identity", damage: flip(identityName, -1), wantErr: ErrCorrupt},
@@ -227,6 +229,15 @@
 	}
 }
 
+// appendNewer adds a sound frame with an entry of a kind that isn't known.
+func appendNewer(name string) func(*memoryFS) {
+	return func(fs *memoryFS) {
+		file := fs.names[name]
+		payload := mustEncode(codec.Frame{Entries: []quorum.Entry{{Index: 1, Kind: 9}}})
+		file.data = appendFrame(file.data, firstSequence, len(file.data), payload)
+	}
+}
+
 func cut(name string, bytes int) func(*memoryFS) {
 	return func(fs *memoryFS) {
 		file := fs.names[name]
