Plainer interfaces of the agreement core

Cause: reading as a newcomer: times that nothing used, a list named twice, two methods named step. Change: Propose, Read and Ready take no time; the listed nodes are Options.Nodes; the runtime's batch is handled by handle. Conclusion: no change of behaviour.

--- a/internal/control/node/loop.go
+++ b/internal/control/node/loop.go
@@ -105,7 +105,7 @@
 				return err
 			}
 		}
-		if err := n.step(batch); err != nil {
+		if err := n.handle(batch); err != nil {
 			return err
 		}
 	}
@@ -129,8 +129,8 @@
 	return batch
 }
 
-// step hands a batch of events to the core and does the work that follows.
-func (n *Node) step(batch []event) error {
+// handle hands a batch of events to the core and does the work that follows.
+func (n *Node) handle(batch []event) error {
 	now := n.now()
 	for _, e := range batch {
 		for _, m := range e.messages {
@@ -139,16 +139,16 @@
 			}
 		}
 		if e.read != nil {
-			n.beginRead(e.read, now)
+			n.beginRead(e.read)
 		}
 	}
 	n.core.Tick(now)
-	n.propose(batch, now)
+	n.propose(batch)
 	return n.work(batch)
 }
 
 // propose appends all commands of a batch.
-func (n *Node) propose(batch []event, now time.Time) {
+func (n *Node) propose(batch []event) {
 	var commands [][]byte
 	var proposals []*proposal
 	for _, e := range batch {
@@ -160,7 +160,7 @@
 	if len(commands) == 0 {
 		return
 	}
-	index, term, err := n.core.Propose(commands, now)
+	index, term, err := n.core.Propose(commands)
 	for i, p := range proposals {
 		if err != nil {
 			p.answer <- outcome{err: replica.ErrNotLeader}
@@ -171,9 +171,9 @@
 	}
 }
 
-func (n *Node) beginRead(r *read, now time.Time) {
+func (n *Node) beginRead(r *read) {
 	n.nextToken++
-	if err := n.core.Read(n.nextToken, now); err != nil {
+	if err := n.core.Read(n.nextToken); err != nil {
 		r.answer <- outcome{err: replica.ErrNotLeader}
 		return
 	}
@@ -185,7 +185,7 @@
 	replies := newReplies(batch)
 	for n.core.HasReady() {
 		now := n.now()
-		ready := n.core.Ready(now)
+		ready := n.core.Ready()
 		if err := n.store(ready); err != nil {
 			return err
 		}
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -235,7 +235,7 @@
 	}
 	for _, p := range o.Peers {
 		member := quorum.Member{ID: quorum.ID{Node: p.Name}, Address: p.Address}
-		options.Roster = append(options.Roster, member)
+		options.Nodes = append(options.Nodes, member)
 	}
 	return options
 }
--- a/internal/control/quorum/core.go
+++ b/internal/control/quorum/core.go
@@ -73,7 +73,7 @@
 // New returns the core of a node that has just started with what it found in
 // its data folder.
 func New(options Options, restored Restored, now time.Time) (*Core, error) {
-	if options.Self.ID.IsZero() || options.Self.Disk == 0 || options.Random == nil || len(options.Roster) == 0 {
+	if options.Self.ID.IsZero() || options.Self.Disk == 0 || options.Random == nil || len(options.Nodes) == 0 {
 		return nil, eris.Wrap(ErrOptions, "need the own identity, the listed nodes and a random generator")
 	}
 	withDefaults(&options)
@@ -293,7 +293,7 @@
 }
 
 // Propose appends commands, of which the first gets the returned position.
-func (c *Core) Propose(commands [][]byte, _ time.Time) (index, term uint64, err error) {
+func (c *Core) Propose(commands [][]byte) (index, term uint64, err error) {
 	if c.role != RoleLeader {
 		return 0, 0, ErrNotLeader
 	}
@@ -318,8 +318,8 @@
 }
 
 // Ready returns the work to do. Call Advance with it before the next Ready.
-func (c *Core) Ready(now time.Time) Ready {
-	c.flushAppends(now)
+func (c *Core) Ready() Ready {
+	c.flushAppends()
 	o := &c.out
 	ready := Ready{
 		Snapshot:  o.snapshot,
--- a/internal/control/quorum/doc.go
+++ b/internal/control/quorum/doc.go
@@ -6,9 +6,9 @@
 //	core, err := quorum.New(options, restored, now)
 //	err = core.Step(message, now) // a message came
 //	core.Tick(now)                // core.Deadline() has passed
-//	index, term, err := core.Propose(commands, now)
+//	index, term, err := core.Propose(commands)
 //	for core.HasReady() {
-//		ready := core.Ready(now)
+//		ready := core.Ready()
 //		// 1. store ready.Snapshot, HardState and Entries, and sync
 //		// 2. send ready.Messages
 //		// 3. apply ready.Committed
@@ -59,7 +59,9 @@
 // A learner counts in no majority before the entry that adds it is appended,
 // and then never instead of an old member before the entry is committed.
 // Compared with "remove the old, then add the new", no step has fewer members
-// than before. Replaced disks are listed as retired and never take part again.
+// than before. The last replaced disks are listed as retired: a node that finds
+// itself there stops. An older one that comes back is a learner like any other;
+// what it remembers is true, only old.
 //
 // # First start
 //
@@ -74,5 +76,6 @@
 // doesn't agree.
 //
 // A node that has no cluster but is a member of a formed one's first
-// configuration takes that configuration from the answer.
+// configuration takes that configuration from the answer, or from a candidate's
+// message.
 package quorum
--- a/internal/control/quorum/forming.go
+++ b/internal/control/quorum/forming.go
@@ -150,8 +150,8 @@
 
 // seenMembers returns the listed nodes with their disks as far as known.
 func (c *Core) seenMembers() ([]Member, bool) {
-	members := make([]Member, 0, len(c.options.Roster))
-	for _, m := range c.options.Roster {
+	members := make([]Member, 0, len(c.options.Nodes))
+	for _, m := range c.options.Nodes {
 		seen, ok := c.forming.seen[m.Node]
 		if m.Node == c.self.Node {
 			seen, ok = sighting{disk: c.self.Disk}, true
--- a/internal/control/quorum/fuzz_test.go
+++ b/internal/control/quorum/fuzz_test.go
@@ -35,7 +35,7 @@
 		}
 		now := time.Unix(1_000_000, 0)
 		options := quorum.Options{
-			Self: config.Members[0], Roster: config.Members, Random: rand.New(rand.NewPCG(1, 1)),
+			Self: config.Members[0], Nodes: config.Members, Random: rand.New(rand.NewPCG(1, 1)),
 		}
 		restored := quorum.Restored{
 			HardState: quorum.HardState{Term: 2, Commit: 1, Cluster: 9}, Entries: []quorum.Entry{first, second},
@@ -53,7 +53,7 @@
 				}
 			}
 			if core.HasReady() {
-				core.Advance(core.Ready(now), now)
+				core.Advance(core.Ready(), now)
 			}
 		}
 	})
--- a/internal/control/quorum/members.go
+++ b/internal/control/quorum/members.go
@@ -13,7 +13,7 @@
 
 // learn makes the leader send the log to a node that wants to join.
 func (c *Core) learn(id ID, now time.Time) {
-	member, listed := c.rosterMember(id)
+	member, listed := c.listedMember(id)
 	if c.role != RoleLeader || !listed || c.progress[id] != nil {
 		return
 	}
@@ -27,9 +27,9 @@
 	c.addProgress(member, now)
 }
 
-// rosterMember returns the member of a listed node with the given disk.
-func (c *Core) rosterMember(id ID) (Member, bool) {
-	for _, m := range c.options.Roster {
+// listedMember returns the member of a listed node with the given disk.
+func (c *Core) listedMember(id ID) (Member, bool) {
+	for _, m := range c.options.Nodes {
 		if m.Node == id.Node {
 			return Member{ID: id, Address: m.Address}, true
 		}
@@ -123,7 +123,7 @@
 // otherNodes returns the names of the listed nodes but the own.
 func (c *Core) otherNodes() []cluster.NodeName {
 	var names []cluster.NodeName
-	for _, m := range c.options.Roster {
+	for _, m := range c.options.Nodes {
 		if m.Node != c.self.Node {
 			names = append(names, m.Node)
 		}
--- a/internal/control/quorum/read.go
+++ b/internal/control/quorum/read.go
@@ -1,7 +1,5 @@
 package quorum
 
-import "time"
-
 // readQueue batches reads: those that wait get one round of confirmation.
 type readQueue struct {
 	// round is the newest round begun in this term.
@@ -13,7 +11,7 @@
 
 // Read asks for the confirmation that this node leads. The answer comes in
 // Ready.Reads with the same token.
-func (c *Core) Read(token uint64, _ time.Time) error {
+func (c *Core) Read(token uint64) error {
 	if c.role != RoleLeader {
 		return ErrNotLeader
 	}
--- a/internal/control/quorum/replicate.go
+++ b/internal/control/quorum/replicate.go
@@ -106,7 +106,7 @@
 }
 
 // flushAppends sends new entries to the followers that lack them.
-func (c *Core) flushAppends(_ time.Time) {
+func (c *Core) flushAppends() {
 	if c.role != RoleLeader {
 		return
 	}
--- a/internal/control/quorum/rules_test.go
+++ b/internal/control/quorum/rules_test.go
@@ -20,7 +20,7 @@
 func restoredCore(t *testing.T, state HardState, log []Entry) *Core {
 	t.Helper()
 	self := testMember(1)
-	options := Options{Self: self, Roster: []Member{self}, Random: rand.New(rand.NewPCG(1, 1))}
+	options := Options{Self: self, Nodes: []Member{self}, Random: rand.New(rand.NewPCG(1, 1))}
 	core, err := New(options, Restored{HardState: state, Entries: log}, testNow)
 	if err != nil {
 		t.Fatal(err)
@@ -102,7 +102,7 @@
 			m := test.message
 			m.Kind = MessageVote
 			step(t, core, m)
-			ready := core.Ready(testNow)
+			ready := core.Ready()
 			got := len(ready.Messages) == 1 && !ready.Messages[0].Reject
 			if got != test.want {
 				t.Errorf("got vote %v, want %v", got, test.want)
@@ -121,7 +121,7 @@
 	core := restoredCore(t, HardState{Term: 3, Commit: 1, Cluster: 9}, append([]Entry{members(3)}, entries(2, 2, 2)...))
 	core.campaign(RoleCandidate, testNow)
 	step(t, core, Message{Kind: MessageVoteAnswer, Term: 4})
-	core.Advance(core.Ready(testNow), testNow)
+	core.Advance(core.Ready(), testNow)
 	for _, test := range []struct{ matched, want uint64 }{{matched: 2, want: 1}, {matched: 3, want: 3}} {
 		step(t, core, Message{Kind: MessageAppendAnswer, Term: 4, Index: test.matched})
 		if got := core.Status().Commit; got != test.want {
@@ -136,7 +136,7 @@
 		config := members(3).Configuration
 		other := restoredCore(t, HardState{Term: 1, Commit: 1, Cluster: viewOf(config.Members)}, []Entry{members(3)})
 		other.campaign(map[MessageKind]Role{MessagePreVote: RolePreCandidate, MessageVote: RoleCandidate}[kind], testNow)
-		for _, m := range other.Ready(testNow).Messages {
+		for _, m := range other.Ready().Messages {
 			if m.Kind != kind || m.To != testMember(2).ID {
 				continue
 			}
--- a/internal/control/quorum/simulation_test.go
+++ b/internal/control/quorum/simulation_test.go
@@ -121,7 +121,7 @@
 		KeepEntries: 5,
 	}
 	for _, other := range s.nodes {
-		options.Roster = append(options.Roster, other.member)
+		options.Nodes = append(options.Nodes, other.member)
 	}
 	n.index, n.sum, n.snapshot, n.frozen, n.held = 0, 0, 0, false, nil
 	if n.disk.snapshot != nil {
@@ -149,7 +149,7 @@
 func (s *simulation) work(n *simNode) {
 	for n.core != nil && n.core.HasReady() {
 		core := n.core
-		ready := core.Ready(s.now)
+		ready := core.Ready()
 		if s.crashesAtSync(n) {
 			return // before the sync: all of ready is lost
 		}
@@ -355,7 +355,7 @@
 		}
 		s.commands++
 		command := binary.BigEndian.AppendUint64(nil, s.commands)
-		if _, _, err := n.core.Propose([][]byte{command}, s.now); err != nil {
+		if _, _, err := n.core.Propose([][]byte{command}); err != nil {
 			s.check.fail("leader %v: %v", n.disk.id, err)
 		}
 		s.work(n)
@@ -370,7 +370,7 @@
 		}
 		s.nextRead++
 		s.check.readAsked(s.nextRead)
-		if err := n.core.Read(s.nextRead, s.now); err != nil {
+		if err := n.core.Read(s.nextRead); err != nil {
 			s.check.fail("leader %v: %v", n.disk.id, err)
 		}
 		s.work(n)
--- a/internal/control/quorum/types.go
+++ b/internal/control/quorum/types.go
@@ -178,9 +178,9 @@
 	// Options adjust a core. Zero durations and sizes take defaults.
 	Options struct {
 		Self Member
-		// Roster lists the nodes of the settings, this one too; disks are
-		// ignored.
-		Roster []Member
+		// Nodes are those that the settings list, this one too; their disks
+		// are ignored.
+		Nodes []Member
 		// ElectionMin and ElectionMax bound the random time after which a
 		// follower without a leader campaigns.
 		ElectionMin time.Duration
