--- a/internal/control/coordinator/answer.go
+++ b/internal/control/coordinator/answer.go
@@ -78,7 +78,8 @@
 	}
 	if p, ok := c.proxies[beat.Proxy]; ok {
 		answer.Drain = p.drain
-		if beat.Revision < max(p.grantsRevision, c.fullAfter) || now.Sub(p.grantsHanded) >= grant.RenewAfter {
+		due := beat.Revision < max(p.grantsRevision, c.fullAfter) || now.Sub(p.grantsHanded) >= grant.RenewAfter
+		if due && c.mayHand(p, now) {
 			answer.Shares, answer.SharesSet = c.hand(p, now), true
 		}
 	}
--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -42,6 +42,9 @@
 	actionQueue = 4096
 	// probeInterval is the time between two probes of a suspected primary.
 	probeInterval = 100 * time.Millisecond
+	// divideInterval is the time between two divisions of all connections;
+	// the report of a proxy divides at once.
+	divideInterval = 200 * time.Millisecond
 )
 
 var (
@@ -93,10 +96,11 @@
 		version       cluster.Version
 		declared      Declared
 		known         bool
+		taken         *state.State
+		divideAt      time.Time
 		groups        map[cluster.GroupName]*group
 		proxies       map[cluster.ProxyName]*proxy
 		ledgers       map[ServerKey]grant.Ledger
-		registered    map[cluster.ProxyName]bool
 		dropped       map[ServerKey]time.Time
 		order         []grant.Proxy
 	}
@@ -186,6 +190,11 @@
 		g.servers = registry.Forget(g.servers, now)
 		c.decide(name, failover.Event{}, now)
 	}
+	if now.Before(c.divideAt) {
+		return
+	}
+	c.divideAt = now.Add(divideInterval)
+	c.takeProxies(c.machine.View(), now)
 	c.divide(now)
 }
 
@@ -234,11 +243,16 @@
 		c.reset(epoch, now)
 	}
 	view := c.machine.View()
+	if view == c.taken {
+		return true
+	}
+	c.taken = view
 	if !c.known || view.Version != c.version {
 		c.takeDeclarations(view)
 	}
 	c.takeKeys(view)
-	c.takeRegistered(view, now)
+	c.takeServers(view, now)
+	c.takeProxies(view, now)
 	return true
 }
 
@@ -246,15 +260,12 @@
 	c.epoch = epoch
 	c.since = now
 	c.known = false
+	c.taken = nil
 	c.keys = nil
 	c.groups = map[cluster.GroupName]*group{}
 	c.proxies = map[cluster.ProxyName]*proxy{}
 	c.ledgers = map[ServerKey]grant.Ledger{}
-	c.registered = map[cluster.ProxyName]bool{}
 	c.dropped = map[ServerKey]time.Time{}
-	for name := range c.machine.View().Proxies {
-		c.registered[name] = true
-	}
 	c.fullAfter = c.bump()
 	c.peersRevision = c.revision
 }
--- a/internal/control/coordinator/proxies.go
+++ b/internal/control/coordinator/proxies.go
@@ -46,8 +46,11 @@
 	// proxy is the soft state of one proxy.
 	proxy struct {
 		Beat
-		heard          time.Time
-		uses           map[ServerKey]grant.Use
+		heard        time.Time
+		uses         map[ServerKey]grant.Use
+		usesRevision uint64
+		// told is set once this leader has the proxy's uses.
+		told           bool
 		grantsRevision uint64
 		grantsHanded   time.Time
 		drain          bool
@@ -82,6 +85,7 @@
 	if beat.Epoch != c.epoch {
 		beat.Revision = 0
 	}
+	revision := beat.Revision
 	beat.Revision = max(beat.Revision, known.Beat.Revision)
 	beat.Version = max(beat.Version, known.Beat.Version)
 	known.Beat = beat
@@ -90,9 +94,12 @@
 		c.peersRevision = c.bump()
 	}
 	c.register(known, now)
-	c.takeUses(known)
+	c.takeUses(known, beat.Uses, revision)
 	c.takeSuspicions(beat, now)
-	c.divide(now)
+	if changed || beat.Uses != nil {
+		c.takeProxies(c.machine.View(), now)
+		c.divide(now)
+	}
 	return nil
 }
 
--- a/internal/control/coordinator/shares.go
+++ b/internal/control/coordinator/shares.go
@@ -31,14 +31,18 @@
 	return ServerKey{Group: cluster.GroupName(group), Server: cluster.ServerName(server)}, ok && group != "" && server != ""
 }
 
-// takeRegistered follows the committed proxies and servers.
-func (c *Coordinator) takeRegistered(view *state.State, now time.Time) {
+// takeProxies follows the committed proxies and which of them are live.
+func (c *Coordinator) takeProxies(view *state.State, now time.Time) {
 	c.order = c.order[:0]
 	for _, p := range slices.SortedFunc(maps.Values(view.Proxies), bySequence) {
 		soft, ok := c.proxies[p.Name]
 		live := ok && soft.isLive(now) && soft.Incarnation == p.Incarnation
-		c.order = append(c.order, grant.Proxy{Name: p.Name, Live: live, Before: c.registered[p.Name]})
+		c.order = append(c.order, grant.Proxy{Name: p.Name, Live: live})
 	}
+}
+
+// takeServers follows the committed servers.
+func (c *Coordinator) takeServers(view *state.State, now time.Time) {
 	for group, record := range view.Groups {
 		for server, member := range record.Members {
 			key := ServerKey{Group: group, Server: server}
@@ -73,14 +77,32 @@
 
 func bySequence(a, b state.Proxy) int { return cmp.Compare(a.Sequence, b.Sequence) }
 
-// takeUses reports a proxy's uses to the ledgers.
-func (c *Coordinator) takeUses(p *proxy) {
-	if p.Beat.Uses != nil {
-		p.uses = p.Beat.Uses
+// takeUses reports a proxy's uses to the ledgers. The revision is that of the
+// request.
+func (c *Coordinator) takeUses(p *proxy, uses map[ServerKey]grant.Use, revision uint64) {
+	if uses != nil && revision >= p.usesRevision {
+		p.uses, p.usesRevision, p.told = uses, revision, true
+	}
+	if !p.told {
+		return
 	}
 	for key, ledger := range c.ledgers {
-		c.ledgers[key] = ledger.Report(p.Proxy, p.uses[key], p.Beat.Revision)
+		c.ledgers[key] = ledger.Report(p.Proxy, p.uses[key], revision)
+	}
+}
+
+// mayHand reports whether the shares of a proxy are known well enough to hand
+// them out.
+func (c *Coordinator) mayHand(p *proxy, now time.Time) bool {
+	if p.told {
+		return true
+	}
+	for _, ledger := range c.ledgers {
+		if !ledger.Settled(now) {
+			return false
+		}
 	}
+	return true
 }
 
 // divide gives each server's connections to the proxies anew where due.
--- a/internal/control/grant/grant.go
+++ b/internal/control/grant/grant.go
@@ -14,8 +14,9 @@
 // one and closed what is above it, or until its lease has run out.
 //
 // A new leader of control doesn't know the shares that the one before handed
-// out. Until Settle has passed, it grants a proxy no more than the floor or
-// the connections that the proxy reports open, both of which it held already.
+// out. Until Settle has passed, it grants a proxy what the proxy reports to
+// hold already, and hands nothing to a proxy that hasn't reported: that one
+// keeps its floor.
 //
 // All functions are pure; a Ledger is never changed once made.
 package grant
@@ -53,6 +54,8 @@
 		Open int
 		// Wanted is the number that it has work for.
 		Wanted int
+		// Granted is the number that it may hold by what control told it.
+		Granted int
 	}
 
 	// Ledger records the shares of one server.
@@ -68,8 +71,6 @@
 		Name cluster.ProxyName
 		// Live is false once its heartbeats stay away.
 		Live bool
-		// Before tells that it was registered when this leader began.
-		Before bool
 	}
 
 	// Share is what one proxy may hold.
@@ -89,6 +90,8 @@
 		held      int
 		floorHeld int
 		use       Use
+		// reported is the revision of the newest report.
+		reported uint64
 	}
 )
 
@@ -113,12 +116,17 @@
 	return sum
 }
 
-// Report takes in a proxy's use and the highest revision that it received.
+// Settled reports whether no share of an earlier leader is valid any longer.
+func (l Ledger) Settled(now time.Time) bool { return now.Sub(l.since) >= Settle }
+
+// Report takes in a proxy's use and the revision that it had received when it
+// sent the report. A report that comes after a newer one is dropped.
 func (l Ledger) Report(proxy cluster.ProxyName, use Use, revision uint64) Ledger {
-	share, ok := l.shares[proxy]
-	if !ok {
+	share := l.shares[proxy]
+	if revision < share.reported {
 		return l
 	}
+	share.reported = revision
 	share.use = use
 	if revision >= share.Revision {
 		share.held = max(share.Granted, use.Open)
@@ -141,6 +149,9 @@
 
 func (l Ledger) with(proxy cluster.ProxyName, share Share) Ledger {
 	l.shares = maps.Clone(l.shares)
+	if l.shares == nil {
+		l.shares = map[cluster.ProxyName]Share{}
+	}
 	l.shares[proxy] = share
 	return l
 }
@@ -160,7 +171,7 @@
 func (l Ledger) Divide(proxies []Proxy, revision uint64, now time.Time) (Ledger, bool) {
 	next := l
 	next.shares = l.members(proxies, now)
-	settled := now.Sub(l.since) >= Settle
+	settled := l.Settled(now)
 	if !next.isDue(proxies, settled, now) {
 		return next, false
 	}
@@ -193,7 +204,7 @@
 	for _, proxy := range proxies {
 		share := l.shares[proxy.Name]
 		sum += share.Granted
-		if proxy.Live && share.Granted < share.Floor && (settled || proxy.Before) {
+		if proxy.Live && share.Granted < share.Floor && settled {
 			return true
 		}
 		unmet = unmet || (proxy.Live && share.use.Wanted > share.Granted)
@@ -209,13 +220,9 @@
 	left := l.limit
 	for _, proxy := range proxies {
 		share := l.shares[proxy.Name]
-		switch {
-		case settled:
-			targets[proxy.Name] = share.Floor
-		case proxy.Before:
-			targets[proxy.Name] = max(share.use.Open, share.Floor)
-		default:
-			targets[proxy.Name] = share.use.Open
+		targets[proxy.Name] = share.Floor
+		if !settled {
+			targets[proxy.Name] = max(share.use.Open, share.use.Granted, share.Granted)
 		}
 		left -= targets[proxy.Name]
 	}
--- a/internal/control/service/heartbeat.go
+++ b/internal/control/service/heartbeat.go
@@ -79,7 +79,7 @@
 	}
 	for _, use := range request.Uses {
 		if key, ok := coordinator.ParseServerKey(use.Server); ok {
-			beat.Uses[key] = grant.Use{Open: int(use.Open), Wanted: int(use.Wanted)}
+			beat.Uses[key] = grant.Use{Open: int(use.Open), Wanted: int(use.Wanted), Granted: int(use.Granted)}
 		}
 	}
 	for _, suspicion := range request.Suspicions {
