Measuring: a load that stays open under overload

Cause: 200 sessions that send one request at a time slow the load down as answers take longer: at 4 x the rate nothing was ever refused. Ruled out: several requests at once in a session: its sequence of writes would no longer be ordered. Open: refusals must take less than 50 ms; proxies together open more connections than the server's limit under overload.

--- a/internal/measure/bed/bed.go
+++ b/internal/measure/bed/bed.go
@@ -17,6 +17,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/netip"
 	"time"
@@ -63,6 +64,7 @@
     groups: {service: measured}
     tenant: callers
     weight: 1
+    deadline: %v
 `
 )
 
@@ -182,7 +184,8 @@
 		addresses = append(addresses, c.address)
 	}
 	client := leader.New(addresses, transport.NewClient("", transport.Options{}))
-	request := &controlpb.ApplyRequest{Declarations: declarations, ChangeId: "measure", Author: "measure"}
+	declared := fmt.Sprintf(declarations, b.options.Profile.Deadline)
+	request := &controlpb.ApplyRequest{Declarations: declared, ChangeId: "measure", Author: "measure"}
 	return client.Do(ctx, callLimit, func(ctx context.Context, control controlpb.Control) error {
 		response, err := control.Apply(ctx, request)
 		if err != nil {
--- a/internal/measure/command/command.go
+++ b/internal/measure/command/command.go
@@ -151,7 +151,7 @@
 // measure does the runs one after another.
 func (s *settings) measure(ctx context.Context) error {
 	p, _ := profile.Named(s.Profile)
-	p.Rate *= s.Rate
+	p = p.Scaled(s.Rate)
 	builder := report.New(report.Settings{
 		Profile:    s.Profile,
 		Fault:      s.Fault,
--- a/internal/measure/load/load.go
+++ b/internal/measure/load/load.go
@@ -132,8 +132,8 @@
 		at:      at,
 		session: random.IntN(options.Profile.Sessions),
 		kind:    options.Profile.Mix.Pick(random.Float64()),
-		proxy:   random.IntN(len(options.Addresses)),
 	}
+	r.proxy = (r.session + random.IntN(max(1, options.Profile.Roam))) % len(options.Addresses)
 	r.member = r.session
 	other, age := random.IntN(options.Profile.Sessions), random.IntN(len(options.Profile.MaxAges))
 	if r.kind == history.AgedRead {
--- a/internal/measure/profile/profile.go
+++ b/internal/measure/profile/profile.go
@@ -38,6 +38,10 @@
 		ServiceTime time.Duration
 		// Sessions is the number of callers.
 		Sessions int
+		// Roam is the number of proxies among which a session moves.
+		Roam int
+		// Deadline bounds each request.
+		Deadline time.Duration
 		// Rate is the number of requests started a second.
 		Rate    float64
 		Mix     Mix
@@ -57,6 +61,8 @@
 		ConnectDelay:  10 * time.Millisecond,
 		ServiceTime:   5 * time.Millisecond,
 		Sessions:      200,
+		Roam:          3,
+		Deadline:      2 * time.Second,
 		Rate:          100,
 		Mix:           Mix{Write: 0.35, OwnRead: 0.30, AgedRead: 0.30, Transaction: 0.05},
 		MaxAges:       []time.Duration{2 * time.Second, 10 * time.Second},
@@ -72,6 +78,8 @@
 		ConnectDelay:  30 * time.Millisecond,
 		ServiceTime:   5 * time.Millisecond,
 		Sessions:      200,
+		Roam:          3,
+		Deadline:      2 * time.Second,
 		Rate:          200,
 		Mix:           Mix{Write: 0.09, OwnRead: 0.08, AgedRead: 0.80, Transaction: 0.03},
 		MaxAges:       []time.Duration{time.Second, 5 * time.Second},
@@ -88,6 +96,16 @@
 	return Profile{}, false
 }
 
+// Scaled returns the profile with its rate multiplied; sessions are added so
+// that callers that wait don't slow the load down.
+func (p Profile) Scaled(factor float64) Profile {
+	p.Rate *= factor
+	if factor > 1 {
+		p.Sessions = int(float64(p.Sessions) * factor)
+	}
+	return p
+}
+
 // Pick returns the kind for a number from 0 to 1.
 func (m Mix) Pick(number float64) history.Kind {
 	switch {
