Report: replica reads against the best that the promises allow

Cause: a share of replica reads says little without the share that could be. Ruled out: counting own reads as allowed: a read that states no age wants the newest data. Change: replica-read-best and replica-read-of-best in JSON and table.

--- a/internal/measure/report/report.go
+++ b/internal/measure/report/report.go
@@ -60,11 +60,16 @@
 		// UnendedGaps counts runs in which no write landed after the fault.
 		UnendedGaps      int     `json:"unended-gaps"`
 		ReplicaReadShare float64 `json:"replica-read-share"`
-		Completed        int     `json:"completed"`
-		Refused          int     `json:"refused"`
-		Unknown          int     `json:"unknown"`
-		Failed           int     `json:"failed"`
-		NotSent          int     `json:"not-sent"`
+		// ReplicaReadBest is the share of reads that state an age, which is
+		// the most that replicas may serve.
+		ReplicaReadBest float64 `json:"replica-read-best"`
+		// ReplicaReadOfBest is the share divided by the best.
+		ReplicaReadOfBest float64 `json:"replica-read-of-best"`
+		Completed         int     `json:"completed"`
+		Refused           int     `json:"refused"`
+		Unknown           int     `json:"unknown"`
+		Failed            int     `json:"failed"`
+		NotSent           int     `json:"not-sent"`
 		// RefusalMS is the time that refusals took.
 		RefusalMS Times `json:"refusal-ms"`
 		// ResponseMS is the time of answered requests.
@@ -158,6 +163,11 @@
 	if reads := b.primaryReads + b.replicaReads; reads > 0 {
 		r.ReplicaReadShare = float64(b.replicaReads) / float64(reads)
 	}
+	aged, own := len(b.responses[history.AgedRead]), len(b.responses[history.OwnRead])
+	if aged > 0 {
+		r.ReplicaReadBest = float64(aged) / float64(aged+own)
+		r.ReplicaReadOfBest = r.ReplicaReadShare / r.ReplicaReadBest
+	}
 	if r.Runs > 0 {
 		r.ControlBytes /= float64(r.Runs)
 	}
@@ -190,15 +200,15 @@
 
 // WriteTable writes reports as a table in Markdown, one row each.
 func WriteTable(w io.Writer, reports []Report) error {
-	header := "| profile | fault | runs | failed runs | lost | doubled | stale | false not-run | mixed | promotions | gap p50 / p99 / max ms | replica reads | completed | refused | unknown | failed | not sent |\n" +
+	header := "| profile | fault | runs | failed runs | lost | doubled | stale | false not-run | mixed | promotions | gap p50 / p99 / max ms | replica reads (of the best) | completed | refused | unknown | failed | not sent |\n" +
 		"|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n"
 	if _, err := io.WriteString(w, header); err != nil {
 		return err
 	}
 	for _, r := range reports {
-		_, err := fmt.Fprintf(w, "| %s | %s | %d | %d | %d | %d | %d | %d | %d | %d | %s | %.1f%% | %d | %d | %d | %d | %d |\n",
+		_, err := fmt.Fprintf(w, "| %s | %s | %d | %d | %d | %d | %d | %d | %d | %d | %s | %.1f%% (%.1f%%) | %d | %d | %d | %d | %d |\n",
 			r.Profile, r.Fault, r.Runs, len(r.FailedRuns), r.Lost, r.Doubled, r.StaleReads, r.FalseNotRun, r.Mixed, r.Promotions,
-			gapText(r), 100*r.ReplicaReadShare, r.Completed, r.Refused, r.Unknown, r.Failed, r.NotSent)
+			gapText(r), 100*r.ReplicaReadShare, 100*r.ReplicaReadOfBest, r.Completed, r.Refused, r.Unknown, r.Failed, r.NotSent)
 		if err != nil {
 			return err
 		}
