Bed: a start that fails half way can be stopped

Cause: a control node without a group would end Stop with a nil pointer. Change: the group is there from the first. Conclusion: found by reading; no run showed it.

--- a/internal/measure/bed/control.go
+++ b/internal/measure/bed/control.go
@@ -38,7 +38,7 @@
 			return err
 		}
 		peers = append(peers, fmt.Sprintf("%s=%s", controlName(i), front.Address()))
-		b.controls = append(b.controls, &Control{bed: b, address: address, relay: front})
+		b.controls = append(b.controls, &Control{bed: b, address: address, relay: front, group: &errgroup.Group{}})
 	}
 	for i, c := range b.controls {
 		c.options = settings.Control{
