Measuring: lost disks of a server and of control

Cause: lost disks, and a second loss right after a repair, were not brought about with the whole path under load. Ruled out: wiping without a replica that is behind: both replicas then hold every write and the loss shows nothing. Change: kinds server-disk (one replica behind, the other loses its disk, the primary is killed at the same time) and control-disk (a node loses its disk, another is killed after its repair, then the primary).

--- a/internal/measure/bed/control.go
+++ b/internal/measure/bed/control.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"os"
 	"path/filepath"
 
 	"golang.org/x/sync/errgroup"
@@ -99,6 +100,14 @@
 	return c.group.Wait()
 }
 
+// Wipe kills the node and deletes its data folder.
+func (c *Control) Wipe() error {
+	if err := c.Kill(); err != nil {
+		return err
+	}
+	return os.RemoveAll(c.options.Data)
+}
+
 // Restart starts a killed node again with its data.
 func (c *Control) Restart() {
 	c.set(relay.Open)
--- a/internal/measure/bed/server.go
+++ b/internal/measure/bed/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"os"
 	"path/filepath"
 	"sync"
 	"time"
@@ -120,6 +121,12 @@
 	s.server = nil
 }
 
+// Wipe kills the server and deletes its data folder.
+func (s *Server) Wipe() error {
+	s.Kill()
+	return os.RemoveAll(s.options.Data)
+}
+
 // Restart starts a killed server again with its data.
 func (s *Server) Restart() error {
 	s.relay.Set(relay.Open)
--- a/internal/measure/fault/fault.go
+++ b/internal/measure/fault/fault.go
@@ -33,6 +33,12 @@
 	ControlLost Kind = "control-lost"
 	// ProxyKilled ends a proxy without a farewell.
 	ProxyKilled Kind = "proxy-kill"
+	// ServerDisk loses a replica's disk while the other replica is behind,
+	// and kills the primary right after.
+	ServerDisk Kind = "server-disk"
+	// ControlDisk loses a control node's disk, kills a second node after the
+	// repair, and then the primary.
+	ControlDisk Kind = "control-disk"
 	// Chaos brings about many of these, some together.
 	Chaos Kind = "chaos"
 
@@ -47,6 +53,9 @@
 	CutProxy
 	// CutControl separates a server from control.
 	CutControl
+	// Wipe kills a process and deletes its data folder; its end starts it
+	// again.
+	Wipe
 
 	// Primary is the server that is primary when the step begins.
 	Primary Target = iota
@@ -57,6 +66,12 @@
 	// Control is a control node.
 	Control
 
+	// behindFor is how long the frozen replica misses writes.
+	behindFor = time.Second
+	// wipePause is the time between the loss of a disk and the restart.
+	wipePause = 100 * time.Millisecond
+	controls  = 3
+
 	chaosPause   = 1500 * time.Millisecond
 	chaosLongest = 2500 * time.Millisecond
 	chaosQuiet   = 4 * time.Second
@@ -94,14 +109,14 @@
 
 // Kinds returns every kind.
 func Kinds() []Kind {
-	return []Kind{None, Killed, Frozen, CutOff, Overload, ProxyCut, ControlCut, ControlLost, ProxyKilled, Chaos}
+	return []Kind{None, Killed, Frozen, CutOff, Overload, ProxyCut, ControlCut, ControlLost, ProxyKilled, ServerDisk, ControlDisk, Chaos}
 }
 
 // TakesPrimary reports whether the kind takes the primary away, so that a
 // failover is expected.
 func (k Kind) TakesPrimary() bool {
 	switch k {
-	case Killed, Frozen, CutOff, ControlLost, Chaos:
+	case Killed, Frozen, CutOff, ControlLost, ServerDisk, ControlDisk, Chaos:
 		return true
 	}
 	return false
@@ -125,9 +140,13 @@
 	case ProxyKilled:
 		step.Action, step.Target = Kill, Proxy
 	case ControlLost:
-		lost := Step{At: length / 6, Until: step.Until, Action: Cut, Target: Control, Index: int(seed % 3)}
+		lost := Step{At: length / 6, Until: step.Until, Action: Cut, Target: Control, Index: int(seed % controls)}
 		step.Action = Kill
 		return []Step{lost, step}
+	case ServerDisk:
+		return serverDisk(length)
+	case ControlDisk:
+		return controlDisk(seed, length)
 	case Chaos:
 		return chaos(seed, length)
 	default:
@@ -136,6 +155,29 @@
 	return []Step{step}
 }
 
+// serverDisk lets one replica miss writes that the other holds, and takes
+// that one's disk and the primary: no majority has the writes until the
+// primary is back.
+func serverDisk(length time.Duration) []Step {
+	at := length / 3
+	wiped := at + behindFor
+	return []Step{
+		{At: at, Until: wiped + 4*wipePause, Action: Freeze, Target: Replica},
+		{At: wiped, Until: wiped + wipePause, Action: Wipe, Target: Replica},
+		{At: wiped, Until: length * 2 / 3, Action: Kill, Target: Primary},
+	}
+}
+
+// controlDisk loses a second node once the first has had time for its repair.
+func controlDisk(seed uint64, length time.Duration) []Step {
+	first := int(seed % controls)
+	return []Step{
+		{At: length / 6, Until: length/6 + wipePause, Action: Wipe, Target: Control, Index: first},
+		{At: length / 3, Until: length * 2 / 3, Action: Kill, Target: Control, Index: first + 1},
+		{At: length / 2, Until: length * 2 / 3, Action: Kill, Target: Primary},
+	}
+}
+
 // chaos draws steps that may overlap, with a quiet time at the end.
 func chaos(seed uint64, length time.Duration) []Step {
 	random := rand.New(rand.NewPCG(seed, uint64(length)))
--- a/internal/measure/trial/disturb.go
+++ b/internal/measure/trial/disturb.go
@@ -80,8 +80,11 @@
 		return p, p.Kill, p.Restart, true
 	case fault.Control:
 		c := d.bed.Controls()[step.Index%len(d.bed.Controls())]
-		if step.Action == fault.Kill {
+		switch step.Action {
+		case fault.Kill:
 			return c, c.Kill, nothing(c.Restart), true
+		case fault.Wipe:
+			return c, c.Wipe, nothing(c.Restart), true
 		}
 		return c, nothing(c.Cut), nothing(c.Heal), true
 	default:
@@ -98,6 +101,8 @@
 	switch step.Action {
 	case fault.Kill:
 		return nothing(s.Kill), s.Restart
+	case fault.Wipe:
+		return s.Wipe, s.Restart
 	case fault.Freeze:
 		return nothing(s.Freeze), nothing(s.Heal)
 	case fault.CutControl:
