Measuring: a control leader that reaches one other node only

Cause: a partition may leave control's leader a quorum but neither servers nor proxies. Change: kind control-partial: the leader keeps one other node, everything else of it is cut; the primary is killed meanwhile. The leader must give up its lead when it hears no proxy and no server that it heard before; not mended here.

--- a/internal/measure/bed/bed.go
+++ b/internal/measure/bed/bed.go
@@ -30,8 +30,6 @@
 	"github.com/burdockwood/burdockwood/internal/measure/relay"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
-	"github.com/burdockwood/burdockwood/internal/rpc/leader"
-	"github.com/burdockwood/burdockwood/internal/rpc/transport"
 	"github.com/burdockwood/burdockwood/internal/standin/wire"
 )
 
@@ -179,14 +177,9 @@
 func (b *Bed) declare() error {
 	ctx, cancel := context.WithTimeout(b.ctx, startLimit)
 	defer cancel()
-	var addresses []netip.AddrPort
-	for _, c := range b.controls {
-		addresses = append(addresses, c.address)
-	}
-	client := leader.New(addresses, transport.NewClient("", transport.Options{}))
 	declared := fmt.Sprintf(declarations, b.options.Profile.Deadline)
 	request := &controlpb.ApplyRequest{Declarations: declared, ChangeId: "measure", Author: "measure"}
-	return client.Do(ctx, callLimit, func(ctx context.Context, control controlpb.Control) error {
+	return b.client().Do(ctx, callLimit, func(ctx context.Context, control controlpb.Control) error {
 		response, err := control.Apply(ctx, request)
 		if err != nil {
 			return err
--- a/internal/measure/bed/control.go
+++ b/internal/measure/bed/control.go
@@ -7,12 +7,16 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockwood/burdockwood/internal/config/settings"
 	controldaemon "github.com/burdockwood/burdockwood/internal/control/daemon"
 	"github.com/burdockwood/burdockwood/internal/measure/relay"
+	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
+	"github.com/burdockwood/burdockwood/internal/rpc/leader"
+	"github.com/burdockwood/burdockwood/internal/rpc/transport"
 )
 
 // Control is one control node. Its peers reach it through its relay; proxies
@@ -117,8 +121,68 @@
 // Cut separates the node from everything, without closing anything.
 func (c *Control) Cut() { c.set(relay.Cut) }
 
+// CutPartly separates the node from everything but one other node.
+func (c *Control) CutPartly() {
+	kept := c.next()
+	for _, other := range c.bed.controls {
+		if other != c && other != kept {
+			other.relay.Set(relay.Cut, c.options.Name)
+			c.relay.Set(relay.Cut, other.options.Name)
+		}
+	}
+	for _, s := range c.bed.servers {
+		s.relay.Set(relay.Cut, c.options.Name)
+	}
+	for _, r := range c.bed.toControl(c) {
+		r.Set(relay.Cut)
+	}
+}
+
+// next returns the node after this one in the list of nodes.
+func (c *Control) next() *Control {
+	i := slices.Index(c.bed.controls, c)
+	return c.bed.controls[(i+1)%len(c.bed.controls)]
+}
+
 // Heal ends a cut.
-func (c *Control) Heal() { c.set(relay.Open) }
+func (c *Control) Heal() {
+	c.set(relay.Open)
+	for _, other := range c.bed.controls {
+		c.relay.Set(relay.Open, other.options.Name)
+	}
+}
+
+// Leader returns the control node that leads; nil if none answers.
+func (b *Bed) Leader() *Control {
+	ctx, cancel := context.WithTimeout(b.ctx, callLimit)
+	defer cancel()
+	var name string
+	err := b.client().Do(ctx, callLimit, func(ctx context.Context, control controlpb.Control) error {
+		response, err := control.Status(ctx, &controlpb.StatusRequest{})
+		if err == nil {
+			name = response.Leader
+		}
+		return err
+	})
+	if err != nil {
+		return nil
+	}
+	for _, c := range b.controls {
+		if c.options.Name == name {
+			return c
+		}
+	}
+	return nil
+}
+
+// client returns a client of control that passes the relays by.
+func (b *Bed) client() *leader.Client {
+	var addresses []netip.AddrPort
+	for _, c := range b.controls {
+		addresses = append(addresses, c.address)
+	}
+	return leader.New(addresses, transport.NewClient("", transport.Options{}))
+}
 
 func controlName(i int) string { return fmt.Sprintf("control-%d", i+1) }
 
--- a/internal/measure/command/command.go
+++ b/internal/measure/command/command.go
@@ -50,7 +50,7 @@
 // settings are the flags of the program.
 type settings struct {
 	Profile  string        `long:"profile" default:"guild" choice:"guild" choice:"ecouri" description:"whose sizes and load"`
-	Fault    string        `long:"fault" default:"none" choice:"none" choice:"kill" choice:"freeze" choice:"cut" choice:"overload" choice:"proxy-cut" choice:"control-cut" choice:"control-lost" choice:"proxy-kill" choice:"server-disk" choice:"control-disk" choice:"chaos" description:"what is brought about in each run"`
+	Fault    string        `long:"fault" default:"none" choice:"none" choice:"kill" choice:"freeze" choice:"cut" choice:"overload" choice:"proxy-cut" choice:"control-cut" choice:"control-lost" choice:"proxy-kill" choice:"server-disk" choice:"control-disk" choice:"control-partial" choice:"chaos" description:"what is brought about in each run"`
 	Runs     int           `long:"runs" default:"1" description:"number of runs"`
 	Seed     uint64        `long:"seed" default:"1" description:"seed of the first run; each next one adds 1"`
 	Duration time.Duration `long:"duration" default:"9s" description:"time of the load in each run; the fault lasts its second third"`
--- a/internal/measure/fault/fault.go
+++ b/internal/measure/fault/fault.go
@@ -39,6 +39,9 @@
 	// ControlDisk loses a control node's disk, kills a second node after the
 	// repair, and then the primary.
 	ControlDisk Kind = "control-disk"
+	// ControlPartial leaves control's leader one other node only, without
+	// servers and proxies, and kills the primary meanwhile.
+	ControlPartial Kind = "control-partial"
 	// Chaos brings about many of these, some together.
 	Chaos Kind = "chaos"
 
@@ -53,6 +56,8 @@
 	CutProxy
 	// CutControl separates a server from control.
 	CutControl
+	// CutPartly separates a control node from all but one other.
+	CutPartly
 	// Wipe kills a process and deletes its data folder; its end starts it
 	// again.
 	Wipe
@@ -65,6 +70,8 @@
 	Proxy
 	// Control is a control node.
 	Control
+	// ControlLeader is the control node that leads when the step begins.
+	ControlLeader
 
 	// behindFor is how long the frozen replica misses writes.
 	behindFor = time.Second
@@ -109,14 +116,14 @@
 
 // Kinds returns every kind.
 func Kinds() []Kind {
-	return []Kind{None, Killed, Frozen, CutOff, Overload, ProxyCut, ControlCut, ControlLost, ProxyKilled, ServerDisk, ControlDisk, Chaos}
+	return []Kind{None, Killed, Frozen, CutOff, Overload, ProxyCut, ControlCut, ControlLost, ProxyKilled, ServerDisk, ControlDisk, ControlPartial, Chaos}
 }
 
 // TakesPrimary reports whether the kind takes the primary away, so that a
 // failover is expected.
 func (k Kind) TakesPrimary() bool {
 	switch k {
-	case Killed, Frozen, CutOff, ControlLost, ServerDisk, ControlDisk, Chaos:
+	case Killed, Frozen, CutOff, ControlLost, ServerDisk, ControlDisk, ControlPartial, Chaos:
 		return true
 	}
 	return false
@@ -143,6 +150,10 @@
 		lost := Step{At: length / 6, Until: step.Until, Action: Cut, Target: Control, Index: int(seed % controls)}
 		step.Action = Kill
 		return []Step{lost, step}
+	case ControlPartial:
+		partly := Step{At: length / 6, Until: step.Until, Action: CutPartly, Target: ControlLeader}
+		step.Action = Kill
+		return []Step{partly, step}
 	case ServerDisk:
 		return serverDisk(length)
 	case ControlDisk:
--- a/internal/measure/trial/disturb.go
+++ b/internal/measure/trial/disturb.go
@@ -78,6 +78,12 @@
 	case fault.Proxy:
 		p := d.bed.Proxies()[step.Index%len(d.bed.Proxies())]
 		return p, p.Kill, p.Restart, true
+	case fault.ControlLeader:
+		c := d.bed.Leader()
+		if c == nil {
+			return nil, nil, nil, false
+		}
+		return c, nothing(c.CutPartly), nothing(c.Heal), true
 	case fault.Control:
 		c := d.bed.Controls()[step.Index%len(d.bed.Controls())]
 		switch step.Action {
