Scenarios: callers that vanish, a proxy cut off together with the primary

Cause: no script let a caller vanish in a transaction, nor had a proxy that control can't tell of the new primary.

--- a/internal/scenario/script/link_test.go
+++ b/internal/scenario/script/link_test.go
@@ -17,8 +17,8 @@
 	classControl     = "control"
 )
 
-// links are the relays around one backend server: before it, and from it to
-// each control node.
+// links are the relays around one backend server or proxy: before a server, and
+// from either to each control node.
 type links struct {
 	front    *relay.Relay
 	announce []*relay.Relay
@@ -33,13 +33,20 @@
 		Target:   netip.MustParseAddrPort(ts.Getenv("BACKEND_" + upper)),
 		Classify: classify,
 	})}
-	for _, address := range strings.Split(ts.Getenv("CONTROLS"), ",") {
-		found.announce = append(found.announce, p.openRelay(ts, relay.Options{Target: netip.MustParseAddrPort(address)}))
-	}
+	found.announce = p.openControlRelays(ts)
 	p.links["server-"+letter] = found
 	return found
 }
 
+// openControlRelays starts a relay to each control node.
+func (p *processes) openControlRelays(ts *testscript.TestScript) []*relay.Relay {
+	var opened []*relay.Relay
+	for _, address := range strings.Split(ts.Getenv("CONTROLS"), ",") {
+		opened = append(opened, p.openRelay(ts, relay.Options{Target: netip.MustParseAddrPort(address)}))
+	}
+	return opened
+}
+
 func (p *processes) openRelay(ts *testscript.TestScript, options relay.Options) *relay.Relay {
 	ctx, cancel := context.WithCancel(context.Background())
 	opened, err := relay.Start(ctx, options)
@@ -52,13 +59,16 @@
 }
 
 // cut holds all bytes between a server and the named classes: replication,
-// control (both ways), or the name of a proxy. Without a class it holds all.
+// control (both ways), or the name of a proxy. Without a class it holds all. A
+// proxy has the class control only.
 func (p *processes) cut(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 1 {
 		ts.Fatalf("usage: cut SERVER [CLASS...]")
 	}
 	found := p.linksOf(ts, args[0])
-	found.front.Set(relay.Cut, args[1:]...)
+	if found.front != nil {
+		found.front.Set(relay.Cut, args[1:]...)
+	}
 	for _, class := range args[1:] {
 		if class == classControl {
 			found.setAnnounce(relay.Cut)
@@ -75,7 +85,9 @@
 		ts.Fatalf("usage: heal SERVER")
 	}
 	found := p.linksOf(ts, args[0])
-	found.front.Heal()
+	if found.front != nil {
+		found.front.Heal()
+	}
 	for _, r := range found.announce {
 		r.Heal()
 	}
--- a/internal/scenario/script/script_test.go
+++ b/internal/scenario/script/script_test.go
@@ -41,6 +41,7 @@
 			"query":      withSessions((*sessions).query),
 			"background": withSessions((*sessions).background),
 			"finish":     withSessions((*sessions).finish),
+			"disconnect": withSessions((*sessions).disconnect),
 			"cancel":     withSessions((*sessions).cancel),
 			"leader":     controlLeader,
 			"in-force":   inForce,
--- a/internal/scenario/script/session_test.go
+++ b/internal/scenario/script/session_test.go
@@ -74,6 +74,14 @@
 	ts.Check(judgeError(check, found.output, err, neg))
 }
 
+// disconnect breaks a connection without a farewell.
+func (s *sessions) disconnect(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: disconnect NAME")
+	}
+	ts.Check(s.find(ts, args[0]).conn.Conn().Close())
+}
+
 // cancel sends a cancel request for a connection.
 func (s *sessions) cancel(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) != 1 {
--- a/internal/scenario/script/system_test.go
+++ b/internal/scenario/script/system_test.go
@@ -119,13 +119,11 @@
 		"--listen=" + ts.Getenv("PROXY_"+upper), "--peer=" + ts.Getenv("PEER_"+upper),
 		"--admin=" + ts.Getenv("ADMIN_"+upper), "--key-file=key", "--backend-user=" + name,
 	}
-	p.start(ts, false, append(args, controlFlags(ts)...))
-}
-
-func controlFlags(ts *testscript.TestScript) []string {
-	var flags []string
-	for _, address := range strings.Split(ts.Getenv("CONTROLS"), ",") {
-		flags = append(flags, "--control="+address)
+	if p.links[name] == nil {
+		p.links[name] = &links{announce: p.openControlRelays(ts)}
+	}
+	for _, r := range p.links[name].announce {
+		args = append(args, "--control="+r.Address().String())
 	}
-	return flags
+	p.start(ts, false, args)
 }
