--- /dev/null
+++ b/internal/experiment/capacity/capacity_test.go
@@ -0,0 +1,50 @@
+package capacity_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/burdockwood/burdockwood/internal/experiment/capacity"
+)
+
+// BenchmarkControl prints the figures that docs/CAPACITY.md is made from.
+func BenchmarkControl(b *testing.B) {
+	sizes := []capacity.Size{
+		{Groups: 3, Proxies: 9, GroupsPerProxy: 3},
+		{Groups: 100, Proxies: 100, GroupsPerProxy: 10},
+		{Groups: 700, Proxies: 100, GroupsPerProxy: 10},
+		{Groups: 700, Proxies: 700, GroupsPerProxy: 10},
+		{Groups: 2778, Proxies: 2700, GroupsPerProxy: 10},
+	}
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("groups=%d,proxies=%d", size.Groups, size.Proxies), func(b *testing.B) {
+			for b.Loop() {
+				figures, err := capacity.Measure(size)
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.Logf("\n%v", figures)
+			}
+		})
+	}
+}
+
+func TestMeasureCountsWhatItBuilds(t *testing.T) {
+	figures, err := capacity.Measure(capacity.Size{Groups: 4, Proxies: 3, GroupsPerProxy: 2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, tt := range []struct {
+		name string
+		got  int
+	}{
+		{"snapshot", figures.SnapshotBytes},
+		{"idle request", figures.IdleRequestBytes},
+		{"idle answer", figures.IdleAnswerBytes},
+		{"changed group", figures.GroupAnswerBytes},
+	} {
+		if tt.got <= 0 {
+			t.Errorf("%s has %d bytes, want some", tt.name, tt.got)
+		}
+	}
+}
