--- a/internal/control/node/cluster_test.go
+++ b/internal/control/node/cluster_test.go
@@ -63,6 +63,8 @@
 		adjust  func(*node.Options)
 		running map[cluster.NodeName]*process
 		cut     atomic.Pointer[cluster.NodeName]
+		// reserved are the listeners of nodes that haven't run yet.
+		reserved map[cluster.NodeName]net.Listener
 	}
 
 	// link is the way from one node to the others; it is cut while the node
@@ -117,19 +119,18 @@
 // newNodes prepares count nodes on free ports of the loopback address.
 func newNodes(t testing.TB, count int, adjust func(*node.Options)) *nodes {
 	t.Helper()
-	s := &nodes{t: t, folder: t.TempDir(), adjust: adjust, running: map[cluster.NodeName]*process{}}
+	s := &nodes{t: t, folder: t.TempDir(), adjust: adjust, running: map[cluster.NodeName]*process{}, reserved: map[cluster.NodeName]net.Listener{}}
 	for i := range count {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
 		address := netip.MustParseAddrPort(listener.Addr().String())
-		if err := listener.Close(); err != nil {
-			t.Fatal(err)
-		}
 		name := cluster.NodeName("control-" + strconv.Itoa(i+1))
 		s.peers = append(s.peers, node.Peer{Name: name, Address: address})
+		s.reserved[name] = listener
 	}
+	t.Cleanup(s.release)
 	t.Cleanup(s.stopAll)
 	return s
 }
@@ -142,6 +143,15 @@
 	}
 }
 
+// release closes the listeners of nodes that never ran.
+func (s *nodes) release() {
+	for _, listener := range s.reserved {
+		if err := listener.Close(); err != nil {
+			s.t.Error(err)
+		}
+	}
+}
+
 func (s *nodes) startAll() {
 	s.t.Helper()
 	for _, p := range s.peers {
@@ -167,10 +177,7 @@
 	if p.node, err = node.New(options); err != nil {
 		s.t.Fatal(err)
 	}
-	listener, err := net.Listen("tcp", options.Address.String())
-	if err != nil {
-		s.t.Fatal(err)
-	}
+	listener := s.listen(name)
 	var ctx context.Context
 	ctx, p.cancel = context.WithCancel(context.Background())
 	p.group, ctx = errgroup.WithContext(ctx)
@@ -182,6 +189,21 @@
 	return p
 }
 
+// listen returns the listener of a node. While a node is down, a connection of
+// another process may have its port for a short time.
+func (s *nodes) listen(name cluster.NodeName) net.Listener {
+	s.t.Helper()
+	listener := s.reserved[name]
+	delete(s.reserved, name)
+	s.until("port of "+string(name), func() bool {
+		if listener == nil {
+			listener, _ = net.Listen("tcp", s.address(name).String())
+		}
+		return listener != nil
+	})
+	return listener
+}
+
 func (s *nodes) place(name cluster.NodeName) int {
 	return slices.IndexFunc(s.peers, func(p node.Peer) bool { return p.Name == name })
 }
