--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -123,13 +123,18 @@
 
 	// group is the soft state of one group.
 	group struct {
-		servers  registry.Servers
-		plan     failover.Plan
-		reports  map[cluster.ProxyName]detect.Report
-		probe    detect.Probe
-		probeAt  time.Time
-		term     cluster.Term
-		verdict  detect.Verdict
+		servers registry.Servers
+		plan    failover.Plan
+		reports map[cluster.ProxyName]detect.Report
+		probe   detect.Probe
+		probeAt time.Time
+		term    cluster.Term
+		verdict detect.Verdict
+		pauses  detect.Pauses
+		// silent is the longest silence of the primary that is reported now.
+		silent time.Duration
+		// replaced is the primary that was replaced for its silence.
+		replaced replaced
 		view     Group
 		factsDue map[cluster.ServerName]time.Time
 	}
@@ -172,6 +177,7 @@
 		return err
 	}
 	g.servers = servers
+	g.noteReturn(announcement, now)
 	c.proposeFacts(announcement, now)
 	c.decide(announcement.Group, failover.Event{}, now)
 	return nil
--- a/internal/control/coordinator/decide.go
+++ b/internal/control/coordinator/decide.go
@@ -17,17 +17,30 @@
 	labelTrue    = "true"
 
 	factsPause = 300 * time.Millisecond
+	// returnTime is how soon a replaced primary has to be back for its
+	// silence to count as a pause.
+	returnTime = 5 * time.Second
 )
 
-// Probe asks a primary for its status.
-type Probe struct {
-	Group   cluster.GroupName
-	Server  cluster.ServerName
-	Address netip.AddrPort
-	Term    cluster.Term
-	// Sent is when the probe was decided.
-	Sent time.Time
-}
+type (
+	// Probe asks a primary for its status.
+	Probe struct {
+		Group   cluster.GroupName
+		Server  cluster.ServerName
+		Address netip.AddrPort
+		Term    cluster.Term
+		// Sent is when the probe was decided.
+		Sent time.Time
+	}
+
+	// replaced is a primary that was found frozen.
+	replaced struct {
+		server      cluster.ServerName
+		incarnation cluster.Incarnation
+		silent      time.Duration
+		at          time.Time
+	}
+)
 
 // decide runs the plan of a group and publishes what changed.
 func (c *Coordinator) decide(name cluster.GroupName, event failover.Event, now time.Time) {
@@ -60,20 +73,30 @@
 // judge forms the verdict on a group's primary and probes a suspected one.
 func (c *Coordinator) judge(g *group, record *state.Group, now time.Time) {
 	if g.term != record.Term {
-		g.term = record.Term
-		g.probe = detect.Probe{}
-		g.reports = map[cluster.ProxyName]detect.Report{}
+		g.startTerm(record)
 	}
 	if len(g.reports) == 0 {
+		if g.silent > 0 {
+			g.pauses = g.pauses.Survived(g.silent, now)
+		}
+		g.silent = 0
 		g.verdict = detect.Fine
 		g.probe = detect.Probe{}
 		return
 	}
-	g.verdict = detect.Judge(detect.Evidence{
+	evidence := detect.Evidence{
 		Reports:     mapValues(g.reports),
 		LiveProxies: c.liveProxies(now),
 		Probe:       g.probe,
-	}, now)
+		FrozenAfter: g.pauses.FrozenAfter(now),
+	}
+	g.silent = max(g.silent, evidence.Silence(now))
+	g.verdict = detect.Judge(evidence, now)
+	if g.verdict == detect.Frozen {
+		g.replaced = replaced{
+			server: record.Primary, incarnation: record.Members[record.Primary].Incarnation, silent: g.silent, at: now,
+		}
+	}
 	if now.Sub(g.probeAt) < probeInterval || record.Primary == "" || record.Pending != nil {
 		return
 	}
@@ -84,6 +107,26 @@
 	}})
 }
 
+// startTerm drops the evidence about the primary of the term before.
+func (g *group) startTerm(record *state.Group) {
+	g.term = record.Term
+	g.probe = detect.Probe{}
+	g.silent = 0
+	g.reports = map[cluster.ProxyName]detect.Report{}
+}
+
+// noteReturn learns a pause from a primary that was replaced for its silence
+// and comes back without having been started again.
+func (g *group) noteReturn(announcement cluster.Announcement, now time.Time) {
+	if announcement.Server != g.replaced.server {
+		return
+	}
+	if announcement.Incarnation == g.replaced.incarnation && now.Sub(g.replaced.at) <= returnTime {
+		g.pauses = g.pauses.Survived(g.replaced.silent, now)
+	}
+	g.replaced = replaced{}
+}
+
 // Probed takes in the outcome of a probe; kind is empty if it was answered.
 func (c *Coordinator) Probed(probe Probe, kind detect.Kind, now time.Time) {
 	c.mu.Lock()
--- a/internal/control/detect/detect.go
+++ b/internal/control/detect/detect.go
@@ -50,8 +50,10 @@
 	// heard.
 	ReportLifetime = 2 * time.Second
 	// FrozenAfter is how long a primary is silent towards proxies before it
-	// counts as frozen.
+	// counts as frozen, unless it survived longer pauses lately.
 	FrozenAfter = 500 * time.Millisecond
+	// FrozenAtLatest bounds that time for a primary that pauses often.
+	FrozenAtLatest = 1200 * time.Millisecond
 	// ProbeFailingFor is how long control's own probes fail before a silent
 	// primary counts as frozen.
 	ProbeFailingFor = 250 * time.Millisecond
@@ -98,13 +100,18 @@
 		// LiveProxies is the number of proxies heard lately.
 		LiveProxies int
 		Probe       Probe
+		// FrozenAfter is the silence after which the primary counts as
+		// frozen; zero: the constant of that name.
+		FrozenAfter time.Duration
 	}
 
 	tally struct {
 		gone        int
 		silent      int
 		unconfirmed int
-		longest     time.Duration
+		// longest is how long at least as many proxies as are needed have
+		// seen the primary silent or gone.
+		longest time.Duration
 	}
 )
 
@@ -130,7 +137,7 @@
 // Judge returns the verdict on a primary. Evidence of one proxy alone never
 // replaces it, unless control's own probe fails too.
 func Judge(evidence Evidence, now time.Time) Verdict {
-	count := countReports(evidence.Reports, now)
+	count := countReports(evidence, now)
 	unreachable := count.gone + count.silent
 	if unreachable == 0 && count.unconfirmed == 0 {
 		return Fine
@@ -142,7 +149,7 @@
 		return Dead
 	case failing && count.gone >= quorumOfReports:
 		return Dead
-	case failing && failingFor >= ProbeFailingFor && count.longest >= FrozenAfter && enough(unreachable, evidence.LiveProxies):
+	case failing && failingFor >= ProbeFailingFor && count.longest >= evidence.frozenAfter() && enough(unreachable, evidence.LiveProxies):
 		return Frozen
 	case failing:
 		return Fine
@@ -157,11 +164,17 @@
 	}
 }
 
-func countReports(reports []Report, now time.Time) tally {
+func (e Evidence) frozenAfter() time.Duration {
+	if e.FrozenAfter == 0 {
+		return FrozenAfter
+	}
+	return e.FrozenAfter
+}
+
+func countReports(evidence Evidence, now time.Time) tally {
 	var count tally
-	for _, report := range reports {
-		age := now.Sub(report.Heard)
-		if age > ReportLifetime {
+	for _, report := range evidence.Reports {
+		if now.Sub(report.Heard) > ReportLifetime {
 			continue
 		}
 		switch report.Kind {
@@ -171,15 +184,31 @@
 			count.silent++
 		case KindUnconfirmed:
 			count.unconfirmed++
-			continue
-		default:
-			continue
 		}
-		count.longest = max(count.longest, report.Silent+age)
 	}
+	count.longest = evidence.Silence(now)
 	return count
 }
 
+// Silence returns for how long as many proxies as are needed have found the
+// primary out of reach: one proxy's lossy link counts for nothing.
+func (e Evidence) Silence(now time.Time) time.Duration {
+	var first, second time.Duration
+	for _, report := range e.Reports {
+		age := now.Sub(report.Heard)
+		if report.Kind == KindUnconfirmed || age > ReportLifetime {
+			continue
+		}
+		silent := report.Silent + age
+		second = max(second, min(first, silent))
+		first = max(first, silent)
+	}
+	if e.LiveProxies <= 1 {
+		return first
+	}
+	return second
+}
+
 func isGone(kind Kind) bool { return kind == KindRefused || kind == KindReset }
 
 // enough reports whether the proxies that agree outweigh one proxy's fault.
--- /dev/null
+++ b/internal/control/detect/detect_test.go
@@ -0,0 +1,84 @@
+package detect_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/control/detect"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+var now = time.Unix(1_000_000, 0)
+
+// reports returns fresh reports of different proxies, each of them silent for
+// the same time.
+func reports(silent time.Duration, kinds ...detect.Kind) []detect.Report {
+	var all []detect.Report
+	for i, kind := range kinds {
+		all = append(all, detect.Report{Proxy: cluster.ProxyName(rune('a' + i)), Kind: kind, Silent: silent, Heard: now})
+	}
+	return all
+}
+
+func TestJudge(t *testing.T) {
+	answered := detect.Probe{OK: now}
+	failed := func(kind detect.Kind, since time.Duration) detect.Probe {
+		return detect.Probe{Failed: now, FailingSince: now.Add(-since), Kind: kind}
+	}
+	const (
+		refused, reset, timeout, unconfirmed = detect.KindRefused, detect.KindReset, detect.KindTimeout, detect.KindUnconfirmed
+		short, long                          = 50 * time.Millisecond, 3 * time.Second
+	)
+	tests := []struct {
+		name    string
+		reports []detect.Report
+		live    int
+		probe   detect.Probe
+		want    detect.Verdict
+	}{
+		{"no evidence", nil, 9, failed(timeout, long), detect.Fine},
+		{"killed, one proxy and the probe", reports(short, refused), 9, failed(refused, short), detect.Dead},
+		{"killed host, two proxies", reports(short, reset, refused), 9, failed(timeout, short), detect.Dead},
+		{"one proxy is cut off", reports(long, timeout), 9, answered, detect.Overloaded},
+		{"one proxy and control are cut off", reports(long, timeout), 9, failed(timeout, long), detect.Fine},
+		{"the only proxy and control", reports(long, timeout), 1, failed(timeout, long), detect.Frozen},
+		{"frozen, two proxies", reports(600*time.Millisecond, timeout, timeout), 9, failed(timeout, 300*time.Millisecond), detect.Frozen},
+		{"a short pause", reports(350*time.Millisecond, timeout, timeout, timeout), 9, failed(timeout, 300*time.Millisecond), detect.Fine},
+		{"one lossy link and a short pause", append(reports(long, timeout), reports(350*time.Millisecond, "", timeout)...), 9, failed(timeout, 300*time.Millisecond), detect.Fine},
+		{"overloaded", reports(time.Second, timeout, timeout), 9, answered, detect.Overloaded},
+		{"cut off from replicas", reports(short, unconfirmed, unconfirmed, unconfirmed), 5, answered, detect.CutOff},
+		{"unconfirmed at two of nine", reports(short, unconfirmed, unconfirmed), 9, answered, detect.Fine},
+		{"cut off from most proxies", reports(long, timeout, timeout, timeout), 5, answered, detect.CutOff},
+		{"not probed yet", reports(long, timeout, timeout, timeout), 5, detect.Probe{}, detect.Fine},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := detect.Judge(detect.Evidence{Reports: tt.reports, LiveProxies: tt.live, Probe: tt.probe}, now)
+			if got != tt.want {
+				t.Errorf("Judge = %v, want %v", got, tt.want)
+			}
+			later := now.Add(detect.ReportLifetime + time.Millisecond)
+			if got := detect.Judge(detect.Evidence{Reports: tt.reports, LiveProxies: tt.live, Probe: tt.probe}, later); got.Replace() {
+				t.Errorf("Judge of old reports = %v, want no replacement", got)
+			}
+		})
+	}
+}
+
+func TestPausesRaiseTheTimeout(t *testing.T) {
+	var pauses detect.Pauses
+	if got := pauses.FrozenAfter(now); got != detect.FrozenAfter {
+		t.Errorf("FrozenAfter without pauses = %v, want %v", got, detect.FrozenAfter)
+	}
+	pauses = pauses.Survived(800*time.Millisecond, now)
+	if got, want := pauses.FrozenAfter(now), time.Second; got != want {
+		t.Errorf("FrozenAfter after 800 ms = %v, want %v", got, want)
+	}
+	pauses = pauses.Survived(5*time.Second, now)
+	if got := pauses.FrozenAfter(now); got != detect.FrozenAtLatest {
+		t.Errorf("FrozenAfter after 5 s = %v, want %v", got, detect.FrozenAtLatest)
+	}
+	if got := pauses.FrozenAfter(now.Add(24 * time.Hour)); got != detect.FrozenAfter {
+		t.Errorf("FrozenAfter a day later = %v, want %v", got, detect.FrozenAfter)
+	}
+}
