A primary cut off from replicas and from control is replaced

Ruled out: slow promises (no term was begun). Change: unconfirmed by most proxies decides whatever the probe says; unconfirmed by two or more (or by the only live one) needs the failed probe, or a log that control itself sees reach no majority, since idle proxies report nothing. Figures: TestJudge failed in three rows before.

--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -132,7 +132,8 @@
 		verdict detect.Verdict
 		pauses  detect.Pauses
 		// silent is the longest silence of the primary that is reported now.
-		silent time.Duration
+		silent   time.Duration
+		progress detect.Progress
 		// replaced is the primary that was replaced for its silence.
 		replaced replaced
 		view     Group
--- a/internal/control/coordinator/decide.go
+++ b/internal/control/coordinator/decide.go
@@ -82,13 +82,16 @@
 		g.silent = 0
 		g.verdict = detect.Fine
 		g.probe = detect.Probe{}
+		g.progress = detect.Progress{}
 		return
 	}
+	g.observe(record, now)
 	evidence := detect.Evidence{
 		Reports:     mapValues(g.reports),
 		LiveProxies: c.liveProxies(now),
 		Probe:       g.probe,
 		FrozenAfter: g.pauses.FrozenAfter(now),
+		Stalled:     g.progress.Stalled(now),
 	}
 	g.silent = max(g.silent, evidence.Silence(now))
 	g.verdict = detect.Judge(evidence, now)
@@ -112,9 +115,26 @@
 	g.term = record.Term
 	g.probe = detect.Probe{}
 	g.silent = 0
+	g.progress = detect.Progress{}
 	g.reports = map[cluster.ProxyName]detect.Report{}
 }
 
+// observe follows whether the voters' announced logs keep up with the
+// primary's. Only reports about the primary make it worth while.
+func (g *group) observe(record *state.Group, now time.Time) {
+	covering := func(mark cluster.Mark) int {
+		count := 0
+		for _, name := range record.Voters {
+			if g.servers[name].Received.Compare(mark) >= 0 {
+				count++
+			}
+		}
+		return count
+	}
+	primary := g.servers[record.Primary]
+	g.progress = g.progress.Observe(primary.Received, covering, cluster.Majority(len(record.Voters)), now)
+}
+
 // noteReturn learns a pause from a primary that was replaced for its silence
 // and comes back without having been started again.
 func (g *group) noteReturn(announcement cluster.Announcement, now time.Time) {
--- a/internal/control/detect/detect.go
+++ b/internal/control/detect/detect.go
@@ -103,6 +103,9 @@
 		// FrozenAfter is the silence after which the primary counts as
 		// frozen; zero: the constant of that name.
 		FrozenAfter time.Duration
+		// Stalled tells that control itself sees the log of the primary not
+		// reach a majority.
+		Stalled bool
 	}
 
 	tally struct {
@@ -151,10 +154,10 @@
 		return Dead
 	case failing && failingFor >= ProbeFailingFor && count.longest >= evidence.frozenAfter() && enough(unreachable, evidence.LiveProxies):
 		return Frozen
+	case evidence.isUnconfirmed(count.unconfirmed, failingFor):
+		return CutOff
 	case failing:
 		return Fine
-	case isMost(count.unconfirmed, evidence.LiveProxies):
-		return CutOff
 	case isMost(unreachable, evidence.LiveProxies) && count.longest >= CutOffAfter && !evidence.Probe.OK.IsZero():
 		return CutOff
 	case count.silent > 0 && !evidence.Probe.OK.IsZero():
@@ -164,6 +167,16 @@
 	}
 }
 
+// isUnconfirmed reports whether the primary's log reaches no majority: most
+// proxies say so, or some do and what control sees agrees.
+func (e Evidence) isUnconfirmed(reporting int, failingFor time.Duration) bool {
+	if reporting >= quorumOfReports && isMost(reporting, e.LiveProxies) {
+		return true
+	}
+	agrees := e.Stalled || failingFor >= ProbeFailingFor
+	return agrees && enough(reporting, e.LiveProxies)
+}
+
 func (e Evidence) frozenAfter() time.Duration {
 	if e.FrozenAfter == 0 {
 		return FrozenAfter
--- a/internal/control/detect/detect_test.go
+++ b/internal/control/detect/detect_test.go
@@ -34,31 +34,36 @@
 		reports []detect.Report
 		live    int
 		probe   detect.Probe
+		stalled bool
 		want    detect.Verdict
 	}{
-		{"no evidence", nil, 9, failed(timeout, long), detect.Fine},
-		{"killed, one proxy and the probe", reports(short, refused), 9, failed(refused, short), detect.Dead},
-		{"killed host, two proxies", reports(short, reset, refused), 9, failed(timeout, short), detect.Dead},
-		{"one proxy is cut off", reports(long, timeout), 9, answered, detect.Overloaded},
-		{"one proxy and control are cut off", reports(long, timeout), 9, failed(timeout, long), detect.Fine},
-		{"the only proxy and control", reports(long, timeout), 1, failed(timeout, long), detect.Frozen},
-		{"frozen, two proxies", reports(600*time.Millisecond, timeout, timeout), 9, failed(timeout, 300*time.Millisecond), detect.Frozen},
-		{"a short pause", reports(350*time.Millisecond, timeout, timeout, timeout), 9, failed(timeout, 300*time.Millisecond), detect.Fine},
-		{"one lossy link and a short pause", append(reports(long, timeout), reports(350*time.Millisecond, "", timeout)...), 9, failed(timeout, 300*time.Millisecond), detect.Fine},
-		{"overloaded", reports(time.Second, timeout, timeout), 9, answered, detect.Overloaded},
-		{"cut off from replicas", reports(short, unconfirmed, unconfirmed, unconfirmed), 5, answered, detect.CutOff},
-		{"unconfirmed at two of nine", reports(short, unconfirmed, unconfirmed), 9, answered, detect.Fine},
-		{"cut off from most proxies", reports(long, timeout, timeout, timeout), 5, answered, detect.CutOff},
-		{"not probed yet", reports(long, timeout, timeout, timeout), 5, detect.Probe{}, detect.Fine},
+		{"no evidence", nil, 9, failed(timeout, long), false, detect.Fine},
+		{"killed, one proxy and the probe", reports(short, refused), 9, failed(refused, short), false, detect.Dead},
+		{"killed host, two proxies", reports(short, reset, refused), 9, failed(timeout, short), false, detect.Dead},
+		{"one proxy is cut off", reports(long, timeout), 9, answered, false, detect.Overloaded},
+		{"one proxy and control are cut off", reports(long, timeout), 9, failed(timeout, long), false, detect.Fine},
+		{"the only proxy and control", reports(long, timeout), 1, failed(timeout, long), false, detect.Frozen},
+		{"frozen, two proxies", reports(600*time.Millisecond, timeout, timeout), 9, failed(timeout, 300*time.Millisecond), false, detect.Frozen},
+		{"a short pause", reports(350*time.Millisecond, timeout, timeout, timeout), 9, failed(timeout, 300*time.Millisecond), false, detect.Fine},
+		{"one lossy link and a short pause", append(reports(long, timeout), reports(350*time.Millisecond, "", timeout)...), 9, failed(timeout, 300*time.Millisecond), false, detect.Fine},
+		{"overloaded", reports(time.Second, timeout, timeout), 9, answered, false, detect.Overloaded},
+		{"cut off from replicas", reports(short, unconfirmed, unconfirmed, unconfirmed), 5, answered, false, detect.CutOff},
+		{"cut off from replicas and control", reports(short, unconfirmed, unconfirmed, unconfirmed), 5, failed(timeout, short), false, detect.CutOff},
+		{"the same, used by two of nine", reports(short, unconfirmed, unconfirmed), 9, failed(timeout, long), false, detect.CutOff},
+		{"cut off from replicas, used by two of nine", reports(short, unconfirmed, unconfirmed), 9, answered, true, detect.CutOff},
+		{"one proxy is cut off from replicas", reports(short, unconfirmed), 9, answered, true, detect.Fine},
+		{"unconfirmed at two of nine", reports(short, unconfirmed, unconfirmed), 9, answered, false, detect.Fine},
+		{"cut off from most proxies", reports(long, timeout, timeout, timeout), 5, answered, false, detect.CutOff},
+		{"not probed yet", reports(long, timeout, timeout, timeout), 5, detect.Probe{}, false, detect.Fine},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			got := detect.Judge(detect.Evidence{Reports: tt.reports, LiveProxies: tt.live, Probe: tt.probe}, now)
+			got := detect.Judge(detect.Evidence{Reports: tt.reports, LiveProxies: tt.live, Probe: tt.probe, Stalled: tt.stalled}, now)
 			if got != tt.want {
 				t.Errorf("Judge = %v, want %v", got, tt.want)
 			}
 			later := now.Add(detect.ReportLifetime + time.Millisecond)
-			if got := detect.Judge(detect.Evidence{Reports: tt.reports, LiveProxies: tt.live, Probe: tt.probe}, later); got.Replace() {
+			if got := detect.Judge(detect.Evidence{Reports: tt.reports, LiveProxies: tt.live, Probe: tt.probe, Stalled: tt.stalled}, later); got.Replace() {
 				t.Errorf("Judge of old reports = %v, want no replacement", got)
 			}
 		})
