--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -39,6 +39,8 @@
 	maxServers = 64
 	maxName    = 128
 	maxLabels  = 64
+	// maxTerm keeps a false announcement from using up the terms.
+	maxTerm = 1 << 62
 )
 
 var (
@@ -132,6 +134,8 @@
 		return eris.Wrap(ErrMalformed, "incarnation: want the time of start")
 	case len(a.Labels) > maxLabels:
 		return eris.Wrapf(ErrMalformed, "labels: want at most %d", maxLabels)
+	case a.Promised > maxTerm:
+		return eris.Wrap(ErrMalformed, "promised: the term is out of range")
 	case a.Received.Term > a.Promised:
 		return eris.Wrap(ErrMalformed, "received: its term is above the promise")
 	case a.Received.Compare(a.Applied) < 0:
