--- /dev/null
+++ b/internal/control/grant/shares_test.go
@@ -0,0 +1,58 @@
+package grant_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/control/grant"
+)
+
+// BenchmarkShares logs the figures of docs/adr/connection-shares.md: how much
+// of what the proxies want is granted, by way and load.
+func BenchmarkShares(b *testing.B) {
+	loads := []struct {
+		name   string
+		wanted func(limit int) []int
+	}{
+		{"even", func(limit int) []int { return repeat(limit/9, 9) }},
+		{"one busy", func(limit int) []int { return append([]int{limit}, repeat(1, 8)...) }},
+		{"three busy", func(limit int) []int { return append(repeat(limit/3, 3), repeat(0, 6)...) }},
+	}
+	for _, limit := range []int{16, 50} {
+		for _, load := range loads {
+			w := newWorld(limit, 9)
+			wanted := load.wanted(limit)
+			for i, n := range wanted {
+				w.agents[i].wanted = n
+			}
+			for range 10 {
+				w.exchange()
+			}
+			total, equal, demand := 0, 0, 0
+			for i, n := range wanted {
+				total += n
+				equal += min(n, limit/9)
+				demand += min(n, w.agents[i].allowed(w.now))
+			}
+			floors := 9 * grant.Floor(limit)
+			b.Logf("limit %d, %s: wanted %d, met by equal shares %d, by floors and demand %d; floors %d", limit, load.name, total, equal, demand, floors)
+		}
+		b.Logf("limit %d: a silent proxy's demand part is free after %v", limit, grant.Settle)
+	}
+	w := newWorld(16, 9)
+	for range 10 {
+		w.exchange()
+	}
+	for b.Loop() {
+		w.advance(time.Second)
+		w.divide()
+	}
+}
+
+func repeat(n, times int) []int {
+	all := make([]int, times)
+	for i := range all {
+		all[i] = n
+	}
+	return all
+}
