A new leader revokes no share of a proxy that doesn't tell what it holds

A proxy reported its uses without GrantUse.granted; the new leader took that for 'may hold nothing' and handed out an empty share for each server without an open connection, the new primary's among them. Change: until Settle only a proxy that reports what it may hold is handed shares; registered and returned proxies are considered at once.

--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -260,6 +260,7 @@
 	c.takeKeys(view)
 	c.takeServers(view, now)
 	c.takeProxies(view, now)
+	c.divideAt = now
 	return true
 }
 
--- a/internal/control/coordinator/proxies.go
+++ b/internal/control/coordinator/proxies.go
@@ -82,6 +82,7 @@
 		c.proxies[beat.Proxy] = known
 	}
 	changed := !ok || known.Beat.Address != beat.Address || known.Beat.Incarnation != beat.Incarnation
+	returned := !known.isLive(now)
 	if beat.Epoch != c.epoch {
 		beat.Revision = 0
 	}
@@ -96,7 +97,7 @@
 	c.register(known, now)
 	c.takeUses(known, beat.Uses, revision)
 	c.takeSuspicions(beat, now)
-	if changed || beat.Uses != nil {
+	if changed || returned || beat.Uses != nil {
 		c.takeProxies(c.machine.View(), now)
 		c.divide(now)
 	}
--- a/internal/control/coordinator/shares.go
+++ b/internal/control/coordinator/shares.go
@@ -81,16 +81,26 @@
 // request.
 func (c *Coordinator) takeUses(p *proxy, uses map[ServerKey]grant.Use, revision uint64) {
 	if uses != nil && revision >= p.usesRevision {
-		p.uses, p.usesRevision, p.told = uses, revision, true
-	}
-	if !p.told {
-		return
+		p.uses, p.usesRevision = uses, revision
+		p.told = p.told || holdsAny(uses)
 	}
 	for key, ledger := range c.ledgers {
 		c.ledgers[key] = ledger.Report(p.Proxy, p.uses[key], revision)
 	}
 }
 
+// holdsAny reports whether a proxy tells that it may hold connections. One
+// that may hold none has nothing to lose; one of a release that doesn't tell
+// keeps what it has.
+func holdsAny(uses map[ServerKey]grant.Use) bool {
+	for _, use := range uses {
+		if use.Granted > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // mayHand reports whether the shares of a proxy are known well enough to hand
 // them out.
 func (c *Coordinator) mayHand(p *proxy, now time.Time) bool {
