--- a/internal/control/coordinator/leader_test.go
+++ b/internal/control/coordinator/leader_test.go
@@ -117,7 +117,7 @@
 			b.now = b.now.Add(grant.Settle)
 			b.announce()
 			b.beat(coordinator.Beat{Revision: answer.Revision, Epoch: answer.Epoch, Uses: tt.uses})
-			b.now = b.now.Add(time.Second)
+			b.now = b.now.Add(grant.RenewAfter)
 			b.settle()
 			later := b.beat(coordinator.Beat{Revision: answer.Revision, Epoch: answer.Epoch, Uses: tt.uses})
 			if len(later.Shares) != 1 || later.Shares[0].Connections != 16 {
