--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -123,11 +123,16 @@
 
 	// group is the soft state of one group.
 	group struct {
-		servers  registry.Servers
-		plan     failover.Plan
-		reports  map[cluster.ProxyName]detect.Report
-		probe    detect.Probe
-		stall    detect.Stall
+		servers registry.Servers
+		plan    failover.Plan
+		reports map[cluster.ProxyName]detect.Report
+		probe   detect.Probe
+		stall   detect.Stall
+		pauses  detect.Pauses
+		// silent is the longest silence of the primary that is reported now.
+		silent time.Duration
+		// replaced is the primary that was replaced for its silence.
+		replaced replaced
 		probeAt  time.Time
 		term     cluster.Term
 		verdict  detect.Verdict
@@ -173,6 +178,7 @@
 		return err
 	}
 	g.servers = servers
+	g.noteReturn(announcement, now)
 	c.proposeFacts(announcement, now)
 	c.decide(announcement.Group, failover.Event{}, now)
 	return nil
@@ -254,6 +260,7 @@
 	c.takeKeys(view)
 	c.takeServers(view, now)
 	c.takeProxies(view, now)
+	c.divideAt = now
 	return true
 }
 
