--- a/internal/control/quorum/election.go
+++ b/internal/control/quorum/election.go
@@ -74,7 +74,10 @@
 		if m.ID == c.self {
 			continue
 		}
-		c.send(Message{Kind: kind, To: m.ID, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm()})
+		c.send(Message{
+			Kind: kind, To: m.ID, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm(),
+			Configuration: c.genesis(),
+		})
 	}
 	c.countVotes(now)
 }
@@ -98,6 +101,7 @@
 	c.votes = nil
 	c.progress = map[ID]*progress{}
 	c.reads = readQueue{}
+	c.beatCommit = c.log.last()
 	c.syncProgress(now)
 	c.append(Entry{Index: c.log.last() + 1, Term: c.state.Term, Kind: EntryNoop})
 	c.heartbeatDue = now.Add(c.options.Heartbeat)
--- a/internal/control/quorum/replicate.go
+++ b/internal/control/quorum/replicate.go
@@ -71,6 +71,7 @@
 	}
 	c.dropSilentLearners(now)
 	c.changeMembers(now)
+	c.beatCommit = c.log.commit
 	c.broadcast()
 }
 
@@ -105,7 +106,7 @@
 }
 
 // flushAppends sends new entries to the followers that lack them.
-func (c *Core) flushAppends(_ time.Time) {
+func (c *Core) flushAppends() {
 	if c.role != RoleLeader {
 		return
 	}
@@ -130,7 +131,7 @@
 	}
 	previous, ok := c.log.term(p.next - 1)
 	if !ok {
-		p.snapshot, p.offset = c.out.latest, 0
+		p.snapshot, p.offset = c.latest, 0
 		c.sendChunk(p)
 		return
 	}
