A proxy without traffic acknowledges its grants

The first one had been granted all 48 of a server before the second one was known; its share then fell to 24, but since it had no traffic it had no uses to report, control took that for 'unchanged', and the old 48 counted as held for as long as the lease was renewed: for ever. Ruled out: the ledger's arithmetic (its state showed 24 granted, 48 held) and settling after a change of leader (there was none). Change: the report names every server with a grant, also those that the proxy doesn't use. It is still sent only when it changed.

--- a/internal/proxy/heartbeat/heartbeat.go
+++ b/internal/proxy/heartbeat/heartbeat.go
@@ -175,7 +175,7 @@
 		Version:     uint64(snapshot.Version),
 		Revision:    snapshot.Revision,
 		LeaderEpoch: snapshot.Epoch,
-		Uses:        b.changedUses(now),
+		Uses:        b.changedUses(snapshot, now),
 		Suspicions:  b.options.Registry.Suspicions(now),
 		WaitMs:      uint32(hold.Milliseconds()),
 		Draining:    b.options.Draining(),
@@ -184,8 +184,8 @@
 
 // changedUses returns the uses of connections if they changed since they were
 // sent last.
-func (b *Beat) changedUses(now time.Time) []*controlpb.GrantUse {
-	uses := b.options.Registry.Uses()
+func (b *Beat) changedUses(snapshot *view.Snapshot, now time.Time) []*controlpb.GrantUse {
+	uses := withUnused(b.options.Registry.Uses(), snapshot.Grants)
 	slices.SortFunc(uses, func(a, c upstream.Use) int { return strings.Compare(a.Server.String(), c.Server.String()) })
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -204,6 +204,22 @@
 	return messages
 }
 
+// withUnused adds the servers that the proxy may use but doesn't. Control takes
+// a report as the word that a smaller grant was received; without one, the
+// larger grant would count until it runs out, and other proxies wait for it.
+func withUnused(uses []upstream.Use, grants map[view.ServerKey]view.Grant) []upstream.Use {
+	reported := make(map[view.ServerKey]bool, len(uses))
+	for _, use := range uses {
+		reported[use.Server] = true
+	}
+	for server := range grants {
+		if !reported[server] {
+			uses = append(uses, upstream.Use{Server: server})
+		}
+	}
+	return uses
+}
+
 // shrunk reports whether a server has fewer connections open than before,
 // which lets control grant them to others.
 func shrunk(uses, sent []upstream.Use) bool {
