--- a/internal/control/coordinator/decide.go
+++ b/internal/control/coordinator/decide.go
@@ -79,9 +79,10 @@
 	key := ServerKey{Group: record.Name, Server: record.Primary}
 	count := 0
 	for name, p := range c.proxies {
-		_, uses := p.uses[key]
+		// A proxy also reports servers that it may use but doesn't.
+		use := p.uses[key]
 		_, reports := g.reports[name]
-		if p.isLive(now) && (uses || reports) {
+		if p.isLive(now) && (use.Open > 0 || use.Wanted > 0 || reports) {
 			count++
 		}
 	}
