Measuring: response times count from when a request was due

Cause: a request that waits for its session was timed from when it was sent, which hides the wait in an overload; requests of a session far behind were left out of the history. Ruled out: moving Invoke to the due time: the checker needs the true interval. Change: Due in the history; response times start there; left out requests count as not sent. Conclusion: earlier response times were too low under load.

--- a/internal/measure/history/history.go
+++ b/internal/measure/history/history.go
@@ -47,10 +47,13 @@
 	// Operation is one request with its answer.
 	Operation struct {
 		// ID is unique in the run and stored with the rows it adds.
-		ID      string        `json:"id"`
-		Session int           `json:"session"`
-		Kind    Kind          `json:"kind"`
-		Proxy   int           `json:"proxy"`
+		ID      string `json:"id"`
+		Session int    `json:"session"`
+		Kind    Kind   `json:"kind"`
+		Proxy   int    `json:"proxy"`
+		// Due is when the request was to start; it's sent at Invoke, once
+		// its session's earlier requests have ended.
+		Due     time.Duration `json:"due"`
 		Invoke  time.Duration `json:"invoke"`
 		Return  time.Duration `json:"return"`
 		Outcome Outcome       `json:"outcome"`
--- a/internal/measure/load/caller.go
+++ b/internal/measure/load/caller.go
@@ -74,6 +74,7 @@
 		Proxy:   r.proxy,
 		Member:  r.member,
 		MaxAge:  r.maxAge,
+		Due:     r.at,
 		Invoke:  clock(),
 	}}
 	err := c.perform(ctx, a)
--- a/internal/measure/load/load.go
+++ b/internal/measure/load/load.go
@@ -79,13 +79,13 @@
 				close(queue)
 			}
 		}()
-		return dispatch(ctx, schedule(options), queues, clock)
+		return dispatch(ctx, schedule(options), queues, recorder, clock)
 	})
 	return group.Wait()
 }
 
 // dispatch hands each request to its session when it's due.
-func dispatch(ctx context.Context, requests []request, queues []chan request, clock func() time.Duration) error {
+func dispatch(ctx context.Context, requests []request, queues []chan request, recorder *history.Recorder, clock func() time.Duration) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for _, r := range requests {
@@ -98,7 +98,11 @@
 		select {
 		case queues[r.session] <- r:
 		default:
-			// The session is far behind; the request is never sent.
+			recorder.Add(history.Operation{
+				ID: r.id, Session: r.session, Kind: r.kind, Proxy: r.proxy, Member: r.member,
+				Due: r.at, Invoke: clock(), Return: clock(),
+				Outcome: history.NotSent, Reason: "the session is far behind",
+			})
 		}
 	}
 	return nil
--- a/internal/measure/report/report.go
+++ b/internal/measure/report/report.go
@@ -72,7 +72,8 @@
 		NotSent           int     `json:"not-sent"`
 		// RefusalMS is the time that refusals took.
 		RefusalMS Times `json:"refusal-ms"`
-		// ResponseMS is the time of answered requests.
+		// ResponseMS is the time of answered requests from when they were
+		// due, the wait for their session included.
 		ResponseMS []KindTimes `json:"response-ms"`
 		// ControlBytes are between one proxy and control, both ways.
 		ControlBytes float64 `json:"control-bytes-per-second"`
@@ -139,7 +140,7 @@
 	switch o.Outcome {
 	case history.Done:
 		r.Completed++
-		b.responses[o.Kind] = append(b.responses[o.Kind], o.Return-o.Invoke)
+		b.responses[o.Kind] = append(b.responses[o.Kind], o.Return-o.Due)
 	case history.NotRun:
 		r.Refused++
 		b.refusals = append(b.refusals, o.Return-o.Invoke)
