A new control leader keeps the proxies' shares from their first report

Cause: a new leader divides at its first tick, before any proxy has reported; reports within the next 500 ms were not divided, so the first answer carried no shares and the proxy closed its connections. Nothing was granted before Settle, 7 s later. The proxies also never sent the field granted. Ruled out: not dividing before the first report: a proxy that never reports would hold the others up. Change: a share below what its proxy reports is due at once until Settle; proxies send what they may hold.

--- a/internal/control/grant/grant.go
+++ b/internal/control/grant/grant.go
@@ -207,6 +207,9 @@
 		if proxy.Live && share.Granted < share.Floor && settled {
 			return true
 		}
+		if !settled && share.Granted < max(share.use.Open, share.use.Granted) {
+			return true
+		}
 		unmet = unmet || (proxy.Live && share.use.Wanted > share.Granted)
 	}
 	return now.Sub(l.divided) >= divideInterval && (unmet || sum != l.limit)
--- a/internal/proxy/heartbeat/heartbeat.go
+++ b/internal/proxy/heartbeat/heartbeat.go
@@ -175,7 +175,7 @@
 		Version:     uint64(snapshot.Version),
 		Revision:    snapshot.Revision,
 		LeaderEpoch: snapshot.Epoch,
-		Uses:        b.changedUses(now),
+		Uses:        b.changedUses(snapshot, now),
 		Suspicions:  b.options.Registry.Suspicions(now),
 		WaitMs:      uint32(hold.Milliseconds()),
 		Draining:    b.options.Draining(),
@@ -184,7 +184,7 @@
 
 // changedUses returns the uses of connections if they changed since they were
 // sent last.
-func (b *Beat) changedUses(now time.Time) []*controlpb.GrantUse {
+func (b *Beat) changedUses(snapshot *view.Snapshot, now time.Time) []*controlpb.GrantUse {
 	uses := b.options.Registry.Uses()
 	slices.SortFunc(uses, func(a, c upstream.Use) int { return strings.Compare(a.Server.String(), c.Server.String()) })
 	b.mu.Lock()
@@ -199,7 +199,10 @@
 	b.sentAt = now
 	messages := make([]*controlpb.GrantUse, 0, len(uses))
 	for _, use := range uses {
-		messages = append(messages, &controlpb.GrantUse{Server: use.Server.String(), Open: uint32(use.Open), Wanted: uint32(use.Wanted)})
+		messages = append(messages, &controlpb.GrantUse{
+			Server: use.Server.String(), Open: uint32(use.Open), Wanted: uint32(use.Wanted),
+			Granted: uint32(snapshot.Grants[use.Server].At(now)),
+		})
 	}
 	return messages
 }
--- a/internal/proxy/view/view.go
+++ b/internal/proxy/view/view.go
@@ -212,6 +212,14 @@
 	return count
 }
 
+// At returns the number of connections that the grant allows at a time.
+func (g Grant) At(now time.Time) int {
+	if g.Expires.IsZero() || now.Before(g.Expires) {
+		return g.Connections
+	}
+	return min(g.Floor, g.Connections)
+}
+
 func grantsOf(messages []*controlpb.Grant, now time.Time) map[ServerKey]Grant {
 	grants := make(map[ServerKey]Grant, len(messages))
 	for _, message := range messages {
