A control leader without servers and proxies gives up its lead

Ruled out: letting followers depose it on the word of proxies: they would need the proxies' evidence in the agreement protocol. Core.Resign, Node.Resign, Coordinator.Forsaken.

--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -103,6 +103,7 @@
 		ledgers       map[ServerKey]grant.Ledger
 		dropped       map[ServerKey]time.Time
 		order         []grant.Proxy
+		contact       contact
 	}
 
 	// ServerKey names a server among all groups.
@@ -167,6 +168,7 @@
 	if _, ok := c.declared.Groups[announcement.Group]; !ok {
 		return eris.Wrapf(ErrUnknownGroup, "group %s", announcement.Group)
 	}
+	c.contact = c.contact.heard(now)
 	g := c.group(announcement.Group)
 	servers, err := registry.Accept(g.servers, announcement, now)
 	if err != nil {
--- a/internal/control/coordinator/proxies.go
+++ b/internal/control/coordinator/proxies.go
@@ -69,6 +69,7 @@
 	if beat.Proxy == "" || len(beat.Proxy) > maxProxyName || beat.Incarnation == 0 {
 		return eris.Wrap(ErrMalformed, "proxy: want a name and an incarnation")
 	}
+	c.contact = c.contact.heard(now)
 	known, ok := c.proxies[beat.Proxy]
 	if ok && known.Incarnation > beat.Incarnation {
 		return eris.Wrapf(ErrMalformed, "proxy %s: a newer incarnation is known", beat.Proxy)
--- a/internal/control/daemon/daemon.go
+++ b/internal/control/daemon/daemon.go
@@ -178,7 +178,13 @@
 	for {
 		changed := machine.Changed()
 		elected := log.Changes()
-		c.Tick(time.Now())
+		now := time.Now()
+		c.Tick(now)
+		if c.Forsaken(now) {
+			if err := log.Resign(ctx); err != nil {
+				return nil
+			}
+		}
 		select {
 		case <-ctx.Done():
 			return nil
--- a/internal/control/node/loop.go
+++ b/internal/control/node/loop.go
@@ -21,13 +21,15 @@
 )
 
 type (
-	// event is one of: messages of a peer, a proposal, a read.
+	// event is one of: messages of a peer, a proposal, a read, a wish to
+	// give up leadership.
 	event struct {
 		messages []quorum.Message
 		// reply gets the messages for the sender, if set.
 		reply    chan<- []quorum.Message
 		proposal *proposal
 		read     *read
+		resign   bool
 	}
 
 	proposal struct {
@@ -141,6 +143,9 @@
 		if e.read != nil {
 			n.beginRead(e.read)
 		}
+		if e.resign {
+			n.core.Resign(now)
+		}
 	}
 	n.core.Tick(now)
 	n.propose(batch)
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -277,6 +277,11 @@
 	}
 }
 
+// Resign gives up leadership if this node leads, so that another takes it.
+func (n *Node) Resign(ctx context.Context) error {
+	return n.enqueue(ctx, event{resign: true})
+}
+
 // enqueue hands an event to Run; an error tells that it wasn't handed over.
 func (n *Node) enqueue(ctx context.Context, e event) error {
 	select {
--- a/internal/control/quorum/election.go
+++ b/internal/control/quorum/election.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// resignedElections is how many election timeouts a node that resigned waits
+// before it campaigns.
+const resignedElections = 4
+
 // resetElection sets the time of the next campaign. A sole member has nobody to
 // wait for.
 func (c *Core) resetElection(now time.Time) {
@@ -107,6 +111,17 @@
 	c.heartbeatDue = now.Add(c.options.Heartbeat)
 }
 
+// Resign gives up leadership, so that a node which reaches more takes it. This
+// node doesn't campaign before the others had the time to. A sole member
+// keeps the lead.
+func (c *Core) Resign(now time.Time) {
+	if c.role != RoleLeader || c.isSoleMember() {
+		return
+	}
+	c.becomeFollower(c.state.Term, ID{}, now)
+	c.electionDeadline = now.Add(resignedElections * c.options.ElectionMax)
+}
+
 // hasQuorum reports whether the members for which ok holds are a majority of
 // each active configuration.
 func (c *Core) hasQuorum(ok func(ID) bool) bool {
--- a/internal/measure/trial/trial_test.go
+++ b/internal/measure/trial/trial_test.go
@@ -52,6 +52,31 @@
 	}
 }
 
+// TestLeaderWithoutClients leaves control's leader a quorum but neither
+// servers nor proxies, kills the primary, and wants a write to land before the
+// partition is healed.
+func TestLeaderWithoutClients(t *testing.T) {
+	const length = 9 * time.Second
+	small, _ := profile.Named("guild")
+	small.Proxies, small.Sessions = 3, 40
+	result, err := trial.Run(context.Background(), trial.Options{
+		Profile: small, Fault: fault.ControlPartial, Seed: 7, Duration: length,
+	}, logr.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := result.Findings; got.Total() != 0 {
+		t.Errorf("got findings %+v, want none", got)
+	}
+	healed := fault.Plan(fault.ControlPartial, 7, length)[0].Until
+	for _, o := range result.Operations {
+		if o.Kind == history.Write && o.Outcome == history.Done && o.Invoke > result.FaultAt && o.Return < healed {
+			return
+		}
+	}
+	t.Errorf("no write landed from the loss of the primary at %v until the partition was healed at %v", result.FaultAt, healed)
+}
+
 func done(operations []history.Operation) int {
 	n := 0
 	for _, o := range operations {
--- /dev/null
+++ b/internal/standin/shiplog/shiplog_test.go
@@ -0,0 +1,86 @@
+package shiplog_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/standin/shiplog"
+)
+
+func open(t *testing.T, folder string) *shiplog.Log {
+	t.Helper()
+	log, err := shiplog.Open(folder, false, time.Unix(1, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { log.Close() })
+	return log
+}
+
+func extend(t *testing.T, log *shiplog.Log, term cluster.Term, n int) {
+	t.Helper()
+	for range n {
+		next := log.End().Position + 1
+		if err := log.Append(time.Unix(1, 0), shiplog.Entry{Term: term, Position: next}); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestTornTail(t *testing.T) {
+	folder := t.TempDir()
+	log := open(t, folder)
+	extend(t, log, 1, 3)
+	path := filepath.Join(folder, "log.jsonl")
+	content, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, cut := range []int{1, 2, 10} {
+		if err := os.WriteFile(path, content[:len(content)-cut], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		again := open(t, folder)
+		if got, want := again.End(), (cluster.Mark{Term: 1, Position: 2}); got != want {
+			t.Errorf("cut by %d: got end %v, want %v", cut, got, want)
+		}
+		extend(t, again, 2, 1)
+		if got, want := open(t, folder).End(), (cluster.Mark{Term: 2, Position: 3}); got != want {
+			t.Errorf("cut by %d, then extended: got end %v, want %v", cut, got, want)
+		}
+	}
+}
+
+func TestFork(t *testing.T) {
+	primary := open(t, t.TempDir())
+	extend(t, primary, 1, 4)
+	extend(t, primary, 3, 2)
+	tests := []struct {
+		name  string
+		other []shiplog.Boundary
+		want  cluster.Position
+	}{
+		{name: "empty", want: 0},
+		{name: "behind in the same term", other: []shiplog.Boundary{{Term: 1, Last: 2}}, want: 2},
+		{name: "longer in an old term", other: []shiplog.Boundary{{Term: 1, Last: 9}}, want: 4},
+		{name: "a term that the primary never had", other: []shiplog.Boundary{{Term: 1, Last: 3}, {Term: 2, Last: 9}}, want: 3},
+		{name: "whole", other: []shiplog.Boundary{{Term: 1, Last: 4}, {Term: 3, Last: 6}}, want: 6},
+	}
+	for _, test := range tests {
+		if got := primary.Fork(test.other); got != test.want {
+			t.Errorf("%s: got %d, want %d", test.name, got, test.want)
+		}
+	}
+	if err := primary.Truncate(4); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := primary.End(), (cluster.Mark{Term: 1, Position: 4}); got != want {
+		t.Errorf("after the cut: got end %v, want %v", got, want)
+	}
+	if err := primary.Append(time.Unix(1, 0), shiplog.Entry{Term: 4, Position: 6}); err == nil {
+		t.Error("an entry that leaves a gap was taken")
+	}
+}
