Chaos: control's leader is killed and partly cut off

Cause: the fault that found two errors wasn't among those that chaos draws. Change: chaos also kills the leader and leaves it one other node.

--- a/internal/measure/fault/fault.go
+++ b/internal/measure/fault/fault.go
@@ -111,7 +111,7 @@
 var chaosChoices = []choice{
 	{Kill, Primary}, {Kill, Primary}, {Freeze, Primary}, {Cut, Primary},
 	{Kill, Replica}, {Freeze, Replica}, {Kill, Proxy}, {CutProxy, Primary},
-	{CutControl, Primary}, {Kill, Control}, {Cut, Control},
+	{CutControl, Primary}, {Kill, ControlLeader}, {Cut, Control}, {CutPartly, ControlLeader},
 }
 
 // Kinds returns every kind.
--- a/internal/measure/trial/disturb.go
+++ b/internal/measure/trial/disturb.go
@@ -83,16 +83,12 @@
 		if c == nil {
 			return nil, nil, nil, false
 		}
-		return c, nothing(c.CutPartly), nothing(c.Heal), true
+		begin, end = controlFault(c, step)
+		return c, begin, end, true
 	case fault.Control:
 		c := d.bed.Controls()[step.Index%len(d.bed.Controls())]
-		switch step.Action {
-		case fault.Kill:
-			return c, c.Kill, nothing(c.Restart), true
-		case fault.Wipe:
-			return c, c.Wipe, nothing(c.Restart), true
-		}
-		return c, nothing(c.Cut), nothing(c.Heal), true
+		begin, end = controlFault(c, step)
+		return c, begin, end, true
 	default:
 		s, err := d.server(step)
 		if err != nil {
@@ -103,6 +99,19 @@
 	}
 }
 
+func controlFault(c *bed.Control, step fault.Step) (begin, end func() error) {
+	switch step.Action {
+	case fault.Kill:
+		return c.Kill, nothing(c.Restart)
+	case fault.Wipe:
+		return c.Wipe, nothing(c.Restart)
+	case fault.CutPartly:
+		return nothing(c.CutPartly), nothing(c.Heal)
+	default:
+		return nothing(c.Cut), nothing(c.Heal)
+	}
+}
+
 func (d *disturbance) serverFault(s *bed.Server, step fault.Step) (begin, end func() error) {
 	switch step.Action {
 	case fault.Kill:
