--- a/internal/proxy/heartbeat/heartbeat.go
+++ b/internal/proxy/heartbeat/heartbeat.go
@@ -199,7 +199,10 @@
 	b.sentAt = now
 	messages := make([]*controlpb.GrantUse, 0, len(uses))
 	for _, use := range uses {
-		messages = append(messages, &controlpb.GrantUse{Server: use.Server.String(), Open: uint32(use.Open), Wanted: uint32(use.Wanted)})
+		messages = append(messages, &controlpb.GrantUse{
+			Server: use.Server.String(), Open: uint32(use.Open), Wanted: uint32(use.Wanted),
+			Granted: uint32(snapshot.Grants[use.Server].At(now)),
+		})
 	}
 	return messages
 }
