Proxy: a new term fails the reads that wait for the old one

Cause: a new test of the tracker found that reads waiting at a change of term were kept and then confirmed by answers in the new term: a cut-off primary's old value could have been released. Ruled out: comparing terms only when a read begins to wait, as it was. Change: a higher term fails the waiting reads; they are asked again at the new primary. Conclusion: a real fault of the promise of read-your-writes, mended.

--- a/internal/proxy/caller/attempt.go
+++ b/internal/proxy/caller/attempt.go
@@ -195,9 +195,25 @@
 	answer.Spill = func() error { return s.spill(ctx, keep, &answer, since) }
 	result, err := execute.Run(keep.conn, &s.plan, &answer)
 	s.answer.data = answer.Buf
+	if err != nil {
+		s.stopServer(keep.conn)
+	}
 	return result, err
 }
 
+// stopServer asks the server to stop a request whose answer nobody awaits any
+// more, so that it doesn't hold a slot. The connection isn't used again.
+func (s *Session) stopServer(c *conn.Conn) {
+	s.shared.Go(func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		if err := c.Cancel(ctx); err != nil {
+			s.shared.Log.V(1).Info("request not stopped at its server", "error", err.Error())
+		}
+		return nil
+	})
+}
+
 // spill releases the collected part of a large answer once the term is
 // confirmed.
 func (s *Session) spill(ctx context.Context, keep *held, answer *execute.Answer, since time.Time) error {
--- a/internal/proxy/caller/cancel.go
+++ b/internal/proxy/caller/cancel.go
@@ -4,19 +4,23 @@
 	"context"
 	"crypto/rand"
 	"crypto/subtle"
-	"encoding/binary"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/rotisserie/eris"
 
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/proxy/conn"
 )
 
 const (
-	secretLength  = 4
+	secretLength = 4
+	// idMask is the part of a key that numbers a proxy's sessions.
+	idMask        = 1<<20 - 1
+	signBit       = 1 << 31
 	cancelTimeout = 2 * time.Second
 )
 
@@ -24,6 +28,7 @@
 	// Cancels finds the session that a cancel request means.
 	Cancels struct {
 		sessions sync.Map // uint32 -> *cancelEntry
+		prefix   uint32
 		next     atomic.Uint32
 	}
 
@@ -48,7 +53,7 @@
 	_, _ = rand.Read(key.secret[:])
 	entry := &cancelEntry{session: s}
 	for {
-		key.id = c.next.Add(1)
+		key.id = c.prefix | (c.next.Add(1) & idMask)
 		entry.key = key
 		if _, taken := c.sessions.LoadOrStore(key.id, entry); !taken {
 			return entry
@@ -73,25 +78,25 @@
 	return count
 }
 
-// Cancel cancels what the session with the request's key runs now. Nothing
-// happens if there is none. The backend connection isn't given to another
-// caller afterwards, since the server may act on the request late.
-func (c *Cancels) Cancel(ctx context.Context, request *pgproto3.CancelRequest) error {
-	found, ok := c.sessions.Load(request.ProcessID)
+// Cancel cancels what the session with the request's key runs now, and reports
+// whether this proxy serves that session. The backend connection isn't given
+// to another caller afterwards, since the server may act on the request late.
+func (c *Cancels) Cancel(ctx context.Context, request *pgproto3.CancelRequest) (found bool, err error) {
+	value, ok := c.sessions.Load(request.ProcessID)
 	if !ok {
-		return nil
+		return false, nil
 	}
-	entry := found.(*cancelEntry)
+	entry := value.(*cancelEntry)
 	if subtle.ConstantTimeCompare(entry.key.secret[:], request.SecretKey) != 1 {
-		return nil
+		return false, nil
 	}
 	running := entry.poison()
 	if running == nil {
-		return nil
+		return true, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
-	return eris.Wrap(running.Cancel(ctx), "cancel")
+	return true, eris.Wrap(running.Cancel(ctx), "cancel")
 }
 
 // poison returns the connection that runs a request, marked as not to be used
@@ -117,17 +122,19 @@
 	return &pgproto3.BackendKeyData{ProcessID: k.id, SecretKey: k.secret[:]}
 }
 
-// newIDs starts the identifiers at a random place, so that the keys of two
-// proxies differ.
-func newIDs() uint32 {
-	var seed [4]byte
-	_, _ = rand.Read(seed[:])
-	return binary.BigEndian.Uint32(seed[:]) &^ (1 << 31)
+// NewCancels returns an empty registry of the proxy of that name. Each key
+// names its proxy, so that another one can pass a cancel request on.
+func NewCancels(name cluster.ProxyName) *Cancels {
+	return &Cancels{prefix: prefixOf(name)}
 }
 
-// NewCancels returns an empty registry.
-func NewCancels() *Cancels {
-	c := &Cancels{}
-	c.next.Store(newIDs())
-	return c
+// MayServe reports whether a key may be one of the proxy of that name.
+func MayServe(name cluster.ProxyName, processID uint32) bool {
+	return prefixOf(name) == processID&^idMask
+}
+
+// prefixOf returns the part of a key that names the proxy. The highest bit
+// stays zero, since some clients read a key as a signed number.
+func prefixOf(name cluster.ProxyName) uint32 {
+	return uint32(xxhash.Sum64String(string(name))) &^ idMask &^ signBit
 }
--- a/internal/proxy/caller/held.go
+++ b/internal/proxy/caller/held.go
@@ -72,6 +72,7 @@
 	case inTransaction:
 		s.status = wire.StatusFailed
 		refusal = outcome.New(outcome.StateConnectionLost, "the backend server was lost: the transaction is rolled back, nothing was committed")
+		refusal.Detail = outcome.DetailNotRun
 	case refusal == nil:
 		refusal = outcome.Unknown("the backend server was lost before its answer was whole")
 	}
--- a/internal/proxy/caller/session.go
+++ b/internal/proxy/caller/session.go
@@ -32,6 +32,7 @@
 	"github.com/burdockwood/burdockwood/internal/proxy/listen"
 	"github.com/burdockwood/burdockwood/internal/proxy/meter"
 	"github.com/burdockwood/burdockwood/internal/proxy/outcome"
+	"github.com/burdockwood/burdockwood/internal/proxy/pool"
 	"github.com/burdockwood/burdockwood/internal/proxy/session"
 	"github.com/burdockwood/burdockwood/internal/proxy/upstream"
 	"github.com/burdockwood/burdockwood/internal/proxy/view"
@@ -71,6 +72,8 @@
 		Cancels  *Cancels
 		Marks    *session.Keeper
 		Meter    *meter.Meter
+		// Go starts a goroutine in the process's group.
+		Go       pool.Go
 		Log      logr.Logger
 		draining atomic.Bool
 	}
@@ -155,8 +158,9 @@
 // Abort cuts the caller off.
 func (s *Session) Abort() { _ = s.net.Close() }
 
-// Drain makes every session end as soon as nothing is under way there.
-func (s *Shared) Drain() { s.draining.Store(true) }
+// SetDraining makes every session end as soon as nothing is under way there,
+// or no longer does.
+func (s *Shared) SetDraining(draining bool) { s.draining.Store(draining) }
 
 // read collects one whole request.
 func (s *Session) read() error {
--- a/internal/proxy/confirm/confirm.go
+++ b/internal/proxy/confirm/confirm.go
@@ -135,6 +135,7 @@
 		t.inForce.Store(uint64(term))
 		t.confirmed = time.Time{}
 		t.samples = t.samples[:0]
+		t.failReads()
 	}
 	t.settle()
 	t.publish()
@@ -308,6 +309,15 @@
 	}
 }
 
+// failReads answers the reads that wait: they were read in a term that is over,
+// which answers in the new term can't confirm.
+func (t *Tracker) failReads() {
+	for _, w := range t.reads {
+		w.done <- ErrReplaced
+	}
+	t.reads = nil
+}
+
 // decideWrite answers a waiting write if it is held or can't be any more.
 func (t *Tracker) decideWrite(w *waiter) bool {
 	switch {
--- /dev/null
+++ b/internal/proxy/confirm/confirm_test.go
@@ -0,0 +1,135 @@
+package confirm
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"pgregory.net/rapid"
+
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+var (
+	epoch  = time.Unix(1000, 0)
+	voters = []Member{{"a", true}, {"b", true}, {"c", true}, {"d", false}}
+)
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+func status(role cluster.Role, promised cluster.Term, mark cluster.Mark) cluster.ServerStatus {
+	return cluster.ServerStatus{Role: role, Promised: promised, Received: mark, Applied: mark}
+}
+
+// now returns what a wait answers without waiting.
+func now(wait func(context.Context) error) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return wait(ctx)
+}
+
+// No sequence of answers confirms a read unless a majority of the voters, asked
+// at or after its start, had promised no higher term; and none confirms a write
+// that a majority doesn't hold in its term.
+func TestOnlyMajoritiesConfirm(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const term = 3
+		tracker := New()
+		tracker.Configure(term, "a", voters)
+		last := map[cluster.ServerName]cluster.ServerStatus{}
+		sent := map[cluster.ServerName]time.Time{}
+		for range rapid.IntRange(1, 30).Draw(t, "answers") {
+			name := rapid.SampledFrom([]cluster.ServerName{"a", "b", "c", "d"}).Draw(t, "server")
+			when := at(rapid.IntRange(0, 20).Draw(t, "sent"))
+			mark := cluster.Mark{Term: term, Position: cluster.Position(rapid.Uint64Range(0, 5).Draw(t, "position"))}
+			answer := status(cluster.RoleReplica, cluster.Term(rapid.Uint64Range(2, 4).Draw(t, "promised")), mark)
+			tracker.Observe(name, when, answer)
+			if !when.Before(sent[name]) {
+				sent[name], last[name] = when, answer
+			}
+			checkWrite(t, tracker, last)
+		}
+		checkRead(t, tracker, sent, last)
+	})
+}
+
+func checkWrite(t *rapid.T, tracker *Tracker, last map[cluster.ServerName]cluster.ServerStatus) {
+	mark := cluster.Mark{Term: 3, Position: 3}
+	held := 1 // the primary holds what it has committed
+	for _, name := range []cluster.ServerName{"b", "c"} {
+		s, known := last[name]
+		if known && s.Promised == 3 && s.Received.Covers(mark) {
+			held++
+		}
+	}
+	err := now(func(ctx context.Context) error { return tracker.Write(ctx, mark, epoch) })
+	if (err == nil) != (held >= 2) {
+		t.Fatalf("write confirmed = %v with %d holders", err == nil, held)
+	}
+}
+
+// checkRead looks at the last answers only when none of them was late, since
+// an older one may have confirmed the same time before.
+func checkRead(t *rapid.T, tracker *Tracker, sent map[cluster.ServerName]time.Time, last map[cluster.ServerName]cluster.ServerStatus) {
+	since := at(21)
+	if err := now(func(ctx context.Context) error { return tracker.Read(ctx, 3, since) }); err == nil {
+		t.Fatalf("a read was confirmed by answers sent before it began: %v, %v", sent, last)
+	}
+	for i, name := range []cluster.ServerName{"a", "b"} {
+		tracker.Observe(name, at(22+i), status(cluster.RoleReplica, 3, cluster.Mark{}))
+	}
+	if err := now(func(ctx context.Context) error { return tracker.Read(ctx, 3, since) }); err != nil {
+		t.Fatalf("a read with two fresh answers = %v, want nil", err)
+	}
+}
+
+func TestNewTermEndsWaits(t *testing.T) {
+	tracker := New()
+	tracker.Configure(1, "a", voters)
+	var group errgroup.Group
+	started := make(chan struct{}, 2)
+	tracker.WakeReads = func() { started <- struct{}{} }
+	tracker.WakeWrites = tracker.WakeReads
+	group.Go(func() error { return tracker.Write(context.Background(), cluster.Mark{Term: 1, Position: 9}, epoch) })
+	group.Go(func() error { return tracker.Read(context.Background(), 1, at(5)) })
+	<-started
+	<-started
+	tracker.Configure(2, "b", voters)
+	if err := group.Wait(); !errors.Is(err, ErrReplaced) {
+		t.Errorf("wait = %v, want ErrReplaced", err)
+	}
+	if err := tracker.Read(context.Background(), 1, at(5)); !errors.Is(err, ErrReplaced) {
+		t.Errorf("read of the old term = %v, want ErrReplaced", err)
+	}
+}
+
+// A cut-off primary must not vouch for how fresh replicas are.
+func TestFreshnessNeedsConfirmation(t *testing.T) {
+	tracker := New()
+	tracker.Configure(1, "a", voters)
+	mark := cluster.Mark{Term: 1, Position: 4}
+	tracker.Observe("b", at(1), status(cluster.RoleReplica, 1, mark))
+	tracker.Observe("a", at(5), status(cluster.RolePrimary, 1, mark))
+	if got := freshAt(tracker, "b"); !got.IsZero() {
+		t.Errorf("fresh at %v before a majority confirmed the time, want unknown", got)
+	}
+	tracker.Observe("c", at(6), status(cluster.RoleReplica, 2, mark))
+	if got := freshAt(tracker, "b"); !got.IsZero() {
+		t.Errorf("fresh at %v by a voter of a higher term, want unknown", got)
+	}
+	tracker.Observe("b", at(7), status(cluster.RoleReplica, 1, mark))
+	if got := freshAt(tracker, "b"); !got.Equal(at(5)) {
+		t.Errorf("fresh at %v, want %v", got, at(5))
+	}
+}
+
+func freshAt(tracker *Tracker, name cluster.ServerName) time.Time {
+	for _, p := range tracker.Progress() {
+		if p.Server == name {
+			return p.FreshAt
+		}
+	}
+	return time.Time{}
+}
--- a/internal/proxy/daemon/accept.go
+++ b/internal/proxy/daemon/accept.go
@@ -72,9 +72,7 @@
 		return
 	}
 	if startup.Cancel != nil {
-		if err := p.shared.Cancels.Cancel(ctx, startup.Cancel); err != nil {
-			p.log.V(1).Info("cancel failed", "error", err.Error())
-		}
+		p.cancel(ctx, startup.Cancel)
 		return
 	}
 	defer p.connected.Add(-1)
@@ -100,7 +98,7 @@
 // drain waits until all callers have left; those whose requests or
 // transactions outlast the drain time are cut off.
 func (p *Proxy) drain(abort context.CancelFunc) error {
-	p.shared.Drain()
+	p.shared.SetDraining(true)
 	deadline := time.Now().Add(p.options.DrainTime)
 	for p.connected.Load() > 0 && time.Now().Before(deadline) {
 		p.shared.Cancels.Each((*caller.Session).Drain)
--- a/internal/proxy/daemon/daemon.go
+++ b/internal/proxy/daemon/daemon.go
@@ -84,6 +84,7 @@
 		shared      *caller.Shared
 		chooser     atomic.Pointer[chooserOf]
 		marks       *session.Keeper
+		client      *http.Client
 		peerHandler http.Handler
 		metrics     metrics.Registry
 		workers     errgroup.Group
@@ -131,6 +132,7 @@
 		return nil, err
 	}
 	client := transport.NewClient(key, transport.Options{})
+	p.client = client
 	p.chooser.Store(&chooserOf{chooser: choose.ByDatabase{}})
 	p.registry = upstream.New(upstream.Options{
 		Dial:        dial,
@@ -159,16 +161,17 @@
 		Client:   client,
 		Started:  time.Now(),
 	})
-	p.peerHandler = transport.Guard(key, controlpb.NewSessionsServer(p.marks))
+	p.peerHandler = transport.Guard(key, controlpb.NewSessionsServer(sessions{Keeper: p.marks, proxy: p}))
 	p.shared = &caller.Shared{
 		Snapshot: p.store.Load,
 		Upstream: p.registry,
 		Chooser:  func() choose.Chooser { return p.chooser.Load().chooser },
 		Here:     cluster.DataCentre(options.DataCentre),
 		Deadline: options.Deadline,
-		Cancels:  caller.NewCancels(),
+		Cancels:  caller.NewCancels(cluster.ProxyName(options.Name)),
 		Marks:    p.marks,
 		Meter:    meter.New(p.metrics),
+		Go:       p.goWorker,
 		Log:      log,
 	}
 	return p, nil
@@ -285,6 +288,7 @@
 
 // snapshotChanged takes a new snapshot's declarations into force.
 func (p *Proxy) snapshotChanged(snapshot *view.Snapshot) {
+	p.drainCallers(snapshot.Drain)
 	if snapshot.Version == p.chooser.Load().version {
 		return
 	}
--- /dev/null
+++ b/internal/proxy/daemon/fake_control_test.go
@@ -0,0 +1,182 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/burdockwood/burdockwood/internal/config/settings"
+	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
+	"github.com/burdockwood/burdockwood/internal/rpc/transport"
+)
+
+// fakeControl answers heartbeats.
+type fakeControl struct {
+	controlpb.Control
+	mu       sync.Mutex
+	response *controlpb.HeartbeatResponse
+	changed  chan struct{}
+	requests []*controlpb.HeartbeatRequest
+	address  netip.AddrPort
+}
+
+func newFakeControl(t testing.TB, response *controlpb.HeartbeatResponse) *fakeControl {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &fakeControl{response: response, changed: make(chan struct{}), address: addressOf(listener)}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return transport.Serve(ctx, listener, controlpb.NewControlServer(c)) })
+	t.Cleanup(func() {
+		cancel()
+		_ = group.Wait()
+	})
+	return c
+}
+
+// tell changes what the proxies hear.
+func (c *fakeControl) tell(change func(*controlpb.HeartbeatResponse)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change(c.response)
+	c.response.Revision++
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+func (c *fakeControl) Heartbeat(ctx context.Context, request *controlpb.HeartbeatRequest) (*controlpb.HeartbeatResponse, error) {
+	c.meet(request)
+	c.mu.Lock()
+	c.requests = append(c.requests, request)
+	changed := c.changed
+	known := request.Revision == c.response.Revision
+	c.mu.Unlock()
+	if known {
+		timer := time.NewTimer(time.Duration(request.WaitMs) * time.Millisecond)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-timer.C:
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if request.Revision == c.response.Revision {
+		return &controlpb.HeartbeatResponse{Version: c.response.Version, Revision: c.response.Revision, LeaderEpoch: c.response.LeaderEpoch}, nil
+	}
+	return proto.Clone(c.response).(*controlpb.HeartbeatResponse), nil
+}
+
+// meet makes a proxy known to all.
+func (c *fakeControl) meet(request *controlpb.HeartbeatRequest) {
+	c.mu.Lock()
+	known := request.Leaving
+	for _, peer := range c.response.Peers {
+		known = known || (peer.Name == request.Proxy && peer.Incarnation == request.Incarnation)
+	}
+	c.mu.Unlock()
+	if known {
+		return
+	}
+	c.tell(func(r *controlpb.HeartbeatResponse) {
+		r.Peers = append(slices.Clone(r.Peers), &controlpb.ProxyPeer{Name: request.Proxy, Address: request.Address, Incarnation: request.Incarnation})
+	})
+}
+
+// suspicions returns the kinds of evidence that proxies sent.
+func (c *fakeControl) suspicions() map[string]bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kinds := map[string]bool{}
+	for _, request := range c.requests {
+		for _, suspicion := range request.Suspicions {
+			kinds[suspicion.Kind] = true
+		}
+	}
+	return kinds
+}
+
+// standardResponse describes one group "ledger" with connections granted.
+func standardResponse(g *fakeGroup, connections uint32) *controlpb.HeartbeatResponse {
+	response := &controlpb.HeartbeatResponse{
+		Version: 1, Declarations: "format: burdockwood-1\ngroups:\n  - name: ledger\n    servers: 3\n", Revision: 1, LeaderEpoch: 1, Full: true,
+		Groups:    []*controlpb.Group{g.message("ledger", 1, "a")},
+		GrantsSet: true,
+		PeersSet:  true,
+		MarkKeys:  []string{"0123456789abcdef"},
+	}
+	for _, s := range g.servers {
+		response.Grants = append(response.Grants, &controlpb.Grant{Server: "ledger/" + s.name, Connections: connections})
+	}
+	return response
+}
+
+// startProxy runs a proxy until the test ends. stop shuts it down and returns
+// its error.
+func startProxy(t testing.TB, name string, g *fakeGroup, c *fakeControl, change func(*settings.Proxy)) (p *Proxy, stop func() error) {
+	options := settings.Proxy{Listen: "127.0.0.1:0", Peer: "127.0.0.1:0", Control: []string{c.address.String()}, DrainTime: 5 * time.Second}
+	options.Name = name
+	options.DataCentre = "perth-a"
+	options.BackendUser = "burdockwood"
+	if change != nil {
+		change(&options)
+	}
+	p, err := newProxy(options, testLog(t), g.dial)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return p.Run(ctx) })
+	var once sync.Once
+	var result error
+	stop = func() error {
+		once.Do(func() {
+			cancel()
+			result = group.Wait()
+		})
+		return result
+	}
+	t.Cleanup(func() { _ = stop() })
+	waitFor(t, "the proxy is ready", func() bool {
+		ready, _ := p.Ready()
+		return ready
+	})
+	return p, stop
+}
+
+func waitFor(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	for range 2000 {
+		if condition() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("never happened: %s", what)
+}
+
+func testLog(t testing.TB) logr.Logger {
+	if _, ok := t.(*testing.B); ok {
+		return logr.Discard()
+	}
+	return funcr.New(func(prefix, args string) {
+		if os.Getenv("BW_LOG") != "" {
+			fmt.Println(args)
+		}
+	}, funcr.Options{})
+}
--- /dev/null
+++ b/internal/proxy/daemon/fake_session_test.go
@@ -0,0 +1,238 @@
+package daemon
+
+import (
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/burdockwood/burdockwood/internal/backend/adapter"
+)
+
+// fakeSession is one connection to a fake server.
+type fakeSession struct {
+	server     *fakeServer
+	backend    *pgproto3.Backend
+	id         uint32
+	status     byte
+	statements map[string]string
+	bound      string
+	params     []string
+	failed     bool
+	pending    []func()
+}
+
+func (f *fakeSession) run() {
+	for {
+		message, err := f.backend.Receive()
+		if err != nil {
+			return
+		}
+		if f.failed {
+			if _, ok := message.(*pgproto3.Sync); !ok {
+				continue
+			}
+		}
+		if err := f.take(message); err != nil {
+			return
+		}
+	}
+}
+
+func (f *fakeSession) take(message pgproto3.FrontendMessage) error {
+	switch m := message.(type) {
+	case *pgproto3.Query:
+		for _, sql := range strings.Split(m.String, ";") {
+			if sql = strings.TrimSpace(sql); sql == "" || f.failed {
+				continue
+			}
+			if err := f.execute(sql, nil, true); err != nil {
+				return err
+			}
+		}
+		f.ready()
+		return f.backend.Flush()
+	case *pgproto3.Parse:
+		if _, taken := f.statements[m.Name]; taken && m.Name != "" {
+			f.fail("42P05", "prepared statement exists")
+			return nil
+		}
+		f.statements[m.Name] = m.Query
+		f.server.set(func(s *fakeServer) { s.prepared = append(s.prepared, m.Query) })
+		f.backend.Send(&pgproto3.ParseComplete{})
+	case *pgproto3.Bind:
+		sql, ok := f.statements[m.PreparedStatement]
+		if !ok {
+			f.fail("26000", "prepared statement does not exist")
+			return nil
+		}
+		f.bound = sql
+		f.params = nil
+		for _, p := range m.Parameters {
+			f.params = append(f.params, string(p))
+		}
+		f.backend.Send(&pgproto3.BindComplete{})
+	case *pgproto3.Describe:
+		sql := f.bound
+		if m.ObjectType == 'S' {
+			sql = f.statements[m.Name]
+			oids := make([]uint32, strings.Count(sql, "$"))
+			for i := range oids {
+				oids[i] = 25
+			}
+			f.backend.Send(&pgproto3.ParameterDescription{ParameterOIDs: oids})
+		}
+		if strings.HasPrefix(sql, "select") {
+			f.describe()
+		} else {
+			f.backend.Send(&pgproto3.NoData{})
+		}
+	case *pgproto3.Execute:
+		return f.execute(f.bound, f.params, false)
+	case *pgproto3.Close:
+		delete(f.statements, m.Name)
+		f.backend.Send(&pgproto3.CloseComplete{})
+	case *pgproto3.Sync:
+		f.ready()
+		return f.backend.Flush()
+	case *pgproto3.Flush:
+		return f.backend.Flush()
+	case *pgproto3.Terminate:
+		return errBreak
+	}
+	return nil
+}
+
+func (f *fakeSession) ready() {
+	f.failed = false
+	f.backend.Send(&pgproto3.ReadyForQuery{TxStatus: f.status})
+}
+
+func (f *fakeSession) fail(code, text string) {
+	f.failed = true
+	if f.status == 'T' {
+		f.status = 'E'
+	}
+	f.backend.Send(&pgproto3.ErrorResponse{Severity: "ERROR", Code: code, Message: text})
+}
+
+func (f *fakeSession) describe() {
+	f.backend.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("v"), DataTypeOID: 25, DataTypeSize: -1}}})
+}
+
+func (f *fakeSession) execute(sql string, params []string, describe bool) error {
+	s := f.server
+	s.mu.Lock()
+	hook := s.hook
+	s.executed = append(s.executed, sql)
+	s.mu.Unlock()
+	if hook != nil {
+		if err := hook(sql); err != nil {
+			return err
+		}
+	}
+	word, _, _ := strings.Cut(strings.ToLower(sql), " ")
+	switch word {
+	case "begin":
+		f.status = 'T'
+		f.complete("BEGIN")
+	case "commit":
+		f.commit("COMMIT")
+		f.status = 'I'
+	case "rollback":
+		f.pending = nil
+		f.status = 'I'
+		f.complete("ROLLBACK")
+	case "select":
+		f.read(sql, params, describe)
+	case "update", "insert":
+		f.write(sql, params)
+	default:
+		f.complete(strings.ToUpper(word))
+	}
+	return nil
+}
+
+// read answers "select sleep", "select name", or the value of a key.
+func (f *fakeSession) read(sql string, params []string, describe bool) {
+	s := f.server
+	value := ""
+	switch {
+	case strings.Contains(sql, "sleep"):
+		if f.sleep() {
+			f.fail("57014", "canceled")
+			return
+		}
+	case strings.Contains(sql, "primary_only") && s.isReplica():
+		f.fail(adapter.StateReadOnly, "read only")
+		return
+	case strings.Contains(sql, "name"):
+		value = s.name
+	case len(params) > 0:
+		s.mu.Lock()
+		value = s.values[params[0]]
+		s.mu.Unlock()
+	}
+	if describe {
+		f.describe()
+	}
+	f.backend.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
+	f.complete("SELECT 1")
+}
+
+func (f *fakeSession) sleep() (cancelled bool) {
+	c := make(chan struct{})
+	f.server.set(func(s *fakeServer) { s.cancelled[f.id] = c })
+	select {
+	case <-c:
+		return true
+	case <-time.After(5 * time.Second):
+		return false
+	}
+}
+
+// write sets a value: "update kv set v = $1 where k = $2", or
+// "update kv key value".
+func (f *fakeSession) write(sql string, params []string) {
+	if f.server.isReplica() {
+		f.fail(adapter.StateReadOnly, "read only")
+		return
+	}
+	if len(params) < 2 {
+		words := strings.Fields(sql)
+		params = []string{words[len(words)-1], words[len(words)-2]}
+	}
+	f.pending = append(f.pending, func() { f.server.put(params[1], params[0]) })
+	if f.status == 'I' {
+		f.commit("UPDATE 1")
+		return
+	}
+	f.complete("UPDATE 1")
+}
+
+func (f *fakeSession) commit(tag string) {
+	if f.status == 'E' {
+		f.pending = nil
+		f.complete("ROLLBACK")
+		return
+	}
+	s := f.server
+	if len(f.pending) > 0 {
+		if s.isReplica() || s.isFenced() {
+			f.pending = nil
+			f.fail(adapter.StateNotPrimary, "not primary")
+			f.status = 'I'
+			return
+		}
+		for _, apply := range f.pending {
+			apply()
+		}
+		f.pending = nil
+		f.backend.Send(&pgproto3.ParameterStatus{Name: adapter.PositionParameter, Value: s.advance().String()})
+	}
+	f.complete(tag)
+}
+
+func (f *fakeSession) complete(tag string) {
+	f.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+}
--- a/internal/proxy/upstream/server.go
+++ b/internal/proxy/upstream/server.go
@@ -128,6 +128,7 @@
 func (s *Server) Health() watch.Health { return s.watcher.Health() }
 
 // Candidates appends the group's servers, as route.Choose wants them, to dst.
+// A primary that leaves is used until another has taken its place.
 func (g *Group) Candidates(dst []route.Candidate) []route.Candidate {
 	progress := g.Tracker.Progress()
 	for _, server := range g.Servers() {
@@ -136,7 +137,7 @@
 			Server:      server.Key.Server,
 			DataCentre:  known.dataCentre,
 			Primary:     known.primary,
-			Usable:      known.usable,
+			Usable:      known.usable || known.primary,
 			Outstanding: int(server.outstanding.Load()),
 			Service:     time.Duration(server.service.Load()),
 			Slots:       known.slots,
