Proxy: every grant is acknowledged, also without traffic

Cause: TestSystem failed in about one of four runs: the second proxy never got connections. The first had been granted all 48 of each server, told no uses since it had no traffic, and so control could not know that the smaller share was taken in. Ruled out: answers of control taken out of order (revisions were rising); control's settling time (over after 7 s; the grants stayed away for 10 s). Change: the heartbeat reports each server with a grant, with the size of the grant; control gets a report when a grant shrinks.

--- a/internal/proxy/daemon/daemon_test.go
+++ b/internal/proxy/daemon/daemon_test.go
@@ -128,3 +128,21 @@
 		s.mu.Unlock()
 	}
 }
+
+// Control learns of every grant that it was taken in, also without traffic:
+// else it could never hand a smaller share's rest to another proxy.
+func TestGrantsAreAcknowledged(t *testing.T) {
+	g := newFakeGroup(t, 3)
+	c := newFakeControl(t, standardResponse(g, 4))
+	startProxy(t, "p1", g, c, nil)
+	waitFor(t, "the proxy acknowledges its grants", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for _, request := range c.requests {
+			if len(request.Uses) == 3 && request.Uses[0].Granted == 4 && request.Uses[0].Open == 0 {
+				return true
+			}
+		}
+		return false
+	})
+}
--- a/internal/proxy/heartbeat/heartbeat.go
+++ b/internal/proxy/heartbeat/heartbeat.go
@@ -185,7 +185,7 @@
 // changedUses returns the uses of connections if they changed since they were
 // sent last.
 func (b *Beat) changedUses(now time.Time) []*controlpb.GrantUse {
-	uses := b.options.Registry.Uses()
+	uses := b.options.Registry.Uses(b.options.Store.Load())
 	slices.SortFunc(uses, func(a, c upstream.Use) int { return strings.Compare(a.Server.String(), c.Server.String()) })
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -199,16 +199,18 @@
 	b.sentAt = now
 	messages := make([]*controlpb.GrantUse, 0, len(uses))
 	for _, use := range uses {
-		messages = append(messages, &controlpb.GrantUse{Server: use.Server.String(), Open: uint32(use.Open), Wanted: uint32(use.Wanted)})
+		messages = append(messages, &controlpb.GrantUse{
+			Server: use.Server.String(), Open: uint32(use.Open), Wanted: uint32(use.Wanted), Granted: uint32(use.Granted),
+		})
 	}
 	return messages
 }
 
-// shrunk reports whether a server has fewer connections open than before,
-// which lets control grant them to others.
+// shrunk reports whether a server has fewer connections open or granted than
+// before, which lets control grant them to others.
 func shrunk(uses, sent []upstream.Use) bool {
 	for i := range uses {
-		if uses[i].Server != sent[i].Server || uses[i].Open < sent[i].Open {
+		if uses[i].Server != sent[i].Server || uses[i].Open < sent[i].Open || uses[i].Granted < sent[i].Granted {
 			return true
 		}
 	}
--- a/internal/proxy/upstream/report.go
+++ b/internal/proxy/upstream/report.go
@@ -17,20 +17,30 @@
 	kindUnconfirmed = "unconfirmed"
 )
 
-// Use is what the proxy holds and wants of one server.
+// Use is what the proxy holds and wants of one server, and what it may hold.
 type Use struct {
-	Server view.ServerKey
+	Server  view.ServerKey
+	Granted int
 	pool.Use
 }
 
-// Uses returns the connections of all groups at work.
-func (r *Registry) Uses() []Use {
-	var uses []Use
+// Uses returns the connections of all groups at work, and of all servers with
+// a grant: control hands a connection on only when it is known to be free.
+func (r *Registry) Uses(snapshot *view.Snapshot) []Use {
+	uses := make([]Use, 0, len(snapshot.Grants))
+	seen := make(map[view.ServerKey]bool, len(snapshot.Grants))
 	r.each(func(group *Group) {
 		for _, server := range group.Servers() {
-			uses = append(uses, Use{Server: server.Key, Use: server.Pool.Use()})
+			seen[server.Key] = true
+			granted := snapshot.Grants[server.Key].Connections
+			uses = append(uses, Use{Server: server.Key, Granted: granted, Use: server.Pool.Use()})
 		}
 	})
+	for key, grant := range snapshot.Grants {
+		if !seen[key] {
+			uses = append(uses, Use{Server: key, Granted: grant.Connections})
+		}
+	}
 	return uses
 }
 
