Proxy: a refused commit of a transaction is "not run"

Cause: a replaced primary refuses a commit with 57P05; within a transaction that reached the caller as it was, and not as the documented outcome. Change: 57P03 with the detail "not run"; settings replayed at the stand-in are part of TestSystem. Figures: TestRefusedCommitIsNotRun fails before (57P05) and passes after.

--- a/internal/proxy/caller/held.go
+++ b/internal/proxy/caller/held.go
@@ -4,7 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/burdockwood/burdockwood/internal/backend/adapter"
 	"github.com/burdockwood/burdockwood/internal/proxy/classify"
+	"github.com/burdockwood/burdockwood/internal/proxy/execute"
 	"github.com/burdockwood/burdockwood/internal/proxy/outcome"
 	"github.com/burdockwood/burdockwood/internal/proxy/wire"
 )
@@ -34,7 +36,10 @@
 		return
 	}
 	s.afterRun(keep, result)
-	refusal := s.confirm(ctx, keep, result, now)
+	refusal := s.refusedCommit(keep, result)
+	if refusal == nil {
+		refusal = s.confirm(ctx, keep, result, now)
+	}
 	s.settle(keep, result)
 	if refusal == nil {
 		refusal = s.remember(ctx, keep.group, &s.own, result, from)
@@ -45,6 +50,16 @@
 	}
 }
 
+// refusedCommit recognizes a commit that the server refused since it is no
+// longer primary: nothing of the transaction was committed.
+func (s *Session) refusedCommit(keep *held, result execute.Result) *outcome.Error {
+	if result.Failure == nil || result.Failure.Code != adapter.StateNotPrimary || s.request.Kind != classify.Commit {
+		return nil
+	}
+	keep.conn.Poison()
+	return outcome.NotRun(outcome.StateNoServer, "the primary was replaced: the transaction is rolled back, nothing was committed", retryAfter)
+}
+
 // loseUnsent ends a transaction whose primary was replaced. The request has
 // not been sent.
 func (s *Session) loseUnsent() {
--- a/internal/proxy/daemon/failure_test.go
+++ b/internal/proxy/daemon/failure_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockwood/burdockwood/internal/config/settings"
@@ -282,6 +284,29 @@
 	}
 }
 
+// A commit that a replaced primary refuses is "not run", whether the proxy
+// knows of the new term or not.
+func TestRefusedCommitIsNotRun(t *testing.T) {
+	g := newFakeGroup(t, 3)
+	p, _ := startProxy(t, "p1", g, newFakeControl(t, standardResponse(g, 4)), nil)
+	conn := connect(t, p, "")
+	ctx := testContext(t)
+	put(t, conn, "a", "1")
+	if _, err := conn.Exec(ctx, "begin"); err != nil {
+		t.Fatal(err)
+	}
+	put(t, conn, "a", "2")
+	g.servers[0].set(func(s *fakeServer) { s.promised = 2 })
+	_, err := conn.Exec(ctx, "commit")
+	var failure *pgconn.PgError
+	if !errors.As(err, &failure) || failure.Code != "57P03" || failure.Detail != "not run" {
+		t.Errorf("commit = %v, want 57P03 with the detail \"not run\"", err)
+	}
+	if got := conn.PgConn().TxStatus(); got != 'I' {
+		t.Errorf("transaction status = %c, want I", got)
+	}
+}
+
 // A graceful shutdown cuts off nothing in flight.
 func TestDrain(t *testing.T) {
 	g := newFakeGroup(t, 3)
--- a/internal/proxy/daemon/system_test.go
+++ b/internal/proxy/daemon/system_test.go
@@ -151,6 +151,13 @@
 	if got := value(t, reader, "a"); got != "tx" {
 		t.Errorf("aged read = %q, want tx", got)
 	}
+	if _, err := reader.Exec(ctx, "set search_path = 'guild'"); err != nil {
+		t.Errorf("set: %v", err)
+	}
+	put(t, reader, "a", "settings")
+	if got := value(t, writer, "a"); got != "settings" {
+		t.Errorf("value = %q, want settings", got)
+	}
 	t.Run("request identifiers", func(t *testing.T) { testRequestIdentifiers(t, s) })
 }
 
