Proxy: a resend gets the rows of the first answer too

Cause: a write with RETURNING that was sent again under its identifier got the command tag alone, which is not the whole answer. Ruled out: keeping the whole answer (its shape depends on which messages asked for it; the resend may ask by others). Change: the messages that describe and carry rows, up to 16 KB, are kept with the identifier. Conclusion: answers with more than 16 KB of rows are repeated without rows.

--- a/internal/proxy/caller/local.go
+++ b/internal/proxy/caller/local.go
@@ -81,7 +81,11 @@
 
 // succeed answers each message of the request as a server would whose
 // statements return no rows.
-func (s *Session) succeed(tag string) {
+func (s *Session) succeed(tag string) { s.respond(tag, nil, nil) }
+
+// respond answers each message of the request as a server would, with the
+// messages that describe and carry rows.
+func (s *Session) respond(tag string, description, rows []byte) {
 	s.open()
 	buf := s.answer.data
 	for i := range s.request.Items {
@@ -96,10 +100,12 @@
 			if s.request.Items[i].IsStatement() {
 				buf = outcome.Append(buf, &pgproto3.ParameterDescription{})
 			}
-			buf = outcome.Append(buf, &pgproto3.NoData{})
+			buf = appendDescription(buf, description)
 		case wire.Execute:
+			buf = append(buf, rows...)
 			buf = outcome.Append(buf, &pgproto3.CommandComplete{CommandTag: []byte(tag)})
 		case wire.Query:
+			buf = append(append(buf, description...), rows...)
 			buf = outcome.Append(buf, &pgproto3.CommandComplete{CommandTag: []byte(tag)})
 			buf = outcome.AppendReady(buf, s.status)
 		case wire.Sync:
@@ -110,6 +116,13 @@
 	s.answer.data = buf
 }
 
+func appendDescription(buf, description []byte) []byte {
+	if len(description) == 0 {
+		return outcome.Append(buf, &pgproto3.NoData{})
+	}
+	return append(buf, description...)
+}
+
 // appendFront puts messages before what the answer holds from offset at.
 func (s *Session) appendFront(at int, messages []byte) {
 	n := len(messages)
--- a/internal/proxy/caller/once.go
+++ b/internal/proxy/caller/once.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"time"
@@ -102,7 +103,8 @@
 
 // commitOnce commits the request with its record and confirms both.
 func (s *Session) commitOnce(ctx context.Context, j *job, keep *held, record idempotency.Record, result execute.Result, from int) ending {
-	committed, err := runQuietly(keep.conn, record.Commit(result.Tag))
+	kept := idempotency.Outcome{Tag: result.Tag, Rows: rowsOf(s.answer.data[from:])}
+	committed, err := runQuietly(keep.conn, record.Commit(kept))
 	if err != nil {
 		s.answer.data = s.answer.data[:min(from, len(s.answer.data))]
 		s.put(keep)
@@ -133,12 +135,13 @@
 		return unknown("the request was sent before; its outcome can't be read now")
 	}
 	found, err := runQuietly(keep.conn, record.Find())
-	if err != nil || len(found.row) != 2 {
+	request, first, ok := idempotency.Read(found.row)
+	if err != nil || !ok {
 		keep.conn.Poison()
 		s.put(keep)
 		return unknown("the request was sent before; its outcome can't be read now")
 	}
-	if found.row[0] != record.Request {
+	if request != record.Request {
 		s.put(keep)
 		refusal := outcome.New(outcome.StateBadValue, "burdockwood.request_id was used for another request")
 		refusal.Detail = outcome.DetailNotRun
@@ -146,8 +149,8 @@
 		return done
 	}
 	from := len(s.answer.data)
-	s.succeed(found.row[1])
-	result := execute.Result{Status: wire.StatusIdle, Mark: touched.mark, Completed: 1, Tag: found.row[1]}
+	s.repeat(first)
+	result := execute.Result{Status: wire.StatusIdle, Mark: touched.mark, Completed: 1, Tag: first.Tag}
 	return s.finish(ctx, j, keep, result, time.Now(), from)
 }
 
@@ -168,6 +171,50 @@
 	return refusal
 }
 
+// rowsOf returns the messages of an answer that describe and carry rows; none
+// if they are longer than idempotency.MaxRows.
+func rowsOf(answer []byte) []byte {
+	var rows []byte
+	reader := wire.NewReader(bytes.NewReader(answer), len(answer)+1)
+	for {
+		message, err := reader.Next()
+		if err != nil {
+			return rows
+		}
+		if message.Type() != wire.RowDescription && message.Type() != wire.DataRow {
+			continue
+		}
+		rows = append(rows, message...)
+		if len(rows) > idempotency.MaxRows {
+			return nil
+		}
+	}
+}
+
+// repeat answers the request with a first outcome: the description of the rows
+// where one is asked for, and the rows before the command tag.
+func (s *Session) repeat(first idempotency.Outcome) {
+	description, rows := splitRows(first.Rows)
+	s.respond(first.Tag, description, rows)
+}
+
+// splitRows separates the last description from the rows. A request may have
+// asked for more than one.
+func splitRows(messages []byte) (description, rows []byte) {
+	reader := wire.NewReader(bytes.NewReader(messages), len(messages)+1)
+	for {
+		message, err := reader.Next()
+		if err != nil {
+			return description, rows
+		}
+		if message.Type() == wire.RowDescription {
+			description = append(description[:0], message...)
+			continue
+		}
+		rows = append(rows, message...)
+	}
+}
+
 // setStatus rewrites the transaction status of the answer's last message, if
 // that is a ReadyForQuery.
 func setStatus(answer []byte, status byte) {
--- a/internal/proxy/daemon/system_test.go
+++ b/internal/proxy/daemon/system_test.go
@@ -183,6 +183,18 @@
 			t.Errorf("after send %d the count is %s, want 1", i, got)
 		}
 	}
+	for i, conn := range []*pgx.Conn{first, second} {
+		if _, err := conn.Exec(ctx, "set burdockwood.request_id = 'payment-4'"); err != nil {
+			t.Fatal(err)
+		}
+		var got string
+		if err := conn.QueryRow(ctx, "insert into kv (k, v) values ($1, 'x') returning k", "paid").Scan(&got); err != nil || got != "paid" {
+			t.Errorf("send %d with rows = %q, %v, want paid", i, got, err)
+		}
+	}
+	if _, err := second.Exec(ctx, "set burdockwood.request_id = 'payment-2'"); err != nil {
+		t.Fatal(err)
+	}
 	if _, err := second.Exec(ctx, add, "another"); state(err) != "22023" {
 		t.Errorf("another request under the identifier = %v, want 22023", err)
 	}
--- a/internal/proxy/idempotency/idempotency.go
+++ b/internal/proxy/idempotency/idempotency.go
@@ -8,7 +8,7 @@
 //	// in one transaction of the caller's database:
 //	record.Begin()      // fails with StateUnique if the identifier is known
 //	...                 // the caller's request
-//	record.Commit(tag)
+//	record.Commit(idempotency.Outcome{Tag: tag, Rows: rows})
 //
 // The identifier is recorded in the table Table, in the same transaction as
 // the request, so both are committed or neither is, and a failover keeps both
@@ -18,6 +18,7 @@
 package idempotency
 
 import (
+	"encoding/hex"
 	"fmt"
 	"strings"
 )
@@ -31,19 +32,33 @@
 	// StateNoTable is the SQLSTATE of a missing table.
 	StateNoTable = "42P01"
 
+	// MaxRows is the length in bytes of rows that are kept.
+	MaxRows = 16 << 10
+
 	// CreateTable makes the table on demand. Rows may be deleted once no
 	// caller sends their identifier again.
 	CreateTable = "CREATE TABLE IF NOT EXISTS " + Table + " (id text PRIMARY KEY, request text NOT NULL, " +
-		"tag text NOT NULL, answers integer NOT NULL, created timestamp DEFAULT CURRENT_TIMESTAMP)"
+		"tag text NOT NULL, rows text NOT NULL DEFAULT '', answers integer NOT NULL, created timestamp DEFAULT CURRENT_TIMESTAMP)"
 )
 
-// Record is a request's entry in the table.
-type Record struct {
-	ID string
-	// Request is a fingerprint of the request, so that one identifier isn't
-	// used for two requests.
-	Request string
-}
+type (
+	// Record is a request's entry in the table.
+	Record struct {
+		ID string
+		// Request is a fingerprint of the request, so that one identifier
+		// isn't used for two requests.
+		Request string
+	}
+
+	// Outcome is the first outcome of a request.
+	Outcome struct {
+		// Tag is the command tag.
+		Tag string
+		// Rows are the messages that described and carried the rows, as they
+		// went over the wire; empty if there were none, or too many.
+		Rows []byte
+	}
+)
 
 // Begin opens the transaction and records the identifier. tag is the command
 // tag of a transaction that only ends later.
@@ -53,12 +68,14 @@
 
 // Insert records the identifier in an open transaction.
 func (r Record) Insert(tag string) string {
-	return fmt.Sprintf("INSERT INTO %s (id, request, tag, answers) VALUES (%s, %s, %s, 1)", Table, quote(r.ID), quote(r.Request), quote(tag))
+	return fmt.Sprintf("INSERT INTO %s (id, request, tag, answers) VALUES (%s, %s, %s, 1)",
+		Table, quote(r.ID), quote(r.Request), quote(tag))
 }
 
 // Commit records the first outcome and commits.
-func (r Record) Commit(tag string) string {
-	return fmt.Sprintf("UPDATE %s SET tag = %s WHERE id = %s; COMMIT", Table, quote(tag), quote(r.ID))
+func (r Record) Commit(outcome Outcome) string {
+	return fmt.Sprintf("UPDATE %s SET tag = %s, rows = '%s' WHERE id = %s; COMMIT",
+		Table, quote(outcome.Tag), hex.EncodeToString(outcome.Rows), quote(r.ID))
 }
 
 // Touch counts another answer. Its commit lies after the first one's.
@@ -66,9 +83,19 @@
 	return fmt.Sprintf("UPDATE %s SET answers = answers + 1 WHERE id = %s", Table, quote(r.ID))
 }
 
-// Find selects the fingerprint and the command tag.
+// Find selects what Read takes.
 func (r Record) Find() string {
-	return fmt.Sprintf("SELECT request, tag FROM %s WHERE id = %s", Table, quote(r.ID))
+	return fmt.Sprintf("SELECT request, tag, rows FROM %s WHERE id = %s", Table, quote(r.ID))
+}
+
+// Read takes the row that Find selected. It returns the fingerprint of the
+// first request and its outcome; ok is false if the row has another shape.
+func Read(row []string) (request string, outcome Outcome, ok bool) {
+	if len(row) != 3 {
+		return "", Outcome{}, false
+	}
+	rows, err := hex.DecodeString(row[2])
+	return row[0], Outcome{Tag: row[1], Rows: rows}, err == nil
 }
 
 // quote writes a literal. Identifiers may not hold a zero byte; a backslash
