Proxy: identifiers are recorded with the request or refused

Cause: reading the code showed that an identifier was left out silently within transactions that had begun without it, in pinned sessions and for several statements; that a transaction's first use of the table failed for good; and that "committed before" was told before it was confirmed. Ruled out: recording the identifier late in a transaction (what ran before it isn't covered). Change: such requests are refused as not run; the table is made on demand for transactions too; the first outcome is confirmed before it is told. A lost BEGIN is asked again, since nothing can have run.

--- a/internal/proxy/caller/attempt.go
+++ b/internal/proxy/caller/attempt.go
@@ -148,10 +148,8 @@
 	}
 	s.afterRun(keep, result)
 	if s.request.Kind == classify.Begin && result.Failure == nil && j.prefs.requestID != "" {
-		if refusal := s.recordTransaction(j, keep); refusal != nil {
-			s.answer.data = s.answer.data[:from]
-			s.put(keep)
-			return ending{what: retry.Unknown, refusal: refusal}
+		if end, recorded := s.recordTransaction(ctx, j, keep, from); !recorded {
+			return end
 		}
 	}
 	return s.finish(ctx, j, keep, result, j.start, from)
--- a/internal/proxy/caller/held.go
+++ b/internal/proxy/caller/held.go
@@ -18,6 +18,10 @@
 		s.loseUnsent()
 		return
 	}
+	if refusal := s.refuseHeldOnce(); refusal != nil {
+		s.refuse(refusal)
+		return
+	}
 	now := time.Now()
 	deadline := now.Add(s.shared.Deadline)
 	if s.own.deadline > 0 {
--- a/internal/proxy/caller/once.go
+++ b/internal/proxy/caller/once.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/burdockwood/burdockwood/internal/backend/adapter"
@@ -30,14 +31,38 @@
 	return idempotency.Record{ID: prefs.requestID, Request: s.request.Fingerprint()}
 }
 
+// refuseOnce refuses a request that carries an identifier but couldn't be run
+// at most once. Nil lets it go on.
+func (s *Session) refuseOnce(prefs *preferences) *outcome.Error {
+	if prefs.requestID == "" || s.request.Kind < classify.Write {
+		return nil
+	}
+	if s.request.Kind == classify.Write && s.request.About.Count <= 1 && s.request.Synced {
+		return nil
+	}
+	refusal := outcome.New(outcome.StateUnsupported, "a request with burdockwood.request_id must be one statement, or a transaction")
+	refusal.Detail = outcome.DetailNotRun
+	return refusal
+}
+
+// refuseHeldOnce refuses a request on a kept connection whose identifier can't
+// be recorded: one within a transaction that began without it, or one of a
+// session that is pinned to its connection. Nil lets it go on.
+func (s *Session) refuseHeldOnce() *outcome.Error {
+	named := func(hint classify.Setting) bool { return hint.Name == settingRequest }
+	late := slices.ContainsFunc(s.request.About.Hints, named)
+	pinned := s.status == wire.StatusIdle && s.own.requestID != "" && s.request.Kind > classify.Read && s.request.Kind != classify.Set
+	if !late && !pinned {
+		return nil
+	}
+	refusal := outcome.New(outcome.StateUnsupported, "burdockwood.request_id must be set before the transaction, in a session without state at its server")
+	refusal.Detail = outcome.DetailNotRun
+	return refusal
+}
+
 // runOnce runs a request that carries an identifier: in one transaction with
 // the record of the identifier, or not at all if that is recorded already.
 func (s *Session) runOnce(ctx context.Context, j *job, keep *held) ending {
-	if s.request.About.Count > 1 {
-		s.put(keep)
-		s.refuse(outcome.New(outcome.StateUnsupported, "a request with burdockwood.request_id must be one statement, or a transaction"))
-		return done
-	}
 	record := s.record(&j.prefs)
 	fresh, end := s.openRecord(keep, record.Begin(""))
 	if end.what != retry.Done {
@@ -155,20 +180,52 @@
 }
 
 // recordTransaction records the identifier of a transaction that has just
-// begun. A nil result lets it go on.
-func (s *Session) recordTransaction(j *job, keep *held) *outcome.Error {
+// begun. If it couldn't, the transaction is over and the answer is taken back.
+func (s *Session) recordTransaction(ctx context.Context, j *job, keep *held, from int) (end ending, recorded bool) {
 	record := idempotency.Record{ID: j.prefs.requestID, Request: tagCommit}
 	result, err := runQuietly(keep.conn, record.Insert(tagCommit))
 	if err == nil && result.failure == nil {
-		return nil
+		return done, true
+	}
+	s.answer.data = s.answer.data[:from]
+	defer s.put(keep)
+	if err != nil {
+		return notRun("the backend server was lost before the request", retryAfter), false
+	}
+	if _, err := runQuietly(keep.conn, textRollback); err != nil {
+		return notRun("the backend server was lost before the request", retryAfter), false
 	}
-	keep.conn.Poison()
-	if err != nil || result.failure.Code != idempotency.StateUnique {
-		return outcome.NotRun(outcome.StateNoServer, "the identifier can't be recorded", retryAfter)
+	switch result.failure.Code {
+	case idempotency.StateUnique:
+		return s.committedBefore(ctx, j, keep, record, from), false
+	case idempotency.StateNoTable:
+		_, err := runQuietly(keep.conn, idempotency.CreateTable)
+		end = notRun("the table of identifiers was missing", retryAfter)
+		end.redirect = err == nil
+		return end, false
+	default:
+		return notRun("the identifier can't be recorded: "+result.failure.Message, retryAfter), false
+	}
+}
+
+// committedBefore tells the caller that its transaction was committed before,
+// once that is confirmed.
+func (s *Session) committedBefore(ctx context.Context, j *job, keep *held, record idempotency.Record, from int) ending {
+	touched, err := runQuietly(keep.conn, record.Touch())
+	if err != nil || touched.failure != nil {
+		keep.conn.Poison()
+		return notRun("the transaction's first outcome can't be read now", retryAfter)
+	}
+	if err := keep.group.Tracker.Write(ctx, touched.mark, time.Now()); err != nil {
+		return notRun("the transaction's first outcome is not confirmed now: "+err.Error(), retryAfter)
+	}
+	if refusal := s.remember(ctx, keep.group, &j.prefs, execute.Result{Mark: touched.mark}, from); refusal != nil {
+		return notRun(refusal.Message, retryAfter)
 	}
 	refusal := outcome.New(idempotency.StateUnique, "the transaction with this burdockwood.request_id was committed before")
 	refusal.Detail = "first outcome: " + tagCommit
-	return refusal
+	s.refuse(refusal)
+	return done
 }
 
 // rowsOf returns the messages of an answer that describe and carry rows; none
--- a/internal/proxy/caller/serve.go
+++ b/internal/proxy/caller/serve.go
@@ -135,6 +135,9 @@
 			return nil, refusal
 		}
 	}
+	if refusal := s.refuseOnce(&j.prefs); refusal != nil {
+		return nil, refusal
+	}
 	s.who.Labels = j.prefs.labels
 	j.choice = s.shared.Chooser().Choose(&s.who, declaration.Request{Kind: s.kind(&j.prefs), Labels: j.prefs.labels})
 	if !j.choice.Found {
@@ -194,20 +197,32 @@
 			Outcome:  end.what,
 			Tries:    tries,
 			Redirect: end.redirect,
-			ReadOnly: s.request.Kind == classify.Read || s.request.Kind == classify.Empty,
+			ReadOnly: s.hasNoEffects(),
 			Deadline: j.deadline,
 			Spread:   rand.Float64(),
 		}, j.group.Budget, time.Now())
 		if !decision.Retry || s.answer.spilled {
-			return end.refusal
+			return s.final(end)
 		}
 		if !pause(ctx, decision.Pause) {
-			return end.refusal
+			return s.final(end)
 		}
 		s.shared.Meter.Retry()
 	}
 }
 
+// hasNoEffects reports whether the request may be asked again after its answer
+// was lost: a transaction that had only begun has ended with its connection.
+func (s *Session) hasNoEffects() bool { return s.request.Kind <= classify.Begin }
+
+// final is what the caller is told of the last attempt.
+func (s *Session) final(end ending) *outcome.Error {
+	if s.request.Kind == classify.Begin && end.what == retry.Unknown && end.refusal.State == outcome.StateUnknown {
+		return outcome.NotRun(outcome.StateNoServer, end.refusal.Message, retryAfter)
+	}
+	return end.refusal
+}
+
 // admissionRefusal turns an error of admission into what the caller sees.
 func admissionRefusal(err error) *outcome.Error {
 	var refused *admit.RefusedError
--- a/internal/proxy/daemon/protocol_test.go
+++ b/internal/proxy/daemon/protocol_test.go
@@ -37,6 +37,45 @@
 	put(t, conn, "a", "1")
 }
 
+// An identifier that can't be recorded with its request is refused, never left
+// out silently.
+func TestIdentifierThatCannotBeKept(t *testing.T) {
+	g := newFakeGroup(t, 3)
+	p, _ := startProxy(t, "p1", g, newFakeControl(t, standardResponse(g, 4)), nil)
+	ctx := testContext(t)
+	hinted := "/* burdockwood: request-id=r1 */ "
+	tests := []struct {
+		name   string
+		before string
+		sql    string
+	}{
+		{"two statements", "select name", hinted + "update kv a 1; update kv a 2"},
+		{"state at the server", "select name", hinted + "listen allowance"},
+		{"within a transaction", "begin", hinted + "update kv a 1"},
+		{"pinned session", "listen allowance; set burdockwood.request_id = 'r1'", "update kv a 1"},
+		{"transaction of a pinned session", "listen allowance; set burdockwood.request_id = 'r1'", "begin"},
+	}
+	for _, test := range tests {
+		conn := connect(t, p, "")
+		for sql := range strings.SplitSeq(test.before, ";") {
+			if _, err := conn.Exec(ctx, sql); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if _, err := conn.Exec(ctx, test.sql); state(err) != "0A000" {
+			t.Errorf("%s: %v, want 0A000", test.name, err)
+		}
+		closeNow(conn)
+	}
+	for _, s := range g.servers {
+		for _, sql := range s.log() {
+			if strings.HasPrefix(sql, "update") {
+				t.Errorf("%q ran", sql)
+			}
+		}
+	}
+}
+
 // Pipelined requests are answered whole and in order.
 func TestPipeline(t *testing.T) {
 	g := newFakeGroup(t, 3)
--- a/internal/proxy/daemon/system_test.go
+++ b/internal/proxy/daemon/system_test.go
@@ -167,7 +167,15 @@
 	ctx := testContext(t)
 	first := connect(t, s.proxies[0], "burdockwood.request_id=payment-1")
 	second := connect(t, s.proxies[1], "burdockwood.request_id=payment-1")
-	if _, err := first.Exec(ctx, "insert into kv (k, v) values ('count', '0')"); err != nil {
+	// The first use of the table of identifiers is by a transaction.
+	tx, err := first.Begin(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tx.Exec(ctx, "insert into kv (k, v) values ('count', '0')"); err != nil {
+		t.Fatal(err)
+	}
+	if err := tx.Commit(ctx); err != nil {
 		t.Fatal(err)
 	}
 	add := "update kv set v = v + 1 where k = $1"
