--- a/internal/proxy/caller/once.go
+++ b/internal/proxy/caller/once.go
@@ -1,8 +1,10 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/burdockwood/burdockwood/internal/backend/adapter"
@@ -29,14 +31,38 @@
 	return idempotency.Record{ID: prefs.requestID, Request: s.request.Fingerprint()}
 }
 
+// refuseOnce refuses a request that carries an identifier but couldn't be run
+// at most once. Nil lets it go on.
+func (s *Session) refuseOnce(prefs *preferences) *outcome.Error {
+	if prefs.requestID == "" || s.request.Kind < classify.Write {
+		return nil
+	}
+	if s.request.Kind == classify.Write && s.request.About.Count <= 1 && s.request.Synced {
+		return nil
+	}
+	refusal := outcome.New(outcome.StateUnsupported, "a request with burdockwood.request_id must be one statement, or a transaction")
+	refusal.Detail = outcome.DetailNotRun
+	return refusal
+}
+
+// refuseHeldOnce refuses a request on a kept connection whose identifier can't
+// be recorded: one within a transaction that began without it, or one of a
+// session that is pinned to its connection. Nil lets it go on.
+func (s *Session) refuseHeldOnce() *outcome.Error {
+	named := func(hint classify.Setting) bool { return hint.Name == settingRequest }
+	late := slices.ContainsFunc(s.request.About.Hints, named)
+	pinned := s.status == wire.StatusIdle && s.own.requestID != "" && s.request.Kind > classify.Read && s.request.Kind != classify.Set
+	if !late && !pinned {
+		return nil
+	}
+	refusal := outcome.New(outcome.StateUnsupported, "burdockwood.request_id must be set before the transaction, in a session without state at its server")
+	refusal.Detail = outcome.DetailNotRun
+	return refusal
+}
+
 // runOnce runs a request that carries an identifier: in one transaction with
 // the record of the identifier, or not at all if that is recorded already.
 func (s *Session) runOnce(ctx context.Context, j *job, keep *held) ending {
-	if s.request.About.Count > 1 {
-		s.put(keep)
-		s.refuse(outcome.New(outcome.StateUnsupported, "a request with burdockwood.request_id must be one statement, or a transaction"))
-		return done
-	}
 	record := s.record(&j.prefs)
 	fresh, end := s.openRecord(keep, record.Begin(""))
 	if end.what != retry.Done {
@@ -102,7 +128,8 @@
 
 // commitOnce commits the request with its record and confirms both.
 func (s *Session) commitOnce(ctx context.Context, j *job, keep *held, record idempotency.Record, result execute.Result, from int) ending {
-	committed, err := runQuietly(keep.conn, record.Commit(result.Tag))
+	kept := idempotency.Outcome{Tag: result.Tag, Rows: rowsOf(s.answer.data[from:])}
+	committed, err := runQuietly(keep.conn, record.Commit(kept))
 	if err != nil {
 		s.answer.data = s.answer.data[:min(from, len(s.answer.data))]
 		s.put(keep)
@@ -133,12 +160,13 @@
 		return unknown("the request was sent before; its outcome can't be read now")
 	}
 	found, err := runQuietly(keep.conn, record.Find())
-	if err != nil || len(found.row) != 2 {
+	request, first, ok := idempotency.Read(found.row)
+	if err != nil || !ok {
 		keep.conn.Poison()
 		s.put(keep)
 		return unknown("the request was sent before; its outcome can't be read now")
 	}
-	if found.row[0] != record.Request {
+	if request != record.Request {
 		s.put(keep)
 		refusal := outcome.New(outcome.StateBadValue, "burdockwood.request_id was used for another request")
 		refusal.Detail = outcome.DetailNotRun
@@ -146,26 +174,102 @@
 		return done
 	}
 	from := len(s.answer.data)
-	s.succeed(found.row[1])
-	result := execute.Result{Status: wire.StatusIdle, Mark: touched.mark, Completed: 1, Tag: found.row[1]}
+	s.repeat(first)
+	result := execute.Result{Status: wire.StatusIdle, Mark: touched.mark, Completed: 1, Tag: first.Tag}
 	return s.finish(ctx, j, keep, result, time.Now(), from)
 }
 
 // recordTransaction records the identifier of a transaction that has just
-// begun. A nil result lets it go on.
-func (s *Session) recordTransaction(j *job, keep *held) *outcome.Error {
+// begun. If it couldn't, the transaction is over and the answer is taken back.
+func (s *Session) recordTransaction(ctx context.Context, j *job, keep *held, from int) (end ending, recorded bool) {
 	record := idempotency.Record{ID: j.prefs.requestID, Request: tagCommit}
 	result, err := runQuietly(keep.conn, record.Insert(tagCommit))
 	if err == nil && result.failure == nil {
-		return nil
+		return done, true
 	}
-	keep.conn.Poison()
-	if err != nil || result.failure.Code != idempotency.StateUnique {
-		return outcome.NotRun(outcome.StateNoServer, "the identifier can't be recorded", retryAfter)
+	s.answer.data = s.answer.data[:from]
+	defer s.put(keep)
+	if err != nil {
+		return notRun("the backend server was lost before the request", retryAfter), false
+	}
+	if _, err := runQuietly(keep.conn, textRollback); err != nil {
+		return notRun("the backend server was lost before the request", retryAfter), false
+	}
+	switch result.failure.Code {
+	case idempotency.StateUnique:
+		return s.committedBefore(ctx, j, keep, record, from), false
+	case idempotency.StateNoTable:
+		_, err := runQuietly(keep.conn, idempotency.CreateTable)
+		end = notRun("the table of identifiers was missing", retryAfter)
+		end.redirect = err == nil
+		return end, false
+	default:
+		return notRun("the identifier can't be recorded: "+result.failure.Message, retryAfter), false
+	}
+}
+
+// committedBefore tells the caller that its transaction was committed before,
+// once that is confirmed.
+func (s *Session) committedBefore(ctx context.Context, j *job, keep *held, record idempotency.Record, from int) ending {
+	touched, err := runQuietly(keep.conn, record.Touch())
+	if err != nil || touched.failure != nil {
+		keep.conn.Poison()
+		return notRun("the transaction's first outcome can't be read now", retryAfter)
+	}
+	if err := keep.group.Tracker.Write(ctx, touched.mark, time.Now()); err != nil {
+		return notRun("the transaction's first outcome is not confirmed now: "+err.Error(), retryAfter)
+	}
+	if refusal := s.remember(ctx, keep.group, &j.prefs, execute.Result{Mark: touched.mark}, from); refusal != nil {
+		return notRun(refusal.Message, retryAfter)
 	}
 	refusal := outcome.New(idempotency.StateUnique, "the transaction with this burdockwood.request_id was committed before")
 	refusal.Detail = "first outcome: " + tagCommit
-	return refusal
+	s.refuse(refusal)
+	return done
+}
+
+// rowsOf returns the messages of an answer that describe and carry rows; none
+// if they are longer than idempotency.MaxRows.
+func rowsOf(answer []byte) []byte {
+	var rows []byte
+	reader := wire.NewReader(bytes.NewReader(answer), len(answer)+1)
+	for {
+		message, err := reader.Next()
+		if err != nil {
+			return rows
+		}
+		if message.Type() != wire.RowDescription && message.Type() != wire.DataRow {
+			continue
+		}
+		rows = append(rows, message...)
+		if len(rows) > idempotency.MaxRows {
+			return nil
+		}
+	}
+}
+
+// repeat answers the request with a first outcome: the description of the rows
+// where one is asked for, and the rows before the command tag.
+func (s *Session) repeat(first idempotency.Outcome) {
+	description, rows := splitRows(first.Rows)
+	s.respond(first.Tag, description, rows)
+}
+
+// splitRows separates the last description from the rows. A request may have
+// asked for more than one.
+func splitRows(messages []byte) (description, rows []byte) {
+	reader := wire.NewReader(bytes.NewReader(messages), len(messages)+1)
+	for {
+		message, err := reader.Next()
+		if err != nil {
+			return description, rows
+		}
+		if message.Type() == wire.RowDescription {
+			description = append(description[:0], message...)
+			continue
+		}
+		rows = append(rows, message...)
+	}
 }
 
 // setStatus rewrites the transaction status of the answer's last message, if
