Shares of connections only among the proxies that use a server

Cause: measured with internal/experiment/capacity: each heartbeat divided the connections of all servers among all proxies, each tick decided on all groups, and each stored change kept the whole text of its version alive. Ruled out: longer intervals (the work stays groups x proxies). Change: with more than 12 proxies a server's connections are divided among those that use it or hold some, and a heartbeat touches only their servers; with more than 64 groups a tick leaves out those decided on within 500 ms; a stored edit copies its part of the text. A look for news still reads all groups (73 us).

--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -37,6 +37,14 @@
 	// doesn't count as live.
 	ProxySilentAfter = 3 * time.Second
 
+	// fewProxies is the number of proxies that all get a part of each server's
+	// connections, whether they use it or not.
+	fewProxies = 12
+	// manyGroups is the number of groups from which on a tick leaves out those
+	// that were decided on within idleDecide and have nothing under way.
+	manyGroups = 64
+	idleDecide = 500 * time.Millisecond
+
 	// actionQueue is the number of actions that may wait. More are dropped
 	// and decided again later.
 	actionQueue = 4096
@@ -103,7 +111,11 @@
 		ledgers       map[ServerKey]grant.Ledger
 		dropped       map[ServerKey]time.Time
 		order         []grant.Proxy
-		contact       contact
+		// registered holds each proxy's position in order.
+		registered map[cluster.ProxyName]int
+		// users are the proxies that have work for a server.
+		users   map[ServerKey]map[cluster.ProxyName]struct{}
+		contact contact
 	}
 
 	// ServerKey names a server among all groups.
@@ -139,6 +151,10 @@
 		verdict  detect.Verdict
 		view     Group
 		factsDue map[cluster.ServerName]time.Time
+		// decided is when the group was last decided on; pending tells that a
+		// term was being established then.
+		decided time.Time
+		pending bool
 	}
 )
 
@@ -196,6 +212,9 @@
 	c.tickKeys(now)
 	c.tickProxies(now)
 	for name, g := range c.groups {
+		if len(c.groups) > manyGroups && g.isQuiet(now) {
+			continue
+		}
 		g.servers = registry.Forget(g.servers, now)
 		c.decide(name, failover.Event{}, now)
 	}
@@ -204,7 +223,13 @@
 	}
 	c.divideAt = now.Add(divideInterval)
 	c.takeProxies(c.machine.View(), now)
-	c.divide(now)
+	c.divideAll(now)
+}
+
+// isQuiet reports whether nothing is under way in a group that was decided on
+// lately. Its servers' announcements lead to decisions too.
+func (g *group) isQuiet(now time.Time) bool {
+	return len(g.reports) == 0 && !g.pending && now.Sub(g.decided) < idleDecide
 }
 
 // Finish takes in the outcome of an action of a plan.
@@ -276,6 +301,8 @@
 	c.proxies = map[cluster.ProxyName]*proxy{}
 	c.ledgers = map[ServerKey]grant.Ledger{}
 	c.dropped = map[ServerKey]time.Time{}
+	c.registered = map[cluster.ProxyName]int{}
+	c.users = map[ServerKey]map[cluster.ProxyName]struct{}{}
 	c.fullAfter = c.bump()
 	c.peersRevision = c.revision
 }
--- a/internal/control/coordinator/decide.go
+++ b/internal/control/coordinator/decide.go
@@ -54,6 +54,8 @@
 	if !ok {
 		record = &state.Group{Name: name}
 	}
+	g.decided = now
+	g.pending = record.Pending != nil || record.Term == 0
 	g.observeStall(record, now)
 	c.judge(g, record, now)
 	situation := failover.Situation{
--- a/internal/control/coordinator/proxies.go
+++ b/internal/control/coordinator/proxies.go
@@ -46,8 +46,10 @@
 	// proxy is the soft state of one proxy.
 	proxy struct {
 		Beat
-		heard        time.Time
-		uses         map[ServerKey]grant.Use
+		heard time.Time
+		uses  map[ServerKey]grant.Use
+		// servers are those that the proxy uses or may hold connections to.
+		servers      map[ServerKey]struct{}
 		usesRevision uint64
 		// told is set once this leader has the proxy's uses.
 		told           bool
@@ -79,7 +81,7 @@
 		return nil
 	}
 	if !ok || known.Incarnation != beat.Incarnation {
-		known = &proxy{uses: map[ServerKey]grant.Use{}}
+		known = &proxy{uses: map[ServerKey]grant.Use{}, servers: map[ServerKey]struct{}{}}
 		c.proxies[beat.Proxy] = known
 	}
 	changed := !ok || known.Beat.Address != beat.Address || known.Beat.Incarnation != beat.Incarnation
@@ -98,9 +100,11 @@
 	c.register(known, now)
 	c.takeUses(known, beat.Uses, revision)
 	c.takeSuspicions(beat, now)
-	if changed || returned || beat.Uses != nil {
+	if changed || returned || (beat.Uses != nil && len(c.order) <= fewProxies) {
 		c.takeProxies(c.machine.View(), now)
-		c.divide(now)
+	}
+	if changed || returned || beat.Uses != nil {
+		c.divide(maps.Keys(known.servers), now)
 	}
 	return nil
 }
@@ -116,7 +120,8 @@
 }
 
 func (c *Coordinator) forgetProxy(beat Beat, now time.Time) {
-	if _, ok := c.proxies[beat.Proxy]; ok {
+	if p, ok := c.proxies[beat.Proxy]; ok {
+		c.takeUsers(p, nil)
 		delete(c.proxies, beat.Proxy)
 		c.peersRevision = c.bump()
 	}
--- a/internal/control/coordinator/shares.go
+++ b/internal/control/coordinator/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 	"strings"
@@ -34,10 +35,65 @@
 // takeProxies follows the committed proxies and which of them are live.
 func (c *Coordinator) takeProxies(view *state.State, now time.Time) {
 	c.order = c.order[:0]
+	clear(c.registered)
 	for _, p := range slices.SortedFunc(maps.Values(view.Proxies), bySequence) {
 		soft, ok := c.proxies[p.Name]
 		live := ok && soft.isLive(now) && soft.Incarnation == p.Incarnation
 		c.order = append(c.order, grant.Proxy{Name: p.Name, Live: live})
+		c.registered[p.Name] = len(c.order) - 1
+	}
+}
+
+// participants returns the registered proxies among which a server's
+// connections are divided, in order of registration. Few proxies all take part,
+// so that each has a connection before its first request. Of many, only those
+// take part that use the server or may hold connections to it.
+func (c *Coordinator) participants(key ServerKey) []grant.Proxy {
+	if len(c.order) <= fewProxies {
+		return c.order
+	}
+	var positions []int
+	for name := range c.users[key] {
+		positions = c.appendRegistered(positions, name)
+	}
+	for _, name := range c.ledgers[key].Holders() {
+		positions = c.appendRegistered(positions, name)
+	}
+	slices.Sort(positions)
+	positions = slices.Compact(positions)
+	proxies := make([]grant.Proxy, 0, len(positions))
+	for _, position := range positions {
+		proxy := c.order[position]
+		_, uses := c.users[key][proxy.Name]
+		proxy.Idle = !uses
+		proxies = append(proxies, proxy)
+	}
+	return proxies
+}
+
+func (c *Coordinator) appendRegistered(positions []int, name cluster.ProxyName) []int {
+	if position, ok := c.registered[name]; ok {
+		positions = append(positions, position)
+	}
+	return positions
+}
+
+// takeUsers follows which servers a proxy uses.
+func (c *Coordinator) takeUsers(p *proxy, uses map[ServerKey]grant.Use) {
+	for key := range p.servers {
+		if use := uses[key]; use.Open == 0 && use.Wanted == 0 {
+			delete(c.users[key], p.Proxy)
+		}
+	}
+	for key, use := range uses {
+		p.servers[key] = struct{}{}
+		if use.Open == 0 && use.Wanted == 0 {
+			continue
+		}
+		if c.users[key] == nil {
+			c.users[key] = map[cluster.ProxyName]struct{}{}
+		}
+		c.users[key][p.Proxy] = struct{}{}
 	}
 }
 
@@ -83,9 +139,15 @@
 	if uses != nil && revision >= p.usesRevision {
 		p.uses, p.usesRevision = uses, revision
 		p.told = p.told || holdsAny(uses)
+		c.takeUsers(p, uses)
 	}
-	for key, ledger := range c.ledgers {
-		c.ledgers[key] = ledger.Report(p.Proxy, p.uses[key], revision)
+	for key := range p.servers {
+		if ledger, ok := c.ledgers[key]; ok {
+			c.ledgers[key] = ledger.Report(p.Proxy, p.uses[key], revision)
+		}
+		if _, told := p.uses[key]; !told && !c.ledgers[key].Holds(p.Proxy) {
+			delete(p.servers, key)
+		}
 	}
 }
 
@@ -115,21 +177,26 @@
 	return true
 }
 
-// divide gives each server's connections to the proxies anew where due.
-func (c *Coordinator) divide(now time.Time) {
+// divideAll gives every server's connections to the proxies anew where due.
+func (c *Coordinator) divideAll(now time.Time) {
+	c.divide(maps.Keys(c.ledgers), now)
+}
+
+// divide gives the connections of some servers to the proxies anew where due.
+func (c *Coordinator) divide(keys iter.Seq[ServerKey], now time.Time) {
 	revision := c.revision + 1
 	changed := false
-	for key, ledger := range c.ledgers {
-		next, moved := ledger.Divide(c.order, revision, now)
-		c.ledgers[key] = next
-		if !moved {
+	for key := range keys {
+		ledger, ok := c.ledgers[key]
+		if !ok {
 			continue
 		}
-		changed = true
-		for name, p := range c.proxies {
-			if next.Share(name).Revision == revision {
-				p.grantsRevision = revision
-			}
+		proxies := c.participants(key)
+		next, moved := ledger.Divide(proxies, revision, now)
+		c.ledgers[key] = next
+		if moved {
+			changed = true
+			c.noteShares(key, next, proxies, revision)
 		}
 	}
 	if changed {
@@ -137,12 +204,28 @@
 	}
 }
 
+// noteShares notes which proxies have to hear of their new share of a server.
+func (c *Coordinator) noteShares(key ServerKey, ledger grant.Ledger, proxies []grant.Proxy, revision uint64) {
+	for _, proxy := range proxies {
+		p, ok := c.proxies[proxy.Name]
+		if ok && ledger.Share(proxy.Name).Revision == revision {
+			p.grantsRevision = revision
+			p.servers[key] = struct{}{}
+		}
+	}
+}
+
 // hand returns all shares of a proxy and notes that they are handed out.
 func (c *Coordinator) hand(p *proxy, now time.Time) []Share {
 	p.grantsHanded = now
 	var shares []Share
-	for _, key := range slices.SortedFunc(maps.Keys(c.ledgers), compareKeys) {
-		ledger, share := c.ledgers[key].Hand(p.Proxy, now)
+	for _, key := range slices.SortedFunc(maps.Keys(p.servers), compareKeys) {
+		ledger, ok := c.ledgers[key]
+		if !ok {
+			delete(p.servers, key)
+			continue
+		}
+		ledger, share := ledger.Hand(p.Proxy, now)
 		c.ledgers[key] = ledger
 		if share.Granted == 0 {
 			continue
--- a/internal/control/grant/grant.go
+++ b/internal/control/grant/grant.go
@@ -71,6 +71,8 @@
 		Name cluster.ProxyName
 		// Live is false once its heartbeats stay away.
 		Live bool
+		// Idle tells that it has no work for the server and needs no floor.
+		Idle bool
 	}
 
 	// Share is what one proxy may hold.
@@ -107,6 +109,23 @@
 // Share returns a proxy's share.
 func (l Ledger) Share(proxy cluster.ProxyName) Share { return l.shares[proxy] }
 
+// Holders returns the proxies that may hold connections, in no order.
+func (l Ledger) Holders() []cluster.ProxyName {
+	var holders []cluster.ProxyName
+	for name := range l.shares {
+		if l.Holds(name) {
+			holders = append(holders, name)
+		}
+	}
+	return holders
+}
+
+// Holds reports whether a proxy may hold connections.
+func (l Ledger) Holds(proxy cluster.ProxyName) bool {
+	share := l.shares[proxy]
+	return share.Granted > 0 || share.held > 0 || share.floorHeld > 0
+}
+
 // Held returns the sum of what all proxies may hold at the given time.
 func (l Ledger) Held(now time.Time) int {
 	sum := 0
@@ -191,6 +210,9 @@
 	for _, proxy := range proxies {
 		share := l.shares[proxy.Name].expire(now)
 		share.Floor = min(floor, left)
+		if proxy.Idle {
+			share.Floor = 0
+		}
 		left -= share.Floor
 		shares[proxy.Name] = share
 	}
--- a/internal/control/state/edit.go
+++ b/internal/control/state/edit.go
@@ -1,6 +1,10 @@
 package state
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Edit makes one text from another: the first Head and the last Tail bytes
 // stay, Middle takes the place of what is between.
@@ -10,7 +14,8 @@
 	Middle string `json:"middle"`
 }
 
-// newEdit returns the edit that makes to from from.
+// newEdit returns the edit that makes to from from. It copies what it keeps, so
+// that the text itself can be freed.
 func newEdit(from, to string) *Edit {
 	shorter := min(len(from), len(to))
 	head := 0
@@ -21,7 +26,7 @@
 	for tail < shorter-head && from[len(from)-1-tail] == to[len(to)-1-tail] {
 		tail++
 	}
-	return &Edit{Head: head, Tail: tail, Middle: to[head : len(to)-tail]}
+	return &Edit{Head: head, Tail: tail, Middle: strings.Clone(to[head : len(to)-tail])}
 }
 
 // apply returns the text that the edit makes from from.
