A rule's test for the members that count during a change

Change: a table of who may elect and commit with the leader before and after the change is known to be committed.

--- a/internal/control/quorum/rules_test.go
+++ b/internal/control/quorum/rules_test.go
@@ -151,3 +151,45 @@
 		}
 	}
 }
+
+func TestOldMembersCountUntilTheChangeIsCommitted(t *testing.T) {
+	replaced := withMember(*members(3).Configuration, Member{ID: ID{Node: "control-3", Disk: 2}})
+	change := Entry{Index: 2, Term: 2, Kind: EntryConfiguration, Configuration: &replaced}
+	tests := []struct {
+		name string
+		// from answers each request; the change is the second entry.
+		from   ID
+		commit uint64
+		want   bool
+	}{
+		{name: "old member", from: testMember(2).ID, commit: 1, want: true},
+		{name: "new member", from: ID{Node: "control-3", Disk: 2}, commit: 1},
+		{name: "replaced member", from: testMember(3).ID, commit: 1},
+		{name: "new member after the commit", from: ID{Node: "control-3", Disk: 2}, commit: 2, want: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			state := HardState{Term: 3, Commit: test.commit, Cluster: 9}
+			core := restoredCore(t, state, []Entry{members(3), change})
+			core.campaign(RoleCandidate, testNow)
+			m := Message{Kind: MessageVoteAnswer, Term: 4, From: test.from, To: core.self, Cluster: 9}
+			if err := core.Step(m, testNow); err != nil {
+				t.Fatal(err)
+			}
+			if got := core.Status().Role == RoleLeader; got != test.want {
+				t.Fatalf("got elected %v by its own vote and %v, want %v", got, test.from, test.want)
+			}
+			core = restoredCore(t, state, []Entry{members(3), change})
+			core.campaign(RoleCandidate, testNow)
+			core.becomeLeader(testNow)
+			core.Advance(core.Ready(), testNow)
+			m = Message{Kind: MessageAppendAnswer, Term: 4, From: test.from, To: core.self, Cluster: 9, Index: 3}
+			if err := core.Step(m, testNow); err != nil {
+				t.Fatal(err)
+			}
+			if got := core.Status().Commit == 3; got != test.want {
+				t.Errorf("got commit %v by the leader and %v, want %v", got, test.from, test.want)
+			}
+		})
+	}
+}
