Control: a proxy that only acknowledges a grant is no witness of a primary

Ruled out: leaving grants without traffic unacknowledged (another proxy then never gets connections). Change: only a proxy with connections open or wanted counts as a witness.

--- a/internal/control/coordinator/decide.go
+++ b/internal/control/coordinator/decide.go
@@ -79,7 +79,9 @@
 	key := ServerKey{Group: record.Name, Server: record.Primary}
 	count := 0
 	for name, p := range c.proxies {
-		_, uses := p.uses[key]
+		// A proxy that only acknowledges its grant doesn't watch the server.
+		use := p.uses[key]
+		uses := use.Open > 0 || use.Wanted > 0
 		_, reports := g.reports[name]
 		if p.isLive(now) && (uses || reports) {
 			count++
