--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -103,6 +103,7 @@
 		ledgers       map[ServerKey]grant.Ledger
 		dropped       map[ServerKey]time.Time
 		order         []grant.Proxy
+		contact       contact
 	}
 
 	// ServerKey names a server among all groups.
@@ -123,11 +124,16 @@
 
 	// group is the soft state of one group.
 	group struct {
-		servers  registry.Servers
-		plan     failover.Plan
-		reports  map[cluster.ProxyName]detect.Report
-		probe    detect.Probe
-		stall    detect.Stall
+		servers registry.Servers
+		plan    failover.Plan
+		reports map[cluster.ProxyName]detect.Report
+		probe   detect.Probe
+		stall   detect.Stall
+		pauses  detect.Pauses
+		// silent is the longest silence of the primary that is reported now.
+		silent time.Duration
+		// replaced is the primary that was replaced for its silence.
+		replaced replaced
 		probeAt  time.Time
 		term     cluster.Term
 		verdict  detect.Verdict
@@ -167,12 +173,14 @@
 	if _, ok := c.declared.Groups[announcement.Group]; !ok {
 		return eris.Wrapf(ErrUnknownGroup, "group %s", announcement.Group)
 	}
+	c.contact = c.contact.heard(now)
 	g := c.group(announcement.Group)
 	servers, err := registry.Accept(g.servers, announcement, now)
 	if err != nil {
 		return err
 	}
 	g.servers = servers
+	g.noteReturn(announcement, now)
 	c.proposeFacts(announcement, now)
 	c.decide(announcement.Group, failover.Event{}, now)
 	return nil
@@ -254,6 +262,7 @@
 	c.takeKeys(view)
 	c.takeServers(view, now)
 	c.takeProxies(view, now)
+	c.divideAt = now
 	return true
 }
 
--- a/internal/control/coordinator/decide.go
+++ b/internal/control/coordinator/decide.go
@@ -18,17 +18,30 @@
 	labelTrue    = "true"
 
 	factsPause = 300 * time.Millisecond
+	// returnTime is how soon a replaced primary has to be back for its
+	// silence to count as a pause.
+	returnTime = 5 * time.Second
 )
 
-// Probe asks a primary for its status.
-type Probe struct {
-	Group   cluster.GroupName
-	Server  cluster.ServerName
-	Address netip.AddrPort
-	Term    cluster.Term
-	// Sent is when the probe was decided.
-	Sent time.Time
-}
+type (
+	// Probe asks a primary for its status.
+	Probe struct {
+		Group   cluster.GroupName
+		Server  cluster.ServerName
+		Address netip.AddrPort
+		Term    cluster.Term
+		// Sent is when the probe was decided.
+		Sent time.Time
+	}
+
+	// replaced is a primary that was found frozen.
+	replaced struct {
+		server      cluster.ServerName
+		incarnation cluster.Incarnation
+		silent      time.Duration
+		at          time.Time
+	}
+)
 
 // decide runs the plan of a group and publishes what changed.
 func (c *Coordinator) decide(name cluster.GroupName, event failover.Event, now time.Time) {
@@ -79,11 +92,10 @@
 	key := ServerKey{Group: record.Name, Server: record.Primary}
 	count := 0
 	for name, p := range c.proxies {
-		// A proxy that only acknowledges its grant doesn't watch the server.
+		// A proxy also reports servers that it may use but doesn't.
 		use := p.uses[key]
-		uses := use.Open > 0 || use.Wanted > 0
 		_, reports := g.reports[name]
-		if p.isLive(now) && (uses || reports) {
+		if p.isLive(now) && (use.Open > 0 || use.Wanted > 0 || reports) {
 			count++
 		}
 	}
@@ -93,21 +105,31 @@
 // judge forms the verdict on a group's primary and probes a suspected one.
 func (c *Coordinator) judge(g *group, record *state.Group, now time.Time) {
 	if g.term != record.Term {
-		g.term = record.Term
-		g.probe = detect.Probe{}
-		g.reports = map[cluster.ProxyName]detect.Report{}
+		g.startTerm(record)
 	}
 	if len(g.reports) == 0 {
+		if g.silent > 0 {
+			g.pauses = g.pauses.Survived(g.silent, now)
+		}
+		g.silent = 0
 		g.verdict = detect.Fine
 		g.probe = detect.Probe{}
 		return
 	}
-	g.verdict = detect.Judge(detect.Evidence{
-		Reports:   mapValues(g.reports),
-		Witnesses: c.witnesses(g, record, now),
-		Probe:     g.probe,
-		Stalled:   g.stall.IsStalled(now),
-	}, now)
+	evidence := detect.Evidence{
+		Reports:     mapValues(g.reports),
+		Witnesses:   c.witnesses(g, record, now),
+		Probe:       g.probe,
+		FrozenAfter: g.pauses.FrozenAfter(now),
+		Stalled:     g.stall.IsStalled(now),
+	}
+	g.silent = max(g.silent, evidence.Silence(now))
+	g.verdict = detect.Judge(evidence, now)
+	if g.verdict == detect.Frozen {
+		g.replaced = replaced{
+			server: record.Primary, incarnation: record.Members[record.Primary].Incarnation, silent: g.silent, at: now,
+		}
+	}
 	if now.Sub(g.probeAt) < probeInterval || record.Primary == "" || record.Pending != nil {
 		return
 	}
@@ -118,6 +140,26 @@
 	}})
 }
 
+// startTerm drops the evidence about the primary of the term before.
+func (g *group) startTerm(record *state.Group) {
+	g.term = record.Term
+	g.probe = detect.Probe{}
+	g.silent = 0
+	g.reports = map[cluster.ProxyName]detect.Report{}
+}
+
+// noteReturn learns a pause from a primary that was replaced for its silence
+// and comes back without having been started again.
+func (g *group) noteReturn(announcement cluster.Announcement, now time.Time) {
+	if announcement.Server != g.replaced.server {
+		return
+	}
+	if announcement.Incarnation == g.replaced.incarnation && now.Sub(g.replaced.at) <= returnTime {
+		g.pauses = g.pauses.Survived(g.replaced.silent, now)
+	}
+	g.replaced = replaced{}
+}
+
 // Probed takes in the outcome of a probe; kind is empty if it was answered.
 func (c *Coordinator) Probed(probe Probe, kind detect.Kind, now time.Time) {
 	c.mu.Lock()
--- a/internal/control/coordinator/proxies.go
+++ b/internal/control/coordinator/proxies.go
@@ -69,6 +69,7 @@
 	if beat.Proxy == "" || len(beat.Proxy) > maxProxyName || beat.Incarnation == 0 {
 		return eris.Wrap(ErrMalformed, "proxy: want a name and an incarnation")
 	}
+	c.contact = c.contact.heard(now)
 	known, ok := c.proxies[beat.Proxy]
 	if ok && known.Incarnation > beat.Incarnation {
 		return eris.Wrapf(ErrMalformed, "proxy %s: a newer incarnation is known", beat.Proxy)
@@ -82,6 +83,7 @@
 		c.proxies[beat.Proxy] = known
 	}
 	changed := !ok || known.Beat.Address != beat.Address || known.Beat.Incarnation != beat.Incarnation
+	returned := !known.isLive(now)
 	if beat.Epoch != c.epoch {
 		beat.Revision = 0
 	}
@@ -96,7 +98,7 @@
 	c.register(known, now)
 	c.takeUses(known, beat.Uses, revision)
 	c.takeSuspicions(beat, now)
-	if changed || beat.Uses != nil {
+	if changed || returned || beat.Uses != nil {
 		c.takeProxies(c.machine.View(), now)
 		c.divide(now)
 	}
