--- a/internal/proxy/confirm/confirm.go
+++ b/internal/proxy/confirm/confirm.go
@@ -28,14 +28,6 @@
 	"github.com/burdockwood/burdockwood/internal/proxy/age"
 )
 
-const (
-	// pendingSamples is the number of samples of the primary that wait for
-	// the confirmation of their time.
-	pendingSamples = 16
-	// lagSmoothing is the weight of old measurements of a replica's lag.
-	lagSmoothing = 4
-)
-
 var (
 	// ErrReplaced tells that the term is over.
 	ErrReplaced = eris.New("the primary has been replaced")
@@ -68,16 +60,6 @@
 		scratch   []time.Time
 	}
 
-	// Progress is how far a server is, as readers of the group see it.
-	Progress struct {
-		Server  cluster.ServerName
-		Applied cluster.Mark
-		// FreshAt is the newest time for which the server is known to have
-		// applied all that the primary had then; zero if not known.
-		FreshAt time.Time
-		Lag     time.Duration
-	}
-
 	server struct {
 		name   cluster.ServerName
 		voter  bool
@@ -262,9 +244,6 @@
 // Term returns the term in force.
 func (t *Tracker) Term() cluster.Term { return cluster.Term(t.inForce.Load()) }
 
-// Progress returns how far each server is. The slice must not be changed.
-func (t *Tracker) Progress() []Progress { return *t.published.Load() }
-
 func (t *Tracker) wake(fn func()) {
 	if fn != nil {
 		fn()
@@ -371,28 +350,6 @@
 	return s.status.Promised == mark.Term && s.status.Received.Term == mark.Term && s.status.Received.Covers(mark)
 }
 
-// sample keeps the primary's answer until its time is confirmed.
-func (t *Tracker) sample(sent time.Time, mark cluster.Mark) {
-	if len(t.samples) >= pendingSamples {
-		t.samples = slices.Delete(t.samples, 0, 1)
-	}
-	t.samples = append(t.samples, age.Sample{Sent: sent, Mark: mark})
-}
-
-// publish makes the servers' progress known to readers.
-func (t *Tracker) publish() {
-	progress := make([]Progress, len(t.servers))
-	for i := range t.servers {
-		s := &t.servers[i]
-		fresh, known := t.age.FreshAt(s.status.Applied)
-		if known && s.sent.After(fresh) {
-			s.lag += (s.sent.Sub(fresh) - s.lag) / lagSmoothing
-		}
-		progress[i] = Progress{Server: s.name, Applied: s.status.Applied, FreshAt: fresh, Lag: s.lag}
-	}
-	t.published.Store(&progress)
-}
-
 func (t *Tracker) index(name cluster.ServerName) int {
 	return slices.IndexFunc(t.servers, func(s server) bool { return s.name == name })
 }
