Control: a look for news reads one number; shares wake their proxy alone

Cause: a held heartbeat looked at every group for news, and every change of a share woke the held heartbeats of all proxies. Ruled out: polling at intervals (changes would be late). Change: the coordinator keeps the revision of the group that changed last; a proxy has a channel of its own for shares and drains.

--- a/internal/control/coordinator/answer.go
+++ b/internal/control/coordinator/answer.go
@@ -38,10 +38,7 @@
 	if !ok {
 		return true
 	}
-	newest := max(c.fullAfter, c.peersRevision, c.keysRevision, p.grantsRevision, p.drainRevision)
-	for _, g := range c.groups {
-		newest = max(newest, g.view.Revision)
-	}
+	newest := max(c.fullAfter, c.groupsRevision, c.peersRevision, c.keysRevision, p.grantsRevision, p.drainRevision)
 	return newest > beat.Revision
 }
 
--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -96,21 +96,23 @@
 		revision uint64
 		changed  chan struct{}
 		// fullAfter is the revision at which a group was last removed.
-		fullAfter     uint64
-		peersRevision uint64
-		keysRevision  uint64
-		keys          []string
-		keyDue        time.Time
-		version       cluster.Version
-		declared      Declared
-		known         bool
-		taken         *state.State
-		divideAt      time.Time
-		groups        map[cluster.GroupName]*group
-		proxies       map[cluster.ProxyName]*proxy
-		ledgers       map[ServerKey]grant.Ledger
-		dropped       map[ServerKey]time.Time
-		order         []grant.Proxy
+		fullAfter uint64
+		// groupsRevision is that of the group that changed last.
+		groupsRevision uint64
+		peersRevision  uint64
+		keysRevision   uint64
+		keys           []string
+		keyDue         time.Time
+		version        cluster.Version
+		declared       Declared
+		known          bool
+		taken          *state.State
+		divideAt       time.Time
+		groups         map[cluster.GroupName]*group
+		proxies        map[cluster.ProxyName]*proxy
+		ledgers        map[ServerKey]grant.Ledger
+		dropped        map[ServerKey]time.Time
+		order          []grant.Proxy
 		// registered holds each proxy's position in order.
 		registered map[cluster.ProxyName]int
 		// users are the proxies that have work for a server.
@@ -170,12 +172,16 @@
 // Actions returns the channel of what the runner has to execute.
 func (c *Coordinator) Actions() <-chan Action { return c.actions }
 
-// Changed returns a channel that is closed at the next change that proxies
-// have to know.
-func (c *Coordinator) Changed() <-chan struct{} {
+// Changed returns a channel that is closed at the next change that all proxies
+// have to know, and one for changes that concern the named proxy alone; that is
+// nil if the proxy isn't known.
+func (c *Coordinator) Changed(name cluster.ProxyName) (all, own <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.changed
+	if p, ok := c.proxies[name]; ok {
+		own = p.changed
+	}
+	return c.changed, own
 }
 
 // Announce takes in what a server announces, or tells why not. Errors:
--- a/internal/control/coordinator/proxies.go
+++ b/internal/control/coordinator/proxies.go
@@ -58,6 +58,8 @@
 		drain          bool
 		drainRevision  uint64
 		registerAt     time.Time
+		// changed is closed when something changed for this proxy alone.
+		changed chan struct{}
 	}
 )
 
@@ -81,7 +83,11 @@
 		return nil
 	}
 	if !ok || known.Incarnation != beat.Incarnation {
-		known = &proxy{uses: map[ServerKey]grant.Use{}, servers: map[ServerKey]struct{}{}}
+		known = &proxy{
+			uses:    map[ServerKey]grant.Use{},
+			servers: map[ServerKey]struct{}{},
+			changed: make(chan struct{}),
+		}
 		c.proxies[beat.Proxy] = known
 	}
 	changed := !ok || known.Beat.Address != beat.Address || known.Beat.Incarnation != beat.Incarnation
@@ -173,11 +179,19 @@
 		drain := view.Drains[state.DrainKey{Kind: state.DrainProxy, Name: string(name)}]
 		if drain != p.drain {
 			p.drain = drain
-			p.drainRevision = c.bump()
+			c.revision++
+			p.drainRevision = c.revision
+			p.wake()
 		}
 	}
 }
 
+// wake tells the proxy's held heartbeats that something changed for it alone.
+func (p *proxy) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
 func (p *proxy) isLive(now time.Time) bool { return now.Sub(p.heard) <= ProxySilentAfter }
 
 // livePeers returns the live proxies in order of name.
--- a/internal/control/coordinator/shares.go
+++ b/internal/control/coordinator/shares.go
@@ -200,7 +200,7 @@
 		}
 	}
 	if changed {
-		c.bump()
+		c.revision = revision
 	}
 }
 
@@ -211,6 +211,7 @@
 		if ok && ledger.Share(proxy.Name).Revision == revision {
 			p.grantsRevision = revision
 			p.servers[key] = struct{}{}
+			p.wake()
 		}
 	}
 }
--- a/internal/control/coordinator/view.go
+++ b/internal/control/coordinator/view.go
@@ -48,6 +48,7 @@
 		return
 	}
 	next.Revision = c.bump()
+	c.groupsRevision = next.Revision
 	g.view = next
 }
 
--- a/internal/control/service/heartbeat.go
+++ b/internal/control/service/heartbeat.go
@@ -43,7 +43,7 @@
 	defer timer.Stop()
 	for {
 		committed := s.options.Machine.Changed()
-		changed := s.options.Coordinator.Changed()
+		changed, own := s.options.Coordinator.Changed(beat.Proxy)
 		if s.options.Coordinator.HasNews(beat, time.Now()) {
 			return nil
 		}
@@ -54,6 +54,7 @@
 			return nil
 		case <-committed:
 		case <-changed:
+		case <-own:
 		}
 	}
 }
