Proxy: servers of an idle group are polled each 500 ms

Ruled out: no polls at all (the first aged read after a pause would find no fresh replica). Change: without a request for 1 s the interval is ten times as long; the first request wakes the watchers.

--- a/internal/experiment/capacity/capacity.go
+++ b/internal/experiment/capacity/capacity.go
@@ -38,6 +38,7 @@
 	changeCount     = 200
 	rounds          = 200
 	settleTime      = 20 * time.Second
+	divideInterval  = 250 * time.Millisecond
 )
 
 // ErrBuild tells that the state couldn't be built.
@@ -68,6 +69,8 @@
 		NewsTime      time.Duration
 		// TickTime is the processor time of one decision on all groups.
 		TickTime time.Duration
+		// DivideTime is that of a tick which divides all connections anew.
+		DivideTime time.Duration
 		// IdleRequestBytes and IdleAnswerBytes are the messages of a
 		// heartbeat without news.
 		IdleRequestBytes int
@@ -94,7 +97,7 @@
 	var lines strings.Builder
 	fmt.Fprintf(&lines, "groups %d, servers %d, proxies %d, groups a proxy %d\n", f.Groups, f.Groups*serversPerGroup, f.Proxies, f.GroupsPerProxy)
 	fmt.Fprintf(&lines, "heap %d KB, snapshot %d KB\n", f.HeapBytes>>10, f.SnapshotBytes>>10)
-	fmt.Fprintf(&lines, "announce %v, heartbeat %v, news %v, tick %v, parse %v\n", f.AnnounceTime, f.HeartbeatTime, f.NewsTime, f.TickTime, f.ParseTime)
+	fmt.Fprintf(&lines, "announce %v, heartbeat %v, news %v, tick %v, dividing tick %v, parse %v\n", f.AnnounceTime, f.HeartbeatTime, f.NewsTime, f.TickTime, f.DivideTime, f.ParseTime)
 	fmt.Fprintf(&lines, "idle request %d B, idle answer %d B, changed group %d B, stored change %d B", f.IdleRequestBytes, f.IdleAnswerBytes, f.GroupAnswerBytes, f.ChangeBytes)
 	return lines.String()
 }
@@ -121,6 +124,10 @@
 	}
 	figures.NewsTime = c.timed(func(int) { c.c.HasNews(idle, c.now) })
 	figures.TickTime = c.timed(func(int) { c.c.Tick(c.now) })
+	figures.DivideTime = c.timedRounds(5, func(int) {
+		c.now = c.now.Add(divideInterval)
+		c.c.Tick(c.now)
+	})
 	text := declarationsText(size.Groups)
 	figures.ParseTime = c.timedRounds(10, func(int) { _, _ = declaration.Parse(text) })
 	figures.IdleRequestBytes = proto.Size(&controlpb.HeartbeatRequest{
@@ -250,6 +257,7 @@
 func (c *control) timed(fn func(i int)) time.Duration { return c.timedRounds(rounds, fn) }
 
 func (c *control) timedRounds(n int, fn func(i int)) time.Duration {
+	fn(0)
 	begun := time.Now()
 	for i := range n {
 		fn(i)
--- a/internal/proxy/upstream/server.go
+++ b/internal/proxy/upstream/server.go
@@ -68,6 +68,7 @@
 		},
 		Tracker: g.Tracker,
 		Server:  member.Server,
+		Idle:    func() bool { return g.isIdle(time.Now()) },
 		Changed: func() { g.suspect(member.Server) },
 	}, now)
 	options.Go(func() error { return server.watcher.Polls(ctx) })
--- a/internal/proxy/upstream/upstream.go
+++ b/internal/proxy/upstream/upstream.go
@@ -37,6 +37,10 @@
 	// IdleTime is how long a group without requests stays at work.
 	IdleTime = 2 * time.Minute
 
+	// idleAfter is the time without a request after which a group's servers
+	// are polled less often.
+	idleAfter = time.Second
+
 	dialTimeout = time.Second
 	// slotHeadroom multiplies a proxy's part of a server's slots.
 	slotHeadroom = 2
@@ -104,6 +108,9 @@
 func (r *Registry) Group(name cluster.GroupName, now time.Time) (*Group, error) {
 	if found, ok := r.groups.Load(name); ok {
 		group := found.(*Group)
+		if group.isIdle(now) {
+			defer group.wakePolls()
+		}
 		group.used.Store(now.UnixMilli())
 		return group, nil
 	}
@@ -288,6 +295,11 @@
 // Source returns the group as control told it.
 func (g *Group) Source() *view.Group { return g.state.Load().source }
 
+// isIdle reports whether no request has used the group lately.
+func (g *Group) isIdle(now time.Time) bool {
+	return now.Sub(time.UnixMilli(g.used.Load())) > idleAfter
+}
+
 func (g *Group) wakePolls() {
 	for _, server := range g.Servers() {
 		server.watcher.WakePoll()
--- a/internal/proxy/watch/watch.go
+++ b/internal/proxy/watch/watch.go
@@ -32,6 +32,9 @@
 	// PollTimeout bounds one poll; a server that takes longer is silent.
 	PollTimeout = 300 * time.Millisecond
 
+	// idleFactor multiplies the interval while the server is idle.
+	idleFactor = 10
+
 	dialTimeout = 300 * time.Millisecond
 	waitTime    = 100 * time.Millisecond
 	waitTimeout = 400 * time.Millisecond
@@ -64,6 +67,9 @@
 		// Interval is the time between polls that nobody asks for; zero:
 		// DefaultInterval.
 		Interval time.Duration
+		// Idle, if set, reports that no request has used the server lately:
+		// it is polled less often then.
+		Idle func() bool
 		// Changed, if set, is called when the health changes.
 		Changed func()
 	}
@@ -126,8 +132,6 @@
 func (w *Watcher) Polls(ctx context.Context) error {
 	var server adapter.Server
 	defer func() { closeServer(server) }()
-	ticker := time.NewTicker(w.options.Interval)
-	defer ticker.Stop()
 	for ctx.Err() == nil {
 		sent := time.Now()
 		status, err := w.ask(ctx, &server, PollTimeout, func(ctx context.Context) (cluster.ServerStatus, error) {
@@ -139,25 +143,37 @@
 			continue
 		}
 		w.options.Tracker.Observe(w.options.Server, sent, status)
-		w.rest(ctx, ticker)
+		w.rest(ctx)
 	}
 	return nil
 }
 
-// rest waits until the next poll is due: somebody wants a newer answer, or the
-// interval has passed.
-func (w *Watcher) rest(ctx context.Context, ticker *time.Ticker) {
+// rest waits until the next poll is due: somebody wants a newer answer, the
+// interval has passed, or the server is used again after a time without.
+func (w *Watcher) rest(ctx context.Context) {
+	idle := w.isIdle()
+	interval := w.options.Interval
+	if idle {
+		interval = idleFactor * interval
+	}
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
 	for !w.options.Tracker.Wants(w.options.Server) {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 			return
 		case <-w.polls:
 		}
+		if idle && !w.isIdle() {
+			return
+		}
 	}
 }
 
+func (w *Watcher) isIdle() bool { return w.options.Idle != nil && w.options.Idle() }
+
 // Waits asks the server to tell when it holds the writes that wait, until ctx
 // ends.
 func (w *Watcher) Waits(ctx context.Context) error {
