Control's leader: slopes by number of groups, and two costs taken out

Cause: BenchmarkCapacity showed a heartbeat of a proxy walking and copying the shares of all servers, and each tick deciding on every group 20 times a second. Change: uses are reported to the shares only when they or the revision changed, and only the reported servers are divided at once; Tick leaves a group where nothing goes on alone for 250 ms (its announcements decide anyway).

--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -42,6 +42,11 @@
 	actionQueue = 4096
 	// probeInterval is the time between two probes of a suspected primary.
 	probeInterval = 100 * time.Millisecond
+	// idleInterval is the time between two decisions of Tick on a group where
+	// nothing is going on.
+	idleInterval = 250 * time.Millisecond
+	// busyTime is how long a group counts as busy after its last action.
+	busyTime = time.Second
 	// divideInterval is the time between two divisions of all connections;
 	// the report of a proxy divides at once.
 	divideInterval = 200 * time.Millisecond
@@ -136,8 +141,12 @@
 		probeAt  time.Time
 		term     cluster.Term
 		verdict  detect.Verdict
-		view     Group
-		factsDue map[cluster.ServerName]time.Time
+		// idleUntil is when Tick decides next on a group where nothing is
+		// going on; announcements decide too.
+		idleUntil time.Time
+		busyUntil time.Time
+		view      Group
+		factsDue  map[cluster.ServerName]time.Time
 	}
 )
 
@@ -184,7 +193,7 @@
 	return nil
 }
 
-// Tick decides on all groups.
+// Tick decides on all groups that are due.
 func (c *Coordinator) Tick(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -194,6 +203,9 @@
 	c.tickKeys(now)
 	c.tickProxies(now)
 	for name, g := range c.groups {
+		if now.Before(g.idleUntil) {
+			continue
+		}
 		g.servers = registry.Forget(g.servers, now)
 		c.decide(name, failover.Event{}, now)
 	}
@@ -202,7 +214,7 @@
 	}
 	c.divideAt = now.Add(divideInterval)
 	c.takeProxies(c.machine.View(), now)
-	c.divide(now)
+	c.divideAll(now)
 }
 
 // Finish takes in the outcome of an action of a plan.
--- a/internal/control/coordinator/decide.go
+++ b/internal/control/coordinator/decide.go
@@ -69,6 +69,13 @@
 	for i := range actions {
 		c.enqueue(Action{Failover: &actions[i]})
 	}
+	if len(actions) > 0 {
+		g.busyUntil = now.Add(busyTime)
+	}
+	g.idleUntil = now
+	if record.Pending == nil && len(g.reports) == 0 && now.After(g.busyUntil) {
+		g.idleUntil = now.Add(idleInterval)
+	}
 	c.publish(g, record, situation.Drained, now)
 }
 
--- a/internal/control/coordinator/proxies.go
+++ b/internal/control/coordinator/proxies.go
@@ -49,6 +49,8 @@
 		heard        time.Time
 		uses         map[ServerKey]grant.Use
 		usesRevision uint64
+		// reported is the revision of the last report to the ledgers.
+		reported uint64
 		// told is set once this leader has the proxy's uses.
 		told           bool
 		grantsRevision uint64
@@ -97,9 +99,12 @@
 	c.register(known, now)
 	c.takeUses(known, beat.Uses, revision)
 	c.takeSuspicions(beat, now)
-	if changed || returned || beat.Uses != nil {
+	if changed || returned {
+		c.divideAt = now
+	}
+	if beat.Uses != nil {
 		c.takeProxies(c.machine.View(), now)
-		c.divide(now)
+		c.divideUsed(beat.Uses, now)
 	}
 	return nil
 }
--- a/internal/control/coordinator/shares.go
+++ b/internal/control/coordinator/shares.go
@@ -84,6 +84,10 @@
 		p.uses, p.usesRevision = uses, revision
 		p.told = p.told || holdsAny(uses)
 	}
+	if uses == nil && revision == p.reported {
+		return
+	}
+	p.reported = revision
 	for key, ledger := range c.ledgers {
 		c.ledgers[key] = ledger.Report(p.Proxy, p.uses[key], revision)
 	}
@@ -115,28 +119,50 @@
 	return true
 }
 
-// divide gives each server's connections to the proxies anew where due.
-func (c *Coordinator) divide(now time.Time) {
+// divideAll divides the connections of every server anew where due.
+func (c *Coordinator) divideAll(now time.Time) {
 	revision := c.revision + 1
 	changed := false
-	for key, ledger := range c.ledgers {
-		next, moved := ledger.Divide(c.order, revision, now)
-		c.ledgers[key] = next
-		if !moved {
-			continue
-		}
-		changed = true
-		for name, p := range c.proxies {
-			if next.Share(name).Revision == revision {
-				p.grantsRevision = revision
-			}
-		}
+	for key := range c.ledgers {
+		changed = c.divide(key, revision, now) || changed
+	}
+	if changed {
+		c.bump()
+	}
+}
+
+// divideUsed does so for the servers that a proxy reports on.
+func (c *Coordinator) divideUsed(uses map[ServerKey]grant.Use, now time.Time) {
+	revision := c.revision + 1
+	changed := false
+	for key := range uses {
+		changed = c.divide(key, revision, now) || changed
 	}
 	if changed {
 		c.bump()
 	}
 }
 
+// divide gives a server's connections to the proxies anew and reports whether
+// a share changed.
+func (c *Coordinator) divide(key ServerKey, revision uint64, now time.Time) bool {
+	ledger, ok := c.ledgers[key]
+	if !ok {
+		return false
+	}
+	next, changed := ledger.Divide(c.order, revision, now)
+	c.ledgers[key] = next
+	if !changed {
+		return false
+	}
+	for name, p := range c.proxies {
+		if next.Share(name).Revision == revision {
+			p.grantsRevision = revision
+		}
+	}
+	return true
+}
+
 // hand returns all shares of a proxy and notes that they are handed out.
 func (c *Coordinator) hand(p *proxy, now time.Time) []Share {
 	p.grantsHanded = now
