--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -37,16 +37,19 @@
 	// doesn't count as live.
 	ProxySilentAfter = 3 * time.Second
 
+	// fewProxies is the number of proxies that all get a part of each server's
+	// connections, whether they use it or not.
+	fewProxies = 12
+	// manyGroups is the number of groups from which on a tick leaves out those
+	// that were decided on within idleDecide and have nothing under way.
+	manyGroups = 64
+	idleDecide = 500 * time.Millisecond
+
 	// actionQueue is the number of actions that may wait. More are dropped
 	// and decided again later.
 	actionQueue = 4096
 	// probeInterval is the time between two probes of a suspected primary.
 	probeInterval = 100 * time.Millisecond
-	// idleInterval is the time between two decisions of Tick on a group where
-	// nothing is going on.
-	idleInterval = 250 * time.Millisecond
-	// busyTime is how long a group counts as busy after its last action.
-	busyTime = time.Second
 	// divideInterval is the time between two divisions of all connections;
 	// the report of a proxy divides at once.
 	divideInterval = 200 * time.Millisecond
@@ -93,21 +96,28 @@
 		revision uint64
 		changed  chan struct{}
 		// fullAfter is the revision at which a group was last removed.
-		fullAfter     uint64
-		peersRevision uint64
-		keysRevision  uint64
-		keys          []string
-		keyDue        time.Time
-		version       cluster.Version
-		declared      Declared
-		known         bool
-		taken         *state.State
-		divideAt      time.Time
-		groups        map[cluster.GroupName]*group
-		proxies       map[cluster.ProxyName]*proxy
-		ledgers       map[ServerKey]grant.Ledger
-		dropped       map[ServerKey]time.Time
-		order         []grant.Proxy
+		fullAfter uint64
+		// groupsRevision is that of the group that changed last.
+		groupsRevision uint64
+		peersRevision  uint64
+		keysRevision   uint64
+		keys           []string
+		keyDue         time.Time
+		version        cluster.Version
+		declared       Declared
+		known          bool
+		taken          *state.State
+		divideAt       time.Time
+		groups         map[cluster.GroupName]*group
+		proxies        map[cluster.ProxyName]*proxy
+		ledgers        map[ServerKey]grant.Ledger
+		dropped        map[ServerKey]time.Time
+		order          []grant.Proxy
+		// registered holds each proxy's position in order.
+		registered map[cluster.ProxyName]int
+		// users are the proxies that have work for a server.
+		users   map[ServerKey]map[cluster.ProxyName]struct{}
+		contact contact
 	}
 
 	// ServerKey names a server among all groups.
@@ -141,12 +151,12 @@
 		probeAt  time.Time
 		term     cluster.Term
 		verdict  detect.Verdict
-		// idleUntil is when Tick decides next on a group where nothing is
-		// going on; announcements decide too.
-		idleUntil time.Time
-		busyUntil time.Time
-		view      Group
-		factsDue  map[cluster.ServerName]time.Time
+		view     Group
+		factsDue map[cluster.ServerName]time.Time
+		// decided is when the group was last decided on; pending tells that a
+		// term was being established then.
+		decided time.Time
+		pending bool
 	}
 )
 
@@ -162,12 +172,16 @@
 // Actions returns the channel of what the runner has to execute.
 func (c *Coordinator) Actions() <-chan Action { return c.actions }
 
-// Changed returns a channel that is closed at the next change that proxies
-// have to know.
-func (c *Coordinator) Changed() <-chan struct{} {
+// Changed returns a channel that is closed at the next change that all proxies
+// have to know, and one for changes that concern the named proxy alone; that is
+// nil if the proxy isn't known.
+func (c *Coordinator) Changed(name cluster.ProxyName) (all, own <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.changed
+	if p, ok := c.proxies[name]; ok {
+		own = p.changed
+	}
+	return c.changed, own
 }
 
 // Announce takes in what a server announces, or tells why not. Errors:
@@ -181,6 +195,7 @@
 	if _, ok := c.declared.Groups[announcement.Group]; !ok {
 		return eris.Wrapf(ErrUnknownGroup, "group %s", announcement.Group)
 	}
+	c.contact = c.contact.heard(now)
 	g := c.group(announcement.Group)
 	servers, err := registry.Accept(g.servers, announcement, now)
 	if err != nil {
@@ -193,7 +208,7 @@
 	return nil
 }
 
-// Tick decides on all groups that are due.
+// Tick decides on all groups.
 func (c *Coordinator) Tick(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -203,7 +218,7 @@
 	c.tickKeys(now)
 	c.tickProxies(now)
 	for name, g := range c.groups {
-		if now.Before(g.idleUntil) {
+		if len(c.groups) > manyGroups && g.isQuiet(now) {
 			continue
 		}
 		g.servers = registry.Forget(g.servers, now)
@@ -217,6 +232,12 @@
 	c.divideAll(now)
 }
 
+// isQuiet reports whether nothing is under way in a group that was decided on
+// lately. Its servers' announcements lead to decisions too.
+func (g *group) isQuiet(now time.Time) bool {
+	return len(g.reports) == 0 && !g.pending && now.Sub(g.decided) < idleDecide
+}
+
 // Finish takes in the outcome of an action of a plan.
 func (c *Coordinator) Finish(event failover.Event, now time.Time) {
 	c.mu.Lock()
@@ -286,6 +307,8 @@
 	c.proxies = map[cluster.ProxyName]*proxy{}
 	c.ledgers = map[ServerKey]grant.Ledger{}
 	c.dropped = map[ServerKey]time.Time{}
+	c.registered = map[cluster.ProxyName]int{}
+	c.users = map[ServerKey]map[cluster.ProxyName]struct{}{}
 	c.fullAfter = c.bump()
 	c.peersRevision = c.revision
 }
--- a/internal/control/coordinator/decide.go
+++ b/internal/control/coordinator/decide.go
@@ -54,6 +54,8 @@
 	if !ok {
 		record = &state.Group{Name: name}
 	}
+	g.decided = now
+	g.pending = record.Pending != nil || record.Term == 0
 	g.observeStall(record, now)
 	c.judge(g, record, now)
 	situation := failover.Situation{
@@ -69,13 +71,6 @@
 	for i := range actions {
 		c.enqueue(Action{Failover: &actions[i]})
 	}
-	if len(actions) > 0 {
-		g.busyUntil = now.Add(busyTime)
-	}
-	g.idleUntil = now
-	if record.Pending == nil && len(g.reports) == 0 && now.After(g.busyUntil) {
-		g.idleUntil = now.Add(idleInterval)
-	}
 	c.publish(g, record, situation.Drained, now)
 }
 
@@ -99,9 +94,10 @@
 	key := ServerKey{Group: record.Name, Server: record.Primary}
 	count := 0
 	for name, p := range c.proxies {
-		_, uses := p.uses[key]
+		// A proxy also reports servers that it may use but doesn't.
+		use := p.uses[key]
 		_, reports := g.reports[name]
-		if p.isLive(now) && (uses || reports) {
+		if p.isLive(now) && (use.Open > 0 || use.Wanted > 0 || reports) {
 			count++
 		}
 	}
--- a/internal/control/coordinator/proxies.go
+++ b/internal/control/coordinator/proxies.go
@@ -46,11 +46,11 @@
 	// proxy is the soft state of one proxy.
 	proxy struct {
 		Beat
-		heard        time.Time
-		uses         map[ServerKey]grant.Use
+		heard time.Time
+		uses  map[ServerKey]grant.Use
+		// servers are those that the proxy uses or may hold connections to.
+		servers      map[ServerKey]struct{}
 		usesRevision uint64
-		// reported is the revision of the last report to the ledgers.
-		reported uint64
 		// told is set once this leader has the proxy's uses.
 		told           bool
 		grantsRevision uint64
@@ -58,6 +58,8 @@
 		drain          bool
 		drainRevision  uint64
 		registerAt     time.Time
+		// changed is closed when something changed for this proxy alone.
+		changed chan struct{}
 	}
 )
 
@@ -71,6 +73,7 @@
 	if beat.Proxy == "" || len(beat.Proxy) > maxProxyName || beat.Incarnation == 0 {
 		return eris.Wrap(ErrMalformed, "proxy: want a name and an incarnation")
 	}
+	c.contact = c.contact.heard(now)
 	known, ok := c.proxies[beat.Proxy]
 	if ok && known.Incarnation > beat.Incarnation {
 		return eris.Wrapf(ErrMalformed, "proxy %s: a newer incarnation is known", beat.Proxy)
@@ -80,7 +83,11 @@
 		return nil
 	}
 	if !ok || known.Incarnation != beat.Incarnation {
-		known = &proxy{uses: map[ServerKey]grant.Use{}}
+		known = &proxy{
+			uses:    map[ServerKey]grant.Use{},
+			servers: map[ServerKey]struct{}{},
+			changed: make(chan struct{}),
+		}
 		c.proxies[beat.Proxy] = known
 	}
 	changed := !ok || known.Beat.Address != beat.Address || known.Beat.Incarnation != beat.Incarnation
@@ -99,12 +106,11 @@
 	c.register(known, now)
 	c.takeUses(known, beat.Uses, revision)
 	c.takeSuspicions(beat, now)
-	if changed || returned {
-		c.divideAt = now
-	}
-	if beat.Uses != nil {
+	if changed || returned || (beat.Uses != nil && len(c.order) <= fewProxies) {
 		c.takeProxies(c.machine.View(), now)
-		c.divideUsed(beat.Uses, now)
+	}
+	if changed || returned || beat.Uses != nil {
+		c.divide(maps.Keys(known.servers), now)
 	}
 	return nil
 }
@@ -120,7 +126,8 @@
 }
 
 func (c *Coordinator) forgetProxy(beat Beat, now time.Time) {
-	if _, ok := c.proxies[beat.Proxy]; ok {
+	if p, ok := c.proxies[beat.Proxy]; ok {
+		c.takeUsers(p, nil)
 		delete(c.proxies, beat.Proxy)
 		c.peersRevision = c.bump()
 	}
@@ -172,11 +179,19 @@
 		drain := view.Drains[state.DrainKey{Kind: state.DrainProxy, Name: string(name)}]
 		if drain != p.drain {
 			p.drain = drain
-			p.drainRevision = c.bump()
+			c.revision++
+			p.drainRevision = c.revision
+			p.wake()
 		}
 	}
 }
 
+// wake tells the proxy's held heartbeats that something changed for it alone.
+func (p *proxy) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
 func (p *proxy) isLive(now time.Time) bool { return now.Sub(p.heard) <= ProxySilentAfter }
 
 // livePeers returns the live proxies in order of name.
--- a/internal/control/failover/maintain.go
+++ b/internal/control/failover/maintain.go
@@ -84,13 +84,16 @@
 	return d.beginPlanned(state.ReasonSwitchover, target, record.Voters)
 }
 
-// beginPlanned begins a planned change and returns true, unless another one or
-// another term began just now.
+// beginPlanned begins a planned change and returns true, unless another one
+// failed or another term began just now.
 func (d *decider) beginPlanned(reason state.Reason, target cluster.ServerName, voters []cluster.ServerName) bool {
-	if d.now.Before(d.plan.plannedAfter) || d.now.Before(d.plan.next[key{kind: Begin}]) {
+	record := d.s.Record
+	succeeded := record.Term == d.plan.planned.from+1 && record.Primary == d.plan.planned.target
+	if (d.now.Before(d.plan.plannedAfter) && !succeeded) || d.now.Before(d.plan.next[key{kind: Begin}]) {
 		return false
 	}
 	d.plan.plannedAfter = d.now.Add(plannedPause)
+	d.plan.planned = planned{from: record.Term, target: target}
 	d.begin(reason, target, voters)
 	return true
 }
