--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -83,7 +83,8 @@
 	waitPause      = 20 * time.Millisecond
 	beginPause     = 500 * time.Millisecond
 	plannedTimeout = 1500 * time.Millisecond
-	plannedPause   = 5 * time.Second
+	// plannedPause is the time between two planned changes if the first failed.
+	plannedPause = 5 * time.Second
 	// othersTimeout is how long a failover waits for promises of servers other
 	// than the old primary.
 	othersTimeout = 300 * time.Millisecond
@@ -160,6 +161,15 @@
 		wanted *Wanted
 		// plannedAfter is when the next planned change may begin.
 		plannedAfter time.Time
+		// planned is the newest planned change that was begun.
+		planned planned
+	}
+
+	// planned is a planned change: the term that it leaves and the server that
+	// it is for.
+	planned struct {
+		from   cluster.Term
+		target cluster.ServerName
 	}
 
 	// Wanted is an operator's request for a planned switchover.
--- a/internal/control/failover/failover_test.go
+++ b/internal/control/failover/failover_test.go
@@ -36,9 +36,13 @@
 	m.pending = append(m.pending, actions...)
 }
 
-// settle runs the model without faults for a bounded number of steps.
+// settle runs the model without faults for five seconds.
 func (m *model) settle(drained map[cluster.ServerName]bool) {
-	for range 100 {
+	m.settleFor(5*time.Second, drained)
+}
+
+func (m *model) settleFor(d time.Duration, drained map[cluster.ServerName]bool) {
+	for range d / stepTime {
 		m.now = m.now.Add(stepTime)
 		for _, name := range m.names {
 			m.announce(name)
--- a/internal/control/failover/target_test.go
+++ b/internal/control/failover/target_test.go
@@ -106,3 +106,18 @@
 		t.Errorf("begun after %v, want within 1s", begun)
 	}
 }
+
+// TestDrainSoonAfterAPlannedChange drains the server that has just taken over:
+// the pause between planned changes is for those that failed.
+func TestDrainSoonAfterAPlannedChange(t *testing.T) {
+	m := newModel("s1", "s2", "s3")
+	m.settle(nil)
+	first := m.record()
+	m.settleFor(time.Second, map[cluster.ServerName]bool{first.Primary: true})
+	second := m.record()
+	drained := map[cluster.ServerName]bool{first.Primary: true, second.Primary: true}
+	m.settleFor(2*time.Second, drained)
+	if third := m.record(); drained[third.Primary] || third.Pending != nil {
+		t.Errorf("after 2 s the primary is %s, want none of the drained %v", third.Primary, drained)
+	}
+}
