Control's leader waits 3 s before it gives up its lead

Cause: proxies' held calls come about once a second, often all at once; 1.5 s leaves little for a busy machine. Change: the patience is 3 s; a refused announcement counts as contact. Conclusion: control-partial then takes up to 3 s more than a plain failover.

--- a/internal/control/coordinator/contact.go
+++ b/internal/control/coordinator/contact.go
@@ -4,8 +4,9 @@
 
 const (
 	// firstPatience is how long a leader hears no server and no proxy before
-	// it counts as out of their reach.
-	firstPatience = 1500 * time.Millisecond
+	// it counts as out of their reach. Proxies call anew after a hold of one
+	// second, often all at once.
+	firstPatience = 3 * time.Second
 	// maxPatience bounds the patience, which doubles each time that giving up
 	// the lead changed nothing.
 	maxPatience = time.Minute
--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -165,10 +165,10 @@
 	if !c.lead(now) {
 		return eris.Wrap(ErrNotLeader, "announce")
 	}
+	c.contact = c.contact.heard(now)
 	if _, ok := c.declared.Groups[announcement.Group]; !ok {
 		return eris.Wrapf(ErrUnknownGroup, "group %s", announcement.Group)
 	}
-	c.contact = c.contact.heard(now)
 	g := c.group(announcement.Group)
 	servers, err := registry.Accept(g.servers, announcement, now)
 	if err != nil {
