--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -37,6 +37,14 @@
 	// doesn't count as live.
 	ProxySilentAfter = 3 * time.Second
 
+	// fewProxies is the number of proxies that all get a part of each server's
+	// connections, whether they use it or not.
+	fewProxies = 12
+	// manyGroups is the number of groups from which on a tick leaves out those
+	// that were decided on within idleDecide and have nothing under way.
+	manyGroups = 64
+	idleDecide = 500 * time.Millisecond
+
 	// actionQueue is the number of actions that may wait. More are dropped
 	// and decided again later.
 	actionQueue = 4096
@@ -88,22 +96,28 @@
 		revision uint64
 		changed  chan struct{}
 		// fullAfter is the revision at which a group was last removed.
-		fullAfter     uint64
-		peersRevision uint64
-		keysRevision  uint64
-		keys          []string
-		keyDue        time.Time
-		version       cluster.Version
-		declared      Declared
-		known         bool
-		taken         *state.State
-		divideAt      time.Time
-		groups        map[cluster.GroupName]*group
-		proxies       map[cluster.ProxyName]*proxy
-		ledgers       map[ServerKey]grant.Ledger
-		dropped       map[ServerKey]time.Time
-		order         []grant.Proxy
-		contact       contact
+		fullAfter uint64
+		// groupsRevision is that of the group that changed last.
+		groupsRevision uint64
+		peersRevision  uint64
+		keysRevision   uint64
+		keys           []string
+		keyDue         time.Time
+		version        cluster.Version
+		declared       Declared
+		known          bool
+		taken          *state.State
+		divideAt       time.Time
+		groups         map[cluster.GroupName]*group
+		proxies        map[cluster.ProxyName]*proxy
+		ledgers        map[ServerKey]grant.Ledger
+		dropped        map[ServerKey]time.Time
+		order          []grant.Proxy
+		// registered holds each proxy's position in order.
+		registered map[cluster.ProxyName]int
+		// users are the proxies that have work for a server.
+		users   map[ServerKey]map[cluster.ProxyName]struct{}
+		contact contact
 	}
 
 	// ServerKey names a server among all groups.
@@ -124,16 +138,25 @@
 
 	// group is the soft state of one group.
 	group struct {
-		servers  registry.Servers
-		plan     failover.Plan
-		reports  map[cluster.ProxyName]detect.Report
-		probe    detect.Probe
-		stall    detect.Stall
+		servers registry.Servers
+		plan    failover.Plan
+		reports map[cluster.ProxyName]detect.Report
+		probe   detect.Probe
+		stall   detect.Stall
+		pauses  detect.Pauses
+		// silent is the longest silence of the primary that is reported now.
+		silent time.Duration
+		// replaced is the primary that was replaced for its silence.
+		replaced replaced
 		probeAt  time.Time
 		term     cluster.Term
 		verdict  detect.Verdict
 		view     Group
 		factsDue map[cluster.ServerName]time.Time
+		// decided is when the group was last decided on; pending tells that a
+		// term was being established then.
+		decided time.Time
+		pending bool
 	}
 )
 
@@ -149,12 +172,16 @@
 // Actions returns the channel of what the runner has to execute.
 func (c *Coordinator) Actions() <-chan Action { return c.actions }
 
-// Changed returns a channel that is closed at the next change that proxies
-// have to know.
-func (c *Coordinator) Changed() <-chan struct{} {
+// Changed returns a channel that is closed at the next change that all proxies
+// have to know, and one for changes that concern the named proxy alone; that is
+// nil if the proxy isn't known.
+func (c *Coordinator) Changed(name cluster.ProxyName) (all, own <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.changed
+	if p, ok := c.proxies[name]; ok {
+		own = p.changed
+	}
+	return c.changed, own
 }
 
 // Announce takes in what a server announces, or tells why not. Errors:
@@ -175,6 +202,7 @@
 		return err
 	}
 	g.servers = servers
+	g.noteReturn(announcement, now)
 	c.proposeFacts(announcement, now)
 	c.decide(announcement.Group, failover.Event{}, now)
 	return nil
@@ -190,6 +218,9 @@
 	c.tickKeys(now)
 	c.tickProxies(now)
 	for name, g := range c.groups {
+		if len(c.groups) > manyGroups && g.isQuiet(now) {
+			continue
+		}
 		g.servers = registry.Forget(g.servers, now)
 		c.decide(name, failover.Event{}, now)
 	}
@@ -198,7 +229,13 @@
 	}
 	c.divideAt = now.Add(divideInterval)
 	c.takeProxies(c.machine.View(), now)
-	c.divide(now)
+	c.divideAll(now)
+}
+
+// isQuiet reports whether nothing is under way in a group that was decided on
+// lately. Its servers' announcements lead to decisions too.
+func (g *group) isQuiet(now time.Time) bool {
+	return len(g.reports) == 0 && !g.pending && now.Sub(g.decided) < idleDecide
 }
 
 // Finish takes in the outcome of an action of a plan.
@@ -256,6 +293,7 @@
 	c.takeKeys(view)
 	c.takeServers(view, now)
 	c.takeProxies(view, now)
+	c.divideAt = now
 	return true
 }
 
@@ -269,6 +307,8 @@
 	c.proxies = map[cluster.ProxyName]*proxy{}
 	c.ledgers = map[ServerKey]grant.Ledger{}
 	c.dropped = map[ServerKey]time.Time{}
+	c.registered = map[cluster.ProxyName]int{}
+	c.users = map[ServerKey]map[cluster.ProxyName]struct{}{}
 	c.fullAfter = c.bump()
 	c.peersRevision = c.revision
 }
--- a/internal/proxy/daemon/system_test.go
+++ b/internal/proxy/daemon/system_test.go
@@ -151,6 +151,13 @@
 	if got := value(t, reader, "a"); got != "tx" {
 		t.Errorf("aged read = %q, want tx", got)
 	}
+	if _, err := reader.Exec(ctx, "set search_path = 'guild'"); err != nil {
+		t.Errorf("set: %v", err)
+	}
+	put(t, reader, "a", "settings")
+	if got := value(t, writer, "a"); got != "settings" {
+		t.Errorf("value = %q, want settings", got)
+	}
 	t.Run("request identifiers", func(t *testing.T) { testRequestIdentifiers(t, s) })
 }
 
@@ -160,7 +167,15 @@
 	ctx := testContext(t)
 	first := connect(t, s.proxies[0], "burdockwood.request_id=payment-1")
 	second := connect(t, s.proxies[1], "burdockwood.request_id=payment-1")
-	if _, err := first.Exec(ctx, "insert into kv (k, v) values ('count', '0')"); err != nil {
+	// The first use of the table of identifiers is by a transaction.
+	tx, err := first.Begin(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tx.Exec(ctx, "insert into kv (k, v) values ('count', '0')"); err != nil {
+		t.Fatal(err)
+	}
+	if err := tx.Commit(ctx); err != nil {
 		t.Fatal(err)
 	}
 	add := "update kv set v = v + 1 where k = $1"
@@ -176,6 +191,18 @@
 			t.Errorf("after send %d the count is %s, want 1", i, got)
 		}
 	}
+	for i, conn := range []*pgx.Conn{first, second} {
+		if _, err := conn.Exec(ctx, "set burdockwood.request_id = 'payment-4'"); err != nil {
+			t.Fatal(err)
+		}
+		var got string
+		if err := conn.QueryRow(ctx, "insert into kv (k, v) values ($1, 'x') returning k", "paid").Scan(&got); err != nil || got != "paid" {
+			t.Errorf("send %d with rows = %q, %v, want paid", i, got, err)
+		}
+	}
+	if _, err := second.Exec(ctx, "set burdockwood.request_id = 'payment-2'"); err != nil {
+		t.Fatal(err)
+	}
 	if _, err := second.Exec(ctx, add, "another"); state(err) != "22023" {
 		t.Errorf("another request under the identifier = %v, want 22023", err)
 	}
