Proxy: two scenarios tightened so that they fail without their mechanism

Change: the second proxy learns that the replica is fresh before it falls behind; the transaction status of the next caller is checked.

--- a/internal/proxy/daemon/failure_test.go
+++ b/internal/proxy/daemon/failure_test.go
@@ -159,6 +159,9 @@
 	}
 	other := connect(t, p, "")
 	put(t, other, "b", "2")
+	if got := other.PgConn().TxStatus(); got != 'I' {
+		t.Errorf("transaction status of another caller = %c, want I", got)
+	}
 	if got := value(t, other, "a"); got != "" {
 		t.Errorf("value = %q, want nothing of the abandoned transaction", got)
 	}
@@ -219,7 +222,10 @@
 	}{{"carried mark", true}, {"identity", false}}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			// The first replica falls behind from here on.
+			put(t, connect(t, one, ""), "a", "before")
+			waitFor(t, "the second proxy knows that the first replica is fresh", func() bool { return isFresh(two, g.servers[1]) })
+			// The first replica falls behind from here on, though it stays
+			// young enough for the reads below.
 			g.servers[1].set(func(s *fakeServer) { s.detached = true })
 			defer g.servers[1].set(func(s *fakeServer) { s.detached = false })
 			replicas := 0
@@ -252,6 +258,24 @@
 	}
 }
 
+// isFresh reports whether the proxy knows how old the server's data is, and
+// that the server has all of the primary's log.
+func isFresh(p *Proxy, s *fakeServer) bool {
+	group, err := p.registry.Group("ledger", time.Now())
+	if err != nil {
+		return false
+	}
+	s.mu.Lock()
+	received := s.received
+	s.mu.Unlock()
+	for _, progress := range group.Tracker.Progress() {
+		if string(progress.Server) == s.name {
+			return !progress.FreshAt.IsZero() && progress.Applied == received && time.Since(progress.FreshAt) < time.Second
+		}
+	}
+	return false
+}
+
 func closeNow(conn *pgx.Conn) { _ = conn.Close(context.Background()) }
 
 // After a failover the proxy uses the new primary, and the old one's open
