Comments: what a promotion has to do, and when a promise is asked for

Change: the adapter's Promote states that it appends an entry of its term, which failover relies on (an old primary chosen again is told from a promoted one by it); comments of failover name all three actions that need a promise.

--- a/internal/backend/adapter/adapter.go
+++ b/internal/backend/adapter/adapter.go
@@ -91,7 +91,9 @@
 		// Received mark can't change until the server follows or is
 		// promoted in the promised term.
 		Promise(ctx context.Context, term cluster.Term) (cluster.ServerStatus, error)
-		// Promote makes the server primary of a term it has promised.
+		// Promote makes the server primary of a term it has promised. Its log
+		// gets an entry of the term before any other, so that the logs of
+		// earlier terms compare lower. Repeating it changes nothing.
 		Promote(ctx context.Context, term cluster.Term) (cluster.ServerStatus, error)
 		// Follow makes the server a replica of the primary at address in
 		// the term; it promises the term if it has not, and cuts its log
--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -115,7 +115,8 @@
 		// decided.
 		Incarnation cluster.Incarnation
 		// LeastPromised is what the server must have promised before a
-		// Promise or Follow: a voter without a promise has lost its disk.
+		// Promise, Promote or Follow: a voter without a promise has lost its
+		// disk.
 		LeastPromised cluster.Term
 		Begin         state.BeginTerm
 		Commit        state.CommitTerm
@@ -329,8 +330,8 @@
 	d.actions = append(d.actions, action)
 }
 
-// sendToVoter returns a Promise or Follow to a server, or a Repair first if it
-// has lost its disk.
+// sendToVoter sends a Promise or Follow to a server, or first has it committed
+// that the server lost its disk.
 func (d *decider) sendToVoter(action Action) {
 	record := d.s.Record
 	member, ok := record.Members[action.Server]
