Pool: a connection that opens after its grant is gone is closed at once

Ruled out: the hand-over (it has no part in the pool). Change: one function keeps or closes a connection in all three places. Figures: TestGrantTakenBackWhileOpening fails before (1 connection open, want 0) and passes after.

--- a/internal/proxy/pool/pool.go
+++ b/internal/proxy/pool/pool.go
@@ -157,14 +157,18 @@
 func (p *Pool) Release(c *conn.Conn, now time.Time) {
 	c.Touch(now)
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keep(c, now)
+}
+
+// keep hands a connection on, or closes it if it isn't clean or the grant has
+// no room for it. The lock is held.
+func (p *Pool) keep(c *conn.Conn, now time.Time) {
 	if p.closed || !c.IsClean() || p.size-p.closing > p.allowed(now) {
-		p.closing++
-		p.mu.Unlock()
-		p.retire([]*conn.Conn{c})
+		p.retireLater(c)
 		return
 	}
 	p.hand(c)
-	p.mu.Unlock()
 }
 
 // Maintain closes connections that are idle for long or beyond the grant, and
@@ -305,16 +309,10 @@
 		p.mu.Unlock()
 		return
 	}
-	if p.closed {
-		p.size--
-		p.mu.Unlock()
-		c.Close()
-		return
-	}
+	defer p.mu.Unlock()
 	c.Touch(time.Now())
 	p.all[c] = struct{}{}
-	p.hand(c)
-	p.mu.Unlock()
+	p.keep(c, time.Now())
 }
 
 // failing is the number of waiters that learn of a failed opening: all of
@@ -364,7 +362,7 @@
 	}
 	r := <-w.ready
 	if r.conn != nil {
-		p.hand(r.conn)
+		p.keep(r.conn, time.Now())
 	}
 	return ErrNoConnection
 }
--- /dev/null
+++ b/internal/proxy/pool/pool_test.go
@@ -0,0 +1,80 @@
+package pool_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/burdockwood/burdockwood/internal/proxy/conn"
+	"github.com/burdockwood/burdockwood/internal/proxy/pool"
+)
+
+// startServer accepts connections and greets each, until the test ends.
+func startServer(t *testing.T, group *errgroup.Group) netip.AddrPort {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	group.Go(func() error {
+		for {
+			accepted, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			greet(accepted)
+		}
+	})
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func greet(accepted net.Conn) {
+	backend := pgproto3.NewBackend(accepted, accepted)
+	if _, err := backend.ReceiveStartupMessage(); err != nil {
+		return
+	}
+	backend.Send(&pgproto3.AuthenticationOk{})
+	backend.Send(&pgproto3.BackendKeyData{ProcessID: 1, SecretKey: []byte{0, 0, 0, 1}})
+	backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	_ = backend.Flush()
+}
+
+// A grant that is taken back while a connection opens leaves no connection
+// behind: a server that leaves waits for its last one.
+func TestGrantTakenBackWhileOpening(t *testing.T) {
+	var group errgroup.Group
+	address := startServer(t, &group)
+	begin := make(chan struct{})
+	open := func(ctx context.Context, database string) (*conn.Conn, error) {
+		<-begin
+		return conn.Open(ctx, conn.Options{Address: address, User: "u", Database: database})
+	}
+	var openers errgroup.Group
+	p := pool.New(open, func(fn func() error) { openers.Go(fn) })
+	p.SetLimit(pool.Limit{Connections: 1}, time.Now())
+	ctx, cancel := context.WithCancel(context.Background())
+	var waiter errgroup.Group
+	waiter.Go(func() error {
+		c, err := p.Acquire(ctx, "ledger", time.Now())
+		if err == nil {
+			p.Release(c, time.Now())
+		}
+		return nil
+	})
+	for p.Use().Open == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	p.SetLimit(pool.Limit{}, time.Now())
+	cancel()
+	_ = waiter.Wait()
+	close(begin)
+	_ = openers.Wait()
+	if got, want := p.Use().Open, 0; got != want {
+		t.Errorf("%d connections are open without a grant, want %d", got, want)
+	}
+}
