--- a/internal/control/coordinator/proxies.go
+++ b/internal/control/coordinator/proxies.go
@@ -109,7 +109,10 @@
 	if changed || returned || (beat.Uses != nil && len(c.order) <= fewProxies) {
 		c.takeProxies(c.machine.View(), now)
 	}
-	if changed || returned || beat.Uses != nil {
+	switch {
+	case changed || returned:
+		c.divideAll(now)
+	case beat.Uses != nil:
 		c.divide(maps.Keys(known.servers), now)
 	}
 	return nil
