Errors of the vocabulary and of the replicated log come from eris

Change: ErrMark, replica's errors; polls of the platform interface set their deadline on the socket instead of a watched context.

--- a/internal/backend/adapter/server.go
+++ b/internal/backend/adapter/server.go
@@ -61,8 +61,18 @@
 	return nil
 }
 
-// call sends one statement and reads its row.
+// call sends one statement and reads its row. A deadline of ctx is set on the
+// socket: the driver would start a goroutine for each call to watch ctx.
 func (s *server) call(ctx context.Context, words ...string) (cluster.ServerStatus, error) {
+	if err := ctx.Err(); err != nil {
+		return cluster.ServerStatus{}, translate(err)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		if err := s.conn.Conn().SetDeadline(deadline); err != nil {
+			return cluster.ServerStatus{}, translate(err)
+		}
+		ctx = context.Background()
+	}
 	results, err := s.conn.Exec(ctx, strings.Join(words, " ")).ReadAll()
 	if err != nil {
 		return cluster.ServerStatus{}, translate(err)
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -14,19 +14,20 @@
 
 import (
 	"context"
-	"errors"
 	"net/netip"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 )
 
 var (
 	// ErrNotLeader tells that this node doesn't lead; nothing was proposed.
-	ErrNotLeader = errors.New("this control node does not lead")
+	ErrNotLeader = eris.New("this control node does not lead")
 	// ErrUnknownOutcome tells that a command was proposed and may or may not
 	// be committed: leadership was lost or the context ended. Propose it
 	// again under the same identifier.
-	ErrUnknownOutcome = errors.New("the outcome of the command is unknown")
+	ErrUnknownOutcome = eris.New("the outcome of the command is unknown")
 )
 
 type (
--- a/internal/model/cluster/cluster.go
+++ b/internal/model/cluster/cluster.go
@@ -19,6 +19,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 const (
@@ -30,6 +32,9 @@
 	RoleReplica
 )
 
+// ErrMark tells that a text is no mark.
+var ErrMark = eris.New("not a mark: want term/position, both whole numbers")
+
 type (
 	// GroupName names a labelled group of backend servers.
 	GroupName string
@@ -112,19 +117,19 @@
 	return fmt.Sprintf("%d/%d", m.Term, m.Position)
 }
 
-// ParseMark reads the form that Mark.String writes.
+// ParseMark reads the form that Mark.String writes. Errors: ErrMark.
 func ParseMark(text string) (Mark, error) {
 	term, position, ok := strings.Cut(text, "/")
 	if !ok {
-		return Mark{}, fmt.Errorf("mark %q: want term/position", text)
+		return Mark{}, eris.Wrapf(ErrMark, "%q", text)
 	}
 	t, err := strconv.ParseUint(term, 10, 64)
 	if err != nil {
-		return Mark{}, fmt.Errorf("mark %q: term: %w", text, err)
+		return Mark{}, eris.Wrapf(ErrMark, "%q: term: %v", text, err)
 	}
 	p, err := strconv.ParseUint(position, 10, 64)
 	if err != nil {
-		return Mark{}, fmt.Errorf("mark %q: position: %w", text, err)
+		return Mark{}, eris.Wrapf(ErrMark, "%q: position: %v", text, err)
 	}
 	return Mark{Term: Term(t), Position: Position(p)}, nil
 }
