A lost text that may have committed is unknown, also within a transaction

Cause: found by reading. Within an open transaction a text or pipeline of several statements with a COMMIT among them, whose answer was lost, was reported as rolled back and not run, although it may have committed. Ruled out: the single COMMIT (reported as unknown already); texts outside a transaction (unknown already). Change: several statements of which one may write count as a possible commit.

--- a/internal/proxy/caller/serve.go
+++ b/internal/proxy/caller/serve.go
@@ -246,5 +246,10 @@
 // mayCommit reports whether a lost answer may hide a commit.
 func (s *Session) mayCommit() bool {
 	kind := s.request.Kind
-	return kind == classify.Commit || (kind >= classify.Write && s.status == wire.StatusIdle)
+	if kind == classify.Commit {
+		return true
+	}
+	// A text or pipeline of several statements may hold a commit.
+	several := s.request.About.Count > 1
+	return kind >= classify.Write && (s.status == wire.StatusIdle || several)
 }
--- a/internal/proxy/daemon/failure_test.go
+++ b/internal/proxy/daemon/failure_test.go
@@ -144,6 +144,31 @@
 	}
 }
 
+// A text that commits among other statements may have committed when its
+// answer is lost, also within a transaction that began before.
+func TestLostTextThatCommits(t *testing.T) {
+	texts := []string{
+		"update kv set v = '2' where k = 'a'; commit",
+		"commit; update kv set v = '2' where k = 'a'",
+	}
+	for _, text := range texts {
+		t.Run(text, func(t *testing.T) {
+			g := newFakeGroup(t, 3)
+			p, _ := startProxy(t, "p1", g, newFakeControl(t, standardResponse(g, 1)), nil)
+			conn := connect(t, p, "")
+			ctx := testContext(t)
+			if _, err := conn.Exec(ctx, "begin"); err != nil {
+				t.Fatal(err)
+			}
+			g.servers[0].set(func(s *fakeServer) { s.hook = func(string) error { return errBreak } })
+			_, err := conn.PgConn().Exec(ctx, text).ReadAll()
+			if got, want := state(err), "08007"; got != want {
+				t.Errorf("lost text = %v, want SQLSTATE %s", err, want)
+			}
+		})
+	}
+}
+
 // A caller that leaves in the middle of a transaction leaves none open.
 func TestAbandonedTransactionIsNotJoined(t *testing.T) {
 	g := newFakeGroup(t, 3)
