--- a/internal/scenario/script/link_test.go
+++ b/internal/scenario/script/link_test.go
@@ -79,6 +79,19 @@
 	}
 }
 
+// only cuts a proxy or server off from all control nodes but the named one.
+func (p *processes) only(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: only NAME NODE")
+	}
+	found := p.linksOf(ts, args[0])
+	for i, r := range found.announce {
+		if "control-"+letters[i] != args[1] {
+			r.Set(relay.Cut)
+		}
+	}
+}
+
 // heal ends what cut began.
 func (p *processes) heal(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) != 1 {
--- a/internal/scenario/script/process_test.go
+++ b/internal/scenario/script/process_test.go
@@ -136,6 +136,20 @@
 	}
 }
 
+// logged waits until the log of a process holds a text.
+func logged(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: logged NAME TEXT")
+	}
+	end := time.Now().Add(exitWithin)
+	for !strings.Contains(ts.ReadFile(args[0]+".log"), args[1]) {
+		if !time.Now().Before(end) {
+			ts.Fatalf("%s has not logged %s within %v", args[0], args[1], exitWithin)
+		}
+		time.Sleep(retryPause)
+	}
+}
+
 func (p *processes) find(ts *testscript.TestScript, name string) *process {
 	found, ok := p.byName[name]
 	if !ok {
--- a/internal/scenario/script/script_test.go
+++ b/internal/scenario/script/script_test.go
@@ -35,6 +35,8 @@
 			"disk":       disk,
 			"replaced":   replaced,
 			"cut":        withProcesses((*processes).cut),
+			"logged":     logged,
+			"only":       withProcesses((*processes).only),
 			"heal":       withProcesses((*processes).heal),
 			"pause":      pause,
 			"connect":    withSessions((*sessions).connect),
