One pause and one reader of passwords

Cause: reading the change again: six packages had the same wait that a context cuts short, and control and the proxy each read the password file, control the whole file and the proxy its first line: a second line gave them different passwords for the same backend servers. Ruled out: keys.LoadSecret for passwords (it watches its file and refuses an empty one, which is a valid password file here). For control, a file with more than one line now gives its first.

--- a/internal/cli/apply/wait.go
+++ b/internal/cli/apply/wait.go
@@ -11,6 +11,7 @@
 
 	"github.com/burdockwood/burdockwood/internal/cli/exit"
 	"github.com/burdockwood/burdockwood/internal/cli/factory"
+	"github.com/burdockwood/burdockwood/internal/model/pause"
 	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
 )
 
@@ -52,7 +53,7 @@
 			fmt.Fprintln(f.Streams.Err, line)
 			last = line
 		}
-		if !pause(ctx) {
+		if !pause.For(ctx, pollInterval) {
 			return exit.New(exit.WaitedInVain, exit.Detail(errWait, "%s", last), "look at these proxies with \"burdockwood proxy list\"")
 		}
 	}
@@ -85,15 +86,3 @@
 	}
 	return "; not heard of: " + strings.Join(p.silent, ", ")
 }
-
-// pause waits until the next look; false if ctx ended.
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(pollInterval)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/cli/top/top.go
+++ b/internal/cli/top/top.go
@@ -28,6 +28,7 @@
 	"github.com/burdockwood/burdockwood/internal/cli/factory"
 	"github.com/burdockwood/burdockwood/internal/cli/output"
 	"github.com/burdockwood/burdockwood/internal/config/settings"
+	"github.com/burdockwood/burdockwood/internal/model/pause"
 )
 
 const (
@@ -136,7 +137,7 @@
 		if err := output.Write(f.Streams, columns, now.rows, options.JSON); err != nil {
 			return err
 		}
-		if n == count || !pause(ctx, options.Interval) {
+		if n == count || !pause.For(ctx, options.Interval) {
 			return nil
 		}
 		last = now
@@ -215,14 +216,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, interval time.Duration) bool {
-	timer := time.NewTimer(interval)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/control/daemon/daemon.go
+++ b/internal/control/daemon/daemon.go
@@ -17,8 +17,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
-	"strings"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -72,9 +70,9 @@
 	if err != nil {
 		return nil, eris.Wrapf(ErrStart, "%v", err)
 	}
-	password, err := readSecret(options.BackendPassword)
+	password, err := keys.ReadSecret(options.BackendPassword)
 	if err != nil {
-		return nil, err
+		return nil, eris.Wrapf(ErrStart, "--backend-password-file: %v", err)
 	}
 	listener, err := net.Listen("tcp", options.Listen)
 	if err != nil {
@@ -194,15 +192,3 @@
 		}
 	}
 }
-
-// readSecret reads a file with a secret; no file: no secret.
-func readSecret(path string) (string, error) {
-	if path == "" {
-		return "", nil
-	}
-	content, err := os.ReadFile(path)
-	if err != nil {
-		return "", eris.Wrapf(ErrStart, "%v", err)
-	}
-	return strings.TrimSpace(string(content)), nil
-}
--- a/internal/ops/keys/keys.go
+++ b/internal/ops/keys/keys.go
@@ -61,6 +61,20 @@
 	return c, nil
 }
 
+// ReadSecret returns the first line of a file, such as a password, without the
+// space around it. Without a file name there is no secret: it returns "".
+func ReadSecret(file string) (string, error) {
+	if file == "" {
+		return "", nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return "", eris.Wrap(err, "read the secret")
+	}
+	line, _, _ := strings.Cut(string(text), "\n")
+	return strings.TrimSpace(line), nil
+}
+
 // LoadSecret reads a secret from a file.
 func LoadSecret(file string) (*Secret, error) {
 	s := &Secret{file: file}
--- a/internal/ops/keys/keys_test.go
+++ b/internal/ops/keys/keys_test.go
@@ -16,6 +16,17 @@
 	"github.com/burdockwood/burdockwood/internal/ops/keys"
 )
 
+func TestReadSecretTakesTheFirstLine(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "password")
+	if err := os.WriteFile(file, []byte(" secret \na remark\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	got, err := keys.ReadSecret(file)
+	if want := "secret"; err != nil || got != want {
+		t.Errorf("ReadSecret = %q, %v, want %q", got, err, want)
+	}
+}
+
 func TestSecretReload(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "key")
 	write(t, file, " first \n")
--- a/internal/proxy/caller/attempt.go
+++ b/internal/proxy/caller/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/burdockwood/burdockwood/internal/backend/adapter"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/pause"
 	"github.com/burdockwood/burdockwood/internal/proxy/classify"
 	"github.com/burdockwood/burdockwood/internal/proxy/confirm"
 	"github.com/burdockwood/burdockwood/internal/proxy/conn"
@@ -100,7 +101,7 @@
 			return target{server: server, term: term, primary: chosen.Primary}, done
 		case route.WaitReplica:
 			j.waited = true
-			if !pause(ctx, decision.Wait) {
+			if !pause.For(ctx, decision.Wait) {
 				return target{}, notRun("deadline passed", retryAfter)
 			}
 		default:
--- a/internal/proxy/caller/serve.go
+++ b/internal/proxy/caller/serve.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/burdockwood/burdockwood/internal/config/declaration"
+	"github.com/burdockwood/burdockwood/internal/model/pause"
 	"github.com/burdockwood/burdockwood/internal/proxy/admit"
 	"github.com/burdockwood/burdockwood/internal/proxy/choose"
 	"github.com/burdockwood/burdockwood/internal/proxy/classify"
@@ -204,7 +205,7 @@
 		if !decision.Retry || s.answer.spilled {
 			return s.final(end)
 		}
-		if !pause(ctx, decision.Pause) {
+		if !pause.For(ctx, decision.Pause) {
 			return s.final(end)
 		}
 		s.shared.Meter.Retry()
@@ -232,17 +233,6 @@
 	return outcome.NotRun(outcome.StateRefused, err.Error(), retryAfter)
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // mayCommit reports whether a lost answer may hide a commit.
 func (s *Session) mayCommit() bool {
 	kind := s.request.Kind
--- a/internal/proxy/daemon/setup.go
+++ b/internal/proxy/daemon/setup.go
@@ -4,8 +4,6 @@
 	"crypto/tls"
 	"net"
 	"net/netip"
-	"os"
-	"strings"
 
 	"github.com/rotisserie/eris"
 
@@ -33,9 +31,9 @@
 
 // readFiles reads the files that the settings name.
 func (p *Proxy) readFiles() error {
-	password, err := readSecret(p.options.BackendPassword)
+	password, err := keys.ReadSecret(p.options.BackendPassword)
 	if err != nil {
-		return err
+		return eris.Wrapf(ErrSettings, "--backend-password-file: %v", err)
 	}
 	p.credentials = adapter.Credentials{User: p.options.BackendUser, Password: password}
 	passwords, err := authn.LoadFile(p.options.PasswordFile)
@@ -74,19 +72,6 @@
 	return nil
 }
 
-// readSecret reads the first line of a file; no name, no secret.
-func readSecret(name string) (string, error) {
-	if name == "" {
-		return "", nil
-	}
-	text, err := os.ReadFile(name)
-	if err != nil {
-		return "", eris.Wrap(ErrSettings, err.Error())
-	}
-	line, _, _ := strings.Cut(string(text), "\n")
-	return strings.TrimSpace(line), nil
-}
-
 // addresses parses the addresses of the control nodes.
 func addresses(texts []string) ([]netip.AddrPort, error) {
 	if len(texts) == 0 {
--- a/internal/proxy/heartbeat/heartbeat.go
+++ b/internal/proxy/heartbeat/heartbeat.go
@@ -22,6 +22,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/burdockwood/burdockwood/internal/model/pause"
 	"github.com/burdockwood/burdockwood/internal/proxy/upstream"
 	"github.com/burdockwood/burdockwood/internal/proxy/view"
 	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
@@ -93,7 +94,7 @@
 func (b *Beat) Hold(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if !b.call(ctx, holdTime, holdTime+holdMargin) {
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 		}
 	}
 	return nil
@@ -108,7 +109,7 @@
 		case <-b.urgent:
 		}
 		b.call(ctx, time.Millisecond, hurryTimeout)
-		pause(ctx, hurryPause)
+		pause.For(ctx, hurryPause)
 	}
 	return nil
 }
@@ -247,12 +248,3 @@
 	defer b.mu.Unlock()
 	return b.reached
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/proxy/watch/watch.go
+++ b/internal/proxy/watch/watch.go
@@ -23,6 +23,7 @@
 
 	"github.com/burdockwood/burdockwood/internal/backend/adapter"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/pause"
 	"github.com/burdockwood/burdockwood/internal/proxy/confirm"
 )
 
@@ -139,7 +140,7 @@
 		})
 		w.judge(ctx, err, sent)
 		if err != nil {
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 			continue
 		}
 		w.options.Tracker.Observe(w.options.Server, sent, status)
@@ -193,7 +194,7 @@
 			return server.Wait(ctx, mark, waitTime)
 		})
 		if err != nil {
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 			continue
 		}
 		w.options.Tracker.Observe(w.options.Server, sent, status)
@@ -267,12 +268,3 @@
 	default:
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/rpc/leader/leader.go
+++ b/internal/rpc/leader/leader.go
@@ -24,6 +24,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/twitchtv/twirp"
 
+	"github.com/burdockwood/burdockwood/internal/model/pause"
 	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
 	"github.com/burdockwood/burdockwood/internal/rpc/transport"
 )
@@ -94,7 +95,7 @@
 		if (tries+1)%len(c.nodes) != 0 {
 			continue
 		}
-		if !pause(ctx) {
+		if !pause.For(ctx, retryPause) {
 			return eris.Wrapf(ErrNoLeader, "last answer: %v", last)
 		}
 	}
@@ -148,15 +149,3 @@
 		return false
 	}
 }
-
-// pause waits before the next round of tries; false if ctx ended.
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(retryPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
