A restarted proxy hears of the shares that it has

Cause: reading the change again: since heartbeats touch only a proxy's own servers, a proxy that started again under its name had none, so its shares were neither told nor taken as unused until it reported a use; with many proxies the record of what its earlier start used was never cleared.

--- a/internal/control/coordinator/capacity_test.go
+++ b/internal/control/coordinator/capacity_test.go
@@ -22,6 +22,7 @@
 // crowd is a coordinator with many groups in force and their proxies.
 type crowd struct {
 	c        *coordinator.Coordinator
+	log      *single.Log
 	now      time.Time
 	groups   int
 	last     coordinator.Answer
@@ -29,7 +30,7 @@
 	beat     func(proxy int)
 }
 
-func newCrowd(b *testing.B, groups int) *crowd {
+func newCrowd(b testing.TB, groups int) *crowd {
 	b.Helper()
 	machine := state.New()
 	log := single.New(machine, "control-1", netip.MustParseAddrPort("127.0.0.1:1"))
@@ -38,7 +39,7 @@
 		declared.Groups[groupName(i)] = coordinator.DeclaredGroup{Servers: serversOfAGroup}
 	}
 	c := coordinator.New(log, machine, func(string) (coordinator.Declared, error) { return declared, nil })
-	w := &crowd{c: c, now: time.Unix(1_000_000, 0), groups: groups}
+	w := &crowd{c: c, log: log, now: time.Unix(1_000_000, 0), groups: groups}
 	for i := range groups {
 		commitGroup(b, log, i)
 	}
@@ -120,7 +121,7 @@
 	}
 }
 
-func commitGroup(b *testing.B, log *single.Log, i int) {
+func commitGroup(b testing.TB, log *single.Log, i int) {
 	var members []state.Member
 	var voters []cluster.ServerName
 	for s := range serversOfAGroup {
@@ -135,7 +136,7 @@
 	propose(b, log, state.Command{Commit: &state.CommitTerm{Group: groupName(i), Term: 1, Primary: voters[0]}})
 }
 
-func propose(b *testing.B, log *single.Log, command state.Command) {
+func propose(b testing.TB, log *single.Log, command state.Command) {
 	b.Helper()
 	if _, err := state.Propose(b.Context(), log, command); err != nil {
 		b.Fatalf("Propose: %v", err)
--- a/internal/control/coordinator/proxies.go
+++ b/internal/control/coordinator/proxies.go
@@ -83,11 +83,7 @@
 		return nil
 	}
 	if !ok || known.Incarnation != beat.Incarnation {
-		known = &proxy{
-			uses:    map[ServerKey]grant.Use{},
-			servers: map[ServerKey]struct{}{},
-			changed: make(chan struct{}),
-		}
+		known = newProxy(known)
 		c.proxies[beat.Proxy] = known
 	}
 	changed := !ok || known.Beat.Address != beat.Address || known.Beat.Incarnation != beat.Incarnation
@@ -118,6 +114,20 @@
 	return nil
 }
 
+// newProxy returns the soft state of a proxy that has just started. Shares
+// belong to its name, so it takes over the servers of its earlier start, if any.
+func newProxy(earlier *proxy) *proxy {
+	p := &proxy{
+		uses:    map[ServerKey]grant.Use{},
+		servers: map[ServerKey]struct{}{},
+		changed: make(chan struct{}),
+	}
+	if earlier != nil {
+		p.servers = earlier.servers
+	}
+	return p
+}
+
 // register proposes to register the proxy if its incarnation isn't yet.
 func (c *Coordinator) register(p *proxy, now time.Time) {
 	registered, ok := c.machine.View().Proxies[p.Proxy]
