--- a/cmd/burdockwood/main.go
+++ b/cmd/burdockwood/main.go
@@ -2,11 +2,9 @@
 package main
 
 import (
-	"fmt"
 	"os"
+
+	"github.com/burdockwood/burdockwood/internal/cli/root"
 )
 
-func main() {
-	fmt.Fprintln(os.Stderr, "burdockwood: no command is built yet")
-	os.Exit(1)
-}
+func main() { os.Exit(root.Main()) }
--- /dev/null
+++ b/internal/cli/apply/apply.go
@@ -0,0 +1,192 @@
+// Package apply holds the command that puts declarations from files in force.
+//
+// # Usage
+//
+//	cmd := apply.NewCmdApply(f)
+package apply
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"os/user"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockwood/burdockwood/internal/cli/command"
+	"github.com/burdockwood/burdockwood/internal/cli/declared"
+	"github.com/burdockwood/burdockwood/internal/cli/exit"
+	"github.com/burdockwood/burdockwood/internal/cli/factory"
+	"github.com/burdockwood/burdockwood/internal/config/declaration"
+	"github.com/burdockwood/burdockwood/internal/config/settings"
+	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
+)
+
+const changeIDBytes = 12
+
+var errRefused = eris.New("control refused the change")
+
+type applyOptions struct {
+	settings.Client
+	factory.Confirmation
+	Folder   string        `short:"f" long:"folder" value-name:"DIR" description:"folder with .yaml files, read with its subfolders"`
+	DryRun   bool          `long:"dry-run" description:"show the difference and change nothing"`
+	Wait     bool          `long:"wait" description:"wait until every live proxy has the version in force"`
+	WaitTime time.Duration `long:"wait-time" default:"30s" description:"most time to wait"`
+	ChangeID string        `long:"change-id" value-name:"ID" description:"identifier of the change; the same one again gets the first answer"`
+	Expect   string        `long:"expect-version" value-name:"N" description:"version that the change builds on; without it the version in force"`
+	Author   string        `long:"author" env:"BURDOCKWOOD_AUTHOR" description:"who changes; without it the user's name"`
+}
+
+// NewCmdApply returns the command "apply".
+func NewCmdApply(f *factory.Factory) *command.Command {
+	options := &applyOptions{}
+	return &command.Command{
+		Name:  "apply",
+		Short: "Put declarations from files in force",
+		Long: `Put declarations from files in force. The files hold all groups and selectors:
+what they leave out is removed. A change builds on one version; if another
+change came first, control refuses this one and tells which won (exit code 4).
+After a lost answer, run the same command again: the change's identifier is
+made from its content, so it is accepted at most once.`,
+		Example: `burdockwood apply -f examples/guild --dry-run
+burdockwood apply -f examples/guild --wait
+burdockwood apply -f declarations --expect-version 41 --change-id release-7 --yes`,
+		Options: options,
+		Run: func(ctx context.Context, _ command.Call) error {
+			return applyRun(ctx, f, options)
+		},
+	}
+}
+
+// Check returns the faults of the flags.
+func (o *applyOptions) Check() settings.Faults {
+	faults := o.Client.Check()
+	if o.Folder == "" {
+		faults = append(faults, settings.Fault{Setting: "--folder", Text: "is missing", Fix: "name the folder with -f"})
+	}
+	if _, err := strconv.ParseUint(o.Expect, 10, 64); o.Expect != "" && err != nil {
+		faults = append(faults, settings.Fault{Setting: "--expect-version", Text: fmt.Sprintf("%q is not a version", o.Expect), Fix: "write a whole number"})
+	}
+	return faults
+}
+
+func applyRun(ctx context.Context, f *factory.Factory, options *applyOptions) error {
+	next, err := declared.FromFolder(options.Folder)
+	if err != nil {
+		return err
+	}
+	current, err := declared.FromControl(ctx, f, options.Client, 0)
+	if err != nil {
+		return err
+	}
+	differences := current.Declarations.Diff(next)
+	if options.DryRun {
+		return dryRun(f, current, differences)
+	}
+	if len(differences) == 0 && options.ChangeID == "" && options.Expect == "" {
+		if _, err := fmt.Fprintf(f.Streams.Out, "version %d is in force already, nothing to change\n", current.Version); err != nil {
+			return err
+		}
+		return waitIfAsked(ctx, f, options, current.Version)
+	}
+	if err := confirmRemovals(f, options, differences); err != nil {
+		return err
+	}
+	request, err := newRequest(options, next, current.Version)
+	if err != nil {
+		return err
+	}
+	version, err := send(ctx, f, options, request)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(f.Streams.Out, "version %d is accepted (%d differences, change %s)\n", version, len(differences), request.GetChangeId()); err != nil {
+		return err
+	}
+	return waitIfAsked(ctx, f, options, version)
+}
+
+func dryRun(f *factory.Factory, current declared.Current, differences []declaration.Difference) error {
+	if err := declared.WriteDiff(f.Streams.Out, differences); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(f.Streams.Out, "%d differences from version %d; nothing was changed\n", len(differences), current.Version)
+	return err
+}
+
+// confirmRemovals asks before groups or selectors are removed.
+func confirmRemovals(f *factory.Factory, options *applyOptions, differences []declaration.Difference) error {
+	removed := 0
+	for _, d := range differences {
+		if d.Action == declaration.Removed {
+			removed++
+		}
+	}
+	if removed == 0 {
+		return nil
+	}
+	return f.Confirm(options.Confirmation, fmt.Sprintf("Remove %d groups or selectors that the files leave out?", removed))
+}
+
+func newRequest(options *applyOptions, next *declaration.Declarations, version uint64) (*controlpb.ApplyRequest, error) {
+	text, err := next.Marshal()
+	if err != nil {
+		return nil, err
+	}
+	if options.Expect != "" {
+		// Check has parsed it.
+		version, _ = strconv.ParseUint(options.Expect, 10, 64)
+	}
+	request := &controlpb.ApplyRequest{
+		Declarations:  text,
+		ExpectVersion: version,
+		ChangeId:      options.ChangeID,
+		Author:        author(options.Author),
+	}
+	if request.ChangeId == "" {
+		request.ChangeId = contentID(request)
+	}
+	return request, nil
+}
+
+// contentID makes the identifier of a change from its content, so that the
+// same command run again is the same change.
+func contentID(request *controlpb.ApplyRequest) string {
+	sum := sha256.Sum256(fmt.Appendf(nil, "%d\n%s\n%s", request.GetExpectVersion(), request.GetAuthor(), request.GetDeclarations()))
+	return hex.EncodeToString(sum[:changeIDBytes])
+}
+
+func author(given string) string {
+	if given != "" {
+		return given
+	}
+	current, err := user.Current()
+	if err != nil {
+		return "unknown"
+	}
+	return current.Username
+}
+
+// send applies the change and returns its version.
+func send(ctx context.Context, f *factory.Factory, options *applyOptions, request *controlpb.ApplyRequest) (uint64, error) {
+	response, err := factory.Call(ctx, f, options.Client, func(ctx context.Context, c controlpb.Control) (*controlpb.ApplyResponse, error) {
+		return c.Apply(ctx, request)
+	})
+	if err != nil {
+		return 0, err
+	}
+	if response.GetAccepted() {
+		return response.GetVersion(), nil
+	}
+	refused := exit.Detail(errRefused, "version %d is in force: %s", response.GetVersion(), response.GetReason())
+	if response.GetWinnerChangeId() == "" {
+		return 0, exit.New(exit.Refused, refused, "see \"burdockwood config history\"")
+	}
+	fix := fmt.Sprintf("change %s of %s came first: look at it with \"burdockwood config diff %d %d\", merge it into your files and apply again",
+		response.GetWinnerChangeId(), response.GetWinnerAuthor(), request.GetExpectVersion(), response.GetVersion())
+	return 0, exit.New(exit.Refused, refused, fix)
+}
--- a/internal/cli/command/command.go
+++ b/internal/cli/command/command.go
@@ -128,7 +128,7 @@
 	}
 	given := len(parsed.Arguments)
 	if given < c.LeastArguments || given > c.MostArguments {
-		return exit.New(exit.Usage, eris.Wrapf(errUsage, "%s takes the arguments %q, given: %q", c.Path(), c.Arguments, parsed.Arguments), fmt.Sprintf("see \"%s --help\"", c.Path()))
+		return exit.New(exit.Usage, exit.Detail(errUsage, "%s takes the arguments %q, given: %q", c.Path(), c.Arguments, parsed.Arguments), fmt.Sprintf("see \"%s --help\"", c.Path()))
 	}
 	return c.Run(ctx, Call{Arguments: parsed.Arguments, Settings: parsed})
 }
@@ -163,7 +163,7 @@
 	if near, ok := nearest.Name(name, known); ok {
 		fix = fmt.Sprintf("did you mean \"%s %s\"?", c.Path(), near)
 	}
-	return nil, exit.New(exit.Usage, eris.Wrapf(errUsage, "%q is not a command of %s", name, c.Path()), fix)
+	return nil, exit.New(exit.Usage, exit.Detail(errUsage, "%q is not a command of %s", name, c.Path()), fix)
 }
 
 func wantsHelp(args []string) bool {
--- /dev/null
+++ b/internal/cli/control/run.go
@@ -0,0 +1,42 @@
+package control
+
+import (
+	"context"
+
+	"github.com/go-logr/logr"
+
+	"github.com/burdockwood/burdockwood/internal/cli/command"
+	"github.com/burdockwood/burdockwood/internal/cli/factory"
+	"github.com/burdockwood/burdockwood/internal/cli/role"
+	"github.com/burdockwood/burdockwood/internal/config/settings"
+)
+
+type runOptions struct {
+	settings.Control
+	role.Mode
+}
+
+func newCmdRun(f *factory.Factory) *command.Command {
+	options := &runOptions{}
+	return &command.Command{
+		Name:  "run",
+		Short: "Run a control node until SIGTERM",
+		Long: `Run a control node until SIGTERM. Three nodes survive the loss of one, five of
+two. State lives under the data folder only.`,
+		Example: `burdockwood control run --name control-1 --data-centre perth-a --listen 10.0.0.1:7400 --data /var/lib/burdockwood --peer control-1=10.0.0.1:7400 --peer control-2=10.0.0.2:7400 --peer control-3=10.0.0.3:7400
+burdockwood control run --print-settings`,
+		Options: options,
+		Run: func(ctx context.Context, call command.Call) error {
+			return runRun(ctx, f, options, call)
+		},
+	}
+}
+
+func runRun(ctx context.Context, f *factory.Factory, options *runOptions, call command.Call) error {
+	return role.Run(ctx, f.Streams, call.Settings, options.Mode, role.Start{
+		Name:   "control",
+		Common: options.Common,
+		Listen: map[string]string{"listen": options.Listen},
+		New:    func(logger logr.Logger) (role.Role, error) { return f.StartControl(options.Control, logger) },
+	})
+}
--- a/internal/cli/exit/exit.go
+++ b/internal/cli/exit/exit.go
@@ -12,6 +12,7 @@
 
 import (
 	"errors"
+	"fmt"
 
 	"github.com/twitchtv/twirp"
 
@@ -46,8 +47,24 @@
 		// Fix tells the operator what to do; may be empty.
 		Fix string
 	}
+
+	detailed struct {
+		err  error
+		text string
+	}
 )
 
+// Detail returns err with a detail after it: "err: detail".
+func Detail(err error, format string, args ...any) error {
+	return &detailed{err: err, text: fmt.Sprintf(format, args...)}
+}
+
+// Error returns the error and the detail.
+func (d *detailed) Error() string { return d.err.Error() + ": " + d.text }
+
+// Unwrap returns the error inside.
+func (d *detailed) Unwrap() error { return d.err }
+
 // New returns an error with a code and a fix.
 func New(code Code, err error, fix string) *Error { return &Error{Code: code, Err: err, Fix: fix} }
 
--- a/internal/cli/factory/factory.go
+++ b/internal/cli/factory/factory.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"time"
@@ -22,7 +23,10 @@
 
 	"github.com/burdockwood/burdockwood/internal/cli/exit"
 	"github.com/burdockwood/burdockwood/internal/cli/iostreams"
+	"github.com/burdockwood/burdockwood/internal/cli/role"
 	"github.com/burdockwood/burdockwood/internal/config/settings"
+	controldaemon "github.com/burdockwood/burdockwood/internal/control/daemon"
+	proxydaemon "github.com/burdockwood/burdockwood/internal/proxy/daemon"
 	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
 	"github.com/burdockwood/burdockwood/internal/rpc/leader"
 	"github.com/burdockwood/burdockwood/internal/rpc/transport"
@@ -33,10 +37,7 @@
 	tryTimeout  = 2 * time.Second
 )
 
-var (
-	errNotBuilt = eris.New("this role is not part of this program")
-	errDeclined = eris.New("nothing was changed")
-)
+var errDeclined = eris.New("nothing was changed")
 
 type (
 	// Factory holds what commands need from outside.
@@ -47,9 +48,9 @@
 		Version     string
 		// Client returns a client of the control nodes.
 		Client func(options settings.Client) (*leader.Client, *http.Client, error)
-		// RunProxy and RunControl run a role until ctx ends.
-		RunProxy   func(ctx context.Context, options settings.Proxy, logger logr.Logger) error
-		RunControl func(ctx context.Context, options settings.Control, logger logr.Logger) error
+		// StartProxy and StartControl prepare a role; its Run serves.
+		StartProxy   func(options settings.Proxy, logger logr.Logger) (role.Role, error)
+		StartControl func(options settings.Control, logger logr.Logger) (role.Role, error)
 	}
 
 	// Confirmation is the flag of commands that ask before they act.
@@ -66,11 +67,11 @@
 		Environment: os.Environ(),
 		Version:     version,
 		Client:      newClient,
-		RunProxy: func(context.Context, settings.Proxy, logr.Logger) error {
-			return errNotBuilt
+		StartProxy: func(options settings.Proxy, logger logr.Logger) (role.Role, error) {
+			return proxydaemon.New(options, logger)
 		},
-		RunControl: func(context.Context, settings.Control, logr.Logger) error {
-			return errNotBuilt
+		StartControl: func(options settings.Control, logger logr.Logger) (role.Role, error) {
+			return role.Func(func(ctx context.Context) error { return controldaemon.Run(ctx, options, logger) }), nil
 		},
 	}
 }
@@ -113,7 +114,7 @@
 		return nil
 	}
 	if !f.Streams.CanPrompt {
-		return exit.New(exit.Usage, eris.Wrapf(errDeclined, "%s", question), "add --yes to act without a question")
+		return exit.New(exit.Usage, exit.Detail(errDeclined, "%s", question), "add --yes to act without a question")
 	}
 	ok, err := f.Streams.Confirm(question)
 	if err != nil {
@@ -133,3 +134,21 @@
 	httpClient := transport.NewClient(key, transport.Options{})
 	return leader.New(options.ControlAddresses(), httpClient), httpClient, nil
 }
+
+// Drain asks that a server ("group/server") or proxy gets no new work, or
+// ends that.
+func Drain(ctx context.Context, f *Factory, options settings.Client, kind, name string, undo bool) error {
+	request := &controlpb.DrainRequest{Kind: kind, Name: name, Undo: undo}
+	_, err := Call(ctx, f, options, func(ctx context.Context, c controlpb.Control) (*controlpb.DrainResponse, error) {
+		return c.Drain(ctx, request)
+	})
+	if err != nil {
+		return err
+	}
+	state := "draining"
+	if undo {
+		state = "takes work again"
+	}
+	_, err = fmt.Fprintf(f.Streams.Out, "%s %s: %s\n", kind, name, state)
+	return err
+}
--- /dev/null
+++ b/internal/cli/root/root.go
@@ -0,0 +1,72 @@
+// Package root is the program burdockwood: all commands together.
+//
+// # Usage
+//
+//	func main() { os.Exit(root.Main()) }
+package root
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/burdockwood/burdockwood/internal/cli/apply"
+	"github.com/burdockwood/burdockwood/internal/cli/command"
+	"github.com/burdockwood/burdockwood/internal/cli/control"
+	"github.com/burdockwood/burdockwood/internal/cli/exit"
+	"github.com/burdockwood/burdockwood/internal/cli/export"
+	"github.com/burdockwood/burdockwood/internal/cli/factory"
+	"github.com/burdockwood/burdockwood/internal/cli/proxy"
+)
+
+const programName = "burdockwood"
+
+// Main runs the program and returns its exit code.
+func Main() int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	f := factory.New(version())
+	return int(Run(ctx, f, os.Args[1:]))
+}
+
+// Run runs one command line and returns its exit code. Errors are written to
+// the factory's error stream.
+func Run(ctx context.Context, f *factory.Factory, args []string) exit.Code {
+	err := NewCmdRoot(f).Execute(ctx, f.Streams, args, f.Environment)
+	if err != nil {
+		fmt.Fprintf(f.Streams.Err, "%s: %v\n", programName, err)
+	}
+	return exit.CodeOf(err)
+}
+
+// NewCmdRoot returns the tree of all commands.
+func NewCmdRoot(f *factory.Factory) *command.Command {
+	root := &command.Command{
+		Name:  programName,
+		Short: "A database proxy with session consistency",
+		Long: `A database proxy with session consistency.
+
+Exit codes: 0 done, 1 failed, 2 wrong usage, settings or declarations,
+4 refused by control, 5 control not reached, 6 waited in vain.`,
+		Example: `burdockwood apply -f examples/guild --dry-run
+burdockwood selector test --database ledger-1 --user payroll --kind write`,
+	}
+	root.Commands = []*command.Command{
+		proxy.NewCmdProxy(f),
+		control.NewCmdControl(f),
+		apply.NewCmdApply(f),
+		export.NewCmdExport(f),
+	}
+	return root.Link()
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	return info.Main.Version
+}
--- a/internal/ops/health/health.go
+++ b/internal/ops/health/health.go
@@ -6,7 +6,7 @@
 //
 //	ready := health.NewReadiness()
 //	ready.Block("control", "no answer from control yet")
-//	handler := health.New(health.Options{Ready: ready, Registry: registry, Level: level})
+//	handler := health.New(health.Options{Ready: ready.Reasons, Registry: registry, Level: level})
 //	err := transport.Serve(ctx, listener, handler)
 //
 //	ready.Clear("control")
@@ -45,7 +45,8 @@
 	// Options are the parts of a process that the admin address shows. A
 	// part that is nil is left out.
 	Options struct {
-		Ready    *Readiness
+		// Ready returns the reasons for which the process isn't ready.
+		Ready    func() []string
 		Registry metrics.Registry
 		Level    *logging.Level
 	}
@@ -132,7 +133,7 @@
 func (a *admin) readyz(w http.ResponseWriter, _ *http.Request) {
 	var reasons []string
 	if a.Ready != nil {
-		reasons = a.Ready.Reasons()
+		reasons = a.Ready()
 	}
 	if len(reasons) == 0 {
 		answer(w, http.StatusOK, "ready")
