--- a/internal/cli/apply/apply.go
+++ b/internal/cli/apply/apply.go
@@ -7,28 +7,17 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
-	"os/user"
 	"strconv"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/burdockwood/burdockwood/internal/cli/command"
 	"github.com/burdockwood/burdockwood/internal/cli/declared"
-	"github.com/burdockwood/burdockwood/internal/cli/exit"
 	"github.com/burdockwood/burdockwood/internal/cli/factory"
 	"github.com/burdockwood/burdockwood/internal/config/declaration"
 	"github.com/burdockwood/burdockwood/internal/config/settings"
-	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
 )
 
-const changeIDBytes = 12
-
-var errRefused = eris.New("control refused the change")
-
 type applyOptions struct {
 	settings.Client
 	settings.Author
@@ -74,6 +63,14 @@
 	return faults
 }
 
+// expected returns the version that the change builds on.
+func (o *applyOptions) expected(inForce uint64) uint64 {
+	if version, err := strconv.ParseUint(o.Expect, 10, 64); err == nil {
+		return version
+	}
+	return inForce
+}
+
 func applyRun(ctx context.Context, f *factory.Factory, options *applyOptions) error {
 	next, err := declared.FromFolder(options.Folder)
 	if err != nil {
@@ -96,11 +93,11 @@
 	if err := confirmRemovals(f, options, differences); err != nil {
 		return err
 	}
-	request, err := newRequest(options, next, current.Version)
+	request, err := declared.NewRequest(next, options.expected(current.Version), options.ChangeID, options.Author)
 	if err != nil {
 		return err
 	}
-	version, err := send(ctx, f, options, request)
+	version, err := declared.Send(ctx, f, options.Client, request)
 	if err != nil {
 		return err
 	}
@@ -131,62 +128,3 @@
 	}
 	return f.Confirm(options.Confirmation, fmt.Sprintf("Remove %d groups or selectors that the files leave out?", removed))
 }
-
-func newRequest(options *applyOptions, next *declaration.Declarations, version uint64) (*controlpb.ApplyRequest, error) {
-	text, err := next.Marshal()
-	if err != nil {
-		return nil, err
-	}
-	if options.Expect != "" {
-		// Check has parsed it.
-		version, _ = strconv.ParseUint(options.Expect, 10, 64)
-	}
-	request := &controlpb.ApplyRequest{
-		Declarations:  text,
-		ExpectVersion: version,
-		ChangeId:      options.ChangeID,
-		Author:        author(options.Author.Author),
-	}
-	if request.ChangeId == "" {
-		request.ChangeId = contentID(request)
-	}
-	return request, nil
-}
-
-// contentID makes the identifier of a change from its content, so that the
-// same command run again is the same change.
-func contentID(request *controlpb.ApplyRequest) string {
-	sum := sha256.Sum256(fmt.Appendf(nil, "%d\n%s\n%s", request.GetExpectVersion(), request.GetAuthor(), request.GetDeclarations()))
-	return hex.EncodeToString(sum[:changeIDBytes])
-}
-
-func author(given string) string {
-	if given != "" {
-		return given
-	}
-	current, err := user.Current()
-	if err != nil {
-		return "unknown"
-	}
-	return current.Username
-}
-
-// send applies the change and returns its version.
-func send(ctx context.Context, f *factory.Factory, options *applyOptions, request *controlpb.ApplyRequest) (uint64, error) {
-	response, err := factory.Call(ctx, f, options.Client, func(ctx context.Context, c controlpb.Control) (*controlpb.ApplyResponse, error) {
-		return c.Apply(ctx, request)
-	})
-	if err != nil {
-		return 0, err
-	}
-	if response.GetAccepted() {
-		return response.GetVersion(), nil
-	}
-	refused := exit.Detail(errRefused, "version %d is in force: %s", response.GetVersion(), response.GetReason())
-	if response.GetWinnerChangeId() == "" {
-		return 0, exit.New(exit.Refused, refused, "see \"burdockwood config history\"")
-	}
-	fix := fmt.Sprintf("change %s of %s came first: look at it with \"burdockwood config diff %d %d\", merge it into your files and apply again",
-		response.GetWinnerChangeId(), response.GetWinnerAuthor(), request.GetExpectVersion(), response.GetVersion())
-	return 0, exit.New(exit.Refused, refused, fix)
-}
--- /dev/null
+++ b/internal/cli/config/diff.go
@@ -0,0 +1,58 @@
+package config
+
+import (
+	"context"
+
+	"github.com/burdockwood/burdockwood/internal/cli/command"
+	"github.com/burdockwood/burdockwood/internal/cli/declared"
+	"github.com/burdockwood/burdockwood/internal/cli/factory"
+	"github.com/burdockwood/burdockwood/internal/config/declaration"
+	"github.com/burdockwood/burdockwood/internal/config/settings"
+)
+
+type diffOptions struct {
+	settings.Client
+}
+
+func newCmdDiff(f *factory.Factory) *command.Command {
+	options := &diffOptions{}
+	return &command.Command{
+		Name:           "diff",
+		Short:          "Show what changed from one version to another",
+		Long:           "Show what changed from one version to another, or to the newest.",
+		Example:        `burdockwood config diff 40 41`,
+		Arguments:      "FROM [TO]",
+		LeastArguments: 1,
+		MostArguments:  2,
+		Options:        options,
+		Run: func(ctx context.Context, call command.Call) error {
+			return diffRun(ctx, f, options, append(call.Arguments, "0"))
+		},
+	}
+}
+
+func diffRun(ctx context.Context, f *factory.Factory, options *diffOptions, versions []string) error {
+	from, err := versionOf(ctx, f, options.Client, versions[0], false)
+	if err != nil {
+		return err
+	}
+	to, err := versionOf(ctx, f, options.Client, versions[1], true)
+	if err != nil {
+		return err
+	}
+	return declared.WriteDiff(f.Streams.Out, from.Diff(to))
+}
+
+// versionOf returns the declarations of a version. Version 0 is the newest if
+// zeroIsNewest, else the empty declarations before the first change.
+func versionOf(ctx context.Context, f *factory.Factory, options settings.Client, text string, zeroIsNewest bool) (*declaration.Declarations, error) {
+	version, err := parseVersion(text)
+	if err != nil {
+		return nil, err
+	}
+	if version == 0 && !zeroIsNewest {
+		return &declaration.Declarations{Format: declaration.Format}, nil
+	}
+	current, err := declared.FromControl(ctx, f, options, version)
+	return current.Declarations, err
+}
--- /dev/null
+++ b/internal/cli/config/view.go
@@ -0,0 +1,39 @@
+package config
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/burdockwood/burdockwood/internal/cli/command"
+	"github.com/burdockwood/burdockwood/internal/cli/factory"
+	"github.com/burdockwood/burdockwood/internal/config/settings"
+)
+
+type viewOptions struct {
+	settings.Client
+}
+
+func newCmdView(f *factory.Factory) *command.Command {
+	options := &viewOptions{}
+	return &command.Command{
+		Name:           "view",
+		Short:          "Write one version of the declarations",
+		Example:        `burdockwood config view 41`,
+		Arguments:      "VERSION",
+		LeastArguments: 1,
+		MostArguments:  1,
+		Options:        options,
+		Run: func(ctx context.Context, call command.Call) error {
+			version, err := parseVersion(call.Arguments[0])
+			if err != nil {
+				return err
+			}
+			response, err := factory.Declarations(ctx, f, options.Client, version)
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprint(f.Streams.Out, response.GetDeclarations())
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/cli/declared/send.go
@@ -0,0 +1,77 @@
+package declared
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"os/user"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockwood/burdockwood/internal/cli/exit"
+	"github.com/burdockwood/burdockwood/internal/cli/factory"
+	"github.com/burdockwood/burdockwood/internal/config/declaration"
+	"github.com/burdockwood/burdockwood/internal/config/settings"
+	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
+)
+
+const changeIDBytes = 12
+
+var errRefused = eris.New("control refused the change")
+
+// NewRequest returns the request that puts declarations in force on top of a
+// version. Without an identifier it gets one made from its content, so that
+// the same command run again is the same change.
+func NewRequest(next *declaration.Declarations, version uint64, changeID string, author settings.Author) (*controlpb.ApplyRequest, error) {
+	text, err := next.Marshal()
+	if err != nil {
+		return nil, err
+	}
+	request := &controlpb.ApplyRequest{
+		Declarations:  text,
+		ExpectVersion: version,
+		ChangeId:      changeID,
+		Author:        authorName(author.Author),
+	}
+	if changeID == "" {
+		request.ChangeId = contentID(request)
+	}
+	return request, nil
+}
+
+// Send applies a change and returns its version.
+func Send(ctx context.Context, f *factory.Factory, options settings.Client, request *controlpb.ApplyRequest) (uint64, error) {
+	response, err := factory.Call(ctx, f, options, func(ctx context.Context, c controlpb.Control) (*controlpb.ApplyResponse, error) {
+		return c.Apply(ctx, request)
+	})
+	if err != nil {
+		return 0, err
+	}
+	if response.GetAccepted() {
+		return response.GetVersion(), nil
+	}
+	refused := exit.Detail(errRefused, "%s", response.GetReason())
+	if response.GetWinnerChangeId() == "" {
+		return 0, exit.New(exit.Refused, refused, "see \"burdockwood config history\"")
+	}
+	fix := fmt.Sprintf("change %s of %s came first: look at it with \"burdockwood config diff %d %d\", merge it into your files and apply again",
+		response.GetWinnerChangeId(), response.GetWinnerAuthor(), request.GetExpectVersion(), response.GetVersion())
+	return 0, exit.New(exit.Refused, refused, fix)
+}
+
+func contentID(request *controlpb.ApplyRequest) string {
+	sum := sha256.Sum256(fmt.Appendf(nil, "%d\n%s\n%s", request.GetExpectVersion(), request.GetAuthor(), request.GetDeclarations()))
+	return hex.EncodeToString(sum[:changeIDBytes])
+}
+
+func authorName(given string) string {
+	if given != "" {
+		return given
+	}
+	current, err := user.Current()
+	if err != nil {
+		return "unknown"
+	}
+	return current.Username
+}
--- a/internal/cli/factory/factory.go
+++ b/internal/cli/factory/factory.go
@@ -35,6 +35,8 @@
 const (
 	callTimeout = 5 * time.Second
 	tryTimeout  = 2 * time.Second
+	// longTimeout bounds calls that control answers late.
+	longTimeout = 12 * time.Second
 )
 
 var errDeclined = eris.New("nothing was changed")
@@ -78,14 +80,24 @@
 
 // Call calls the leading control node. Errors carry an exit code.
 func Call[T any](ctx context.Context, f *Factory, options settings.Client, call func(context.Context, controlpb.Control) (T, error)) (T, error) {
+	return timedCall(ctx, f, options, callTimeout, tryTimeout, call)
+}
+
+// LongCall is Call for requests that control answers once something has
+// happened.
+func LongCall[T any](ctx context.Context, f *Factory, options settings.Client, call func(context.Context, controlpb.Control) (T, error)) (T, error) {
+	return timedCall(ctx, f, options, longTimeout, 0, call)
+}
+
+func timedCall[T any](ctx context.Context, f *Factory, options settings.Client, all, try time.Duration, call func(context.Context, controlpb.Control) (T, error)) (T, error) {
 	var response T
 	client, _, err := f.Client(options)
 	if err != nil {
 		return response, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, all)
 	defer cancel()
-	err = client.Do(ctx, tryTimeout, func(ctx context.Context, control controlpb.Control) error {
+	err = client.Do(ctx, try, func(ctx context.Context, control controlpb.Control) error {
 		var err error
 		response, err = call(ctx, control)
 		return err
--- /dev/null
+++ b/internal/cli/failover/failover.go
@@ -0,0 +1,64 @@
+// Package failover holds the commands on changes of primary.
+//
+// # Usage
+//
+//	cmd := failover.NewCmdFailover(f)
+package failover
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/burdockwood/burdockwood/internal/cli/command"
+	"github.com/burdockwood/burdockwood/internal/cli/factory"
+	"github.com/burdockwood/burdockwood/internal/config/settings"
+	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
+)
+
+type startOptions struct {
+	settings.Client
+	factory.Confirmation
+	To string `long:"to" value-name:"SERVER" description:"server that becomes primary; without it control chooses"`
+}
+
+// NewCmdFailover returns the noun "failover".
+func NewCmdFailover(f *factory.Factory) *command.Command {
+	return &command.Command{
+		Name:     "failover",
+		Short:    "Change a group's primary as planned",
+		Commands: []*command.Command{newCmdStart(f)},
+	}
+}
+
+func newCmdStart(f *factory.Factory) *command.Command {
+	options := &startOptions{}
+	return &command.Command{
+		Name:  "start",
+		Short: "Hand a group over to another primary",
+		Long: `Hand a group over to another primary. Failed primaries are replaced without
+this command; it is for maintenance.`,
+		Example: `burdockwood failover start ledger-1
+burdockwood failover start ledger-1 --to b --yes`,
+		Arguments:      "GROUP",
+		LeastArguments: 1,
+		MostArguments:  1,
+		Options:        options,
+		Run: func(ctx context.Context, call command.Call) error {
+			return startRun(ctx, f, options, call.Arguments[0])
+		},
+	}
+}
+
+func startRun(ctx context.Context, f *factory.Factory, options *startOptions, group string) error {
+	if err := f.Confirm(options.Confirmation, fmt.Sprintf("Change the primary of group %s?", group)); err != nil {
+		return err
+	}
+	response, err := factory.LongCall(ctx, f, options.Client, func(ctx context.Context, c controlpb.Control) (*controlpb.SwitchoverResponse, error) {
+		return c.Switchover(ctx, &controlpb.SwitchoverRequest{Group: group, To: options.To})
+	})
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(f.Streams.Out, "group %s: %s is primary of term %d\n", group, response.GetPrimary(), response.GetTerm())
+	return err
+}
--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -15,11 +15,20 @@
 
 	"github.com/burdockwood/burdockwood/internal/cli/apply"
 	"github.com/burdockwood/burdockwood/internal/cli/command"
+	"github.com/burdockwood/burdockwood/internal/cli/completion"
+	"github.com/burdockwood/burdockwood/internal/cli/config"
 	"github.com/burdockwood/burdockwood/internal/cli/control"
+	"github.com/burdockwood/burdockwood/internal/cli/doctor"
 	"github.com/burdockwood/burdockwood/internal/cli/exit"
 	"github.com/burdockwood/burdockwood/internal/cli/export"
 	"github.com/burdockwood/burdockwood/internal/cli/factory"
+	"github.com/burdockwood/burdockwood/internal/cli/failover"
+	"github.com/burdockwood/burdockwood/internal/cli/group"
 	"github.com/burdockwood/burdockwood/internal/cli/proxy"
+	"github.com/burdockwood/burdockwood/internal/cli/selector"
+	"github.com/burdockwood/burdockwood/internal/cli/server"
+	"github.com/burdockwood/burdockwood/internal/cli/top"
+	"github.com/burdockwood/burdockwood/internal/cli/version"
 )
 
 const programName = "burdockwood"
@@ -28,7 +37,7 @@
 func Main() int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	f := factory.New(version())
+	f := factory.New(buildVersion())
 	return int(Run(ctx, f, os.Args[1:]))
 }
 
@@ -59,11 +68,21 @@
 		control.NewCmdControl(f),
 		apply.NewCmdApply(f),
 		export.NewCmdExport(f),
+		group.NewCmdGroup(f),
+		selector.NewCmdSelector(f),
+		server.NewCmdServer(f),
+		config.NewCmdConfig(f),
+		failover.NewCmdFailover(f),
+		doctor.NewCmdDoctor(f),
+		top.NewCmdTop(f),
+		completion.NewCmdCompletion(f),
+		version.NewCmdVersion(f),
+		completion.NewCmdComplete(f, root),
 	}
 	return root.Link()
 }
 
-func version() string {
+func buildVersion() string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
 		return "unknown"
--- /dev/null
+++ b/internal/cli/selector/selector.go
@@ -0,0 +1,49 @@
+// Package selector holds the commands on selectors.
+//
+// # Usage
+//
+//	cmd := selector.NewCmdSelector(f)
+//
+// Each verb is in a file of its own.
+package selector
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockwood/burdockwood/internal/cli/command"
+	"github.com/burdockwood/burdockwood/internal/cli/declared"
+	"github.com/burdockwood/burdockwood/internal/cli/factory"
+	"github.com/burdockwood/burdockwood/internal/config/declaration"
+	"github.com/burdockwood/burdockwood/internal/config/settings"
+)
+
+var errUnknownSelector = eris.New("no such selector is declared")
+
+// source is where selectors are read from.
+type source struct {
+	settings.Client
+	Folder string `short:"f" long:"folder" value-name:"DIR" description:"read the declarations from this folder, not from control"`
+}
+
+// NewCmdSelector returns the noun "selector".
+func NewCmdSelector(f *factory.Factory) *command.Command {
+	return &command.Command{
+		Name:  "selector",
+		Short: "Show and try selectors",
+		Commands: []*command.Command{
+			newCmdList(f),
+			newCmdView(f),
+			newCmdTest(f),
+		},
+	}
+}
+
+func (s *source) read(ctx context.Context, f *factory.Factory) (*declaration.Declarations, error) {
+	if s.Folder != "" {
+		return declared.FromFolder(s.Folder)
+	}
+	current, err := declared.FromControl(ctx, f, s.Client, 0)
+	return current.Declarations, err
+}
--- /dev/null
+++ b/internal/cli/server/label.go
@@ -0,0 +1,120 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockwood/burdockwood/internal/cli/command"
+	"github.com/burdockwood/burdockwood/internal/cli/declared"
+	"github.com/burdockwood/burdockwood/internal/cli/exit"
+	"github.com/burdockwood/burdockwood/internal/cli/factory"
+	"github.com/burdockwood/burdockwood/internal/config/declaration"
+	"github.com/burdockwood/burdockwood/internal/config/settings"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+var (
+	errLabel        = eris.New("a label is set by KEY=VALUE and removed by KEY-")
+	errUnknownGroup = eris.New("no such group is declared")
+)
+
+type labelOptions struct {
+	settings.Client
+	settings.Author
+}
+
+func newCmdLabel(f *factory.Factory) *command.Command {
+	options := &labelOptions{}
+	return &command.Command{
+		Name:  "label",
+		Short: "Set and remove declared labels of a backend server",
+		Long: `Set and remove declared labels of a backend server. The label leaving=true
+drains it. This changes the declarations in force: export them into version
+control afterwards, or the next apply takes the labels back.`,
+		Example: `burdockwood server label ledger-1/a leaving=true
+burdockwood server label ledger-1/a leaving-`,
+		Arguments:      "GROUP/SERVER LABEL...",
+		LeastArguments: 2,
+		MostArguments:  100,
+		Options:        options,
+		Run: func(ctx context.Context, call command.Call) error {
+			return labelRun(ctx, f, options, call.Arguments[0], call.Arguments[1:])
+		},
+	}
+}
+
+func labelRun(ctx context.Context, f *factory.Factory, options *labelOptions, text string, edits []string) error {
+	wanted, err := parseName(text)
+	if err != nil {
+		return err
+	}
+	current, err := declared.FromControl(ctx, f, options.Client, 0)
+	if err != nil {
+		return err
+	}
+	next, err := relabel(current.Declarations, wanted, edits)
+	if err != nil {
+		return err
+	}
+	request, err := declared.NewRequest(next, current.Version, "", options.Author)
+	if err != nil {
+		return err
+	}
+	version, err := declared.Send(ctx, f, options.Client, request)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(f.Streams.Out, "version %d is accepted\n", version)
+	return err
+}
+
+// relabel returns declarations with the edits; d stays as it is.
+func relabel(d *declaration.Declarations, wanted name, edits []string) (*declaration.Declarations, error) {
+	next := &declaration.Declarations{Format: d.Format, Selectors: d.Selectors}
+	found := false
+	for _, g := range d.Groups {
+		if g.Name == wanted.group {
+			found = true
+			labels, err := edited(g.ServerLabels, wanted.server, edits)
+			if err != nil {
+				return nil, err
+			}
+			g.ServerLabels = labels
+		}
+		next.Groups = append(next.Groups, g)
+	}
+	if !found {
+		return nil, exit.New(exit.Failed, exit.Detail(errUnknownGroup, "%q", wanted.group), "see \"burdockwood group list\"")
+	}
+	return next, nil
+}
+
+func edited(all []declaration.ServerLabels, server cluster.ServerName, edits []string) ([]declaration.ServerLabels, error) {
+	labels := make(cluster.Labels)
+	var next []declaration.ServerLabels
+	for _, s := range all {
+		if s.Server != server {
+			next = append(next, s)
+			continue
+		}
+		for key, value := range s.Labels {
+			labels[key] = value
+		}
+	}
+	for _, edit := range edits {
+		if key, value, ok := strings.Cut(edit, "="); ok {
+			labels[key] = value
+		} else if key, ok := strings.CutSuffix(edit, "-"); ok {
+			delete(labels, key)
+		} else {
+			return nil, exit.New(exit.Usage, exit.Detail(errLabel, "%q", edit), "")
+		}
+	}
+	if len(labels) > 0 {
+		next = append(next, declaration.ServerLabels{Server: server, Labels: labels})
+	}
+	return next, nil
+}
--- a/internal/config/declaration/check.go
+++ b/internal/config/declaration/check.go
@@ -79,7 +79,7 @@
 	// one can cover the later one.
 	earlier := make(map[string][]*Selector)
 	var any []*Selector
-	for _, s := range p.declared.order() {
+	for _, s := range p.declared.Ordered() {
 		candidates := any
 		if len(s.Callers.Databases) > 0 {
 			candidates = slices.Concat(any, earlier[s.Callers.Databases[0]])
--- a/internal/config/declaration/index.go
+++ b/internal/config/declaration/index.go
@@ -46,7 +46,7 @@
 		x.groups[d.Groups[i].Name] = &d.Groups[i]
 	}
 	known := make(map[string]*targets)
-	for _, s := range d.order() {
+	for _, s := range d.Ordered() {
 		key := labelsKey(s.Groups)
 		if known[key] == nil {
 			known[key] = newTargets(d.Groups, s.Groups)
@@ -150,8 +150,8 @@
 	return d.Compile()
 }
 
-// order returns the selectors, the first to decide first.
-func (d *Declarations) order() []*Selector {
+// Ordered returns the selectors, the first to decide first.
+func (d *Declarations) Ordered() []*Selector {
 	ordered := make([]*Selector, 0, len(d.Selectors))
 	for i := range d.Selectors {
 		ordered = append(ordered, &d.Selectors[i])
