--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -18,6 +18,7 @@
 	"github.com/burdockwood/burdockwood/internal/cli/completion"
 	"github.com/burdockwood/burdockwood/internal/cli/config"
 	"github.com/burdockwood/burdockwood/internal/cli/control"
+	"github.com/burdockwood/burdockwood/internal/cli/dev"
 	"github.com/burdockwood/burdockwood/internal/cli/doctor"
 	"github.com/burdockwood/burdockwood/internal/cli/exit"
 	"github.com/burdockwood/burdockwood/internal/cli/export"
@@ -27,6 +28,7 @@
 	"github.com/burdockwood/burdockwood/internal/cli/proxy"
 	"github.com/burdockwood/burdockwood/internal/cli/selector"
 	"github.com/burdockwood/burdockwood/internal/cli/server"
+	"github.com/burdockwood/burdockwood/internal/cli/session"
 	"github.com/burdockwood/burdockwood/internal/cli/top"
 	"github.com/burdockwood/burdockwood/internal/cli/version"
 )
@@ -64,6 +66,7 @@
 burdockwood selector test --database ledger-1 --user payroll --kind write`,
 	}
 	root.Commands = []*command.Command{
+		dev.NewCmdDev(f),
 		proxy.NewCmdProxy(f),
 		control.NewCmdControl(f),
 		apply.NewCmdApply(f),
@@ -71,6 +74,7 @@
 		group.NewCmdGroup(f),
 		selector.NewCmdSelector(f),
 		server.NewCmdServer(f),
+		session.NewCmdSession(f),
 		config.NewCmdConfig(f),
 		failover.NewCmdFailover(f),
 		doctor.NewCmdDoctor(f),
--- /dev/null
+++ b/internal/cli/session/session.go
@@ -0,0 +1,60 @@
+// Package session holds the commands on session marks.
+//
+// # Usage
+//
+//	cmd := session.NewCmdSession(f)
+package session
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/burdockwood/burdockwood/internal/cli/command"
+	"github.com/burdockwood/burdockwood/internal/cli/exit"
+	"github.com/burdockwood/burdockwood/internal/cli/factory"
+	"github.com/burdockwood/burdockwood/internal/proxy/session"
+)
+
+// NewCmdSession returns the noun "session".
+func NewCmdSession(f *factory.Factory) *command.Command {
+	return &command.Command{
+		Name:     "session",
+		Short:    "Show what a session mark means",
+		Commands: []*command.Command{newCmdView(f)},
+	}
+}
+
+func newCmdView(f *factory.Factory) *command.Command {
+	return &command.Command{
+		Name:  "view",
+		Short: "Show the terms and positions in a session mark",
+		Long: `Show the terms and positions in a session mark, the value of burdockwood.mark.
+The signature is not verified: only proxies hold the keys.`,
+		Example:        `burdockwood session view 1.0a1b2c3d.bGVkZ2VyLTE9My84MTI.AAAA`,
+		Arguments:      "MARK",
+		LeastArguments: 1,
+		MostArguments:  1,
+		Run: func(_ context.Context, call command.Call) error {
+			return viewRun(f, call.Arguments[0])
+		},
+	}
+}
+
+func viewRun(f *factory.Factory, text string) error {
+	sealed, err := session.Inspect(text)
+	if err != nil {
+		return exit.New(exit.Usage, err, "give the whole value of burdockwood.mark")
+	}
+	if _, err := fmt.Fprintf(f.Streams.Out, "version\t%s\nkey\t%s\n", sealed.Version, sealed.KeyID); err != nil {
+		return err
+	}
+	for _, group := range slices.Sorted(maps.Keys(sealed.Marks)) {
+		mark := sealed.Marks[group]
+		if _, err := fmt.Fprintf(f.Streams.Out, "group\t%s\tterm %d\tposition %d\n", group, mark.Term, mark.Position); err != nil {
+			return err
+		}
+	}
+	return nil
+}
