--- a/internal/cli/command/command.go
+++ b/internal/cli/command/command.go
@@ -120,8 +120,8 @@
 		options = &noOptions{}
 	}
 	parsed, faults := settings.Parse(options, args, environment)
-	if o, ok := options.(checker); ok && len(faults) == 0 {
-		faults = append(faults, o.Check()...)
+	if o, ok := options.(checker); ok {
+		faults = faults.With(o.Check())
 	}
 	if err := faults.Err(); err != nil {
 		return exit.New(exit.Usage, err, fmt.Sprintf("see \"%s --help\"", c.Path()))
--- a/internal/cli/declared/send.go
+++ b/internal/cli/declared/send.go
@@ -55,9 +55,17 @@
 	if response.GetWinnerChangeId() == "" {
 		return 0, exit.New(exit.Refused, refused, "see \"burdockwood config history\"")
 	}
-	fix := fmt.Sprintf("change %s of %s came first: look at it with \"burdockwood config diff %d %d\", merge it into your files and apply again",
-		response.GetWinnerChangeId(), response.GetWinnerAuthor(), request.GetExpectVersion(), response.GetVersion())
-	return 0, exit.New(exit.Refused, refused, fix)
+	return 0, exit.New(exit.Refused, refused, conflictFix(request, response))
+}
+
+// conflictFix tells an operator whose change came second what to do.
+func conflictFix(request *controlpb.ApplyRequest, response *controlpb.ApplyResponse) string {
+	look := "burdockwood config history"
+	if request.GetExpectVersion() != response.GetVersion() {
+		look = fmt.Sprintf("burdockwood config diff %d %d", request.GetExpectVersion(), response.GetVersion())
+	}
+	return fmt.Sprintf("change %s of %s came first: look at it with \"%s\", merge it into your files and apply again under another --change-id",
+		response.GetWinnerChangeId(), response.GetWinnerAuthor(), look)
 }
 
 func contentID(request *controlpb.ApplyRequest) string {
--- /dev/null
+++ b/internal/cli/root/script_test.go
@@ -0,0 +1,95 @@
+package root_test
+
+import (
+	"errors"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/burdockwood/burdockwood/internal/cli/root"
+)
+
+const (
+	waitPause = 20 * time.Millisecond
+	waitTries = 500
+)
+
+func TestMain(m *testing.M) {
+	os.Exit(testscript.RunMain(m, map[string]func() int{"burdockwood": root.Main}))
+}
+
+// TestScripts runs the command line against real processes. Each script has
+// FREE and FREE2, free addresses, BUSY, an address in use, and EXAMPLES, the
+// folder of examples.
+func TestScripts(t *testing.T) {
+	examples, err := filepath.Abs("../../../examples")
+	if err != nil {
+		t.Fatal(err)
+	}
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			busy := listen(t)
+			env.Defer(func() { _ = busy.Close() })
+			env.Setenv("BUSY", busy.Addr().String())
+			env.Setenv("FREE", freeAddress(t))
+			env.Setenv("FREE2", freeAddress(t))
+			env.Setenv("EXAMPLES", examples)
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"exits":   cmdExits,
+			"waitfor": cmdWaitFor,
+		},
+	})
+}
+
+// cmdExits runs a command and checks its exit code: exits 2 burdockwood ...
+func cmdExits(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	got := 0
+	if err := ts.Exec(args[1], args[2:]...); err != nil {
+		var exitErr *exec.ExitError
+		if !errors.As(err, &exitErr) {
+			ts.Fatalf("run %v: %v", args[1:], err)
+		}
+		got = exitErr.ExitCode()
+	}
+	if got != want {
+		ts.Fatalf("exit code of %v: got %d, want %d", args[1:], got, want)
+	}
+}
+
+// cmdWaitFor runs a command until it succeeds, a bounded number of times.
+func cmdWaitFor(ts *testscript.TestScript, _ bool, args []string) {
+	for range waitTries {
+		if ts.Exec(args[0], args[1:]...) == nil {
+			return
+		}
+		time.Sleep(waitPause)
+	}
+	ts.Fatalf("%v did not succeed", args)
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener := listen(t)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
--- a/internal/config/settings/parse.go
+++ b/internal/config/settings/parse.go
@@ -91,6 +91,18 @@
 	return f
 }
 
+// With returns the faults and those of further that are about other settings.
+func (f Faults) With(further Faults) Faults {
+	all := slices.Clone(f)
+	for _, fault := range further {
+		isKnown := slices.ContainsFunc(f, func(known Fault) bool { return known.Setting == fault.Setting })
+		if !isKnown {
+			all = append(all, fault)
+		}
+	}
+	return all
+}
+
 // Parse fills options, a pointer to a struct with go-flags' tags, from
 // arguments and from environment variables written "NAME=value". It reports
 // unknown flags, unknown variables with EnvironmentPrefix and malformed
@@ -164,7 +176,8 @@
 	known := knownVariables(options)
 	for _, entry := range environment {
 		name, value, _ := strings.Cut(entry, "=")
-		if !strings.HasPrefix(name, EnvironmentPrefix) {
+		// An empty variable counts as not set.
+		if !strings.HasPrefix(name, EnvironmentPrefix) || value == "" {
 			continue
 		}
 		if !slices.Contains(known, name) {
@@ -172,7 +185,7 @@
 			continue
 		}
 		option, ok := keys[name]
-		if !ok || value == "" || s.from[option.LongName] != "" {
+		if !ok || s.from[option.LongName] != "" {
 			continue
 		}
 		unit := variableUnit(option, value)
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -5,7 +5,7 @@
 //
 //	var options settings.Proxy
 //	parsed, faults := settings.Parse(&options, os.Args[1:], os.Environ())
-//	faults = append(faults, options.Check()...)
+//	faults = faults.With(options.Check())
 //	if len(faults) > 0 {
 //		return faults // Each fault names the setting and the fix.
 //	}
