--- /dev/null
+++ b/internal/config/declaration/examples_test.go
@@ -0,0 +1,46 @@
+package declaration_test
+
+import (
+	"os"
+	"testing"
+
+	"github.com/burdockwood/burdockwood/internal/config/declaration"
+)
+
+func TestExamples(t *testing.T) {
+	tests := []struct {
+		folder   string
+		database string
+		user     string
+		kind     declaration.Kind
+		selector string
+	}{
+		{"guild", "ledger-north", "payroll", declaration.KindWrite, "payments"},
+		{"guild", "ledger-north", "crew", declaration.KindAgedRead, "balances"},
+		{"guild", "ledger-north", "crew", declaration.KindWrite, ""},
+		{"guild", "ledger-north", "clerk", declaration.KindRead, "reconciliation"},
+		{"ecouri", "cases-west", "office", declaration.KindWrite, "submissions"},
+		{"ecouri", "cases-west", "faculty", declaration.KindWrite, "evidence"},
+		{"ecouri", "cases-west", "editor", declaration.KindRead, "drafts"},
+		{"ecouri", "cases-west", "reviewer", declaration.KindAgedRead, "browsing"},
+		{"ecouri", "cases-west", "reviewer", declaration.KindWrite, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.folder+"/"+test.user+"/"+string(test.kind), func(t *testing.T) {
+			declared, faults := declaration.ParseDir(os.DirFS("../../../examples/" + test.folder))
+			if len(faults) > 0 {
+				t.Fatalf("faults: got %v, want none", faults)
+			}
+			got := declared.Select(declaration.Caller{Database: test.database, User: test.user}, declaration.Request{Kind: test.kind})
+			if test.selector == "" {
+				if got.Found {
+					t.Errorf("got selector %q, want none", got.Selector.Name)
+				}
+				return
+			}
+			if !got.Found || got.Selector.Name != test.selector || string(got.Group) != test.database {
+				t.Errorf("got %+v, want selector %q and group %q", got, test.selector, test.database)
+			}
+		})
+	}
+}
