--- a/internal/control/failover/establish.go
+++ b/internal/control/failover/establish.go
@@ -25,11 +25,21 @@
 			d.send(Action{Kind: Promise, Server: name, Term: pending.Term})
 		}
 	}
-	if d.hasQuorum(pending) {
+	if d.hasQuorum(pending) && !d.awaitsTarget(pending) {
 		d.choose(pending)
 	}
 }
 
+// awaitsTarget reports whether a planned change still waits for the promise of
+// the server that it is for.
+func (d *decider) awaitsTarget(pending *state.Pending) bool {
+	if !d.isPlanned(pending) || pending.Target == "" {
+		return false
+	}
+	_, promised := d.plan.promises[pending.Target]
+	return !promised && d.now.Sub(d.plan.started) <= plannedTimeout
+}
+
 // isPlanned reports whether the old primary takes part in the change.
 func (d *decider) isPlanned(pending *state.Pending) bool {
 	return pending.Reason == state.ReasonSwitchover || pending.Reason == state.ReasonVoters
