--- a/internal/cli/factory/factory.go
+++ b/internal/cli/factory/factory.go
@@ -74,7 +74,7 @@
 			return proxydaemon.New(options, logger)
 		},
 		StartControl: func(options settings.Control, logger logr.Logger) (role.Role, error) {
-			return role.Func(func(ctx context.Context) error { return controldaemon.Run(ctx, options, logger) }), nil
+			return controldaemon.New(options, logger)
 		},
 	}
 }
--- a/internal/cli/role/role.go
+++ b/internal/cli/role/role.go
@@ -37,9 +37,6 @@
 		Run(ctx context.Context) error
 	}
 
-	// Func is a role without readiness and metrics.
-	Func func(ctx context.Context) error
-
 	// Mode holds the flags that every role has besides its settings.
 	Mode struct {
 		CheckOnly     bool `long:"check" description:"only say whether a start would work"`
@@ -64,9 +61,6 @@
 	}
 )
 
-// Run calls f.
-func (f Func) Run(ctx context.Context) error { return f(ctx) }
-
 // Run does what the mode asks: print the settings, check whether a start
 // would work, or run the role until ctx ends.
 func Run(ctx context.Context, streams *iostreams.Streams, parsed *settings.Parsed, mode Mode, start Start) error {
--- a/internal/cli/root/script_test.go
+++ b/internal/cli/root/script_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -27,6 +30,7 @@
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"burdockwood":     func() { os.Exit(root.Main()) },
+		"get":             func() { os.Exit(get(os.Args[1])) },
 		"primary-differs": func() { os.Exit(primaryDiffers(os.Args[1], os.Args[2])) },
 	})
 }
@@ -88,6 +92,19 @@
 	ts.Fatalf("%v did not succeed", args)
 }
 
+// get is the command "get URL": it prints the status and the body.
+func get(url string) int {
+	response, err := http.Get(url)
+	if err != nil {
+		fmt.Println(err)
+		return 1
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	fmt.Println(response.StatusCode, string(body), err)
+	return 0
+}
+
 // primaryDiffers is the command "primary-differs GROUP SERVER": it succeeds if
 // the group has another primary.
 func primaryDiffers(group, server string) int {
--- a/internal/control/daemon/daemon.go
+++ b/internal/control/daemon/daemon.go
@@ -4,6 +4,10 @@
 //
 //	err := daemon.Run(ctx, options, logger)
 //
+//	control, err := daemon.New(options, logger)
+//	ready, reason := control.Ready()
+//	err = control.Run(ctx)
+//
 // Run serves the services Control and Peer on one address until ctx ends.
 package daemon
 
@@ -30,6 +34,7 @@
 	"github.com/burdockwood/burdockwood/internal/control/state"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/ops/keys"
+	"github.com/burdockwood/burdockwood/internal/ops/metrics"
 	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
 	"github.com/burdockwood/burdockwood/internal/rpc/transport"
 	"github.com/burdockwood/burdockwood/internal/rpc/trust"
@@ -38,52 +43,98 @@
 // ErrStart tells why a control node can't start.
 var ErrStart = eris.New("control node can't start")
 
+// Control is a control node that is about to run or runs.
+type Control struct {
+	trusted     *trust.Trust
+	listener    net.Listener
+	machine     *state.Machine
+	log         *node.Node
+	coordinator *coordinator.Coordinator
+	dial        runner.Dial
+	logger      logr.Logger
+	metrics     metrics.Registry
+}
+
 // Run runs a control node until ctx ends. Errors: ErrStart, or why the node
 // stopped.
 func Run(ctx context.Context, options settings.Control, logger logr.Logger) error {
+	control, err := New(options, logger)
+	if err != nil {
+		return err
+	}
+	return control.Run(ctx)
+}
+
+// New reads the files that the settings name, listens and opens the data
+// folder. Errors: ErrStart.
+func New(options settings.Control, logger logr.Logger) (*Control, error) {
 	trusted, err := trust.Load(options.KeyFile, options.Internal)
 	if err != nil {
-		return eris.Wrapf(ErrStart, "%v", err)
+		return nil, eris.Wrapf(ErrStart, "%v", err)
 	}
 	password, err := readSecret(options.BackendPassword)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", options.Listen)
+	listener, err := net.Listen("tcp", options.Listen)
 	if err != nil {
-		return eris.Wrapf(ErrStart, "listen on %q: %v", options.Listen, err)
+		return nil, eris.Wrapf(ErrStart, "listen on %q: %v", options.Listen, err)
 	}
 	machine := state.New()
 	log, err := newNode(options, trusted, listener, machine, logger)
 	if err != nil {
-		return errors.Join(err, listener.Close())
+		return nil, errors.Join(err, listener.Close())
 	}
 	credentials := adapter.Credentials{User: options.BackendUser, Password: password}
-	dial := func(ctx context.Context, address netip.AddrPort) (adapter.Server, error) {
-		return adapter.Dial(ctx, address, credentials)
-	}
-	c := coordinator.New(log, machine, parseDeclared)
+	return &Control{
+		trusted:     trusted,
+		listener:    listener,
+		machine:     machine,
+		log:         log,
+		coordinator: coordinator.New(log, machine, parseDeclared),
+		dial: func(ctx context.Context, address netip.AddrPort) (adapter.Server, error) {
+			return adapter.Dial(ctx, address, credentials)
+		},
+		logger:  logger,
+		metrics: newMetrics(machine, log),
+	}, nil
+}
+
+// Run serves until ctx ends.
+func (c *Control) Run(ctx context.Context) error {
 	handler := service.New(service.Options{
-		Coordinator: c, Machine: machine, Log: log, Check: checkDeclarations, Logger: logger,
+		Coordinator: c.coordinator, Machine: c.machine, Log: c.log, Check: checkDeclarations, Logger: c.logger,
 	})
 	mux := http.NewServeMux()
-	for _, server := range []controlpb.TwirpServer{controlpb.NewControlServer(handler), controlpb.NewPeerServer(log)} {
+	for _, server := range []controlpb.TwirpServer{controlpb.NewControlServer(handler), controlpb.NewPeerServer(c.log)} {
 		mux.Handle(server.PathPrefix(), server)
 	}
-	logger.Info("listening", "address", listener.Addr().String())
+	c.logger.Info("listening", "address", c.listener.Addr().String())
 	return runAll(ctx,
 		func(ctx context.Context) error {
-			return transport.Serve(ctx, trusted.Listener(listener), trusted.Guard(mux))
+			return transport.Serve(ctx, c.trusted.Listener(c.listener), c.trusted.Guard(mux))
 		},
 		func(ctx context.Context) error {
-			return keys.Watch(ctx, logger, keys.DefaultInterval, trusted.Reloaders()...)
+			return keys.Watch(ctx, c.logger, keys.DefaultInterval, c.trusted.Reloaders()...)
 		},
-		func(ctx context.Context) error { return tick(ctx, c, machine, log) },
-		runner.New(c, log, dial, logger).Run,
-		log.Run,
+		func(ctx context.Context) error { return tick(ctx, c.coordinator, c.machine, c.log) },
+		runner.New(c.coordinator, c.log, c.dial, c.logger).Run,
+		c.log.Run,
 	)
 }
 
+// Ready reports whether the node knows a leader, and if not, why it isn't
+// ready.
+func (c *Control) Ready() (ready bool, reason string) {
+	if _, known := c.log.Leader(); !known {
+		return false, "no control node leads: a majority of them must run and reach each other"
+	}
+	return true, ""
+}
+
+// Metrics returns the registry of the node's metrics.
+func (c *Control) Metrics() metrics.Registry { return c.metrics }
+
 // newNode opens the data folder and returns the agreement protocol on it.
 func newNode(options settings.Control, trusted *trust.Trust, listener net.Listener, machine *state.Machine, logger logr.Logger) (*node.Node, error) {
 	listening, err := netip.ParseAddrPort(listener.Addr().String())
--- a/internal/ops/metrics/metrics.go
+++ b/internal/ops/metrics/metrics.go
@@ -109,6 +109,11 @@
 	return gometrics.GetOrRegisterGauge(Name(base, labels...), registry)
 }
 
+// GaugeFunc registers a gauge whose value is worked out when it is read.
+func GaugeFunc(registry Registry, base string, value func() int64) {
+	gometrics.NewRegisteredFunctionalGauge(base, registry, value)
+}
+
 // Histogram returns the histogram of durations of that name and labels. It
 // weighs the last five minutes most.
 func Histogram(registry Registry, base string, labels ...string) gometrics.Histogram {
