--- a/internal/cli/doctor/check.go
+++ b/internal/cli/doctor/check.go
@@ -78,6 +78,9 @@
 	for _, g := range status.GetGroups() {
 		inForce[g.GetName()] = g
 	}
+	if len(declared.Groups) == 0 {
+		return []finding{{level: levelError, check: "declarations", text: "no group is declared", fix: "put declarations in force with \"burdockwood apply -f DIR\""}}
+	}
 	var findings []finding
 	for _, g := range declared.Groups {
 		check := "group " + string(g.Name)
--- a/internal/cli/doctor/check_test.go
+++ b/internal/cli/doctor/check_test.go
@@ -55,6 +55,13 @@
 	}
 }
 
+func TestCheckNothingDeclared(t *testing.T) {
+	got := checkGroups(&controlpb.StatusResponse{}, &declaration.Declarations{})
+	if len(got) != 1 || got[0].level != levelError || got[0].text != "no group is declared" {
+		t.Errorf("got %v, want the error that no group is declared", got)
+	}
+}
+
 func TestSkewOf(t *testing.T) {
 	at := time.Unix(1000, 0)
 	tests := []struct {
--- a/internal/control/coordinator/status.go
+++ b/internal/control/coordinator/status.go
@@ -58,7 +58,10 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.proxies)) {
 		p := c.proxies[name]
-		status.Proxies = append(status.Proxies, ProxyStatus{Beat: p.Beat, HeardAgo: now.Sub(p.heard), Uses: p.uses})
+		beat := p.Beat
+		// A proxy tells that it shuts down; a drain is the operators'.
+		beat.Draining = beat.Draining || p.drain
+		status.Proxies = append(status.Proxies, ProxyStatus{Beat: beat, HeardAgo: now.Sub(p.heard), Uses: p.uses})
 		if !p.isLive(now) {
 			status.Findings = append(status.Findings, fmt.Sprintf("proxy %s is silent for %s", name, now.Sub(p.heard).Round(time.Second)))
 		}
