--- a/internal/cli/apply/apply.go
+++ b/internal/cli/apply/apply.go
@@ -19,7 +19,6 @@
 )
 
 type applyOptions struct {
-	settings.Client
 	settings.Author
 	factory.Confirmation
 	Folder   string        `short:"f" long:"folder" value-name:"DIR" description:"folder with .yaml files, read with its subfolders"`
@@ -28,6 +27,7 @@
 	WaitTime time.Duration `long:"wait-time" default:"30s" description:"most time to wait"`
 	ChangeID string        `long:"change-id" value-name:"ID" description:"identifier of the change; the same one again gets the first answer"`
 	Expect   string        `long:"expect-version" value-name:"N" description:"version that the change builds on; without it the version in force"`
+	settings.Client
 }
 
 // NewCmdApply returns the command "apply".
--- a/internal/cli/config/history.go
+++ b/internal/cli/config/history.go
@@ -12,9 +12,9 @@
 )
 
 type historyOptions struct {
-	settings.Client
 	output.Options
 	Limit uint32 `long:"limit" default:"20" description:"most versions to list"`
+	settings.Client
 }
 
 var historyColumns = []output.Column[*controlpb.Change]{
--- a/internal/cli/control/members.go
+++ b/internal/cli/control/members.go
@@ -11,8 +11,8 @@
 )
 
 type membersOptions struct {
-	settings.Client
 	output.Options
+	settings.Client
 }
 
 var memberColumns = []output.Column[*controlpb.NodeStatus]{
--- a/internal/cli/doctor/doctor.go
+++ b/internal/cli/doctor/doctor.go
@@ -48,9 +48,9 @@
 	}
 
 	doctorOptions struct {
-		settings.Client
 		output.Options
 		Data string `long:"data" value-name:"DIR" description:"check this data folder of a control node too"`
+		settings.Client
 	}
 )
 
--- a/internal/cli/failover/failover.go
+++ b/internal/cli/failover/failover.go
@@ -16,9 +16,9 @@
 )
 
 type startOptions struct {
-	settings.Client
 	factory.Confirmation
 	To string `long:"to" value-name:"SERVER" description:"server that becomes primary; without it control chooses"`
+	settings.Client
 }
 
 // NewCmdFailover returns the noun "failover".
--- a/internal/cli/proxy/drain.go
+++ b/internal/cli/proxy/drain.go
@@ -10,9 +10,9 @@
 )
 
 type drainOptions struct {
-	settings.Client
 	factory.Confirmation
 	Undo bool `long:"undo" description:"let the proxy take callers again"`
+	settings.Client
 }
 
 func newCmdDrain(f *factory.Factory) *command.Command {
--- a/internal/cli/proxy/list.go
+++ b/internal/cli/proxy/list.go
@@ -11,8 +11,8 @@
 )
 
 type listOptions struct {
-	settings.Client
 	output.Options
+	settings.Client
 }
 
 var listColumns = []output.Column[*controlpb.ProxyStatus]{
--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -63,7 +63,7 @@
 Exit codes: 0 done, 1 failed, 2 wrong usage, settings or declarations,
 4 refused by control, 5 control not reached, 6 waited in vain.`,
 		Example: `burdockwood apply -f examples/guild --dry-run
-burdockwood selector test --database ledger-1 --user payroll --kind write`,
+burdockwood selector test --database ledger-north --user payroll --kind write`,
 	}
 	root.Commands = []*command.Command{
 		dev.NewCmdDev(f),
--- a/internal/cli/selector/selector.go
+++ b/internal/cli/selector/selector.go
@@ -23,8 +23,8 @@
 
 // source is where selectors are read from.
 type source struct {
-	settings.Client
 	Folder string `short:"f" long:"folder" value-name:"DIR" description:"read the declarations from this folder, not from control"`
+	settings.Client
 }
 
 // NewCmdSelector returns the noun "selector".
--- a/internal/cli/selector/test.go
+++ b/internal/cli/selector/test.go
@@ -37,8 +37,8 @@
 		Short: "Tell which selector and group a request would get, and why",
 		Long: `Tell which selector and group a request would get, and why. The exit code is 1
 if the request would be refused.`,
-		Example: `burdockwood selector test --database ledger-1 --user payroll --kind write
-burdockwood selector test -f examples/guild --database ledger-1 --user crew --kind aged-read`,
+		Example: `burdockwood selector test --database ledger-north --user payroll --kind write
+burdockwood selector test -f examples/guild --database ledger-north --user crew --kind aged-read`,
 		Options: options,
 		Run: func(ctx context.Context, _ command.Call) error {
 			return testRun(ctx, f, options)
--- a/internal/cli/server/label.go
+++ b/internal/cli/server/label.go
@@ -22,8 +22,8 @@
 )
 
 type labelOptions struct {
-	settings.Client
 	settings.Author
+	settings.Client
 }
 
 func newCmdLabel(f *factory.Factory) *command.Command {
