--- a/internal/control/codec/codec.go
+++ b/internal/control/codec/codec.go
@@ -22,8 +22,15 @@
 	"github.com/burdockwood/burdockwood/internal/rpc/peerpb"
 )
 
-// version is the version of a batch of messages.
-const version = 1
+const (
+	// version is the version of a batch of messages. It is raised only for
+	// what an older release must not ignore, and then one release after the
+	// one that can read it.
+	version = 1
+	// maxCounter bounds positions, terms and the like in a message, so that
+	// sums of them can't overflow.
+	maxCounter = 1 << 60
+)
 
 var (
 	// ErrMalformed tells that bytes aren't what they should be.
@@ -236,6 +243,9 @@
 			Index: pb.GetIndex(), Term: pb.GetTerm(), Kind: quorum.EntryKind(pb.GetKind()),
 			Data: pb.GetData(), Configuration: config,
 		}
+		if pb.GetKind() > uint32(quorum.EntryConfiguration) {
+			return nil, eris.Wrapf(ErrVersion, "entry %d has the kind %d", e.Index, pb.GetKind())
+		}
 		if e.Index == 0 || e.Index != list[0].GetIndex()+uint64(i) {
 			return nil, eris.Wrapf(ErrMalformed, "entry %d at place %d after entry %d", e.Index, i, list[0].GetIndex())
 		}
@@ -258,6 +268,10 @@
 }
 
 func messageFromPB(pb *peerpb.Message) (quorum.Message, error) {
+	highest := max(pb.GetTerm(), pb.GetIndex(), pb.GetLogTerm(), pb.GetCommit(), pb.GetHint(), pb.GetOffset(), pb.GetTotal())
+	if highest > maxCounter {
+		return quorum.Message{}, eris.Wrapf(ErrMalformed, "a counter is %d", highest)
+	}
 	entries, err := entriesFromPB(pb.GetEntries())
 	if err != nil {
 		return quorum.Message{}, err
--- a/internal/control/failover/maintain.go
+++ b/internal/control/failover/maintain.go
@@ -18,7 +18,6 @@
 		d.form()
 		return
 	}
-	d.noteIntact()
 	if d.replacePrimary() || d.handOverPrimary() || d.changeVoters() {
 		return
 	}
@@ -35,9 +34,6 @@
 		return
 	}
 	d.plan.above = max(d.plan.above, above)
-	for _, name := range voters {
-		d.plan.intact[name] = d.s.Servers[name].Incarnation
-	}
 	d.begin(state.ReasonFormation, "", voters)
 }
 
@@ -48,7 +44,7 @@
 		d.plan.above = max(d.plan.above, d.s.Servers[name].Promised)
 	}
 	overtaken := d.plan.above > record.Term
-	if !overtaken && !d.s.Verdict.Replace() && !d.primaryLostDisk() {
+	if !overtaken && !d.s.Verdict.Replace() && !d.plan.lost[record.Primary] {
 		return false
 	}
 	if d.liveReplicas() < cluster.Majority(len(record.Voters)) && !overtaken {
@@ -58,28 +54,6 @@
 	return true
 }
 
-// primaryLostDisk reports whether the promoted primary has no promise left.
-func (d *decider) primaryLostDisk() bool {
-	server, ok := d.s.Servers[d.s.Record.Primary]
-	return ok && d.hasLostDisk(d.s.Record.Primary, server) && d.isLive(d.s.Record.Primary)
-}
-
-// noteIntact remembers the processes that announce a promise.
-func (d *decider) noteIntact() {
-	for name, server := range d.s.Servers {
-		if server.Promised > 0 {
-			d.plan.intact[name] = server.Incarnation
-		}
-	}
-}
-
-// hasLostDisk reports whether a voter that announces no promise has lost the
-// one it gave. An announcement may be older than the promise, but a process
-// doesn't lose its disk while it runs.
-func (d *decider) hasLostDisk(name cluster.ServerName, server registry.Server) bool {
-	return server.Promised == 0 && d.plan.intact[name] != server.Incarnation
-}
-
 // liveReplicas counts the voters besides the primary that aren't silent.
 func (d *decider) liveReplicas() int {
 	count := 0
@@ -100,15 +74,24 @@
 	if d.plan.wanted == nil && !d.isLeaving(record.Primary) {
 		return false
 	}
-	if d.s.Verdict != detect.Fine || d.now.Before(d.plan.plannedAfter) {
+	if d.s.Verdict != detect.Fine {
 		return false
 	}
 	target, ok := d.successor()
 	if !ok {
 		return false
 	}
+	return d.beginPlanned(state.ReasonSwitchover, target, record.Voters)
+}
+
+// beginPlanned begins a planned change and returns true, unless another one or
+// another term began just now.
+func (d *decider) beginPlanned(reason state.Reason, target cluster.ServerName, voters []cluster.ServerName) bool {
+	if d.now.Before(d.plan.plannedAfter) || d.now.Before(d.plan.next[key{kind: Begin}]) {
+		return false
+	}
 	d.plan.plannedAfter = d.now.Add(plannedPause)
-	d.begin(state.ReasonSwitchover, target, record.Voters)
+	d.begin(reason, target, voters)
 	return true
 }
 
@@ -140,62 +123,56 @@
 // changeVoters begins a term with other voters and the same primary.
 func (d *decider) changeVoters() bool {
 	record := d.s.Record
-	if d.s.Verdict != detect.Fine || d.now.Before(d.plan.plannedAfter) || d.plan.promoted != record.Term {
+	if d.s.Verdict != detect.Fine || d.plan.promoted != record.Term {
 		return false
 	}
 	voters := registry.Voters(record.Voters, d.s.Servers, d.isReady, d.s.Declared, d.s.LeaderSince, d.now)
 	if slices.Equal(voters, record.Voters) || !slices.Contains(voters, record.Primary) {
 		return false
 	}
-	d.plan.plannedAfter = d.now.Add(plannedPause)
-	d.begin(state.ReasonVoters, record.Primary, voters)
-	return true
+	return d.beginPlanned(state.ReasonVoters, record.Primary, voters)
 }
 
 // isReady reports whether a server has nearly caught up with the primary.
 func (d *decider) isReady(name cluster.ServerName) bool {
 	record := d.s.Record
 	primary, ok := d.s.Servers[record.Primary]
-	if !ok || d.plan.follows[name].term != record.Term {
+	if !ok || d.plan.follows[name].term != record.Term || record.Members[name].Repairing {
 		return false
 	}
 	server := d.s.Servers[name]
 	return server.Received.Term == primary.Received.Term && server.Received.Position+readyLag >= primary.Received.Position
 }
 
-// promotePrimary returns true once the primary is known to be promoted.
+// promotePrimary returns true once the primary is known to be promoted. One
+// that was started again doesn't know its role, and one of an earlier term has
+// no entry of this term.
 func (d *decider) promotePrimary() bool {
 	record := d.s.Record
 	server, ok := d.s.Servers[record.Primary]
-	if ok && server.Promised == record.Term && server.Heard.After(d.plan.promotedAt) {
-		// A primary that was started again doesn't know its role.
+	if ok && server.Heard.After(d.plan.promotedAt) {
 		d.plan.promoted = 0
-		if server.Role == cluster.RolePrimary {
+		if server.Role == cluster.RolePrimary && server.Promised == record.Term && server.Received.Term == record.Term {
 			d.plan.promoted = record.Term
 		}
 	}
-	if d.plan.promoted != record.Term {
-		d.send(Action{Kind: Promote, Server: record.Primary, Term: record.Term})
-		return false
+	if d.plan.promoted == record.Term {
+		return true
 	}
-	return true
+	d.send(Action{Kind: Promote, Server: record.Primary, Term: record.Term, LeastPromised: 1})
+	return false
 }
 
-// repairVoters marks voters that lost their disk, and unmarks those that have
-// caught up.
+// repairVoters unmarks servers that have caught up after a lost disk.
 func (d *decider) repairVoters() {
 	record := d.s.Record
-	for _, name := range record.Voters {
+	for _, name := range slices.Sorted(maps.Keys(record.Members)) {
 		server, ok := d.s.Servers[name]
 		if !ok || name == record.Primary {
 			continue
 		}
 		member := record.Members[name]
-		switch {
-		case !member.Repairing && d.hasLostDisk(name, server):
-			member.Repairing = true
-			d.send(Action{Kind: Repair, Server: name, Member: member})
-		case member.Repairing && d.hasCaughtUp(name, server):
+		if member.Repairing && d.hasCaughtUp(name, server) {
 			member.Repairing = false
 			d.send(Action{Kind: Repair, Server: name, Member: member})
 		}
@@ -214,7 +191,7 @@
 		followed.repaired = primary.Received
 		d.plan.follows[name] = followed
 	}
-	return !followed.repaired.IsZero() && server.Received.Covers(followed.repaired)
+	return !followed.repaired.IsZero() && server.Heard.After(followed.at) && server.Received.Covers(followed.repaired)
 }
 
 // followPrimary makes every other member follow the primary.
@@ -222,17 +199,19 @@
 	record := d.s.Record
 	primary := d.address(record.Primary)
 	for _, name := range slices.Sorted(maps.Keys(record.Members)) {
-		server, known := d.s.Servers[name]
+		server := d.s.Servers[name]
 		if name == record.Primary || !d.isLive(name) {
 			continue
 		}
-		if known && d.hasLostDisk(name, server) && slices.Contains(record.Voters, name) && !record.Members[name].Repairing {
-			continue
-		}
 		done := d.plan.follows[name]
 		if done.term == record.Term && done.primary == primary && done.incarnation == server.Incarnation {
 			continue
 		}
-		d.send(Action{Kind: Follow, Server: name, Term: record.Term, Primary: primary})
+		follow := Action{Kind: Follow, Server: name, Term: record.Term, Primary: primary}
+		if slices.Contains(record.Voters, name) {
+			d.sendToVoter(follow)
+		} else {
+			d.send(follow)
+		}
 	}
 }
--- a/internal/control/node/loop.go
+++ b/internal/control/node/loop.go
@@ -14,8 +14,11 @@
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 )
 
-// maxEvents bounds the events that one sync covers.
-const maxEvents = 512
+const (
+	// maxEvents and maxEventBytes bound the events that one sync covers.
+	maxEvents     = 512
+	maxEventBytes = 4 << 20
+)
 
 type (
 	// event is one of: messages of a peer, a proposal, a read.
@@ -56,6 +59,7 @@
 	var group run.Group
 	group.Add(func() error { return n.loop(ctx) }, func(error) { cancel() })
 	group.Add(func() error { return n.send(ctx) }, func(error) { cancel() })
+	group.Add(func() error { return n.writeSnapshots(ctx) }, func(error) { cancel() })
 	err := group.Run()
 	if ctx.Err() != nil && errors.Is(err, ctx.Err()) {
 		err = nil
@@ -96,8 +100,12 @@
 		case <-timer.C:
 		case e := <-n.events:
 			batch = n.drain(e)
+		case err := <-n.written:
+			if err := n.useSnapshot(err); err != nil {
+				return err
+			}
 		}
-		if err := n.step(batch); err != nil {
+		if err := n.handle(batch); err != nil {
 			return err
 		}
 	}
@@ -109,10 +117,11 @@
 // drain collects the events that wait behind the first one.
 func (n *Node) drain(first event) []event {
 	batch := []event{first}
-	for len(batch) < maxEvents {
+	for size := first.bytes(); len(batch) < maxEvents && size < maxEventBytes; {
 		select {
 		case e := <-n.events:
 			batch = append(batch, e)
+			size += e.bytes()
 		default:
 			return batch
 		}
@@ -120,8 +129,8 @@
 	return batch
 }
 
-// step hands a batch of events to the core and does the work that follows.
-func (n *Node) step(batch []event) error {
+// handle hands a batch of events to the core and does the work that follows.
+func (n *Node) handle(batch []event) error {
 	now := n.now()
 	for _, e := range batch {
 		for _, m := range e.messages {
@@ -130,16 +139,16 @@
 			}
 		}
 		if e.read != nil {
-			n.beginRead(e.read, now)
+			n.beginRead(e.read)
 		}
 	}
 	n.core.Tick(now)
-	n.propose(batch, now)
+	n.propose(batch)
 	return n.work(batch)
 }
 
 // propose appends all commands of a batch.
-func (n *Node) propose(batch []event, now time.Time) {
+func (n *Node) propose(batch []event) {
 	var commands [][]byte
 	var proposals []*proposal
 	for _, e := range batch {
@@ -151,7 +160,7 @@
 	if len(commands) == 0 {
 		return
 	}
-	index, term, err := n.core.Propose(commands, now)
+	index, term, err := n.core.Propose(commands)
 	for i, p := range proposals {
 		if err != nil {
 			p.answer <- outcome{err: replica.ErrNotLeader}
@@ -162,9 +171,9 @@
 	}
 }
 
-func (n *Node) beginRead(r *read, now time.Time) {
+func (n *Node) beginRead(r *read) {
 	n.nextToken++
-	if err := n.core.Read(n.nextToken, now); err != nil {
+	if err := n.core.Read(n.nextToken); err != nil {
 		r.answer <- outcome{err: replica.ErrNotLeader}
 		return
 	}
@@ -176,7 +185,7 @@
 	replies := newReplies(batch)
 	for n.core.HasReady() {
 		now := n.now()
-		ready := n.core.Ready(now)
+		ready := n.core.Ready()
 		if err := n.store(ready); err != nil {
 			return err
 		}
@@ -188,17 +197,13 @@
 	replies.finish()
 	n.publish(n.core.Status())
 	n.answerReads()
-	return n.compact()
+	return n.takeSnapshot()
 }
 
 // store makes the core's work durable.
 func (n *Node) store(ready quorum.Ready) error {
-	if s := ready.Snapshot; s != nil {
-		if err := n.log.SaveSnapshot(s, ready.HardState, ready.Entries); err != nil {
-			return err
-		}
-		n.logger.Info("installed a snapshot of the leader", "index", s.Index)
-		return n.restore(s)
+	if ready.Snapshot != nil {
+		return n.install(ready)
 	}
 	if !ready.Sync {
 		return nil
@@ -206,16 +211,6 @@
 	return n.log.Save(ready.HardState, ready.Entries)
 }
 
-// restore replaces the machine's state.
-func (n *Node) restore(s *quorum.Snapshot) error {
-	if err := n.machine.Restore(s.Data); err != nil {
-		return eris.Wrapf(err, "restore the snapshot of position %d", s.Index)
-	}
-	n.applied, n.snapshotIndex = s.Index, s.Index
-	n.index.Store(s.Index)
-	return nil
-}
-
 // apply hands committed commands to the machine and answers their proposals.
 func (n *Node) apply(entries []quorum.Entry) {
 	for _, e := range entries {
@@ -274,26 +269,6 @@
 	}
 }
 
-// compact takes a snapshot once the log has grown enough.
-func (n *Node) compact() error {
-	grown := n.applied - n.snapshotIndex
-	if grown == 0 || (grown < n.options.SnapshotEntries && n.log.Size() < n.options.SnapshotBytes) {
-		return nil
-	}
-	data, err := n.machine.Snapshot()
-	if err != nil {
-		return eris.Wrap(err, "take a snapshot")
-	}
-	s := n.core.Compact(data)
-	state, entries := n.core.Tail()
-	if err := n.log.SaveSnapshot(s, state, entries); err != nil {
-		return err
-	}
-	n.snapshotIndex = s.Index
-	n.logger.V(1).Info("took a snapshot", "index", s.Index, "bytes", len(data))
-	return nil
-}
-
 // failAll answers everything that waits when Run ends.
 func (n *Node) failAll() {
 	n.failProposals()
@@ -319,6 +294,18 @@
 	}
 }
 
+// bytes returns the length of what an event may add to the log.
+func (e event) bytes() int {
+	size := 0
+	if e.proposal != nil {
+		size = len(e.proposal.command)
+	}
+	for _, m := range e.messages {
+		size += messageBytes(m)
+	}
+	return size
+}
+
 // refuse answers an event that was never taken.
 func (e event) refuse() {
 	if e.proposal != nil {
--- a/internal/control/quorum/election.go
+++ b/internal/control/quorum/election.go
@@ -2,9 +2,18 @@
 
 import "time"
 
-// resetElection sets the time of the next campaign.
+// resetElection sets the time of the next campaign. A sole member has nobody to
+// wait for.
 func (c *Core) resetElection(now time.Time) {
-	c.electionDeadline = now.Add(randomTimeout(c.options.Random, &c.options))
+	c.electionDeadline = now
+	if !c.isSoleMember() {
+		c.electionDeadline = now.Add(randomTimeout(c.options.Random, &c.options))
+	}
+}
+
+func (c *Core) isSoleMember() bool {
+	active := c.log.active()
+	return len(active) == 1 && len(active[0].Members) == 1 && active[0].Has(c.self)
 }
 
 // canCampaign reports whether this node votes in an active configuration.
@@ -35,9 +44,6 @@
 	if c.role == RoleLeader {
 		c.failReads()
 	}
-	if leader != c.leader || c.role != RoleFollower {
-		c.incoming = incomingSnapshot{}
-	}
 	c.role = RoleFollower
 	c.leader = leader
 	c.progress = nil
@@ -50,19 +56,28 @@
 	c.role = role
 	c.leader = ID{}
 	c.votes = map[ID]bool{c.self: true}
-	c.resetElection(now)
+	// Answers come within a round trip, so a lost campaign is repeated
+	// sooner than a silent leader is given up.
+	c.electionDeadline = now.Add(randomTimeout(c.options.Random, &c.options) / 2)
 	kind, term := MessagePreVote, c.state.Term+1
 	if role == RoleCandidate {
 		c.state.Term = term
 		c.state.Vote = c.self
 		c.out.hardStateDirty = true
 		kind = MessageVote
+	} else {
+		// All members may have other disks by now; then only the answer to
+		// a probe tells that the own one was replaced too.
+		c.probeOthers()
 	}
 	for _, m := range c.activeMembers() {
 		if m.ID == c.self {
 			continue
 		}
-		c.send(Message{Kind: kind, To: m.ID, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm()})
+		c.send(Message{
+			Kind: kind, To: m.ID, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm(),
+			Configuration: c.genesis(),
+		})
 	}
 	c.countVotes(now)
 }
@@ -86,6 +101,7 @@
 	c.votes = nil
 	c.progress = map[ID]*progress{}
 	c.reads = readQueue{}
+	c.beatCommit = c.log.last()
 	c.syncProgress(now)
 	c.append(Entry{Index: c.log.last() + 1, Term: c.state.Term, Kind: EntryNoop})
 	c.heartbeatDue = now.Add(c.options.Heartbeat)
--- a/internal/control/quorum/replicate.go
+++ b/internal/control/quorum/replicate.go
@@ -31,6 +31,8 @@
 	// snapshot is being sent if not nil, from the byte offset on.
 	snapshot *Snapshot
 	offset   uint64
+	// beats counts the heartbeats since the last part of a snapshot.
+	beats int
 }
 
 // syncProgress makes the leader follow exactly the active members and the
@@ -69,6 +71,7 @@
 	}
 	c.dropSilentLearners(now)
 	c.changeMembers(now)
+	c.beatCommit = c.log.commit
 	c.broadcast()
 }
 
@@ -103,7 +106,7 @@
 }
 
 // flushAppends sends new entries to the followers that lack them.
-func (c *Core) flushAppends(_ time.Time) {
+func (c *Core) flushAppends() {
 	if c.role != RoleLeader {
 		return
 	}
@@ -122,13 +125,13 @@
 	if p.snapshot != nil {
 		if heartbeat {
 			c.sendBareHeartbeat(p)
-			c.sendChunk(p)
+			c.sendChunkAgain(p)
 		}
 		return
 	}
 	previous, ok := c.log.term(p.next - 1)
 	if !ok {
-		p.snapshot, p.offset = c.out.latest, 0
+		p.snapshot, p.offset = c.latest, 0
 		c.sendChunk(p)
 		return
 	}
--- a/internal/measure/command/command.go
+++ b/internal/measure/command/command.go
@@ -16,6 +16,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/pprof"
 	"syscall"
 	"time"
 
@@ -24,6 +25,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/burdockwood/burdockwood/internal/measure/bench"
+	"github.com/burdockwood/burdockwood/internal/measure/fault"
 	"github.com/burdockwood/burdockwood/internal/measure/profile"
 	"github.com/burdockwood/burdockwood/internal/measure/report"
 	"github.com/burdockwood/burdockwood/internal/measure/trial"
@@ -48,7 +50,7 @@
 // settings are the flags of the program.
 type settings struct {
 	Profile  string        `long:"profile" default:"guild" choice:"guild" choice:"ecouri" description:"whose sizes and load"`
-	Fault    string        `long:"fault" default:"none" choice:"none" choice:"kill" choice:"freeze" choice:"cut" choice:"overload" description:"what is brought about in each run"`
+	Fault    string        `long:"fault" default:"none" choice:"none" choice:"kill" choice:"freeze" choice:"cut" choice:"overload" choice:"proxy-cut" choice:"control-cut" choice:"control-lost" choice:"proxy-kill" choice:"server-disk" choice:"control-disk" choice:"control-partial" choice:"chaos" description:"what is brought about in each run"`
 	Runs     int           `long:"runs" default:"1" description:"number of runs"`
 	Seed     uint64        `long:"seed" default:"1" description:"seed of the first run; each next one adds 1"`
 	Duration time.Duration `long:"duration" default:"9s" description:"time of the load in each run; the fault lasts its second third"`
@@ -58,6 +60,7 @@
 	Direct   bool          `long:"direct" description:"callers reach the primary without proxies"`
 	Compare  bool          `long:"compare" description:"compare reads through a proxy with direct ones"`
 	JSON     bool          `long:"json" description:"print JSON"`
+	Profiled string        `long:"cpu-profile" description:"file for a profile of processor time"`
 	History  string        `long:"history" description:"file for the requests of the last run, as JSON"`
 	Verbose  bool          `long:"verbose" description:"log what the components do"`
 }
@@ -99,12 +102,36 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	stopProfile, err := s.startProfile()
+	if err != nil {
+		return err
+	}
+	defer stopProfile()
 	if s.Compare {
 		return s.compare(ctx)
 	}
 	return s.measure(ctx)
 }
 
+// startProfile writes a profile of processor time until the returned function
+// is called.
+func (s *settings) startProfile() (stop func(), err error) {
+	if s.Profiled == "" {
+		return func() {}, nil
+	}
+	file, err := os.Create(s.Profiled)
+	if err != nil {
+		return nil, err
+	}
+	if err := pprof.StartCPUProfile(file); err != nil {
+		return nil, errors.Join(err, file.Close())
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		file.Close()
+	}, nil
+}
+
 func (s *settings) check(rest []string) error {
 	switch {
 	case len(rest) > 0:
@@ -115,7 +142,7 @@
 		return fmt.Errorf("%w: --duration: up to %v", errUsage, maxLength)
 	case s.Rate <= 0:
 		return fmt.Errorf("%w: --rate: above 0", errUsage)
-	case s.Direct && s.Fault != string(trial.None):
+	case s.Direct && s.Fault != string(fault.None):
 		return fmt.Errorf("%w: --direct: only with --fault none, since nothing fails over", errUsage)
 	}
 	return nil
@@ -124,7 +151,7 @@
 // measure does the runs one after another.
 func (s *settings) measure(ctx context.Context) error {
 	p, _ := profile.Named(s.Profile)
-	p.Rate *= s.Rate
+	p = p.Scaled(s.Rate)
 	builder := report.New(report.Settings{
 		Profile:    s.Profile,
 		Fault:      s.Fault,
@@ -141,7 +168,7 @@
 		}
 		result, err := trial.Run(ctx, trial.Options{
 			Profile:  p,
-			Fault:    trial.Fault(s.Fault),
+			Fault:    fault.Kind(s.Fault),
 			Seed:     s.Seed + uint64(i),
 			Duration: s.Duration,
 			Lag:      s.Lag,
--- a/internal/proxy/upstream/server.go
+++ b/internal/proxy/upstream/server.go
@@ -43,9 +43,12 @@
 		slots      int
 		// connections is the most that the server accepts from all proxies.
 		connections int
-		usable      bool
-		primary     bool
-		since       time.Time
+		// usable is false for a replica that leaves or is silent. A primary
+		// is used until another one is in force: control may be all that
+		// doesn't hear it.
+		usable  bool
+		primary bool
+		since   time.Time
 	}
 )
 
@@ -84,7 +87,7 @@
 		dataCentre:  member.DataCentre,
 		slots:       member.Slots,
 		connections: member.Connections,
-		usable:      member.Usable,
+		usable:      member.Usable || primary,
 		primary:     primary,
 	}
 	old := s.facts.Load()
@@ -128,7 +131,6 @@
 func (s *Server) Health() watch.Health { return s.watcher.Health() }
 
 // Candidates appends the group's servers, as route.Choose wants them, to dst.
-// A primary that leaves is used until another has taken its place.
 func (g *Group) Candidates(dst []route.Candidate) []route.Candidate {
 	progress := g.Tracker.Progress()
 	for _, server := range g.Servers() {
@@ -137,7 +139,7 @@
 			Server:      server.Key.Server,
 			DataCentre:  known.dataCentre,
 			Primary:     known.primary,
-			Usable:      known.usable || known.primary,
+			Usable:      known.usable,
 			Outstanding: int(server.outstanding.Load()),
 			Service:     time.Duration(server.service.Load()),
 			Slots:       known.slots,
