Control nodes may join by address and take the place of a member that is gone

Cause: on the operators' platform a control node knows three addresses, no names; a VM may be replaced by one with another address and an empty disk. The list of members only grew, and only by nodes that the settings list.

Ruled out: removing the old member before the new one is in (one member fewer in between), and a second membership service beside the log.

Change: quorum.Options gains Resolve (a node's name gives its address), MustJoin (an empty disk that must not take part in forming a cluster), Size and GoneAfter. A caught-up joiner takes the place of a member that was silent for GoneAfter in one configuration entry; members above Size that are gone are removed. The joint majorities of a change are as before. Senders to nodes that the settings don't list are made on first use.

A randomized test with replaced nodes is still to come.

--- a/internal/control/node/loop.go
+++ b/internal/control/node/loop.go
@@ -80,8 +80,14 @@
 		group.Go(func() error { return s.run(ctx) })
 	}
 	group.Go(func() error {
-		<-ctx.Done()
-		return ctx.Err()
+		for {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case s := <-n.hired:
+				group.Go(func() error { return s.run(ctx) })
+			}
+		}
 	})
 	return group.Wait()
 }
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -86,6 +86,11 @@
 		// Seed makes election timeouts repeatable; zero: random.
 		Seed uint64
 
+		// Resolve, MustJoin and Size are those of quorum.Options.
+		Resolve  func(cluster.NodeName) (netip.AddrPort, bool)
+		MustJoin bool
+		Size     int
+
 		ElectionMin time.Duration
 		ElectionMax time.Duration
 		Heartbeat   time.Duration
@@ -104,7 +109,10 @@
 		log     *wal.Log
 		core    *quorum.Core
 		machine replica.Machine
+		// senders belongs to Run's goroutine; hired hands new ones to the
+		// group that runs them.
 		senders map[cluster.NodeName]*sender
+		hired   chan *sender
 
 		events  chan event
 		toWrite chan *quorum.Snapshot
@@ -165,6 +173,7 @@
 		return nil, eris.Wrap(joinClose(err, n.folder), "open the control node")
 	}
 	n.senders = n.newSenders()
+	n.hired = make(chan *sender, senderQueue)
 	return n, nil
 }
 
@@ -231,6 +240,9 @@
 		ElectionMin: o.ElectionMin,
 		ElectionMax: o.ElectionMax,
 		Heartbeat:   o.Heartbeat,
+		Resolve:     o.Resolve,
+		MustJoin:    o.MustJoin,
+		Size:        o.Size,
 		Random:      rand.New(rand.NewPCG(o.Seed, uint64(id.Disk))),
 	}
 	for _, p := range o.Peers {
--- a/internal/control/node/peers.go
+++ b/internal/control/node/peers.go
@@ -53,17 +53,42 @@
 		if p.Name == n.options.Name {
 			continue
 		}
-		senders[p.Name] = &sender{
-			peer:   controlpb.NewPeerProtobufClient(transport.URL(p.Address), n.options.Client),
-			name:   p.Name,
-			queue:  make(chan quorum.Message, senderQueue),
-			events: n.events,
-			logger: n.logger,
-		}
+		senders[p.Name] = n.newSender(p)
 	}
 	return senders
 }
 
+func (n *Node) newSender(p Peer) *sender {
+	return &sender{
+		peer:   controlpb.NewPeerProtobufClient(transport.URL(p.Address), n.options.Client),
+		name:   p.Name,
+		queue:  make(chan quorum.Message, senderQueue),
+		events: n.events,
+		logger: n.logger,
+	}
+}
+
+// senderFor returns the sender to a node; for one that the settings don't list
+// it is made on first use. It returns nil if the node's address isn't known or
+// too many senders wait to be run: the protocol sends messages again.
+func (n *Node) senderFor(name cluster.NodeName) *sender {
+	if s := n.senders[name]; s != nil || n.options.Resolve == nil {
+		return s
+	}
+	address, ok := n.options.Resolve(name)
+	if !ok {
+		return nil
+	}
+	s := n.newSender(Peer{Name: name, Address: address})
+	select {
+	case n.hired <- s:
+		n.senders[name] = s
+		return s
+	default:
+		return nil
+	}
+}
+
 // Step takes the messages of a peer and answers with those for it.
 func (n *Node) Step(ctx context.Context, request *controlpb.StepRequest) (*controlpb.StepResponse, error) {
 	messages, err := codec.DecodeMessages(request.GetPayload())
@@ -129,7 +154,7 @@
 			answer.messages = append(answer.messages, m)
 			continue
 		}
-		if s := n.senders[m.To.Node]; s != nil {
+		if s := n.senderFor(m.To.Node); s != nil {
 			s.offer(m)
 		}
 	}
--- a/internal/control/node/publish.go
+++ b/internal/control/node/publish.go
@@ -46,7 +46,11 @@
 			return p.Address
 		}
 	}
-	return netip.AddrPort{}
+	if n.options.Resolve == nil {
+		return netip.AddrPort{}
+	}
+	resolved, _ := n.options.Resolve(name)
+	return resolved
 }
 
 func (n *Node) publishMembers(status quorum.Status) {
--- a/internal/control/quorum/core.go
+++ b/internal/control/quorum/core.go
@@ -15,6 +15,9 @@
 	defaultAppendBytes = 512 << 10
 	defaultChunkBytes  = 512 << 10
 	defaultKeepEntries = 1000
+	// defaultGoneAfter is four of the longest election timeouts: a member
+	// that only restarts is back sooner.
+	defaultGoneAfter = 2 * time.Second
 )
 
 var (
@@ -106,6 +109,7 @@
 	o.AppendBytes = orDefault(o.AppendBytes, defaultAppendBytes)
 	o.ChunkBytes = orDefault(o.ChunkBytes, defaultChunkBytes)
 	o.KeepEntries = orDefault(o.KeepEntries, defaultKeepEntries)
+	o.GoneAfter = orDefault(o.GoneAfter, defaultGoneAfter)
 }
 
 func orDefault[T ~int | ~int64](value, fallback T) T {
--- a/internal/control/quorum/forming.go
+++ b/internal/control/quorum/forming.go
@@ -138,7 +138,7 @@
 
 // view identifies the known disks of all listed nodes; zero: some are unknown.
 func (c *Core) view() uint64 {
-	if c.formed() {
+	if c.formed() || c.options.MustJoin {
 		return 0
 	}
 	members, complete := c.seenMembers()
@@ -180,7 +180,7 @@
 
 // tryForm forms a cluster once all listed nodes agree on the same identities.
 func (c *Core) tryForm(now time.Time) {
-	if c.formed() || !c.allAgree() {
+	if c.formed() || c.options.MustJoin || !c.allAgree() {
 		return
 	}
 	members, complete := c.seenMembers()
--- a/internal/control/quorum/members.go
+++ b/internal/control/quorum/members.go
@@ -34,7 +34,11 @@
 			return Member{ID: id, Address: m.Address}, true
 		}
 	}
-	return Member{}, false
+	if c.options.Resolve == nil {
+		return Member{}, false
+	}
+	address, ok := c.options.Resolve(id.Node)
+	return Member{ID: id, Address: address}, ok
 }
 
 func (c *Core) isLearner(id ID) bool {
@@ -71,12 +75,48 @@
 		if replaces && (old.ID == c.self || c.isAlive(old.ID, now)) {
 			continue
 		}
+		gone, found := c.goneMember(now)
+		if !replaces && found {
+			c.proposeMembers(without(withMember(c.log.newest(), p.member), gone), now)
+			return
+		}
 		if !replaces && !c.allAlive(now) {
 			continue // one member more may raise the quorum
 		}
 		c.proposeMembers(withMember(c.log.newest(), p.member), now)
 		return
 	}
+	c.shrink(now)
+}
+
+// shrink removes a member that is gone if enough others remain.
+func (c *Core) shrink(now time.Time) {
+	if len(c.log.newest().Members) <= c.options.Size {
+		return
+	}
+	if gone, found := c.goneMember(now); found {
+		c.proposeMembers(without(c.log.newest(), gone), now)
+	}
+}
+
+// goneMember returns the member that has been silent for longest, if any has
+// been for GoneAfter.
+func (c *Core) goneMember(now time.Time) (ID, bool) {
+	if c.options.Size == 0 {
+		return ID{}, false
+	}
+	var gone ID
+	longest := c.options.GoneAfter
+	for _, m := range c.log.newest().Members {
+		p := c.progress[m.ID]
+		if m.ID == c.self || p == nil {
+			continue
+		}
+		if silent := now.Sub(p.heard); silent >= longest {
+			gone, longest = m.ID, silent
+		}
+	}
+	return gone, !gone.IsZero()
 }
 
 // allAlive reports whether the leader heard every member lately.
@@ -110,12 +150,25 @@
 	}
 	next.Members = append(next.Members, m)
 	sortMembers(next.Members)
-	if extra := len(next.Retired) - maxRetired; extra > 0 {
-		next.Retired = next.Retired[extra:]
+	next.Retired = boundRetired(next.Retired)
+	return next
+}
+
+// without returns the configuration without the member id, which is retired.
+func without(config Configuration, id ID) Configuration {
+	next := Configuration{Retired: boundRetired(append(slices.Clone(config.Retired), id))}
+	for _, m := range config.Members {
+		if m.ID != id {
+			next.Members = append(next.Members, m)
+		}
 	}
 	return next
 }
 
+func boundRetired(retired []ID) []ID {
+	return retired[max(0, len(retired)-maxRetired):]
+}
+
 func sortMembers(members []Member) {
 	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Node, b.Node) })
 }
--- a/internal/control/quorum/types.go
+++ b/internal/control/quorum/types.go
@@ -181,6 +181,19 @@
 		// Nodes are those that the settings list, this one too; their disks
 		// are ignored.
 		Nodes []Member
+		// Resolve returns the address of a node that Nodes doesn't list,
+		// and whether the node may join; nil: only listed nodes may.
+		Resolve func(cluster.NodeName) (netip.AddrPort, bool)
+		// MustJoin tells that this node never takes part in forming a
+		// cluster: its disk is empty because it was lost or is new.
+		MustJoin bool
+		// Size is the number of members above which a member that is gone
+		// is removed; zero: members are never removed or replaced by
+		// another node.
+		Size int
+		// GoneAfter is the time without an answer after which a member
+		// counts as gone.
+		GoneAfter time.Duration
 		// ElectionMin and ElectionMax bound the random time after which a
 		// follower without a leader campaigns.
 		ElectionMin time.Duration
