Fleet: primaries fenced by leases, servers from announcements, a document by version

Cause: the platform acknowledges a commit before a replica has it, its promises aren't durable and it checks no fence, so the confirmation by a majority of backend servers that control uses elsewhere has nothing to stand on.

Ruled out: polling a majority of servers for each write (2 slots a server, a replication delay on each write); a list of leases in the log (one entry a renewal): only the names of proxies that may hold one are replicated, and a new leader takes each to have renewed at its election.

--- /dev/null
+++ b/internal/fleet/coordinator/conduct.go
@@ -0,0 +1,376 @@
+package coordinator
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/burdockwood/burdockwood/internal/fleet/roster"
+	"github.com/burdockwood/burdockwood/internal/fleet/state"
+	"github.com/burdockwood/burdockwood/internal/fleet/succession"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/pause"
+)
+
+const (
+	// probeTimeout bounds a call to a server: three times the time of a
+	// busy server's answer.
+	probeTimeout = 400 * time.Millisecond
+	// promoteTimeout bounds a call to the platform.
+	promoteTimeout = 700 * time.Millisecond
+	// takeoverPause is the time after an election in which nothing is
+	// promoted: longer than promoteTimeout, so that a call of the earlier
+	// leader is over.
+	takeoverPause = time.Second
+	// chooseAgain is the pause between two rounds of asking the servers.
+	chooseAgain = 60 * time.Millisecond
+	// patientFor is how long a change waits for the replica that holds all.
+	patientFor = 1500 * time.Millisecond
+	// leadPatience is how long a promoted server may take to lead before it
+	// is asked for again: several times the usual 300 to 600 ms.
+	leadPatience = 4 * time.Second
+	// leadPoll is the pause between two looks whether it leads.
+	leadPoll = 100 * time.Millisecond
+	// demoteTries and demotePause bound the attempts to demote an old
+	// primary, which the platform does by itself about a second after it
+	// reaches the new one.
+	demoteTries = 8
+	demotePause = 500 * time.Millisecond
+)
+
+var (
+	// ErrPromotionRefused tells that the platform won't make a server the
+	// primary: it doesn't run.
+	ErrPromotionRefused = eris.New("the platform refused the promotion")
+	// ErrServerBusy tells that a server answered, but had no room for the
+	// question.
+	ErrServerBusy = eris.New("the backend server is busy")
+)
+
+// conductor changes the primary of one group during one leadership.
+type conductor struct {
+	c      *Coordinator
+	l      *leadership
+	group  cluster.GroupName
+	logger logr.Logger
+	// refused are the servers that couldn't be promoted, and until when
+	// they aren't chosen again.
+	refused map[cluster.ServerName]time.Time
+	// releasing is when the wait for the release of a term began.
+	releasing time.Time
+	// choosing is when all leases of the term were over.
+	choosing time.Time
+	reason   string
+	helpers  *errgroup.Group
+}
+
+// conductAll runs a conductor for each group that has servers or a primary.
+func (c *Coordinator) conductAll(ctx context.Context, l *leadership, helpers *errgroup.Group) error {
+	running := map[cluster.GroupName]bool{}
+	for {
+		c.mu.Lock()
+		news, groups := l.news, l.roster.Groups()
+		c.mu.Unlock()
+		for group := range c.options.Machine.View().Primacies {
+			groups = append(groups, group)
+		}
+		for _, group := range groups {
+			if running[group] {
+				continue
+			}
+			running[group] = true
+			k := &conductor{
+				c: c, l: l, group: group, helpers: helpers,
+				logger:  c.options.Logger.WithValues("group", group, "epoch", l.epoch),
+				refused: map[cluster.ServerName]time.Time{},
+			}
+			helpers.Go(func() error { return k.run(ctx) })
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-news:
+		}
+	}
+}
+
+func (k *conductor) run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for ctx.Err() == nil {
+		k.c.mu.Lock()
+		news := k.l.news
+		k.c.mu.Unlock()
+		again := k.step(ctx)
+		timer.Reset(again)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-news:
+		}
+	}
+	return nil
+}
+
+// step does what is due and returns when to look again without news.
+func (k *conductor) step(ctx context.Context) time.Duration {
+	if _, known := k.c.options.Group(k.group); !known {
+		return tickInterval
+	}
+	p := k.c.options.Machine.View().Primacies[k.group]
+	switch p.Phase {
+	case state.Releasing:
+		return k.release(ctx, p)
+	case state.Promoting:
+		return k.promote(ctx, p)
+	default:
+		return k.judge(ctx, p)
+	}
+}
+
+// situation collects what is known of the group.
+func (k *conductor) situation(p state.Primacy, now time.Time) succession.Situation {
+	k.c.mu.Lock()
+	defer k.c.mu.Unlock()
+	settled := k.l.settled[k.group]
+	if settled.term != p.Term {
+		settled = settledAt{term: p.Term, at: now}
+		k.l.settled[k.group] = settled
+	}
+	sights := map[cluster.ProxyName]succession.Sight{}
+	for proxy, sight := range k.l.sights[p.Primary] {
+		sights[proxy] = sight
+	}
+	return succession.Situation{
+		Primacy: p, SettledAt: settled.at, Warm: k.l.warm(now), Sights: sights,
+		Servers: k.l.roster.Group(k.group), Probe: k.l.probes[k.group],
+	}
+}
+
+func (k *conductor) judge(ctx context.Context, p state.Primacy) time.Duration {
+	now := k.c.options.Now()
+	verdict := succession.Judge(k.situation(p, now), now)
+	switch verdict.Kind {
+	case succession.Adopt:
+		k.change(ctx, p, state.Primacy{Term: p.Term + 1, Primary: verdict.Server}, verdict.Reason)
+	case succession.Replace:
+		k.reason = verdict.Reason
+		next := state.Primacy{Term: p.Term + 1, Phase: state.Releasing, Primary: p.Primary, Planned: verdict.Planned}
+		k.change(ctx, p, next, verdict.Reason)
+		return 0
+	case succession.Probe:
+		k.probe(ctx, p, verdict.Reason)
+		return 0
+	}
+	return tickInterval
+}
+
+// change commits the next step of a primacy.
+func (k *conductor) change(ctx context.Context, from, to state.Primacy, reason string) bool {
+	command := state.Command{Primacy: &state.PrimacyChange{Group: k.group, From: from, To: to}}
+	result, err := k.c.propose(ctx, command)
+	k.logger.Info("primacy", "term", to.Term, "phase", to.Phase.String(), "primary", to.Primary, "target", to.Target,
+		"planned", to.Planned, "reason", reason, "applied", result.Applied, "error", errorText(err))
+	return err == nil && result.Applied
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// probe asks the primary itself.
+func (k *conductor) probe(ctx context.Context, p state.Primacy, reason string) {
+	server, known := k.server(p.Primary)
+	result := succession.ProbeResult{}
+	if known {
+		status, err := k.status(ctx, server)
+		result.Alive, result.Role = err == nil, status.Role
+		if eris.Is(err, ErrServerBusy) {
+			result.Alive, result.Role = true, server.Role
+		}
+		k.logger.Info("probed the primary", "server", p.Primary, "reason", reason, "alive", result.Alive,
+			"role", status.Role.String(), "error", errorText(err))
+	}
+	result.At = k.c.options.Now()
+	k.c.mu.Lock()
+	k.l.probes[k.group] = result
+	k.c.mu.Unlock()
+}
+
+func (k *conductor) server(name cluster.ServerName) (roster.Server, bool) {
+	k.c.mu.Lock()
+	defer k.c.mu.Unlock()
+	return k.l.roster.Get(name)
+}
+
+func (k *conductor) status(ctx context.Context, server roster.Server) (cluster.ServerStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return k.c.options.Backends.Status(ctx, server)
+}
+
+// release waits until no proxy can use the old primary, then chooses the next.
+func (k *conductor) release(ctx context.Context, p state.Primacy) time.Duration {
+	now := k.c.options.Now()
+	if k.releasing.IsZero() {
+		k.releasing = now
+	}
+	k.c.mu.Lock()
+	holders := k.l.lender.Holders(k.group, p.Term, now)
+	servers := k.l.roster.Group(k.group)
+	k.c.mu.Unlock()
+	if len(holders) > 0 {
+		return tickInterval / 4
+	}
+	if k.choosing.IsZero() {
+		k.choosing = now
+		k.logger.Info("the old term is released", "term", p.Term, "waited-ms", now.Sub(k.releasing).Milliseconds())
+	}
+	able := slices.DeleteFunc(slices.Clone(servers), func(s roster.Server) bool { return now.Before(k.refused[s.Name]) })
+	statuses := k.ask(ctx, servers)
+	confirmed, _ := k.c.options.Group(k.group)
+	target, ok := succession.Choose(statuses, able, succession.Rule{
+		Old: p.Primary, Confirmed: confirmed,
+		Patient: k.c.options.Now().Sub(k.choosing) < patientFor,
+	})
+	if !ok {
+		return chooseAgain
+	}
+	for _, s := range statuses {
+		k.logger.Info("status", "server", s.Server, "role", s.Role.String(), "received", s.Received.String(), "term", p.Term)
+	}
+	next := p
+	next.Phase, next.Target = state.Promoting, target
+	if k.change(ctx, p, next, k.reason) {
+		k.releasing, k.choosing = time.Time{}, time.Time{}
+	}
+	return 0
+}
+
+// ask asks all servers at once for their status; those that don't answer are
+// left out.
+func (k *conductor) ask(ctx context.Context, servers []roster.Server) []succession.Status {
+	answers := make([]*succession.Status, len(servers))
+	var group errgroup.Group
+	for i, server := range servers {
+		group.Go(func() error {
+			status, err := k.status(ctx, server)
+			if err != nil {
+				k.logger.V(1).Info("no status", "server", server.Name, "error", err.Error())
+				return nil
+			}
+			answers[i] = &succession.Status{ServerStatus: status, Server: server.Name}
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		k.logger.Error(err, "asking the servers failed")
+	}
+	var list []succession.Status
+	for _, a := range answers {
+		if a != nil {
+			list = append(list, *a)
+		}
+	}
+	return list
+}
+
+// promote asks the platform until the target leads.
+func (k *conductor) promote(ctx context.Context, p state.Primacy) time.Duration {
+	if wait := takeoverPause - k.c.options.Now().Sub(k.l.since); wait > 0 {
+		return wait
+	}
+	if err := k.c.confirm(ctx); err != nil {
+		return tickInterval
+	}
+	callCtx, cancel := context.WithTimeout(ctx, promoteTimeout)
+	err := k.c.options.Promoter.Promote(callCtx, k.group, p.Target, Fence{Holder: k.c.options.Name, Token: k.l.epoch})
+	cancel()
+	k.logger.Info("promotion asked for", "server", p.Target, "term", p.Term, "error", errorText(err))
+	if eris.Is(err, ErrPromotionRefused) {
+		k.refused[p.Target] = k.c.options.Now().Add(leadPatience)
+		k.chooseAgain(ctx, p, "the platform refused the target")
+		return 0
+	}
+	if err != nil {
+		return k.afterUnclear(ctx, p)
+	}
+	term, leads := k.awaitLead(ctx, p)
+	if !leads {
+		return k.afterUnclear(ctx, p)
+	}
+	settled := state.Primacy{Term: p.Term, Primary: p.Target}
+	if !k.change(ctx, p, settled, k.reason) {
+		return 0
+	}
+	k.reason = ""
+	if old, known := k.server(p.Primary); known && p.Primary != p.Target {
+		k.helpers.Go(func() error {
+			k.demote(ctx, old, term)
+			return nil
+		})
+	}
+	return 0
+}
+
+// afterUnclear decides whether the target is asked for again: it is given up
+// only once it can't be reached, since the promotion may still take effect.
+func (k *conductor) afterUnclear(ctx context.Context, p state.Primacy) time.Duration {
+	server, known := k.server(p.Target)
+	if known && !server.Draining {
+		if _, err := k.status(ctx, server); err == nil {
+			return tickInterval
+		}
+	}
+	k.refused[p.Target] = k.c.options.Now().Add(leadPatience)
+	k.chooseAgain(ctx, p, "the target can't be reached")
+	return tickInterval
+}
+
+// chooseAgain goes back to choosing, in a new term.
+func (k *conductor) chooseAgain(ctx context.Context, p state.Primacy, reason string) {
+	next := state.Primacy{Term: p.Term + 1, Phase: state.Releasing, Primary: p.Primary, Planned: p.Planned}
+	k.change(ctx, p, next, reason)
+}
+
+// awaitLead waits until the target sees itself as primary, and returns the
+// term of its log.
+func (k *conductor) awaitLead(ctx context.Context, p state.Primacy) (cluster.Term, bool) {
+	until := k.c.options.Now().Add(leadPatience)
+	for k.c.options.Now().Before(until) && ctx.Err() == nil {
+		server, known := k.server(p.Target)
+		if !known {
+			return 0, false
+		}
+		status, err := k.status(ctx, server)
+		if err == nil && status.Role == cluster.RolePrimary {
+			return status.Promised, true
+		}
+		pause.For(ctx, leadPoll)
+	}
+	return 0, false
+}
+
+// demote tells the old primary that it is one no more. The leases already keep
+// it from being used; this lets it follow the new one sooner.
+func (k *conductor) demote(ctx context.Context, old roster.Server, term cluster.Term) {
+	for range demoteTries {
+		callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+		err := k.c.options.Backends.Demote(callCtx, old, term)
+		cancel()
+		if err == nil {
+			k.logger.Info("demoted the old primary", "server", old.Name, "log-term", term)
+			return
+		}
+		k.logger.V(1).Info("the old primary can't be demoted yet", "server", old.Name, "error", err.Error())
+		pause.For(ctx, demotePause)
+	}
+	k.logger.Info("gave up demoting the old primary", "server", old.Name, "log-term", term)
+}
--- /dev/null
+++ b/internal/fleet/coordinator/coordinator.go
@@ -0,0 +1,319 @@
+// Package coordinator is the leading control node's work where primaries are
+// fenced by leases: it lends leases to proxies, keeps the servers that announce
+// themselves, stores the operators' document and changes primaries.
+//
+// # Usage
+//
+//	c, err := coordinator.New(coordinator.Options{Name: name, Log: node, ...})
+//	err = c.Run(ctx)                      // leads whenever the node does
+//	response, err := c.Renew(ctx, request)
+//	leader, err := c.Announce(server, false)
+//
+// All calls but Run return ErrNotLeader on a node that doesn't lead. What the
+// leader only hears (servers, evidence, leases) is in memory; a new leader
+// hears it again. What must survive is in internal/fleet/state.
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/burdockwood/burdockwood/internal/control/replica"
+	"github.com/burdockwood/burdockwood/internal/fleet/lender"
+	"github.com/burdockwood/burdockwood/internal/fleet/roster"
+	"github.com/burdockwood/burdockwood/internal/fleet/state"
+	"github.com/burdockwood/burdockwood/internal/fleet/succession"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+const (
+	// DefaultLease is longer than a restart of all control nodes and an
+	// election (2 s and 1 s), so that losing the leader costs callers
+	// nothing.
+	DefaultLease = 5 * time.Second
+	// DefaultHold is how long a renewal waits for news: a fifth of the
+	// lease.
+	DefaultHold = time.Second
+	// confirmTimeout bounds the confirmation of the leadership: two election
+	// timeouts.
+	confirmTimeout = time.Second
+	// warmTime is two announcement intervals and a retry, after which a new
+	// leader has heard of every server that lives.
+	warmTime = 3500 * time.Millisecond
+	// announceSilence is the time without an announcement after which a
+	// server is dropped: ten intervals, so that a cut between servers and
+	// control doesn't empty the roster.
+	announceSilence = 12 * time.Second
+	// forgetAge is the time after its lease at which a proxy is forgotten.
+	forgetAge = 30 * time.Second
+	// tickInterval is the pause between two looks at a group without news.
+	tickInterval = 200 * time.Millisecond
+)
+
+// ErrNotLeader tells that this control node doesn't lead; nothing was done.
+var ErrNotLeader = eris.New("this control node doesn't lead")
+
+type (
+	// Backends reaches the servers for control's own purposes.
+	Backends interface {
+		// Status asks a server what it holds.
+		Status(ctx context.Context, server roster.Server) (cluster.ServerStatus, error)
+		// Demote makes a primary of a lower term of its log a replica.
+		Demote(ctx context.Context, server roster.Server, term cluster.Term) error
+	}
+
+	// Fence is what a promotion carries, so that the platform can refuse
+	// that of an earlier leader.
+	Fence struct {
+		Holder cluster.NodeName
+		// Token grows with each change of the holder.
+		Token uint64
+	}
+
+	// Promoter asks the platform to make a server the primary.
+	Promoter interface {
+		// Promote returns nil once the platform has accepted it, and
+		// ErrPromotionRefused if it certainly won't happen.
+		Promote(ctx context.Context, group cluster.GroupName, server cluster.ServerName, fence Fence) error
+	}
+
+	// Log is the replicated log.
+	Log interface {
+		replica.Log
+		Changes() <-chan struct{}
+	}
+
+	// Options are what a coordinator needs.
+	Options struct {
+		Name     cluster.NodeName
+		Log      Log
+		Machine  *state.Machine
+		Backends Backends
+		Promoter Promoter
+		Logger   logr.Logger
+		// Now counts the time while the VM is suspended.
+		Now func() time.Time
+		// Lease and Hold are in the place of the defaults unless zero.
+		Lease time.Duration
+		Hold  time.Duration
+		// Group returns what operators declared of a group: whether a
+		// commit is acknowledged only once a replica has it; known is false
+		// for a group that they didn't declare, which is left alone.
+		Group func(cluster.GroupName) (confirmed, known bool)
+	}
+
+	// Coordinator serves proxies, servers and operators.
+	Coordinator struct {
+		options Options
+		mu      sync.Mutex
+		// term is nil while this node doesn't lead.
+		term *leadership
+	}
+
+	// leadership is what a leader keeps in memory. Its fields are guarded by
+	// Coordinator.mu.
+	leadership struct {
+		epoch    uint64
+		since    time.Time
+		lender   *lender.Lender
+		roster   *roster.Roster
+		sights   map[cluster.ServerName]map[cluster.ProxyName]succession.Sight
+		probes   map[cluster.GroupName]succession.ProbeResult
+		settled  map[cluster.GroupName]settledAt
+		revision uint64
+		live     int
+		// news is closed and replaced with each change that proxies or the
+		// changes of primaries wait for.
+		news  chan struct{}
+		ended chan struct{}
+	}
+
+	settledAt struct {
+		term cluster.Term
+		at   time.Time
+	}
+)
+
+// New checks the options.
+func New(options Options) (*Coordinator, error) {
+	if options.Log == nil || options.Machine == nil || options.Backends == nil || options.Promoter == nil || options.Now == nil {
+		return nil, eris.New("coordinator: log, machine, backends, promoter and clock are needed")
+	}
+	if options.Lease == 0 {
+		options.Lease = DefaultLease
+	}
+	if options.Hold == 0 {
+		options.Hold = DefaultHold
+	}
+	if options.Group == nil {
+		options.Group = func(cluster.GroupName) (confirmed, known bool) { return false, true }
+	}
+	return &Coordinator{options: options}, nil
+}
+
+// Run leads whenever the control node does, until ctx ends.
+func (c *Coordinator) Run(ctx context.Context) error {
+	for {
+		changed := c.options.Log.Changes()
+		epoch, leads := c.options.Log.IsLeader()
+		if leads {
+			c.lead(ctx, epoch, changed)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+// lead serves one leadership until it is lost.
+func (c *Coordinator) lead(ctx context.Context, epoch uint64, changed <-chan struct{}) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if err := c.options.Log.Confirm(ctx); err != nil {
+		c.options.Logger.Info("leadership wasn't confirmed", "epoch", epoch, "error", err.Error())
+		return
+	}
+	now := c.options.Now()
+	known := slices.Sorted(maps.Keys(c.options.Machine.View().Proxies))
+	l := &leadership{
+		epoch: epoch, since: now, roster: roster.New(),
+		lender:  lender.New(known, now, c.options.Lease),
+		sights:  map[cluster.ServerName]map[cluster.ProxyName]succession.Sight{},
+		probes:  map[cluster.GroupName]succession.ProbeResult{},
+		settled: map[cluster.GroupName]settledAt{},
+		news:    make(chan struct{}), ended: make(chan struct{}),
+	}
+	c.mu.Lock()
+	c.term = l
+	c.mu.Unlock()
+	c.options.Logger.Info("leads control", "epoch", epoch, "proxies-assumed", len(known))
+	defer c.endLead(l)
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		defer cancel()
+		select {
+		case <-groupCtx.Done():
+		case <-changed:
+		}
+		return nil
+	})
+	group.Go(func() error { return c.watchState(groupCtx, l) })
+	group.Go(func() error { return c.conductAll(groupCtx, l, group) })
+	if err := group.Wait(); err != nil && ctx.Err() == nil {
+		c.options.Logger.Error(err, "leading ended with an error", "epoch", epoch)
+	}
+}
+
+func (c *Coordinator) endLead(l *leadership) {
+	c.mu.Lock()
+	c.term = nil
+	close(l.ended)
+	c.mu.Unlock()
+	c.options.Logger.Info("doesn't lead control any more", "epoch", l.epoch)
+}
+
+// watchState tells proxies of each change of the replicated state, and does
+// what is due at intervals.
+func (c *Coordinator) watchState(ctx context.Context, l *leadership) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		changed := c.options.Machine.Changed()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+			c.mu.Lock()
+			l.bump()
+			c.mu.Unlock()
+		case <-ticker.C:
+			c.tick(ctx, l)
+		}
+	}
+}
+
+// tick drops servers and proxies that were silent for long.
+func (c *Coordinator) tick(ctx context.Context, l *leadership) {
+	now := c.options.Now()
+	c.mu.Lock()
+	dropped := l.roster.Expire(announceSilence, now)
+	if live := l.lender.Live(now); live != l.live || len(dropped) > 0 {
+		l.live = live
+		l.bump()
+	}
+	forgotten := l.lender.Forget(forgetAge, now)
+	c.mu.Unlock()
+	for _, name := range dropped {
+		c.options.Logger.Info("server dropped: no announcement", "server", name, "silent-ms", announceSilence.Milliseconds())
+	}
+	if len(forgotten) == 0 {
+		return
+	}
+	if _, err := c.propose(ctx, state.Command{Leave: forgotten}); err != nil {
+		c.options.Logger.Info("forgotten proxies stay in the state", "error", err.Error())
+	}
+}
+
+// bump tells everyone who waits that something changed.
+func (l *leadership) bump() {
+	l.revision++
+	close(l.news)
+	l.news = make(chan struct{})
+}
+
+// wake wakes those who wait without a change that proxies must hear of.
+func (l *leadership) wake() {
+	close(l.news)
+	l.news = make(chan struct{})
+}
+
+func (l *leadership) revisionName() string { return fmt.Sprintf("%d.%d", l.epoch, l.revision) }
+
+func (l *leadership) warm(now time.Time) bool { return now.Sub(l.since) >= warmTime }
+
+// leading returns the present leadership. Errors: ErrNotLeader.
+func (c *Coordinator) leading() (*leadership, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.term == nil {
+		return nil, ErrNotLeader
+	}
+	return c.term, nil
+}
+
+// propose commits a command.
+func (c *Coordinator) propose(ctx context.Context, command state.Command) (state.Result, error) {
+	encoded, err := state.Encode(command)
+	if err != nil {
+		return state.Result{}, err
+	}
+	result, err := c.options.Log.Propose(ctx, encoded)
+	if eris.Is(err, replica.ErrNotLeader) {
+		return state.Result{}, ErrNotLeader
+	}
+	if err != nil {
+		return state.Result{}, err
+	}
+	return state.Decode(result)
+}
+
+// confirm returns nil once a quorum has told, after the call began, that this
+// node leads.
+func (c *Coordinator) confirm(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if err := c.options.Log.Confirm(ctx); err != nil {
+		return eris.Wrap(ErrNotLeader, err.Error())
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/coordinator/serve.go
@@ -0,0 +1,235 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/fleet/lender"
+	"github.com/burdockwood/burdockwood/internal/fleet/roster"
+	"github.com/burdockwood/burdockwood/internal/fleet/state"
+	"github.com/burdockwood/burdockwood/internal/fleet/succession"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+type (
+	// Evidence is what a proxy has seen of a server.
+	Evidence struct {
+		Server  cluster.ServerName
+		Failing time.Duration
+		Refused bool
+	}
+
+	// Renewal is a proxy's call for its lease.
+	Renewal struct {
+		Proxy       cluster.ProxyName
+		Incarnation cluster.Incarnation
+		// Revision is that of the last answer; empty: none.
+		Revision        string
+		DocumentVersion uint64
+		Releases        lender.Releases
+		Evidence        []Evidence
+		Leaving         bool
+	}
+
+	// Grant answers a renewal.
+	Grant struct {
+		// Lease counts from when the proxy sent its call.
+		Lease    time.Duration
+		Revision string
+		Document state.Document
+		// Changed tells that the lists differ from those of the revision.
+		Changed   bool
+		Primacies map[cluster.GroupName]state.Primacy
+		Servers   []roster.Server
+		// Warming tells that servers may be missing from the list.
+		Warming bool
+		Proxies int
+	}
+)
+
+// Renew extends the lease of a proxy. It returns when something changed for
+// the proxy, or after the hold time. Errors: ErrNotLeader.
+func (c *Coordinator) Renew(ctx context.Context, r Renewal) (Grant, error) {
+	l, err := c.leading()
+	if err != nil {
+		return Grant{}, err
+	}
+	if err := c.join(ctx, r); err != nil {
+		return Grant{}, err
+	}
+	if err := c.confirm(ctx); err != nil {
+		return Grant{}, err
+	}
+	c.record(l, r)
+	if err := c.hold(ctx, l, r); err != nil {
+		return Grant{}, err
+	}
+	return c.grant(l, r), nil
+}
+
+// join makes a proxy known to later leaders before its first lease.
+func (c *Coordinator) join(ctx context.Context, r Renewal) error {
+	if _, known := c.options.Machine.View().Proxies[r.Proxy]; known || r.Leaving {
+		return nil
+	}
+	_, err := c.propose(ctx, state.Command{Join: []cluster.ProxyName{r.Proxy}})
+	return err
+}
+
+// record takes what the proxy told.
+func (c *Coordinator) record(l *leadership, r Renewal) {
+	now := c.options.Now()
+	terms := lender.Releases{}
+	for group, p := range c.options.Machine.View().Primacies {
+		terms[group] = p.Term
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.Leaving {
+		l.lender.Leave(r.Proxy, r.Incarnation)
+		l.wake()
+		return
+	}
+	l.lender.Renew(r.Proxy, r.Incarnation, r.Releases, terms, now)
+	l.see(r.Proxy, r.Evidence, now)
+	if live := l.lender.Live(now); live != l.live {
+		l.live = live
+		l.bump()
+	}
+	if c.changing() {
+		l.wake()
+	}
+}
+
+// changing reports whether a primary is being replaced: its change may wait
+// for a release.
+func (c *Coordinator) changing() bool {
+	for _, p := range c.options.Machine.View().Primacies {
+		if p.Phase == state.Releasing {
+			return true
+		}
+	}
+	return false
+}
+
+// see keeps a proxy's sight of servers.
+func (l *leadership) see(proxy cluster.ProxyName, evidence []Evidence, now time.Time) {
+	for _, e := range evidence {
+		sights := l.sights[e.Server]
+		if sights == nil {
+			sights = map[cluster.ProxyName]succession.Sight{}
+			l.sights[e.Server] = sights
+		}
+		sights[proxy] = succession.Sight{Failing: e.Failing, Refused: e.Refused, At: now}
+	}
+}
+
+// hold waits for news. Losing the leadership doesn't take back the lease, which
+// was confirmed after the call came.
+func (c *Coordinator) hold(ctx context.Context, l *leadership, r Renewal) error {
+	timer := time.NewTimer(c.options.Hold)
+	defer timer.Stop()
+	for {
+		c.mu.Lock()
+		news, stale := l.news, l.revisionName() != r.Revision
+		c.mu.Unlock()
+		if stale || r.Leaving {
+			return nil
+		}
+		select {
+		case <-news:
+		case <-timer.C:
+			return nil
+		case <-l.ended:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (c *Coordinator) grant(l *leadership, r Renewal) Grant {
+	now := c.options.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	view := c.options.Machine.View()
+	g := Grant{Lease: c.options.Lease, Revision: l.revisionName(), Proxies: l.live}
+	g.Document.Version = view.Document.Version
+	if view.Document.Version > r.DocumentVersion {
+		g.Document = view.Document
+	}
+	g.Changed = g.Revision != r.Revision
+	if g.Changed {
+		g.Primacies = view.Primacies
+		g.Servers = l.roster.List()
+		g.Warming = !l.warm(now)
+	}
+	return g
+}
+
+// Report takes the evidence and releases of a renewal that can't wait for the
+// next one. It doesn't extend the lease. Errors: ErrNotLeader.
+func (c *Coordinator) Report(r Renewal) error {
+	l, err := c.leading()
+	if err != nil {
+		return err
+	}
+	now := c.options.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l.see(r.Proxy, r.Evidence, now)
+	l.lender.Release(r.Proxy, r.Incarnation, r.Releases)
+	l.wake()
+	return nil
+}
+
+// Announce takes what a server tells about itself. Errors: ErrNotLeader.
+func (c *Coordinator) Announce(s roster.Server, leaving bool) error {
+	l, err := c.leading()
+	if err != nil {
+		return err
+	}
+	now := c.options.Now()
+	c.mu.Lock()
+	changed := false
+	if leaving {
+		changed = l.roster.Leave(s.Name, s.Born, now)
+	} else {
+		changed = l.roster.Announce(s, now)
+	}
+	if changed {
+		l.bump()
+	}
+	c.mu.Unlock()
+	if changed {
+		c.options.Logger.Info("server changed", "server", s.Name, "group", s.Group, "address", s.Address.String(),
+			"role", s.Role.String(), "draining", s.Draining, "left", leaving, "sequence", s.Sequence)
+	}
+	return nil
+}
+
+// Submit stores a document that is newer than the stored one, and returns the
+// newest version. Errors: ErrNotLeader, replica.ErrUnknownOutcome.
+func (c *Coordinator) Submit(ctx context.Context, d state.Document) (uint64, error) {
+	if _, err := c.leading(); err != nil {
+		return 0, err
+	}
+	result, err := c.propose(ctx, state.Command{Document: &d})
+	if err != nil {
+		return 0, err
+	}
+	c.options.Logger.Info("document submitted", "version", d.Version, "bytes", len(d.Body), "stored", result.Applied, "newest", result.Version)
+	return result.Version, nil
+}
+
+// Document returns the newest document, as a quorum has confirmed it after the
+// call began. Errors: ErrNotLeader.
+func (c *Coordinator) Document(ctx context.Context) (state.Document, error) {
+	if _, err := c.leading(); err != nil {
+		return state.Document{}, err
+	}
+	if err := c.confirm(ctx); err != nil {
+		return state.Document{}, err
+	}
+	return c.options.Machine.View().Document, nil
+}
--- /dev/null
+++ b/internal/fleet/succession/succession.go
@@ -0,0 +1,301 @@
+// Package succession decides when the primary of a group is replaced, and by
+// which server. It does no input or output.
+//
+// # Usage
+//
+//	verdict := succession.Judge(situation, now)
+//	if verdict.Kind == succession.Replace {
+//		// recall the leases of the term, ask all servers for their status
+//	}
+//	target, ok := succession.Choose(statuses, servers, rule)
+//
+// # Load patterns and failures that the decisions answer
+//
+// A primary that ends on purpose (it drains) is replaced while it still
+// serves, so that callers wait for milliseconds. One that nobody can reach is
+// replaced as soon as proxies that use it and a probe of control agree. One
+// that answers some proxies is replaced only if many can't reach it for long:
+// a change rolls back what no replica has received.
+package succession
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/fleet/roster"
+	"github.com/burdockwood/burdockwood/internal/fleet/state"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+const (
+	// Keep leaves the primary as it is.
+	Keep Kind = iota
+	// Adopt takes the server that says it is the primary: none is known yet.
+	Adopt
+	// Probe asks for a probe of the primary before anything is decided.
+	Probe
+	// Replace begins a change of primary.
+	Replace
+)
+
+const (
+	// sightAge is the age above which a proxy's sight of a server doesn't
+	// count any more: two renewals.
+	sightAge = 2500 * time.Millisecond
+	// refusedPatience is how long a refused address is waited for: a process
+	// that is started again by its supervisor listens within it.
+	refusedPatience = 150 * time.Millisecond
+	// silentPatience is how long a primary may be silent to a proxy with
+	// work outstanding: above the slowest statement on a slowed server.
+	silentPatience = 700 * time.Millisecond
+	// partPatience is how long part of the proxies may be without the
+	// primary before the others pay for a change.
+	partPatience = 1200 * time.Millisecond
+	// partShare is the share of proxies that makes a change worth its cost.
+	partShare = 0.3
+	// unheardPatience is the silence of announcements, with no proxy that
+	// tells of success, after which a primary is probed.
+	unheardPatience = 3 * time.Second
+	// probeAge is how long the result of a probe counts.
+	probeAge = 600 * time.Millisecond
+	// roleGrace is how long a server's own view of its role may lag after a
+	// change or a start.
+	roleGrace = 1500 * time.Millisecond
+)
+
+type (
+	// Kind is what is to be done.
+	Kind uint8
+
+	// Sight is what one proxy has told of a server.
+	Sight struct {
+		// Failing is the time since the proxy last heard the server while
+		// it tried to; zero: it answers.
+		Failing time.Duration
+		// Refused tells that nobody listens at the server's address.
+		Refused bool
+		// At is when the proxy told it.
+		At time.Time
+	}
+
+	// ProbeResult is the result of control's own try to reach the primary.
+	ProbeResult struct {
+		At    time.Time
+		Alive bool
+		// Role is the server's own view, if it is alive.
+		Role cluster.Role
+	}
+
+	// Situation is what control knows of a group.
+	Situation struct {
+		Primacy state.Primacy
+		// SettledAt is when the primacy in force was first seen settled.
+		SettledAt time.Time
+		// Warm tells that servers have had the time to announce themselves
+		// to this leader.
+		Warm    bool
+		Servers []roster.Server
+		// Sights are those of the primary, by proxy.
+		Sights map[cluster.ProxyName]Sight
+		Probe  ProbeResult
+	}
+
+	// Verdict is what is to be done, and why.
+	Verdict struct {
+		Kind Kind
+		// Server is the one to adopt.
+		Server  cluster.ServerName
+		Planned bool
+		Reason  string
+	}
+
+	// Status is the status of a server, asked after the release of the term.
+	Status struct {
+		cluster.ServerStatus
+		Server cluster.ServerName
+	}
+)
+
+// Judge decides about a group whose primacy is settled.
+func Judge(s Situation, now time.Time) Verdict {
+	if s.Primacy.Term == 0 {
+		return adopt(s)
+	}
+	primary, known := find(s.Servers, s.Primacy.Primary)
+	if len(candidates(s.Servers, s.Primacy.Primary)) == 0 {
+		return Verdict{Kind: Keep, Reason: "no other server can take over"}
+	}
+	switch {
+	case !known && s.Warm:
+		return Verdict{Kind: Replace, Reason: "the primary left or isn't heard any more"}
+	case known && primary.Draining:
+		return Verdict{Kind: Replace, Planned: true, Reason: "the primary drains"}
+	case known && lostLead(s, primary, now):
+		return Verdict{Kind: Replace, Reason: "the server doesn't see itself as primary"}
+	}
+	return judgeSights(s, primary, known, now)
+}
+
+// adopt takes the one server that sees itself as primary.
+func adopt(s Situation) Verdict {
+	for _, server := range s.Servers {
+		if server.Role == cluster.RolePrimary && !server.Draining {
+			return Verdict{Kind: Adopt, Server: server.Name, Reason: "first primary of the group"}
+		}
+	}
+	if !s.Warm || len(s.Servers) == 0 {
+		return Verdict{Kind: Keep}
+	}
+	return Verdict{Kind: Replace, Reason: "no server sees itself as primary"}
+}
+
+// lostLead reports whether the server has told, after it had the time to learn
+// of its role, that it is a replica.
+func lostLead(s Situation, primary roster.Server, now time.Time) bool {
+	if primary.Role != cluster.RoleReplica {
+		return false
+	}
+	return now.Sub(s.SettledAt) > roleGrace && primary.Heard.Sub(s.SettledAt) > roleGrace
+}
+
+func judgeSights(s Situation, primary roster.Server, known bool, now time.Time) Verdict {
+	answered, failing, worth := weigh(s.Sights, now)
+	total := answered + failing
+	if failing > 0 && answered == 0 && worth {
+		return afterProbe(s, now, "no proxy reaches the primary")
+	}
+	if failing > 0 && partCut(s.Sights, now) && float64(failing) >= partShare*float64(total) {
+		return Verdict{Kind: Replace, Planned: true, Reason: "many proxies don't reach the primary"}
+	}
+	unheard := !known || now.Sub(primary.Heard) > unheardPatience
+	if answered == 0 && s.Warm && unheard {
+		return afterProbe(s, now, "the primary is silent and no proxy uses it")
+	}
+	return Verdict{Kind: Keep}
+}
+
+// weigh counts the proxies by what they see, and tells whether the failures
+// have lasted long enough.
+func weigh(sights map[cluster.ProxyName]Sight, now time.Time) (answered, failing int, worth bool) {
+	for _, sight := range sights {
+		age := now.Sub(sight.At)
+		if age > sightAge {
+			continue
+		}
+		if sight.Failing == 0 {
+			answered++
+			continue
+		}
+		failing++
+		patience := silentPatience
+		if sight.Refused {
+			patience = refusedPatience
+		}
+		worth = worth || sight.Failing+age >= patience
+	}
+	return answered, failing, worth
+}
+
+// partCut reports whether a proxy has been without the primary for
+// partPatience.
+func partCut(sights map[cluster.ProxyName]Sight, now time.Time) bool {
+	for _, sight := range sights {
+		age := now.Sub(sight.At)
+		if sight.Failing > 0 && age <= sightAge && sight.Failing+age >= partPatience {
+			return true
+		}
+	}
+	return false
+}
+
+// afterProbe replaces a primary that a recent probe of control didn't reach
+// either.
+func afterProbe(s Situation, now time.Time, reason string) Verdict {
+	if now.Sub(s.Probe.At) > probeAge || s.Probe.At.IsZero() {
+		return Verdict{Kind: Probe, Reason: reason}
+	}
+	if s.Probe.Alive && s.Probe.Role == cluster.RolePrimary {
+		return Verdict{Kind: Keep, Reason: "control reaches the primary"}
+	}
+	return Verdict{Kind: Replace, Reason: reason}
+}
+
+func find(servers []roster.Server, name cluster.ServerName) (roster.Server, bool) {
+	for _, s := range servers {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return roster.Server{}, false
+}
+
+// candidates returns the servers that may become the primary in place of old.
+func candidates(servers []roster.Server, old cluster.ServerName) []roster.Server {
+	var list []roster.Server
+	for _, s := range servers {
+		if s.Name != old && !s.Draining {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// Rule tells Choose what the chosen server has to hold.
+type Rule struct {
+	// Old is the primary that is replaced.
+	Old cluster.ServerName
+	// Confirmed tells that an acknowledged commit is on one replica at
+	// least, so that none may be lost.
+	Confirmed bool
+	// Patient tells that there is time left to wait for a better answer.
+	Patient bool
+}
+
+// Choose returns the server that takes over: the one that received most. It
+// returns false if it is better to ask again.
+func Choose(statuses []Status, servers []roster.Server, rule Rule) (cluster.ServerName, bool) {
+	old, oldAnswered := statusOf(statuses, rule.Old)
+	able := candidates(servers, rule.Old)
+	var answered []Status
+	for _, s := range able {
+		if status, ok := statusOf(statuses, s.Name); ok {
+			answered = append(answered, status)
+		}
+	}
+	if len(answered) == 0 {
+		return "", false
+	}
+	best := slices.MaxFunc(answered, func(a, b Status) int {
+		return cmp.Or(a.Received.Compare(b.Received), cmp.Compare(b.Server, a.Server))
+	})
+	holdsAll := oldAnswered && best.Received.Compare(old.Received) >= 0
+	complete := holdsAll || (!oldAnswered && len(answered) == len(able))
+	if rule.Patient && !complete {
+		return "", false
+	}
+	if rule.Confirmed && !holdsAll && !allReplicasAnswered(statuses, servers, rule.Old) {
+		return "", false
+	}
+	return best.Server, true
+}
+
+// allReplicasAnswered reports whether each server but the old primary told
+// what it has received, those that drain included.
+func allReplicasAnswered(statuses []Status, servers []roster.Server, old cluster.ServerName) bool {
+	for _, s := range servers {
+		if _, ok := statusOf(statuses, s.Name); !ok && s.Name != old {
+			return false
+		}
+	}
+	return true
+}
+
+func statusOf(statuses []Status, name cluster.ServerName) (Status, bool) {
+	for _, s := range statuses {
+		if s.Server == name {
+			return s, true
+		}
+	}
+	return Status{}, false
+}
