Traffic: the middle of a proxy without a protocol

Cause: pgproto3 messages reach through internal/proxy, and the platform speaks its own lines; translating each message to PostgreSQL and back loses positions and refusals that say "not run".

Change: typed statements and answers (statement), what a server's connection must do (backend), routes (catalog), positions that a read must see (freshness), lease and terms (tenure), choice of a server (placement), pools (upstream), the session machine (session), the link to control (link), accepting (entry).

Ruled out: moving the PostgreSQL path onto it in the same step; it stays as it is until the new middle has been measured.

--- /dev/null
+++ b/internal/traffic/catalog/catalog.go
@@ -0,0 +1,100 @@
+// Package catalog is the operators' configuration as a proxy uses it: which
+// group serves a database, how fresh its reads must be and how long a
+// statement may take. A catalog never changes; a newer one replaces it.
+//
+// # Usage
+//
+//	c := catalog.New(version, routes, groups, limits)
+//	route, ok := c.Route("payroll")
+package catalog
+
+import (
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+const (
+	// OnPrimary reads see every commit acknowledged before them.
+	OnPrimary Consistency = iota
+	// Aged reads see every commit acknowledged more than MaxAge before.
+	Aged
+	// OwnWrites reads are aged and see every commit of their session.
+	OwnWrites
+)
+
+type (
+	// Consistency tells what a read must see.
+	Consistency uint8
+
+	// Route leads a database's requests to a group.
+	Route struct {
+		Name        string
+		Database    string
+		Group       cluster.GroupName
+		Consistency Consistency
+		// MaxAge bounds the age of reads that needn't use the primary.
+		MaxAge time.Duration
+		// Timeout bounds a statement.
+		Timeout time.Duration
+		// Objective is the time in which an operation should be done.
+		Objective time.Duration
+		// Priority orders work that waits; 0 goes first.
+		Priority int
+	}
+
+	// Group is what operators say of a group.
+	Group struct {
+		// Connections is the number that a server of the group accepts
+		// from all proxies together.
+		Connections int
+		// Confirmed tells that a commit is acknowledged only once a
+		// replica has it.
+		Confirmed bool
+	}
+
+	// Limits hold for all sessions.
+	Limits struct {
+		// TransactionIdle is how long a transaction may rest between
+		// statements; zero: as long as it likes.
+		TransactionIdle time.Duration
+	}
+
+	// Catalog holds one version.
+	Catalog struct {
+		Version uint64
+		Limits  Limits
+		routes  map[string]Route
+		groups  map[cluster.GroupName]Group
+	}
+)
+
+// New returns a catalog.
+func New(version uint64, routes []Route, groups map[cluster.GroupName]Group, limits Limits) *Catalog {
+	c := &Catalog{Version: version, Limits: limits, groups: groups, routes: make(map[string]Route, len(routes))}
+	for _, r := range routes {
+		c.routes[r.Database] = r
+	}
+	return c
+}
+
+// Route returns the route of a database.
+func (c *Catalog) Route(database string) (Route, bool) {
+	r, ok := c.routes[database]
+	return r, ok
+}
+
+// Group returns what operators say of a group.
+func (c *Catalog) Group(name cluster.GroupName) (Group, bool) {
+	g, ok := c.groups[name]
+	return g, ok
+}
+
+// Groups returns the names of all groups.
+func (c *Catalog) Groups() []cluster.GroupName {
+	names := make([]cluster.GroupName, 0, len(c.groups))
+	for name := range c.groups {
+		names = append(names, name)
+	}
+	return names
+}
--- /dev/null
+++ b/internal/traffic/freshness/freshness.go
@@ -0,0 +1,101 @@
+// Package freshness tells which position of a group's log a read must see so
+// that it is no older than its stated age, without asking the primary.
+//
+// # Usage
+//
+//	log.Note(freshness.Sample{At: sent, Term: term, Mark: answer.Mark})
+//	mark, ok := log.Need(began, maxAge)
+//
+// An answer of the primary carries the position of its log. Whatever was
+// acknowledged before the request was sent is at or below that position, as
+// long as no other server was the primary at the time; the caller of Note
+// checks that. Need returns the oldest sample that is young enough, since a
+// replica is likely to hold it.
+package freshness
+
+import (
+	"sync"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+const (
+	// spacing is the least time between two kept samples.
+	spacing = 40 * time.Millisecond
+	// kept bounds the samples: 5 s at the least spacing, above the longest
+	// stated age in use.
+	kept = 128
+	// margin is taken off a stated age, for the time between the arrival of
+	// a request and the first look at the clock.
+	margin = 30 * time.Millisecond
+)
+
+type (
+	// Sample is what the primary of Term told in answer to a request sent
+	// at At.
+	Sample struct {
+		At   time.Time
+		Term cluster.Term
+		Mark cluster.Mark
+	}
+
+	// Log keeps the samples of a group. It is safe for concurrent use.
+	Log struct {
+		mu      sync.Mutex
+		samples []Sample
+		// latest is the newest sample, kept whatever its distance.
+		latest Sample
+	}
+)
+
+// Note takes a sample. A sample of a new term replaces all earlier ones: their
+// positions may have been rolled back.
+func (l *Log) Note(s Sample) {
+	if s.Mark.IsZero() {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s.Term < l.latest.Term {
+		return
+	}
+	if s.Term > l.latest.Term {
+		l.samples = l.samples[:0]
+		l.latest = Sample{}
+	}
+	if s.At.After(l.latest.At) {
+		l.latest = s
+	}
+	if n := len(l.samples); n > 0 && s.At.Sub(l.samples[n-1].At) < spacing {
+		return
+	}
+	if len(l.samples) == kept {
+		l.samples = append(l.samples[:0], l.samples[kept/4:]...)
+	}
+	l.samples = append(l.samples, s)
+}
+
+// Need returns the position that a read must see which began at began, and
+// false if no sample is young enough.
+func (l *Log) Need(began time.Time, maxAge time.Duration) (cluster.Mark, bool) {
+	oldest := began.Add(margin - maxAge)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.samples {
+		if !s.At.Before(oldest) {
+			return s.Mark, true
+		}
+	}
+	if l.latest.Mark.IsZero() || l.latest.At.Before(oldest) {
+		return cluster.Mark{}, false
+	}
+	return l.latest.Mark, true
+}
+
+// Latest returns the newest sample.
+func (l *Log) Latest() Sample {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.latest
+}
--- /dev/null
+++ b/internal/traffic/link/link.go
@@ -0,0 +1,401 @@
+// Package link keeps a proxy in touch with control: it renews the lease, and
+// brings what control tells (servers, primaries, configuration) to those who
+// use it.
+//
+// # Usage
+//
+//	l := link.New(link.Options{Proxy: "proxy-1", Seeds: seeds, Tenure: t, Upstream: m, ...})
+//	err := l.Run(ctx)
+//	ready, reason := l.Ready(now)
+//
+// The leader is found by asking the seeds and the control nodes that earlier
+// answers named.
+package link
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockwood/burdockwood/internal/fleet/message"
+	"github.com/burdockwood/burdockwood/internal/fleet/roster"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/pause"
+	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
+	"github.com/burdockwood/burdockwood/internal/rpc/transport"
+	"github.com/burdockwood/burdockwood/internal/traffic/catalog"
+	"github.com/burdockwood/burdockwood/internal/traffic/session"
+	"github.com/burdockwood/burdockwood/internal/traffic/tenure"
+	"github.com/burdockwood/burdockwood/internal/traffic/upstream"
+)
+
+const (
+	// renewTimeout bounds a renewal: the hold of control and its
+	// confirmation, with a margin of half a second.
+	renewTimeout = 2500 * time.Millisecond
+	// firstTimeout bounds a renewal by a node that hasn't answered yet.
+	firstTimeout = 1500 * time.Millisecond
+	// reportTimeout bounds a report.
+	reportTimeout = 500 * time.Millisecond
+	// leastPause and mostPause bound the pause after a failed renewal.
+	leastPause = 30 * time.Millisecond
+	mostPause  = 250 * time.Millisecond
+	// reportPause is the least time between two reports of one suspicion.
+	reportPause = 100 * time.Millisecond
+	// softTick is the pause between two looks at a pending release.
+	softTick = 50 * time.Millisecond
+	// leaveTimeout bounds the last call.
+	leaveTimeout = 300 * time.Millisecond
+	// unledGrace is how long a proxy counts as ready after its lease ended:
+	// an election.
+	unledGrace = time.Second
+)
+
+type (
+	// Options are what a link needs.
+	Options struct {
+		Proxy cluster.ProxyName
+		// Seeds are the addresses of control nodes.
+		Seeds  []netip.AddrPort
+		Client *http.Client
+		// Decode reads the operators' document.
+		Decode   func(document []byte) (*catalog.Catalog, error)
+		Core     *session.Core
+		Tenure   *tenure.Tenure
+		Upstream *upstream.Manager
+		Now      func() time.Time
+		Logger   logr.Logger
+	}
+
+	// Link is safe for concurrent use.
+	Link struct {
+		options     Options
+		incarnation uint64
+		mu          sync.Mutex
+		members     []netip.AddrPort
+		leader      netip.AddrPort
+		next        int
+		// The fields below belong to the renewing goroutine.
+		roster   *roster.Roster
+		revision string
+		version  uint64
+		proxies  int
+		granted  atomic.Bool
+		failed   bool
+	}
+)
+
+// New returns a link.
+func New(options Options) *Link {
+	return &Link{
+		options: options, incarnation: rand.Uint64() | 1, members: slices.Clone(options.Seeds),
+		roster: roster.New(), next: rand.IntN(max(1, len(options.Seeds))),
+	}
+}
+
+// Run renews until ctx ends.
+func (l *Link) Run(ctx context.Context) error {
+	var group run.Group
+	for _, actor := range []func(context.Context) error{l.renewAll, l.reportAll, l.tickAll} {
+		actorCtx, cancel := context.WithCancel(ctx)
+		group.Add(func() error { return actor(actorCtx) }, func(error) { cancel() })
+	}
+	return group.Run()
+}
+
+// Ready reports whether the proxy can serve, and if not, why.
+func (l *Link) Ready(now time.Time) (bool, string) {
+	if l.options.Core.Catalog() == nil {
+		return false, "no configuration yet"
+	}
+	if !l.granted.Load() || l.options.Tenure.Left(now.Add(-unledGrace)) == 0 {
+		return false, "no lease: control can't be reached"
+	}
+	return true, ""
+}
+
+func (l *Link) renewAll(ctx context.Context) error {
+	wait := leastPause
+	for ctx.Err() == nil {
+		target := l.target()
+		err := l.renew(ctx, target)
+		l.note(ctx, target, err)
+		if err == nil {
+			wait = leastPause
+			continue
+		}
+		pause.For(ctx, wait/2+rand.N(wait/2))
+		wait = min(2*wait, mostPause)
+	}
+	return nil
+}
+
+// target returns the leader as far as known, else the next control node.
+func (l *Link) target() netip.AddrPort {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.leader.IsValid() {
+		return l.leader
+	}
+	l.next++
+	if len(l.members) == 0 {
+		return netip.AddrPort{}
+	}
+	return l.members[l.next%len(l.members)]
+}
+
+// note logs when control is lost or regained.
+func (l *Link) note(ctx context.Context, target netip.AddrPort, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if l.failed != (err != nil) {
+		l.failed = err != nil
+		l.options.Logger.Info("link to control", "up", err == nil, "node", target.String(), "error", errorText(err),
+			"lease-left-ms", l.options.Tenure.Left(l.options.Now()).Milliseconds())
+	}
+	if err == nil {
+		return
+	}
+	l.mu.Lock()
+	if l.leader == target {
+		l.leader = netip.AddrPort{}
+	}
+	l.mu.Unlock()
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// errNotLed tells that the asked node doesn't lead.
+var errNotLed = eris.New("the control node doesn't lead")
+
+// renew asks one control node for the lease.
+func (l *Link) renew(ctx context.Context, target netip.AddrPort) error {
+	timeout := firstTimeout
+	if l.revision != "" && target == l.leader {
+		timeout = renewTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	sent := l.options.Now()
+	response, err := l.client(target).Renew(ctx, &fleetpb.RenewRequest{
+		Proxy: string(l.options.Proxy), Incarnation: l.incarnation, Revision: l.revision,
+		DocumentVersion: l.version, Releases: l.releases(), Evidence: l.evidence(),
+	})
+	if err != nil {
+		return err
+	}
+	if !response.GetGranted() {
+		l.learnLeader(response.GetLeader(), target)
+		return errNotLed
+	}
+	l.learnMembers(response.GetMembers(), target)
+	l.take(response, sent)
+	return nil
+}
+
+func (l *Link) client(target netip.AddrPort) fleetpb.Fleet {
+	return fleetpb.NewFleetProtobufClient(transport.URL(target), l.options.Client)
+}
+
+// learnLeader follows the hint of a node that doesn't lead.
+func (l *Link) learnLeader(name string, asked netip.AddrPort) {
+	address, err := netip.ParseAddrPort(name)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leader = netip.AddrPort{}
+	if err == nil && address != asked {
+		l.leader = address
+	}
+}
+
+// learnMembers takes the control nodes that the leader named. The seeds stay
+// known, in case that all of them are replaced.
+func (l *Link) learnMembers(names []string, leader netip.AddrPort) {
+	members := slices.Clone(l.options.Seeds)
+	for _, name := range names {
+		if address, err := netip.ParseAddrPort(name); err == nil && !slices.Contains(members, address) {
+			members = append(members, address)
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.members, l.leader = members, leader
+}
+
+// Reseed takes other seeds.
+func (l *Link) Reseed(seeds []netip.AddrPort) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.options.Seeds = slices.Clone(seeds)
+	for _, seed := range seeds {
+		if !slices.Contains(l.members, seed) {
+			l.members = append(l.members, seed)
+		}
+	}
+}
+
+func (l *Link) releases() []*fleetpb.Release {
+	var list []*fleetpb.Release
+	for group, term := range l.options.Tenure.Releases() {
+		list = append(list, &fleetpb.Release{Group: string(group), Term: uint64(term)})
+	}
+	return list
+}
+
+func (l *Link) evidence() []*fleetpb.Evidence {
+	var list []*fleetpb.Evidence
+	for _, s := range l.options.Upstream.Sights(l.options.Now()) {
+		list = append(list, &fleetpb.Evidence{
+			Server: string(s.Server), FailingMs: uint32(s.Failing.Milliseconds()), Refused: s.Refused,
+		})
+	}
+	return list
+}
+
+// take puts what control told in force. The configuration comes first, so that
+// a route never meets servers that it doesn't know.
+func (l *Link) take(response *fleetpb.RenewResponse, sent time.Time) {
+	now := l.options.Now()
+	fresh := l.takeDocument(response)
+	if response.GetChanged() {
+		l.takeServers(response, now)
+	}
+	if response.GetChanged() || fresh {
+		l.proxies = int(response.GetProxies())
+		l.options.Upstream.Update(l.roster.List(), l.limitOf, l.proxies)
+	}
+	primacies := map[cluster.GroupName]tenure.Primacy{}
+	for _, p := range response.GetPrimacies() {
+		primacies[cluster.GroupName(p.GetGroup())] = tenure.Primacy{
+			Term: cluster.Term(p.GetTerm()), Primary: cluster.ServerName(p.GetPrimary()), Planned: p.GetPlanned(),
+		}
+	}
+	lease := time.Duration(response.GetLeaseMs()) * time.Millisecond
+	l.options.Tenure.Update(sent.Add(lease), primacies, now)
+	for group, p := range primacies {
+		if l.revision != response.GetRevision() {
+			l.options.Logger.V(1).Info("primary told", "group", group, "term", p.Term, "primary", p.Primary)
+		}
+	}
+	l.revision = response.GetRevision()
+	l.granted.Store(true)
+}
+
+func (l *Link) takeDocument(response *fleetpb.RenewResponse) bool {
+	if len(response.GetDocument()) == 0 || response.GetDocumentVersion() <= l.version {
+		return false
+	}
+	next, err := l.options.Decode(response.GetDocument())
+	if err != nil {
+		l.options.Logger.Error(err, "the configuration can't be read; the one in force stays", "version", response.GetDocumentVersion())
+		return false
+	}
+	l.options.Core.SetCatalog(next)
+	l.version = response.GetDocumentVersion()
+	l.options.Logger.Info("configuration in force", "version", l.version)
+	return true
+}
+
+func (l *Link) takeServers(response *fleetpb.RenewResponse, now time.Time) {
+	names := map[cluster.ServerName]bool{}
+	for _, pb := range response.GetServers() {
+		server, err := message.ToServer(pb, now)
+		if err != nil {
+			l.options.Logger.Error(err, "control told of a server that can't be read")
+			continue
+		}
+		names[server.Name] = true
+		if l.roster.Announce(server, now) {
+			l.options.Logger.Info("server known", "server", server.Name, "group", server.Group, "address", server.Address.String(),
+				"role", server.Role.String(), "draining", server.Draining)
+		}
+	}
+	if !response.GetWarming() {
+		l.roster.Retain(names)
+	}
+}
+
+func (l *Link) limitOf(group cluster.GroupName) int {
+	if current := l.options.Core.Catalog(); current != nil {
+		if g, ok := current.Group(group); ok {
+			return g.Connections
+		}
+	}
+	return 1
+}
+
+// reportAll tells control at once of servers that stop to answer and of terms
+// that were released while a renewal is held.
+func (l *Link) reportAll(ctx context.Context) error {
+	for {
+		released := l.options.Tenure.Released()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-l.options.Upstream.Suspicion():
+		case <-released:
+		}
+		l.mu.Lock()
+		leader := l.leader
+		l.mu.Unlock()
+		if !leader.IsValid() {
+			pause.For(ctx, reportPause)
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+		_, err := l.client(leader).Report(callCtx, &fleetpb.ReportRequest{
+			Proxy: string(l.options.Proxy), Incarnation: l.incarnation, Releases: l.releases(), Evidence: l.evidence(),
+		})
+		cancel()
+		if err != nil {
+			l.options.Logger.V(1).Info("a report didn't reach control", "node", leader.String(), "error", err.Error())
+		}
+		pause.For(ctx, reportPause)
+	}
+}
+
+// tickAll ends soft releases in time.
+func (l *Link) tickAll(ctx context.Context) error {
+	for {
+		wait := 4 * softTick
+		if l.options.Tenure.Tick(l.options.Now()) {
+			wait = softTick
+		}
+		if !pause.For(ctx, wait) {
+			return nil
+		}
+	}
+}
+
+// Leave gives up the lease: the proxy uses no primary any more.
+func (l *Link) Leave(ctx context.Context) {
+	l.mu.Lock()
+	leader := l.leader
+	l.mu.Unlock()
+	if !leader.IsValid() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	_, err := l.client(leader).Renew(ctx, &fleetpb.RenewRequest{
+		Proxy: string(l.options.Proxy), Incarnation: l.incarnation, Leaving: true,
+	})
+	if err != nil {
+		l.options.Logger.Info("control wasn't told that this proxy leaves", "error", err.Error())
+	}
+}
--- /dev/null
+++ b/internal/traffic/placement/placement.go
@@ -0,0 +1,96 @@
+// Package placement decides which backend server gets a read. It does no input
+// or output.
+//
+// # Usage
+//
+//	order := placement.Order(candidates)
+//	first := candidates[order[0]]
+//
+// # Load patterns that the decision answers
+//
+// Servers with few slots are filled by work that is outstanding from many
+// proxies: the time that a server lately took tells of the others' work, the
+// own outstanding work of what comes next. A slow, cold or silent server gets
+// less at once. Reads leave the primary to writes as long as a replica is about
+// as fast. A replica that lagged is asked again only after a pause, unless it
+// is known to have caught up.
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// crossDataCentre is what a round trip to another data centre adds.
+	crossDataCentre = 2 * time.Millisecond
+	// primaryFactor is the weight of the primary's time for reads that a
+	// replica could answer.
+	primaryFactor = 1.5
+	// coldFactor is the weight of a server that has just started.
+	coldFactor = 2
+	// leastLatency stands in for a server that hasn't been used yet.
+	leastLatency = 5 * time.Millisecond
+	// failingCost puts a server behind all that answer.
+	failingCost = time.Minute
+	// behindCost puts a replica that lately lagged behind the primary.
+	behindCost = 10 * time.Second
+)
+
+// Candidate is a server that may answer a read.
+type Candidate struct {
+	Primary bool
+	// Near tells that it is in the proxy's own data centre.
+	Near bool
+	// Latency is the time that it lately took for a statement.
+	Latency time.Duration
+	// Active and Waiting are the statements of this proxy that it executes
+	// and that wait for it.
+	Active  int
+	Waiting int
+	// Slots is the number of statements that it executes at once.
+	Slots int
+	// Handshake is the cost of the connection that would have to be opened;
+	// zero: one is idle.
+	Handshake time.Duration
+	Cold      bool
+	Failing   bool
+	// Behind tells that it probably lacks the position asked for.
+	Behind bool
+}
+
+// Expected returns the time that the candidate is expected to take.
+func Expected(c Candidate) time.Duration {
+	latency := max(c.Latency, leastLatency)
+	queue := float64(c.Active+c.Waiting) / float64(max(1, c.Slots))
+	expected := time.Duration(float64(latency) * (1 + queue))
+	if c.Primary {
+		expected = time.Duration(float64(expected) * primaryFactor)
+	}
+	if c.Cold {
+		expected *= coldFactor
+	}
+	if !c.Near {
+		expected += crossDataCentre
+	}
+	expected += c.Handshake
+	if c.Behind {
+		expected += behindCost
+	}
+	if c.Failing {
+		expected += failingCost
+	}
+	return expected
+}
+
+// Order returns the indexes of the candidates, the best first.
+func Order(candidates []Candidate) []int {
+	order := make([]int, len(candidates))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		return int(Expected(candidates[a]) - Expected(candidates[b]))
+	})
+	return order
+}
--- /dev/null
+++ b/internal/traffic/session/core.go
@@ -0,0 +1,176 @@
+// Package session serves the statements of one caller, whatever protocol it
+// speaks: it opens transactions, chooses backend servers, tries again what
+// certainly hasn't run, and keeps the promises on what reads see.
+//
+// # Usage
+//
+//	core := session.NewCore(session.Options{Tenure: t, Upstream: m, Now: boot.Now, Logger: logger})
+//	core.SetCatalog(catalog)
+//	err := core.Serve(caller, "payroll") // until the caller leaves
+//
+// # Outcomes
+//
+// A statement is done, not run or unknown. Only what is certainly not run, or a
+// read, is tried again here. A success of the primary counts only while the
+// lease is in force after the answer came. Begin is answered here and reaches a
+// server together with the first statement, when it is known that there is one.
+package session
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/ops/metrics"
+	"github.com/burdockwood/burdockwood/internal/traffic/catalog"
+	"github.com/burdockwood/burdockwood/internal/traffic/freshness"
+	"github.com/burdockwood/burdockwood/internal/traffic/statement"
+	"github.com/burdockwood/burdockwood/internal/traffic/tenure"
+	"github.com/burdockwood/burdockwood/internal/traffic/upstream"
+)
+
+type (
+	// Caller is the connection of a caller, as a codec shows it.
+	Caller interface {
+		// Next returns the next statement; it fails with os.ErrDeadlineExceeded
+		// once deadline has passed (zero: never) or after Interrupt.
+		Next(deadline time.Time) (statement.Statement, error)
+		// Answer sends the answer to the last statement.
+		Answer(answer statement.Answer) error
+		// Interrupt makes a Next that has no whole statement yet fail.
+		Interrupt()
+		Close() error
+	}
+
+	// Options are what a core needs.
+	Options struct {
+		Tenure   *tenure.Tenure
+		Upstream *upstream.Manager
+		// Now counts the time while the VM is suspended.
+		Now      func() time.Time
+		Logger   logr.Logger
+		Registry metrics.Registry
+		// DrainLimit is how long a draining primary gets new work; zero: as
+		// long as it is the primary.
+		DrainLimit time.Duration
+	}
+
+	// Core is shared by all sessions of a proxy.
+	Core struct {
+		options Options
+		catalog atomic.Pointer[catalog.Catalog]
+		tenants *metrics.Tenants
+		mu      sync.Mutex
+		logs    map[cluster.GroupName]*freshness.Log
+		// stopping makes sessions end as soon as they are idle; aborting
+		// also ends open transactions.
+		stopping atomic.Bool
+		aborting atomic.Bool
+		sessions map[*session]struct{}
+	}
+)
+
+// NewCore returns a core without catalog.
+func NewCore(options Options) *Core {
+	if options.Registry == nil {
+		options.Registry = metrics.New()
+	}
+	return &Core{
+		options: options, logs: map[cluster.GroupName]*freshness.Log{},
+		tenants:  metrics.NewTenants(options.Registry, metrics.DefaultTenants),
+		sessions: map[*session]struct{}{},
+	}
+}
+
+// SetCatalog puts a catalog in force unless a newer one is.
+func (c *Core) SetCatalog(next *catalog.Catalog) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if old := c.catalog.Load(); old == nil || next.Version > old.Version {
+		c.catalog.Store(next)
+	}
+}
+
+// Catalog returns the catalog in force, nil if there is none yet.
+func (c *Core) Catalog() *catalog.Catalog { return c.catalog.Load() }
+
+// HasDatabase reports whether a route leads to the database.
+func (c *Core) HasDatabase(database string) bool {
+	current := c.catalog.Load()
+	if current == nil {
+		return false
+	}
+	_, ok := current.Route(database)
+	return ok
+}
+
+// Serve answers a caller until it leaves or the proxy stops.
+func (c *Core) Serve(caller Caller, database string) error {
+	s := &session{
+		core: c, caller: caller, database: database,
+		values: map[string]string{}, prepared: map[string]prepared{},
+	}
+	c.mu.Lock()
+	c.sessions[s] = struct{}{}
+	c.mu.Unlock()
+	defer c.forget(s)
+	return s.run()
+}
+
+func (c *Core) forget(s *session) {
+	s.abandon()
+	c.mu.Lock()
+	delete(c.sessions, s)
+	c.mu.Unlock()
+}
+
+// Sessions returns the number of sessions.
+func (c *Core) Sessions() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.sessions)
+}
+
+// Stop makes sessions end as soon as they are outside a transaction and owe no
+// answer.
+func (c *Core) Stop() {
+	c.stopping.Store(true)
+	c.interrupt()
+}
+
+// Abort also ends the transactions that are open.
+func (c *Core) Abort() {
+	c.aborting.Store(true)
+	c.interrupt()
+}
+
+func (c *Core) interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for s := range c.sessions {
+		s.caller.Interrupt()
+	}
+}
+
+// log returns the freshness log of a group.
+func (c *Core) log(group cluster.GroupName) *freshness.Log {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.logs[group]
+	if l == nil {
+		l = &freshness.Log{}
+		c.logs[group] = l
+	}
+	return l
+}
+
+// count notes the outcome of a statement.
+func (c *Core) count(database string, code statement.Code, waited, total time.Duration) {
+	gometrics.GetOrRegisterCounter(`statements{outcome="`+code.String()+`"}`, c.options.Registry).Inc(1)
+	c.tenants.Observe(database, metrics.StageWait, waited)
+	c.tenants.Observe(database, metrics.StageTotal, total)
+}
--- /dev/null
+++ b/internal/traffic/upstream/conn.go
@@ -0,0 +1,169 @@
+package upstream
+
+import (
+	"maps"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockwood/burdockwood/internal/traffic/backend"
+	"github.com/burdockwood/burdockwood/internal/traffic/statement"
+)
+
+const (
+	// maxPrepared bounds the names on a connection: beyond it they are all
+	// forgotten, so that a server's memory stays bounded.
+	maxPrepared = 256
+)
+
+// Conn is a connection in use. It remembers which session values and prepared
+// statements the server's side has.
+type Conn struct {
+	server      *Server
+	raw         backend.Conn
+	values      map[string]string
+	fingerprint string
+	// prepared maps shapes, with their access, to names on this connection.
+	prepared  map[string]string
+	idleSince time.Time
+	// sent is when the outstanding request was sent; guarded by the
+	// server's mutex.
+	sent time.Time
+	// Unsure tells that the server's session values aren't known.
+	unsure bool
+}
+
+// Server returns the pool that the connection belongs to.
+func (c *Conn) Server() *Server { return c.server }
+
+// Do sends a request and returns its answer. The connection must be discarded
+// after an error.
+func (c *Conn) Do(request statement.Request, deadline time.Time) (statement.Answer, error) {
+	s := c.server
+	began := s.m.options.Now()
+	s.mu.Lock()
+	c.sent = began
+	s.active++
+	s.mu.Unlock()
+	answer, err := c.raw.Do(request, deadline)
+	now := s.m.options.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.sent = time.Time{}
+	s.active--
+	switch {
+	case err == nil:
+		s.answered(now)
+		if !answer.Mark.IsZero() {
+			s.held = answer.Mark
+		}
+		if answer.Code == statement.OK && len(answer.Signature) > 1 {
+			s.latency = average(s.latency, now.Sub(began))
+		}
+	case eris.Is(err, backend.ErrSilent):
+		s.latency = average(s.latency, now.Sub(began))
+		if s.heard.Before(began) {
+			s.fails(began, false)
+		}
+	default:
+		s.fails(now, false)
+	}
+	return answer, err
+}
+
+// Adapt gives the connection the session values that a statement needs, and
+// reports whether it worked. It costs no round trip if they are there already.
+func (c *Conn) Adapt(values map[string]string, fingerprint string, deadline time.Time) error {
+	if !c.unsure && c.fingerprint == fingerprint {
+		return nil
+	}
+	if c.unsure || !subset(c.values, values) {
+		if err := c.own(statement.Statement{Verb: statement.Reset}, deadline); err != nil {
+			return err
+		}
+		c.values, c.fingerprint, c.unsure = nil, "", false
+		clear(c.prepared)
+	}
+	for name, value := range values {
+		if c.values[name] == value {
+			if _, has := c.values[name]; has {
+				continue
+			}
+		}
+		if err := c.own(statement.Statement{Verb: statement.Set, Name: name, Value: value}, deadline); err != nil {
+			return err
+		}
+	}
+	c.values, c.fingerprint = maps.Clone(values), fingerprint
+	return nil
+}
+
+// subset reports whether each name of a is also in b.
+func subset(a, b map[string]string) bool {
+	for name := range a {
+		if _, ok := b[name]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// Prepare returns the name on this connection for a shape, and prepares it
+// first if needed. Names are made here, so that those of sessions can't
+// collide.
+func (c *Conn) Prepare(shape string, writes bool, deadline time.Time) (string, error) {
+	key := "r" + shape
+	if writes {
+		key = "w" + shape
+	}
+	if name, ok := c.prepared[key]; ok {
+		return name, nil
+	}
+	if len(c.prepared) >= maxPrepared {
+		c.unsure = true
+		if err := c.Adapt(c.values, c.fingerprint, deadline); err != nil {
+			return "", err
+		}
+	}
+	err := c.own(statement.Statement{Verb: statement.Prepare, Name: key, Shape: shape, Writes: writes}, deadline)
+	if err != nil {
+		return "", err
+	}
+	c.prepared[key] = key
+	return key, nil
+}
+
+// Unprepared forgets a name that the server doesn't know.
+func (c *Conn) Unprepared(name string) { delete(c.prepared, name) }
+
+// Unsure tells that the server's session values may differ from what is
+// remembered; they are set anew before the next use.
+func (c *Conn) Unsure() { c.unsure = true }
+
+// own runs a statement of the proxy itself.
+func (c *Conn) own(s statement.Statement, deadline time.Time) error {
+	answer, err := c.raw.Do(statement.Request{Statement: s}, deadline)
+	if err != nil {
+		return err
+	}
+	if answer.Code != statement.OK {
+		return eris.Wrapf(backend.ErrBroken, "%s answered %s: %s", s.Verb, answer.Code, answer.Detail)
+	}
+	return nil
+}
+
+// Release returns the connection to the pool. No transaction may be open on
+// it.
+func (c *Conn) Release() { c.server.put(c) }
+
+// Discard closes the connection; what is open on it is undone by the server.
+func (c *Conn) Discard() {
+	c.close()
+	c.server.drop(c)
+}
+
+func (c *Conn) close() {
+	if err := c.raw.Close(); err != nil {
+		c.server.m.options.Logger.V(1).Info("closing a connection failed", "server", c.server.info.Name, "error", err.Error())
+	}
+}
--- /dev/null
+++ b/internal/traffic/upstream/upstream.go
@@ -0,0 +1,208 @@
+// Package upstream keeps a proxy's connections to backend servers.
+//
+// # Usage
+//
+//	m := upstream.New(upstream.Options{Dial: dial, DataCentre: "a", Now: boot.Now, Logger: logger})
+//	m.Update(servers, limitOf, proxies)
+//	server, ok := m.Server("server-1")
+//	conn, err := server.Acquire(fingerprint, priority, deadline)
+//	answer, err := conn.Do(request, deadline)
+//	conn.Release() // or conn.Discard() after an error
+//
+// # Shares
+//
+// A server accepts a number of connections from all proxies together. Each
+// proxy has a share that it may always open; what the shares leave belongs to
+// whoever opens it first, and is closed again after a second without use. A
+// proxy opens one connection to each server before it is needed, so that the
+// others can't take its last.
+package upstream
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/burdockwood/burdockwood/internal/fleet/roster"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/traffic/backend"
+)
+
+const (
+	// tickInterval is the pause between two looks at idle connections and
+	// silent servers.
+	tickInterval = 150 * time.Millisecond
+	// openerLimit bounds the connections that are opened at once ahead of
+	// their use.
+	openerLimit = 8
+)
+
+type (
+	// Options are what a manager needs.
+	Options struct {
+		Dial       backend.Dial
+		DataCentre cluster.DataCentre
+		// Now counts the time while the VM is suspended.
+		Now    func() time.Time
+		Logger logr.Logger
+	}
+
+	// Sight is what the proxy sees of a server.
+	Sight struct {
+		Server  cluster.ServerName
+		Failing time.Duration
+		Refused bool
+	}
+
+	// Manager is safe for concurrent use.
+	Manager struct {
+		options Options
+		mu      sync.Mutex
+		servers atomic.Pointer[map[cluster.ServerName]*Server]
+		groups  atomic.Pointer[map[cluster.GroupName][]*Server]
+		sharers atomic.Int64
+		// suspicion is signalled when a server stops to answer.
+		suspicion chan struct{}
+		toOpen    chan *Server
+	}
+)
+
+// New returns a manager without servers.
+func New(options Options) *Manager {
+	m := &Manager{options: options, suspicion: make(chan struct{}, 1), toOpen: make(chan *Server, 256)}
+	m.servers.Store(&map[cluster.ServerName]*Server{})
+	m.groups.Store(&map[cluster.GroupName][]*Server{})
+	m.sharers.Store(1)
+	return m
+}
+
+// Update takes the servers that may be used; others are given up. limitOf
+// returns the connections that each server of a group accepts.
+func (m *Manager) Update(servers []roster.Server, limitOf func(cluster.GroupName) int, proxies int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sharers.Store(int64(max(1, proxies)))
+	old := *m.servers.Load()
+	next := make(map[cluster.ServerName]*Server, len(servers))
+	groups := map[cluster.GroupName][]*Server{}
+	for _, info := range servers {
+		s := old[info.Name]
+		if s == nil {
+			s = &Server{m: m, inUse: map[*Conn]struct{}{}}
+		}
+		s.update(info, limitOf(info.Group), proxies)
+		if old[info.Name] == nil {
+			m.openAhead(s)
+		}
+		next[info.Name] = s
+		groups[info.Group] = append(groups[info.Group], s)
+	}
+	m.servers.Store(&next)
+	m.groups.Store(&groups)
+	for name, s := range old {
+		if next[name] == nil {
+			s.retire()
+		}
+	}
+}
+
+// openAhead has the first connection to a server opened.
+func (m *Manager) openAhead(s *Server) {
+	select {
+	case m.toOpen <- s:
+	default: // it is opened on first use
+	}
+}
+
+func (m *Manager) proxies() int { return int(m.sharers.Load()) }
+
+// Server returns a server by name.
+func (m *Manager) Server(name cluster.ServerName) (*Server, bool) {
+	s, ok := (*m.servers.Load())[name]
+	return s, ok
+}
+
+// Group returns the servers of a group.
+func (m *Manager) Group(name cluster.GroupName) []*Server { return (*m.groups.Load())[name] }
+
+// Sights returns what is seen of each server that was used.
+func (m *Manager) Sights(now time.Time) []Sight {
+	var list []Sight
+	for name, s := range *m.servers.Load() {
+		s.mu.Lock()
+		failing := s.failingFor(now)
+		if failing > 0 || now.Sub(s.heard) < time.Second {
+			list = append(list, Sight{Server: name, Failing: failing, Refused: s.refused && failing > 0})
+		}
+		s.mu.Unlock()
+	}
+	return list
+}
+
+// Suspicion is signalled when a server stops to answer.
+func (m *Manager) Suspicion() <-chan struct{} { return m.suspicion }
+
+func (m *Manager) suspect() {
+	select {
+	case m.suspicion <- struct{}{}:
+	default:
+	}
+}
+
+// Run opens connections ahead of their use, closes those that aren't needed
+// and looks for silent servers until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	var group errgroup.Group
+	group.SetLimit(openerLimit)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			m.closeAll()
+			return group.Wait()
+		case s := <-m.toOpen:
+			group.Go(func() error {
+				s.openFirst()
+				return nil
+			})
+		case <-ticker.C:
+			m.look()
+		}
+	}
+}
+
+// openFirst opens a connection and puts it into the pool.
+func (s *Server) openFirst() {
+	conn, err := s.Acquire("", 0, time.Now().Add(dialTimeout))
+	if err != nil {
+		s.m.options.Logger.V(1).Info("opening ahead failed", "server", s.Info().Name, "error", err.Error())
+		return
+	}
+	conn.Release()
+}
+
+// look trims each pool and raises the suspicion of a silent server.
+func (m *Manager) look() {
+	steady, now := time.Now(), m.options.Now()
+	for _, s := range *m.servers.Load() {
+		s.trim(steady)
+		s.mu.Lock()
+		failing := s.failingFor(now)
+		s.mu.Unlock()
+		if failing > 0 {
+			m.suspect()
+		}
+	}
+}
+
+// closeAll closes all idle connections.
+func (m *Manager) closeAll() {
+	for _, s := range *m.servers.Load() {
+		s.retire()
+	}
+}
