--- /dev/null
+++ b/cmd/burdockwood-platform/main.go
@@ -0,0 +1,10 @@
+// Command burdockwood-platform runs the roles on the operators' platform.
+package main
+
+import (
+	"os"
+
+	"github.com/burdockwood/burdockwood/platform"
+)
+
+func main() { os.Exit(platform.Process()) }
