A promotion is over only in a higher log term; a full server isn't a dead one

In such a series a server that had been primary and wasn't demoted yet passed as promoted at once: proxies wrote to it before the platform's promotion took effect.

Ruled out: the release of leases (each term was released by all holders before the next choice, as the log shows).

--- a/internal/fleet/coordinator/conduct.go
+++ b/internal/fleet/coordinator/conduct.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -33,6 +34,9 @@
 	// leadPatience is how long a promoted server may take to lead before it
 	// is asked for again: several times the usual 300 to 600 ms.
 	leadPatience = 4 * time.Second
+	// unclearPause is how long a promotion with unknown outcome may take to
+	// show: above promoteTimeout and the usual time to lead.
+	unclearPause = 1500 * time.Millisecond
 	// leadPoll is the pause between two looks whether it leads.
 	leadPoll = 100 * time.Millisecond
 	// demoteTries and demotePause bound the attempts to demote an old
@@ -159,7 +163,7 @@
 		k.change(ctx, p, state.Primacy{Term: p.Term + 1, Primary: verdict.Server}, verdict.Reason)
 	case succession.Replace:
 		k.reason = verdict.Reason
-		next := state.Primacy{Term: p.Term + 1, Phase: state.Releasing, Primary: p.Primary, Planned: verdict.Planned}
+		next := state.Primacy{Term: p.Term + 1, Phase: state.Releasing, Primary: p.Primary, Planned: verdict.Planned, LogTerm: p.LogTerm}
 		k.change(ctx, p, next, verdict.Reason)
 		return 0
 	case succession.Probe:
@@ -192,7 +196,7 @@
 	if known {
 		status, err := k.status(ctx, server)
 		result.Alive, result.Role = err == nil, status.Role
-		if eris.Is(err, ErrServerBusy) {
+		if errors.Is(err, ErrServerBusy) {
 			result.Alive, result.Role = true, server.Role
 		}
 		k.logger.Info("probed the primary", "server", p.Primary, "reason", reason, "alive", result.Alive,
@@ -248,6 +252,11 @@
 	}
 	next := p
 	next.Phase, next.Target = state.Promoting, target
+	for _, s := range statuses {
+		if s.Server == p.Primary {
+			next.LogTerm = max(next.LogTerm, s.Promised)
+		}
+	}
 	if k.change(ctx, p, next, k.reason) {
 		k.releasing, k.choosing = time.Time{}, time.Time{}
 	}
@@ -294,7 +303,7 @@
 	err := k.c.options.Promoter.Promote(callCtx, k.group, p.Target, Fence{Holder: k.c.options.Name, Token: k.l.epoch})
 	cancel()
 	k.logger.Info("promotion asked for", "server", p.Target, "term", p.Term, "error", errorText(err))
-	if eris.Is(err, ErrPromotionRefused) {
+	if errors.Is(err, ErrPromotionRefused) {
 		k.refused[p.Target] = k.c.options.Now().Add(leadPatience)
 		k.chooseAgain(ctx, p, "the platform refused the target")
 		return 0
@@ -306,7 +315,7 @@
 	if !leads {
 		return k.afterUnclear(ctx, p)
 	}
-	settled := state.Primacy{Term: p.Term, Primary: p.Target}
+	settled := state.Primacy{Term: p.Term, Primary: p.Target, LogTerm: term}
 	if !k.change(ctx, p, settled, k.reason) {
 		return 0
 	}
@@ -329,6 +338,9 @@
 			return tickInterval
 		}
 	}
+	// The promotion may still take effect: another target would then lose
+	// its lead unseen.
+	pause.For(ctx, unclearPause)
 	k.refused[p.Target] = k.c.options.Now().Add(leadPatience)
 	k.chooseAgain(ctx, p, "the target can't be reached")
 	return tickInterval
@@ -336,12 +348,13 @@
 
 // chooseAgain goes back to choosing, in a new term.
 func (k *conductor) chooseAgain(ctx context.Context, p state.Primacy, reason string) {
-	next := state.Primacy{Term: p.Term + 1, Phase: state.Releasing, Primary: p.Primary, Planned: p.Planned}
+	next := state.Primacy{Term: p.Term + 1, Phase: state.Releasing, Primary: p.Primary, Planned: p.Planned, LogTerm: p.LogTerm}
 	k.change(ctx, p, next, reason)
 }
 
-// awaitLead waits until the target sees itself as primary, and returns the
-// term of its log.
+// awaitLead waits until the target leads a log of a higher term than the old
+// primary did, and returns that term. Without the term, a server that was the
+// primary before and hasn't been demoted yet would pass.
 func (k *conductor) awaitLead(ctx context.Context, p state.Primacy) (cluster.Term, bool) {
 	until := k.c.options.Now().Add(leadPatience)
 	for k.c.options.Now().Before(until) && ctx.Err() == nil {
@@ -350,7 +363,7 @@
 			return 0, false
 		}
 		status, err := k.status(ctx, server)
-		if err == nil && status.Role == cluster.RolePrimary {
+		if err == nil && status.Role == cluster.RolePrimary && status.Promised > p.LogTerm {
 			return status.Promised, true
 		}
 		pause.For(ctx, leadPoll)
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -16,6 +16,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -298,7 +299,7 @@
 		return state.Result{}, err
 	}
 	result, err := c.options.Log.Propose(ctx, encoded)
-	if eris.Is(err, replica.ErrNotLeader) {
+	if errors.Is(err, replica.ErrNotLeader) {
 		return state.Result{}, ErrNotLeader
 	}
 	if err != nil {
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -62,6 +62,10 @@
 		// Planned tells that the old primary is alive and is replaced on
 		// purpose.
 		Planned bool `json:"planned,omitempty"`
+		// LogTerm is the term of the log that Primary leads, as far as it
+		// is known. A server that still takes itself for the primary of a
+		// lower one isn't the next primary yet.
+		LogTerm cluster.Term `json:"log-term,omitempty"`
 	}
 
 	// State is the whole replicated state. It never changes once published.
--- a/internal/fleet/succession/succession.go
+++ b/internal/fleet/succession/succession.go
@@ -52,6 +52,9 @@
 	// partPatience is how long part of the proxies may be without the
 	// primary before the others pay for a change.
 	partPatience = 1200 * time.Millisecond
+	// changePause is the least time between two changes that only part of
+	// the proxies need: what one of them cuts off, the next would too.
+	changePause = 6 * time.Second
 	// partShare is the share of proxies that makes a change worth its cost.
 	partShare = 0.3
 	// unheardPatience is the silence of announcements, with no proxy that
@@ -165,7 +168,8 @@
 	if failing > 0 && answered == 0 && worth {
 		return afterProbe(s, now, "no proxy reaches the primary")
 	}
-	if failing > 0 && partCut(s.Sights, now) && float64(failing) >= partShare*float64(total) {
+	steady := now.Sub(s.SettledAt) >= changePause
+	if failing > 0 && steady && partCut(s.Sights, now) && float64(failing) >= partShare*float64(total) {
 		return Verdict{Kind: Replace, Planned: true, Reason: "many proxies don't reach the primary"}
 	}
 	unheard := !known || now.Sub(primary.Heard) > unheardPatience
--- a/internal/traffic/session/attempt.go
+++ b/internal/traffic/session/attempt.go
@@ -1,11 +1,10 @@
 package session
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 	"github.com/burdockwood/burdockwood/internal/traffic/catalog"
@@ -160,9 +159,9 @@
 			core.options.Tenure.End(ticket, core.options.Now())
 			err = tenure.ErrNoPrimary
 		}
-		if !eris.Is(err, tenure.ErrChanging) || !w.awaitChange(changed) {
+		if !errors.Is(err, tenure.ErrChanging) || !w.awaitChange(changed) {
 			after := retryAfterChange
-			if eris.Is(err, tenure.ErrNoLease) {
+			if errors.Is(err, tenure.ErrNoLease) {
 				after = retryWithoutLease
 			}
 			refusal := w.refusal(statement.Busy, err.Error(), after)
@@ -302,7 +301,7 @@
 	w.last = err.Error()
 	name := p.server.Info().Name
 	w.avoid[name] = true
-	if eris.Is(err, upstream.ErrNoConnection) && w.primary {
+	if errors.Is(err, upstream.ErrNoConnection) && w.primary {
 		return w.refusal(statement.Busy, "no connection to the primary became free in time", p.server.Retry()), false
 	}
 	if w.primary {
@@ -322,10 +321,10 @@
 func (w *work) lost(p place, err error) (statement.Answer, bool) {
 	w.last = err.Error()
 	w.avoid[p.server.Info().Name] = true
-	if eris.Is(err, backend.ErrNotSent) {
+	if errors.Is(err, backend.ErrNotSent) {
 		return statement.Answer{Code: statement.Busy}, true
 	}
-	silent := eris.Is(err, backend.ErrSilent)
+	silent := errors.Is(err, backend.ErrSilent)
 	if w.writes && w.tx == nil {
 		if silent {
 			return statement.Answer{Code: statement.TimedOut, Detail: "the write may have run: " + err.Error()}, false
--- a/internal/traffic/session/transaction.go
+++ b/internal/traffic/session/transaction.go
@@ -1,10 +1,9 @@
 package session
 
 import (
+	"errors"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 	"github.com/burdockwood/burdockwood/internal/traffic/catalog"
@@ -223,9 +222,9 @@
 	wrote := tx.wrote
 	s.breakTransaction()
 	switch {
-	case !wrote || eris.Is(err, backend.ErrNotSent):
+	case !wrote || errors.Is(err, backend.ErrNotSent):
 		return statement.Answer{Code: statement.Aborted, Detail: err.Error()}
-	case eris.Is(err, backend.ErrSilent):
+	case errors.Is(err, backend.ErrSilent):
 		return statement.Answer{Code: statement.TimedOut, Detail: "the commit may have run: " + err.Error()}
 	default:
 		return statement.Answer{Code: statement.Unknown, Detail: "the commit may have run: " + err.Error()}
--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"errors"
 	"maps"
 	"time"
 
@@ -60,7 +61,7 @@
 		if answer.Code == statement.OK && len(answer.Signature) > 1 {
 			s.latency = average(s.latency, now.Sub(began))
 		}
-	case eris.Is(err, backend.ErrSilent):
+	case errors.Is(err, backend.ErrSilent):
 		s.latency = average(s.latency, now.Sub(began))
 		if s.heard.Before(began) {
 			s.fails(began, false)
--- a/internal/traffic/upstream/server.go
+++ b/internal/traffic/upstream/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -122,7 +123,7 @@
 	var turn uint64
 	for {
 		conn, ready, err := s.attempt(fingerprint, turn, deadline)
-		if eris.Is(err, backend.ErrConnectionLimit) && time.Now().Before(deadline) {
+		if errors.Is(err, backend.ErrConnectionLimit) && time.Now().Before(deadline) {
 			continue
 		}
 		if ready || err != nil {
@@ -272,10 +273,10 @@
 func (s *Server) dialFailed(err error, now, began time.Time) {
 	s.m.options.Logger.V(1).Info("no connection", "server", s.info.Name, "error", err.Error())
 	switch {
-	case eris.Is(err, backend.ErrConnectionLimit):
+	case errors.Is(err, backend.ErrConnectionLimit):
 		s.full = time.Now().Add(limitPause)
 		s.answered(now)
-	case eris.Is(err, backend.ErrRefused), eris.Is(err, backend.ErrWrongServer):
+	case errors.Is(err, backend.ErrRefused), eris.Is(err, backend.ErrWrongServer):
 		s.fails(now, true)
 	default:
 		s.fails(now.Add(-time.Since(began)), false)
