Servers are kept in the replicated state; a new primary is seen as it announces itself; tests

Ruled out: the election (0.3 s after the start) and the leases (granted at once to restarted proxies).

Change: the leader saves changes of servers in the log, several at a time, and a new one begins with them. awaitLead takes the target's own word that it became the primary.

--- a/internal/fleet/coordinator/conduct.go
+++ b/internal/fleet/coordinator/conduct.go
@@ -299,6 +299,7 @@
 	if err := k.c.confirm(ctx); err != nil {
 		return tickInterval
 	}
+	before, _ := k.server(p.Target)
 	callCtx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	err := k.c.options.Promoter.Promote(callCtx, k.group, p.Target, Fence{Holder: k.c.options.Name, Token: k.l.epoch})
 	cancel()
@@ -311,7 +312,7 @@
 	if err != nil {
 		return k.afterUnclear(ctx, p)
 	}
-	term, leads := k.awaitLead(ctx, p)
+	term, leads := k.awaitLead(ctx, p, before)
 	if !leads {
 		return k.afterUnclear(ctx, p)
 	}
@@ -322,7 +323,7 @@
 	k.reason = ""
 	if old, known := k.server(p.Primary); known && p.Primary != p.Target {
 		k.helpers.Go(func() error {
-			k.demote(ctx, old, term)
+			k.demote(ctx, old, p.Target)
 			return nil
 		})
 	}
@@ -352,32 +353,49 @@
 	k.change(ctx, p, next, reason)
 }
 
-// awaitLead waits until the target leads a log of a higher term than the old
-// primary did, and returns that term. Without the term, a server that was the
-// primary before and hasn't been demoted yet would pass.
-func (k *conductor) awaitLead(ctx context.Context, p state.Primacy) (cluster.Term, bool) {
+// awaitLead waits until the target leads, and returns the term of its log as
+// far as it is known. It leads if it announces that it has become the primary,
+// or tells when asked that it is the primary of a higher term than the old one.
+// Its role alone doesn't count: it may have been the primary before and not be
+// demoted yet.
+func (k *conductor) awaitLead(ctx context.Context, p state.Primacy, before roster.Server) (cluster.Term, bool) {
 	until := k.c.options.Now().Add(leadPatience)
 	for k.c.options.Now().Before(until) && ctx.Err() == nil {
+		k.c.mu.Lock()
+		news := k.l.news
+		k.c.mu.Unlock()
 		server, known := k.server(p.Target)
 		if !known {
-			return 0, false
+			return p.LogTerm, false
+		}
+		if before.Role == cluster.RoleReplica && server.Role == cluster.RolePrimary && server.Born.Equal(before.Born) {
+			return p.LogTerm, true
 		}
 		status, err := k.status(ctx, server)
 		if err == nil && status.Role == cluster.RolePrimary && status.Promised > p.LogTerm {
 			return status.Promised, true
 		}
-		pause.For(ctx, leadPoll)
+		k.await(ctx, news, leadPoll)
+	}
+	return p.LogTerm, false
+}
+
+// await waits for news, at most for d.
+func (k *conductor) await(ctx context.Context, news <-chan struct{}, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-news:
 	}
-	return 0, false
 }
 
 // demote tells the old primary that it is one no more. The leases already keep
 // it from being used; this lets it follow the new one sooner.
-func (k *conductor) demote(ctx context.Context, old roster.Server, term cluster.Term) {
+func (k *conductor) demote(ctx context.Context, old roster.Server, target cluster.ServerName) {
 	for range demoteTries {
-		callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-		err := k.c.options.Backends.Demote(callCtx, old, term)
-		cancel()
+		term, err := k.demoteOnce(ctx, old, target)
 		if err == nil {
 			k.logger.Info("demoted the old primary", "server", old.Name, "log-term", term)
 			return
@@ -385,5 +403,19 @@
 		k.logger.V(1).Info("the old primary can't be demoted yet", "server", old.Name, "error", err.Error())
 		pause.For(ctx, demotePause)
 	}
-	k.logger.Info("gave up demoting the old primary", "server", old.Name, "log-term", term)
+	k.logger.Info("gave up demoting the old primary", "server", old.Name)
+}
+
+func (k *conductor) demoteOnce(ctx context.Context, old roster.Server, target cluster.ServerName) (cluster.Term, error) {
+	server, known := k.server(target)
+	if !known {
+		return 0, eris.Errorf("the new primary %s isn't known any more", target)
+	}
+	status, err := k.status(ctx, server)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return status.Promised, k.c.options.Backends.Demote(ctx, old, status.Promised)
 }
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -122,13 +122,16 @@
 	// leadership is what a leader keeps in memory. Its fields are guarded by
 	// Coordinator.mu.
 	leadership struct {
-		epoch    uint64
-		since    time.Time
-		lender   *lender.Lender
-		roster   *roster.Roster
-		sights   map[cluster.ServerName]map[cluster.ProxyName]succession.Sight
-		probes   map[cluster.GroupName]succession.ProbeResult
-		settled  map[cluster.GroupName]settledAt
+		epoch   uint64
+		since   time.Time
+		lender  *lender.Lender
+		roster  *roster.Roster
+		sights  map[cluster.ServerName]map[cluster.ProxyName]succession.Sight
+		probes  map[cluster.GroupName]succession.ProbeResult
+		settled map[cluster.GroupName]settledAt
+		// unsaved are the servers whose change isn't in the replicated
+		// state yet.
+		unsaved  map[cluster.ServerName]struct{}
 		revision uint64
 		live     int
 		// news is closed and replaced with each change that proxies or the
@@ -192,8 +195,10 @@
 		sights:  map[cluster.ServerName]map[cluster.ProxyName]succession.Sight{},
 		probes:  map[cluster.GroupName]succession.ProbeResult{},
 		settled: map[cluster.GroupName]settledAt{},
+		unsaved: map[cluster.ServerName]struct{}{},
 		news:    make(chan struct{}), ended: make(chan struct{}),
 	}
+	l.recall(c.options.Machine.View().Servers, now)
 	c.mu.Lock()
 	c.term = l
 	c.mu.Unlock()
@@ -209,6 +214,7 @@
 		return nil
 	})
 	group.Go(func() error { return c.watchState(groupCtx, l) })
+	group.Go(func() error { return c.saveServers(groupCtx, l) })
 	group.Go(func() error { return c.conductAll(groupCtx, l, group) })
 	if err := group.Wait(); err != nil && ctx.Err() == nil {
 		c.options.Logger.Error(err, "leading ended with an error", "epoch", epoch)
@@ -228,15 +234,20 @@
 func (c *Coordinator) watchState(ctx context.Context, l *leadership) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	seen := c.options.Machine.View()
 	for {
 		changed := c.options.Machine.Changed()
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-changed:
-			c.mu.Lock()
-			l.bump()
-			c.mu.Unlock()
+			next := c.options.Machine.View()
+			if !next.ServersOnly(seen) {
+				c.mu.Lock()
+				l.bump()
+				c.mu.Unlock()
+			}
+			seen = next
 		case <-ticker.C:
 			c.tick(ctx, l)
 		}
@@ -248,6 +259,9 @@
 	now := c.options.Now()
 	c.mu.Lock()
 	dropped := l.roster.Expire(announceSilence, now)
+	for _, name := range dropped {
+		l.unsaved[name] = struct{}{}
+	}
 	if live := l.lender.Live(now); live != l.live || len(dropped) > 0 {
 		l.live = live
 		l.bump()
--- a/internal/fleet/coordinator/serve.go
+++ b/internal/fleet/coordinator/serve.go
@@ -198,6 +198,7 @@
 		changed = l.roster.Announce(s, now)
 	}
 	if changed {
+		l.unsaved[s.Name] = struct{}{}
 		l.bump()
 	}
 	c.mu.Unlock()
--- /dev/null
+++ b/internal/fleet/coordinator/servers.go
@@ -0,0 +1,74 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/fleet/roster"
+	"github.com/burdockwood/burdockwood/internal/fleet/state"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+// longDraining stands in for the time for which a server had been draining when
+// an earlier leader heard of it: it may end at any moment.
+const longDraining = time.Hour
+
+// recall fills the roster with the servers that earlier leaders knew.
+func (l *leadership) recall(servers map[cluster.ServerName]state.Server, now time.Time) {
+	for name, s := range servers {
+		server := roster.Server{
+			Name: name, Group: s.Group, Address: s.Address, DataCentre: s.DataCentre, Slots: s.Slots,
+			Draining: s.Draining, Role: cluster.RoleReplica, Born: time.UnixMilli(s.BornUnixMS), Sequence: s.Sequence,
+		}
+		if s.Primary {
+			server.Role = cluster.RolePrimary
+		}
+		if s.Draining {
+			server.DrainingSince = now.Add(-longDraining)
+		}
+		l.roster.Announce(server, now)
+	}
+}
+
+// saveServers brings changes of servers into the replicated state, several at a
+// time.
+func (c *Coordinator) saveServers(ctx context.Context, l *leadership) error {
+	for {
+		c.mu.Lock()
+		news := l.news
+		change := l.takeUnsaved()
+		c.mu.Unlock()
+		if change == nil {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-news:
+			}
+			continue
+		}
+		if _, err := c.propose(ctx, state.Command{Servers: change}); err != nil && ctx.Err() == nil {
+			c.options.Logger.Info("a change of servers wasn't saved; the next leader hears of it from them", "error", err.Error())
+		}
+	}
+}
+
+// takeUnsaved returns the change that isn't saved yet; nil: none.
+func (l *leadership) takeUnsaved() *state.ServersChange {
+	if len(l.unsaved) == 0 {
+		return nil
+	}
+	change := &state.ServersChange{Put: map[cluster.ServerName]state.Server{}}
+	for name := range l.unsaved {
+		s, known := l.roster.Get(name)
+		if !known {
+			change.Drop = append(change.Drop, name)
+			continue
+		}
+		change.Put[name] = state.Server{
+			Group: s.Group, Address: s.Address, DataCentre: s.DataCentre, Slots: s.Slots, Draining: s.Draining,
+			Primary: s.Role == cluster.RolePrimary, BornUnixMS: s.Born.UnixMilli(), Sequence: s.Sequence,
+		}
+	}
+	clear(l.unsaved)
+	return change
+}
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -16,6 +16,7 @@
 import (
 	"encoding/json"
 	"maps"
+	"net/netip"
 	"sync/atomic"
 
 	"github.com/rotisserie/eris"
@@ -68,17 +69,38 @@
 		LogTerm cluster.Term `json:"log-term,omitempty"`
 	}
 
+	// Server is a backend server as it last announced a change, so that a
+	// new leader knows it before it announces itself again.
+	Server struct {
+		Group      cluster.GroupName  `json:"group"`
+		Address    netip.AddrPort     `json:"address"`
+		DataCentre cluster.DataCentre `json:"data-centre"`
+		Slots      int                `json:"slots"`
+		Draining   bool               `json:"draining,omitempty"`
+		Primary    bool               `json:"primary,omitempty"`
+		BornUnixMS int64              `json:"born-unix-ms"`
+		Sequence   uint64             `json:"sequence"`
+	}
+
+	// ServersChange replaces and drops servers.
+	ServersChange struct {
+		Put  map[cluster.ServerName]Server `json:"put,omitempty"`
+		Drop []cluster.ServerName          `json:"drop,omitempty"`
+	}
+
 	// State is the whole replicated state. It never changes once published.
 	State struct {
 		Document  Document                       `json:"document"`
 		Primacies map[cluster.GroupName]Primacy  `json:"primacies"`
 		Proxies   map[cluster.ProxyName]struct{} `json:"proxies"`
+		Servers   map[cluster.ServerName]Server  `json:"servers"`
 	}
 
 	// Command is one change; one of its fields is set.
 	Command struct {
 		Document *Document           `json:"document,omitempty"`
 		Primacy  *PrimacyChange      `json:"primacy,omitempty"`
+		Servers  *ServersChange      `json:"servers,omitempty"`
 		Join     []cluster.ProxyName `json:"join,omitempty"`
 		Leave    []cluster.ProxyName `json:"leave,omitempty"`
 	}
@@ -125,9 +147,17 @@
 	return &State{
 		Primacies: map[cluster.GroupName]Primacy{},
 		Proxies:   map[cluster.ProxyName]struct{}{},
+		Servers:   map[cluster.ServerName]Server{},
 	}
 }
 
+// ServersOnly reports whether s differs from an earlier state in the servers
+// alone.
+func (s *State) ServersOnly(earlier *State) bool {
+	return s.Document.Version == earlier.Document.Version && maps.Equal(s.Primacies, earlier.Primacies) &&
+		maps.Equal(s.Proxies, earlier.Proxies)
+}
+
 // View returns the present state.
 func (m *Machine) View() *State { return m.view.Load() }
 
@@ -174,6 +204,8 @@
 		return s.storeDocument(*c.Document)
 	case c.Primacy != nil:
 		return s.changePrimacy(*c.Primacy)
+	case c.Servers != nil:
+		return s.changeServers(*c.Servers)
 	case len(c.Join) > 0:
 		return s.setProxies(c.Join, true)
 	default:
@@ -199,6 +231,15 @@
 	return true
 }
 
+func (s *State) changeServers(c ServersChange) bool {
+	s.Servers = maps.Clone(s.Servers)
+	maps.Copy(s.Servers, c.Put)
+	for _, name := range c.Drop {
+		delete(s.Servers, name)
+	}
+	return true
+}
+
 func (s *State) setProxies(names []cluster.ProxyName, present bool) bool {
 	next := maps.Clone(s.Proxies)
 	for _, name := range names {
--- /dev/null
+++ b/internal/fleet/state/state_test.go
@@ -0,0 +1,117 @@
+package state
+
+import (
+	"testing"
+
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+func apply(t *testing.T, m *Machine, c Command) Result {
+	t.Helper()
+	encoded, err := Encode(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := Decode(m.Apply(1, encoded))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func TestDocumentsGoOnlyForward(t *testing.T) {
+	tests := []struct {
+		name string
+		next Document
+		want Result
+		body string
+	}{
+		{"newer", Document{Version: 8, Body: []byte("new")}, Result{Applied: true, Version: 8}, "new"},
+		{"older", Document{Version: 3, Body: []byte("new")}, Result{Version: 7}, "old"},
+		{"other content under the same version", Document{Version: 7, Body: []byte("new")}, Result{Version: 7}, "old"},
+	}
+	for _, test := range tests {
+		m := New()
+		apply(t, m, Command{Document: &Document{Version: 7, Body: []byte("old")}})
+		if got := apply(t, m, Command{Document: &test.next}); got != test.want {
+			t.Errorf("%s: got %+v, want %+v", test.name, got, test.want)
+		}
+		if got := string(m.View().Document.Body); got != test.body {
+			t.Errorf("%s: got body %q, want %q", test.name, got, test.body)
+		}
+	}
+}
+
+func TestPrimacyIsComparedBeforeItIsSet(t *testing.T) {
+	m := New()
+	first := Primacy{Term: 1, Primary: "p"}
+	change := func(from, to Primacy) bool {
+		return apply(t, m, Command{Primacy: &PrimacyChange{Group: "g", From: from, To: to}}).Applied
+	}
+	if !change(Primacy{}, first) {
+		t.Fatal("got the first primacy refused, want it applied")
+	}
+	if change(Primacy{}, Primacy{Term: 1, Primary: "q"}) {
+		t.Error("got a change from an old primacy applied, want it refused")
+	}
+	if got := m.View().Primacies["g"]; got != first {
+		t.Errorf("got %+v, want %+v", got, first)
+	}
+}
+
+func TestSnapshotHoldsEverything(t *testing.T) {
+	m := New()
+	apply(t, m, Command{Document: &Document{Version: 7, Body: []byte("body")}})
+	apply(t, m, Command{Primacy: &PrimacyChange{Group: "g", To: Primacy{Term: 4, Phase: Promoting, Primary: "p", Target: "q", Planned: true, LogTerm: 3}}})
+	apply(t, m, Command{Join: []cluster.ProxyName{"a", "b"}})
+	apply(t, m, Command{Leave: []cluster.ProxyName{"b"}})
+	apply(t, m, Command{Servers: &ServersChange{Put: map[cluster.ServerName]Server{"p": {Group: "g", Slots: 2}, "q": {Group: "g"}}}})
+	apply(t, m, Command{Servers: &ServersChange{Drop: []cluster.ServerName{"q"}}})
+	encoded, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := New()
+	if err := restored.Restore(encoded); err != nil {
+		t.Fatal(err)
+	}
+	again, err := restored.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := string(again), string(encoded); got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+	if got := len(restored.View().Proxies); got != 1 {
+		t.Errorf("got %d proxies, want 1", got)
+	}
+	if got := restored.View().Servers["p"].Slots; got != 2 {
+		t.Errorf("got %d slots, want 2", got)
+	}
+}
+
+func TestServersOnly(t *testing.T) {
+	m := New()
+	first := m.View()
+	apply(t, m, Command{Servers: &ServersChange{Put: map[cluster.ServerName]Server{"p": {}}}})
+	second := m.View()
+	if !second.ServersOnly(first) {
+		t.Error("got a change of servers taken for more, want servers only")
+	}
+	apply(t, m, Command{Join: []cluster.ProxyName{"a"}})
+	if m.View().ServersOnly(second) {
+		t.Error("got a new proxy taken for a change of servers, want more")
+	}
+}
+
+func TestBadInput(t *testing.T) {
+	m := New()
+	if got := string(m.Apply(1, []byte("{"))); got == "" {
+		t.Error("got no result for a command that can't be read")
+	}
+	for _, text := range []string{"", "{", `{"format":9,"state":{}}`, `{"format":1,"state":null}`} {
+		if err := m.Restore([]byte(text)); err == nil {
+			t.Errorf("restore %q: got no error", text)
+		}
+	}
+}
--- /dev/null
+++ b/internal/traffic/freshness/freshness_test.go
@@ -0,0 +1,67 @@
+package freshness
+
+import (
+	"testing"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func position(n int) cluster.Mark { return cluster.Mark{Term: 1, Position: cluster.Position(n)} }
+
+func TestNeed(t *testing.T) {
+	samples := []Sample{
+		{At: at(0), Term: 1, Mark: position(10)},
+		{At: at(500), Term: 1, Mark: position(20)},
+		{At: at(1000), Term: 1, Mark: position(30)},
+		{At: at(1010), Term: 1, Mark: position(31)},
+	}
+	tests := []struct {
+		name   string
+		began  time.Time
+		maxAge time.Duration
+		want   cluster.Mark
+		wantOK bool
+	}{
+		{"the oldest that is young enough", at(1100), 1500 * time.Millisecond, position(10), true},
+		{"a younger one is needed", at(1100), 800 * time.Millisecond, position(20), true},
+		{"the margin is taken off the age", at(1100), 610 * time.Millisecond, position(30), true},
+		{"the newest alone, whatever its distance to the last kept", at(1600), 625 * time.Millisecond, position(31), true},
+		{"none is young enough", at(3000), 500 * time.Millisecond, cluster.Mark{}, false},
+	}
+	for _, test := range tests {
+		var l Log
+		for _, s := range samples {
+			l.Note(s)
+		}
+		got, ok := l.Need(test.began, test.maxAge)
+		if got != test.want || ok != test.wantOK {
+			t.Errorf("%s: got %v %v, want %v %v", test.name, got, ok, test.want, test.wantOK)
+		}
+	}
+}
+
+func TestNewTermReplacesSamples(t *testing.T) {
+	var l Log
+	l.Note(Sample{At: at(0), Term: 1, Mark: position(90)})
+	l.Note(Sample{At: at(10), Term: 2, Mark: cluster.Mark{Term: 2, Position: 80}})
+	l.Note(Sample{At: at(20), Term: 1, Mark: position(91)})
+	want := cluster.Mark{Term: 2, Position: 80}
+	if got, ok := l.Need(at(30), time.Second); got != want || !ok {
+		t.Errorf("got %v %v, want %v of the new term: the old one's may have been rolled back", got, ok, want)
+	}
+}
+
+func TestSamplesAreBounded(t *testing.T) {
+	var l Log
+	for i := range 10_000 {
+		l.Note(Sample{At: at(i * 50), Term: 1, Mark: position(i + 1)})
+	}
+	if got := len(l.samples); got > kept {
+		t.Errorf("got %d samples kept, want at most %d", got, kept)
+	}
+}
--- /dev/null
+++ b/internal/traffic/placement/placement_test.go
@@ -0,0 +1,38 @@
+package placement
+
+import (
+	"testing"
+	"time"
+)
+
+func TestOrder(t *testing.T) {
+	replica := Candidate{Latency: 10 * time.Millisecond, Slots: 2, Near: true}
+	with := func(change func(*Candidate)) Candidate {
+		c := replica
+		change(&c)
+		return c
+	}
+	primary := with(func(c *Candidate) { c.Primary = true })
+	tests := []struct {
+		name       string
+		candidates []Candidate
+		want       int
+	}{
+		{"reads leave the primary to writes", []Candidate{primary, replica}, 1},
+		{"unless the replica is much slower", []Candidate{primary, with(func(c *Candidate) { c.Latency = 30 * time.Millisecond })}, 0},
+		{"the near one of two", []Candidate{with(func(c *Candidate) { c.Near = false }), replica}, 1},
+		{"the one with less outstanding work", []Candidate{with(func(c *Candidate) { c.Active = 2 }), replica}, 1},
+		{"more slots bear more work", []Candidate{with(func(c *Candidate) { c.Active = 2 }), with(func(c *Candidate) { c.Active = 2; c.Slots = 8 })}, 1},
+		{"one that waits costs as much as one that runs", []Candidate{with(func(c *Candidate) { c.Waiting = 3 }), with(func(c *Candidate) { c.Active = 1 })}, 1},
+		{"an open connection", []Candidate{with(func(c *Candidate) { c.Handshake = 15 * time.Millisecond }), with(func(c *Candidate) { c.Near = false })}, 1},
+		{"a warm server", []Candidate{with(func(c *Candidate) { c.Cold = true }), replica}, 1},
+		{"a replica that lags comes after the primary", []Candidate{with(func(c *Candidate) { c.Behind = true }), primary}, 1},
+		{"a silent server comes last", []Candidate{with(func(c *Candidate) { c.Failing = true }), with(func(c *Candidate) { c.Behind = true })}, 1},
+		{"an unused server isn't free", []Candidate{with(func(c *Candidate) { c.Latency = 0; c.Active = 4 }), with(func(c *Candidate) { c.Latency = 6 * time.Millisecond })}, 1},
+	}
+	for _, test := range tests {
+		if got := Order(test.candidates)[0]; got != test.want {
+			t.Errorf("%s: got candidate %d first, want %d", test.name, got, test.want)
+		}
+	}
+}
