Sessions end when idle after SIGTERM, not at their next answer

One process was still there at the end of the grace time: its handlers waited for callers that had gone silent.

Ruled out: requests that were cut while a server worked (none in the log).

--- a/internal/traffic/session/core.go
+++ b/internal/traffic/session/core.go
@@ -23,6 +23,7 @@
 
 	"github.com/go-logr/logr"
 	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
 
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/ops/metrics"
@@ -33,15 +34,20 @@
 	"github.com/burdockwood/burdockwood/internal/traffic/upstream"
 )
 
+// ErrInterrupted tells that Next was interrupted.
+var ErrInterrupted = eris.New("the wait for a statement was interrupted")
+
 type (
 	// Caller is the connection of a caller, as a codec shows it.
 	Caller interface {
-		// Next returns the next statement; it fails with os.ErrDeadlineExceeded
-		// once deadline has passed (zero: never) or after Interrupt.
+		// Next returns the next statement. It fails with
+		// os.ErrDeadlineExceeded once deadline has passed (zero: never) and
+		// with ErrInterrupted after Interrupt.
 		Next(deadline time.Time) (statement.Statement, error)
 		// Answer sends the answer to the last statement.
 		Answer(answer statement.Answer) error
-		// Interrupt makes a Next that has no whole statement yet fail.
+		// Interrupt makes a Next that has no whole statement yet fail, so
+		// that the session looks at its deadline again.
 		Interrupt()
 		Close() error
 	}
@@ -66,9 +72,10 @@
 		tenants *metrics.Tenants
 		mu      sync.Mutex
 		logs    map[cluster.GroupName]*freshness.Log
-		// stopping makes sessions end as soon as they are idle; aborting
-		// also ends open transactions.
-		stopping atomic.Bool
+		// idleLimit is how long a session outside a transaction may be idle
+		// before it is closed; zero: as long as it likes.
+		idleLimit atomic.Int64
+		// aborting ends open transactions.
 		aborting atomic.Bool
 		sessions map[*session]struct{}
 	}
@@ -135,10 +142,11 @@
 	return len(c.sessions)
 }
 
-// Stop makes sessions end as soon as they are outside a transaction and owe no
-// answer.
-func (c *Core) Stop() {
-	c.stopping.Store(true)
+// Stop makes sessions end once they have been idle for a time outside a
+// transaction. A session that is in use goes on: its caller would meet the end of
+// the connection while a request is on its way.
+func (c *Core) Stop(idle time.Duration) {
+	c.idleLimit.Store(int64(idle))
 	c.interrupt()
 }
 
@@ -148,6 +156,17 @@
 	c.interrupt()
 }
 
+// CloseAll closes all sessions, whatever they do.
+func (c *Core) CloseAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for s := range c.sessions {
+		if err := s.caller.Close(); err != nil {
+			c.options.Logger.V(1).Info("closing a session failed", "error", err.Error())
+		}
+	}
+}
+
 func (c *Core) interrupt() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/traffic/session/session.go
+++ b/internal/traffic/session/session.go
@@ -66,15 +66,16 @@
 		if err := s.caller.Answer(s.handle(next)); err != nil {
 			return err
 		}
-		if s.core.stopping.Load() && s.tx == nil {
-			return nil
-		}
 	}
 }
 
-// idleDeadline returns the end of the time that an open transaction may rest.
+// idleDeadline returns the end of the time that an open transaction may rest, or
+// that a session may be idle while the proxy stops.
 func (s *session) idleDeadline() time.Time {
 	current := s.core.Catalog()
+	if limit := s.core.idleLimit.Load(); limit > 0 && s.tx == nil {
+		return time.Now().Add(time.Duration(limit))
+	}
 	if s.tx == nil || s.tx.conn == nil || current == nil || current.Limits.TransactionIdle == 0 {
 		return time.Time{}
 	}
@@ -84,18 +85,15 @@
 // afterSilence handles a Next that returned no statement, and reports whether
 // the session is over.
 func (s *session) afterSilence(err error) (done bool, cause error) {
-	if !errors.Is(err, os.ErrDeadlineExceeded) {
+	if !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, ErrInterrupted) {
 		return true, err
 	}
-	if s.tx == nil {
-		return s.core.stopping.Load(), nil
+	if errors.Is(err, ErrInterrupted) {
+		return s.tx != nil && s.core.aborting.Load(), nil
 	}
-	if s.core.aborting.Load() {
+	if s.tx == nil {
 		return true, nil
 	}
-	if s.core.stopping.Load() {
-		return false, nil
-	}
 	s.core.options.Logger.Info("transaction ended: it rested for too long", "database", s.database)
 	s.breakTransaction()
 	return false, nil
