Work for an overloaded server waits in the proxy; failures are seen sooner; lease 3.5 s

(c) a proxy noticed a frozen leader after 2.5 s; a sight of a primary from before its crash counted as life for 2.5 s; control waited 0.4 s for the status of a primary that it had just found dead; a proxy that was cut off delayed a change by 5 s.

Change: (a) spare connections are closed after ten times of opening one; (b) a pure queue by priority and aim, with a replay of the herd; a server slower than twice its usual time gets this proxy's part of twice its slots; (c) sights carry when a server was heard; the probe begins before the patience is over; lease 3.5 s, hold 0.4 s; what waits for a replaced primary is cut; first election after a start four times sooner; the old primary's status isn't waited for.

--- a/internal/control/quorum/core.go
+++ b/internal/control/quorum/core.go
@@ -15,6 +15,8 @@
 	defaultAppendBytes = 512 << 10
 	defaultChunkBytes  = 512 << 10
 	defaultKeepEntries = 1000
+	// firstElection divides the first election timeout after a start.
+	firstElection = 4
 	// defaultGoneAfter is four of the longest election timeouts: a member
 	// that only restarts is back sooner.
 	defaultGoneAfter = 2 * time.Second
@@ -98,6 +100,9 @@
 	c.log.commit = max(c.state.Commit, c.log.commit)
 	c.forming.init(options.Random.Uint64N(math.MaxInt64) + probeRounds)
 	c.resetElection(now)
+	// After a start nothing is known of a leader. Asking early costs nothing:
+	// a pre-vote changes no state, and those that hear a leader refuse.
+	c.electionDeadline = now.Add(c.electionDeadline.Sub(now) / firstElection)
 	c.probeDue = now
 	return c, nil
 }
--- a/internal/fleet/coordinator/conduct.go
+++ b/internal/fleet/coordinator/conduct.go
@@ -37,8 +37,12 @@
 	// unclearPause is how long a promotion with unknown outcome may take to
 	// show: above promoteTimeout and the usual time to lead.
 	unclearPause = 1500 * time.Millisecond
-	// leadPoll is the pause between two looks whether it leads.
-	leadPoll = 100 * time.Millisecond
+	// probeWorth is how long a probe that found a primary dead counts: the
+	// longest wait for leases, with a margin.
+	probeWorth = 6 * time.Second
+	// leadPoll is how long the target's own word is waited for before it is
+	// asked: most targets lead within it.
+	leadPoll = 450 * time.Millisecond
 	// demoteTries and demotePause bound the attempts to demote an old
 	// primary, which the platform does by itself about a second after it
 	// reaches the new one.
@@ -238,7 +242,7 @@
 		k.logger.Info("the old term is released", "term", p.Term, "waited-ms", now.Sub(k.releasing).Milliseconds())
 	}
 	able := slices.DeleteFunc(slices.Clone(servers), func(s roster.Server) bool { return now.Before(k.refused[s.Name]) })
-	statuses := k.ask(ctx, servers)
+	statuses := k.ask(ctx, k.worthAsking(p, servers, now))
 	confirmed, _ := k.c.options.Group(k.group)
 	target, ok := succession.Choose(statuses, able, succession.Rule{
 		Old: p.Primary, Confirmed: confirmed,
@@ -263,6 +267,18 @@
 	return 0
 }
 
+// worthAsking leaves out the old primary if a probe has just found it dead: the
+// others needn't wait for it.
+func (k *conductor) worthAsking(p state.Primacy, servers []roster.Server, now time.Time) []roster.Server {
+	k.c.mu.Lock()
+	probe := k.l.probes[k.group]
+	k.c.mu.Unlock()
+	if p.Planned || probe.Alive || probe.At.IsZero() || now.Sub(probe.At) > probeWorth {
+		return servers
+	}
+	return slices.DeleteFunc(slices.Clone(servers), func(s roster.Server) bool { return s.Name == p.Primary })
+}
+
 // ask asks all servers at once for their status; those that don't answer are
 // left out.
 func (k *conductor) ask(ctx context.Context, servers []roster.Server) []succession.Status {
@@ -371,23 +387,28 @@
 		if before.Role == cluster.RoleReplica && server.Role == cluster.RolePrimary && server.Born.Equal(before.Born) {
 			return p.LogTerm, true
 		}
+		if k.await(ctx, news, leadPoll) {
+			continue
+		}
 		status, err := k.status(ctx, server)
 		if err == nil && status.Role == cluster.RolePrimary && status.Promised > p.LogTerm {
 			return status.Promised, true
 		}
-		k.await(ctx, news, leadPoll)
 	}
 	return p.LogTerm, false
 }
 
-// await waits for news, at most for d.
-func (k *conductor) await(ctx context.Context, news <-chan struct{}, d time.Duration) {
+// await waits for news, at most for d, and reports whether there were any.
+func (k *conductor) await(ctx context.Context, news <-chan struct{}, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
+		return false
 	case <-timer.C:
+		return false
 	case <-news:
+		return true
 	}
 }
 
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -36,13 +36,14 @@
 )
 
 const (
-	// DefaultLease is longer than a restart of all control nodes and an
-	// election (2 s and 1 s), so that losing the leader costs callers
-	// nothing.
-	DefaultLease = 5 * time.Second
-	// DefaultHold is how long a renewal waits for news: a fifth of the
-	// lease.
-	DefaultHold = time.Second
+	// DefaultLease is longer than a restart of all control nodes, an
+	// election and a hold (2 s, 0.5 s and 0.4 s), so that losing the leader
+	// costs callers nothing. It bounds how long a proxy that is cut off
+	// delays the change of a primary.
+	DefaultLease = 3500 * time.Millisecond
+	// DefaultHold is how long a renewal waits for news. A proxy notices a
+	// frozen leader a little later than that.
+	DefaultHold = 400 * time.Millisecond
 	// confirmTimeout bounds the confirmation of the leadership: two election
 	// timeouts.
 	confirmTimeout = time.Second
--- a/internal/fleet/coordinator/serve.go
+++ b/internal/fleet/coordinator/serve.go
@@ -14,9 +14,13 @@
 type (
 	// Evidence is what a proxy has seen of a server.
 	Evidence struct {
-		Server  cluster.ServerName
+		Server cluster.ServerName
+		// Failing is how long it hasn't answered while it should have; zero:
+		// it answers.
 		Failing time.Duration
 		Refused bool
+		// Heard is the time since its last sign of life.
+		Heard time.Duration
 	}
 
 	// Renewal is a proxy's call for its lease.
@@ -120,7 +124,7 @@
 			sights = map[cluster.ProxyName]succession.Sight{}
 			l.sights[e.Server] = sights
 		}
-		sights[proxy] = succession.Sight{Failing: e.Failing, Refused: e.Refused, At: now}
+		sights[proxy] = succession.Sight{Failing: e.Failing, Refused: e.Refused, Heard: now.Add(-e.Heard), At: now}
 	}
 }
 
--- a/internal/fleet/service/service.go
+++ b/internal/fleet/service/service.go
@@ -125,6 +125,7 @@
 		evidence = append(evidence, coordinator.Evidence{
 			Server:  cluster.ServerName(e.GetServer()),
 			Failing: time.Duration(e.GetFailingMs()) * time.Millisecond, Refused: e.GetRefused(),
+			Heard: time.Duration(e.GetHeardMs()) * time.Millisecond,
 		})
 	}
 	return evidence
--- a/internal/traffic/link/link.go
+++ b/internal/traffic/link/link.go
@@ -39,25 +39,23 @@
 )
 
 const (
-	// renewTimeout bounds a renewal: the hold of control and its
-	// confirmation, with a margin of half a second.
-	renewTimeout = 2500 * time.Millisecond
-	// firstTimeout bounds a renewal by a node that hasn't answered yet.
-	firstTimeout = 1500 * time.Millisecond
+	// renewTimeout bounds a renewal: the hold of control (0.4 s), and an
+	// election's time for its confirmation.
+	renewTimeout = 1100 * time.Millisecond
 	// reportTimeout bounds a report.
 	reportTimeout = 500 * time.Millisecond
 	// leastPause and mostPause bound the pause after a failed renewal.
-	leastPause = 30 * time.Millisecond
-	mostPause  = 250 * time.Millisecond
+	leastPause = 20 * time.Millisecond
+	mostPause  = 100 * time.Millisecond
 	// reportPause is the least time between two reports of one suspicion.
 	reportPause = 100 * time.Millisecond
 	// softTick is the pause between two looks at a pending release.
 	softTick = 50 * time.Millisecond
 	// leaveTimeout bounds the last call.
 	leaveTimeout = 300 * time.Millisecond
-	// unledGrace is how long a proxy counts as ready after its lease ended:
-	// an election.
-	unledGrace = time.Second
+	// unledGrace is how long a proxy counts as ready after its lease ended,
+	// so that a short disturbance of all proxies takes none out of rotation.
+	unledGrace = 500 * time.Millisecond
 )
 
 type (
@@ -185,11 +183,7 @@
 
 // renew asks one control node for the lease.
 func (l *Link) renew(ctx context.Context, target netip.AddrPort) error {
-	timeout := firstTimeout
-	if l.revision != "" && target == l.leader {
-		timeout = renewTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	sent := l.options.Now()
 	response, err := l.client(target).Renew(ctx, &fleetpb.RenewRequest{
@@ -262,6 +256,7 @@
 	for _, s := range l.options.Upstream.Sights(l.options.Now()) {
 		list = append(list, &fleetpb.Evidence{
 			Server: string(s.Server), FailingMs: uint32(s.Failing.Milliseconds()), Refused: s.Refused,
+			HeardMs: uint32(s.Heard.Milliseconds()),
 		})
 	}
 	return list
@@ -285,6 +280,7 @@
 			Term: cluster.Term(p.GetTerm()), Primary: cluster.ServerName(p.GetPrimary()), Planned: p.GetPlanned(),
 		}
 	}
+	l.severReplaced(primacies)
 	lease := time.Duration(response.GetLeaseMs()) * time.Millisecond
 	l.options.Tenure.Update(sent.Add(lease), primacies, now)
 	for group, p := range primacies {
@@ -296,6 +292,18 @@
 	l.granted.Store(true)
 }
 
+// severReplaced gives up what waits for primaries that are replaced because
+// they don't answer.
+func (l *Link) severReplaced(primacies map[cluster.GroupName]tenure.Primacy) {
+	for group, p := range primacies {
+		old, _ := l.options.Tenure.Primary(group)
+		if p.Primary == "" && !p.Planned && old != "" {
+			l.options.Logger.Info("primary given up", "group", group, "term", p.Term, "server", old)
+			l.options.Upstream.Sever(old)
+		}
+	}
+}
+
 func (l *Link) takeDocument(response *fleetpb.RenewResponse) bool {
 	if len(response.GetDocument()) == 0 || response.GetDocumentVersion() <= l.version {
 		return false
--- a/internal/traffic/session/attempt.go
+++ b/internal/traffic/session/attempt.go
@@ -27,6 +27,9 @@
 	// readShare is the part of the statement's time that one server gets to
 	// answer a read, so that another can still be asked.
 	readShare = 3
+	// waitReserve is the part of the statement's time that is kept for the
+	// server once a connection is free.
+	waitReserve = 8
 	// retryAfterChange is the advice to a caller that met a change of
 	// primary: the time that a usual change takes.
 	retryAfterChange = 500 * time.Millisecond
@@ -56,6 +59,8 @@
 		// avoid are servers that failed this statement.
 		avoid map[cluster.ServerName]bool
 		last  string
+		// server is the one tried last.
+		server cluster.ServerName
 	}
 
 	// place is where a statement runs.
@@ -238,6 +243,7 @@
 // it hasn't run, or only reads.
 func (w *work) try(p place) (answer statement.Answer, again bool) {
 	core := w.s.core
+	w.server = p.server.Info().Name
 	keepTicket := false
 	defer func() {
 		if p.onPrimary && !keepTicket {
@@ -245,7 +251,10 @@
 		}
 	}()
 	began := time.Now()
-	conn, err := p.server.Acquire(w.s.fingerprint, w.route.Priority, w.waitUntil())
+	conn, err := p.server.Acquire(upstream.Want{
+		Fingerprint: w.s.fingerprint, Priority: w.route.Priority,
+		Aim: w.start.Add(w.route.Objective), Deadline: w.waitUntil(p),
+	})
 	w.waited += time.Since(began)
 	if err != nil {
 		return w.noConnection(p, err)
@@ -280,9 +289,13 @@
 }
 
 // waitUntil bounds the wait for a connection: beyond it the statement couldn't
-// be answered in its time.
-func (w *work) waitUntil() time.Time {
-	return w.start.Add(max(w.route.Timeout/2, min(w.route.Objective, w.route.Timeout*3/4)))
+// be answered in its time. A read that another server may answer waits for a
+// part of it.
+func (w *work) waitUntil(p place) time.Time {
+	if w.primary || p.onPrimary || w.attempts >= readShare {
+		return w.deadline.Add(-w.route.Timeout / waitReserve)
+	}
+	return time.Now().Add(w.route.Timeout / readShare)
 }
 
 // attemptDeadline leaves time for another server where one may be asked.
@@ -393,12 +406,16 @@
 func (w *work) finish(answer statement.Answer) statement.Answer {
 	total := time.Since(w.start)
 	w.s.core.count(w.s.database, answer.Code, w.waited, total)
+	message := "statement not done"
 	if answer.Code == statement.OK {
-		return answer
+		if total <= w.route.Objective {
+			return answer
+		}
+		message = "statement late"
 	}
-	w.s.core.options.Logger.Info("statement not done", "request-id", w.next.ID, "database", w.s.database,
+	w.s.core.options.Logger.Info(message, "request-id", w.next.ID, "database", w.s.database,
 		"group", w.route.Group, "verb", w.next.Verb.String(), "outcome", answer.Code.String(), "reason", answer.Detail,
-		"last-attempt", w.last, "attempts", w.attempts, "waited-ms", w.waited.Milliseconds(), "total-ms", total.Milliseconds(),
+		"last-attempt", w.last, "attempts", w.attempts, "server", w.server, "waited-ms", w.waited.Milliseconds(), "total-ms", total.Milliseconds(),
 		"term", w.s.core.options.Tenure.Term(w.route.Group),
 		"lease-left-ms", w.s.core.options.Tenure.Left(w.s.core.options.Now()).Milliseconds())
 	return answer
--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -30,6 +30,9 @@
 	// sent is when the outstanding request was sent; guarded by the
 	// server's mutex.
 	sent time.Time
+	// pending tells that its first statement hasn't come yet; guarded by the
+	// server's mutex.
+	pending bool
 	// Unsure tells that the server's session values aren't known.
 	unsure bool
 }
@@ -44,6 +47,7 @@
 	began := s.m.options.Now()
 	s.mu.Lock()
 	c.sent = began
+	s.begun(c)
 	s.active++
 	s.mu.Unlock()
 	answer, err := c.raw.Do(request, deadline)
@@ -52,6 +56,7 @@
 	defer s.mu.Unlock()
 	c.sent = time.Time{}
 	s.active--
+	defer s.dispatch()
 	switch {
 	case err == nil:
 		s.answered(now)
@@ -59,7 +64,10 @@
 			s.held = answer.Mark
 		}
 		if answer.Code == statement.OK && len(answer.Signature) > 1 {
-			s.latency = average(s.latency, now.Sub(began))
+			s.took(now.Sub(began))
+		}
+		if answer.Code == statement.OK && !request.After.IsZero() {
+			s.behindFor = 0
 		}
 	case errors.Is(err, backend.ErrSilent):
 		s.latency = average(s.latency, now.Sub(began))
--- a/internal/traffic/upstream/server.go
+++ b/internal/traffic/upstream/server.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"cmp"
 	"errors"
 	"slices"
 	"sync"
@@ -13,6 +12,7 @@
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 	"github.com/burdockwood/burdockwood/internal/traffic/placement"
+	"github.com/burdockwood/burdockwood/internal/traffic/queue"
 )
 
 const (
@@ -21,16 +21,27 @@
 	dialTimeout = 700 * time.Millisecond
 	// limitPause is how long no connection is tried after the server said
 	// that it has none left: another proxy closes idle ones meanwhile.
-	limitPause = 120 * time.Millisecond
-	// spareIdle is how long a connection beyond the proxy's share may be
-	// idle.
-	spareIdle = time.Second
+	limitPause = 50 * time.Millisecond
+	// spareHandshakes is how long a connection beyond the proxy's share may
+	// be idle, in times of opening one: other proxies may wait for it.
+	spareHandshakes = 10
 	// silentAfter is the time without an answer to outstanding work after
 	// which a server counts as failing: above a usual statement, queueing
 	// included.
 	silentAfter = 350 * time.Millisecond
-	// behindPause is how long a replica that lagged isn't asked again.
-	behindPause = 150 * time.Millisecond
+	// behindPause is how long a replica that lagged isn't asked again; it
+	// doubles up to behindMost while it goes on lagging.
+	behindPause = 100 * time.Millisecond
+	behindMost  = 800 * time.Millisecond
+	// usualWeight is the weight of a longer time in what is usual; a shorter
+	// one counts as latencyWeight.
+	usualWeight = 0.002
+	// overloadFactor is how many times the usual a statement takes on a
+	// server that has more work than slots.
+	overloadFactor = 2
+	// queuePerSlot is the number of statements that all proxies together
+	// keep at an overloaded server for each slot.
+	queuePerSlot = 2
 	// latencyWeight is the weight of a new measurement in the average.
 	latencyWeight = 0.15
 	// firstHandshake stands in for the time to open a connection before one
@@ -61,10 +72,16 @@
 		idle    []*Conn
 		inUse   map[*Conn]struct{}
 		dialing int
-		waiters []*waiter
+		waiters queue.Queue[*waiter]
 		active  int
 
+		// pending counts the connections whose first statement hasn't come.
+		pending int
+
+		// latency is the time that a statement lately took, usual the time
+		// that it takes without load.
 		latency   time.Duration
+		usual     time.Duration
 		handshake time.Duration
 		// full is the time until which no connection is tried.
 		full    time.Time
@@ -72,16 +89,28 @@
 		failing time.Time
 		refused bool
 		behind  time.Time
-		held    cluster.Mark
+		// behindFor is the last pause for lagging; zero: it answered since.
+		behindFor time.Duration
+		held      cluster.Mark
 		// turns numbers those who wait, in the order in which they came.
 		turns uint64
 	}
 
-	// waiter waits for a connection or for the right to open one.
+	// Want is what work that needs a connection asks for.
+	Want struct {
+		// Fingerprint is that of the session values; a connection that has
+		// them is preferred.
+		Fingerprint string
+		// Priority orders work that waits; 0 goes first.
+		Priority int
+		// Aim is when the work should be done, Deadline when the wait ends.
+		Aim      time.Time
+		Deadline time.Time
+	}
+
+	// waiter waits for a connection or, with nil, for the right to try again.
 	waiter struct {
-		priority int
-		turn     uint64
-		granted  chan *Conn
+		granted chan *Conn
 	}
 )
 
@@ -99,7 +128,7 @@
 	defer s.mu.Unlock()
 	c := placement.Candidate{
 		Near: s.info.DataCentre == s.m.options.DataCentre, Latency: s.latency, Active: s.active,
-		Waiting: len(s.waiters), Slots: s.info.Slots, Cold: now.Before(s.info.ColdUntil),
+		Waiting: s.waiters.Len(), Slots: s.info.Slots, Cold: now.Before(s.info.ColdUntil),
 		Failing: s.failingFor(now) > 0,
 		Behind:  now.Before(s.behind) && s.held.Compare(need) < 0,
 	}
@@ -116,27 +145,19 @@
 	return s.handshake
 }
 
-// Acquire returns a connection, one that fits the fingerprint of session values
-// if there is a choice. Work of a lower priority number goes first. Errors:
-// ErrGone, ErrNoConnection and those of backend.Dial.
-func (s *Server) Acquire(fingerprint string, priority int, deadline time.Time) (*Conn, error) {
+// Acquire returns a connection. Errors: ErrGone, ErrNoConnection and those of
+// backend.Dial.
+func (s *Server) Acquire(want Want) (*Conn, error) {
 	var turn uint64
 	for {
-		conn, ready, err := s.attempt(fingerprint, turn, deadline)
-		if errors.Is(err, backend.ErrConnectionLimit) && time.Now().Before(deadline) {
+		conn, ready, err := s.attempt(want, turn != 0)
+		if errors.Is(err, backend.ErrConnectionLimit) && time.Now().Before(want.Deadline) {
 			continue
 		}
 		if ready || err != nil {
 			return conn, err
 		}
-		s.mu.Lock()
-		if turn == 0 {
-			s.turns++
-			turn = s.turns
-		}
-		w := s.enqueue(priority, turn)
-		s.mu.Unlock()
-		conn, err = s.wait(w, deadline)
+		conn, err = s.wait(want, &turn)
 		if err != nil {
 			return nil, err
 		}
@@ -150,17 +171,19 @@
 }
 
 // attempt takes an idle connection or opens one; ready is false if the caller
-// has to wait. turn is zero for work that hasn't waited: it doesn't overtake.
-func (s *Server) attempt(fingerprint string, turn uint64, deadline time.Time) (conn *Conn, ready bool, err error) {
+// has to wait. Work that hasn't waited yet doesn't overtake.
+func (s *Server) attempt(want Want, waited bool) (conn *Conn, ready bool, err error) {
 	for {
 		s.mu.Lock()
 		if s.gone {
 			s.mu.Unlock()
 			return nil, true, ErrGone
 		}
-		if len(s.waiters) == 0 || turn != 0 {
-			conn = s.takeIdle(fingerprint)
+		if !s.hasRoom() || s.waiters.Len() > 0 && !waited {
+			s.mu.Unlock()
+			return nil, false, nil
 		}
+		conn = s.takeIdle(want.Fingerprint)
 		if conn == nil {
 			break
 		}
@@ -177,7 +200,7 @@
 	}
 	s.dialing++
 	s.mu.Unlock()
-	conn, err = s.dial(deadline)
+	conn, err = s.dial(want.Deadline)
 	return conn, true, err
 }
 
@@ -198,10 +221,43 @@
 	}
 	conn := s.idle[best]
 	s.idle = slices.Delete(s.idle, best, best+1)
-	s.inUse[conn] = struct{}{}
+	s.use(conn)
 	return conn
 }
 
+// use counts a connection as in use, its first statement as about to come.
+func (s *Server) use(conn *Conn) {
+	s.inUse[conn] = struct{}{}
+	conn.pending = true
+	s.pending++
+}
+
+// begun notes that the first statement has come, or won't.
+func (s *Server) begun(conn *Conn) {
+	if conn.pending {
+		conn.pending = false
+		s.pending--
+	}
+}
+
+// hasRoom reports whether new work may be sent now. A server that takes much
+// longer than usual has more work than slots: what this proxy adds would wait
+// there in the order of arrival, so it waits here, where the order is better.
+// Later statements of open transactions don't ask.
+func (s *Server) hasRoom() bool {
+	if s.latency < overloadFactor*s.usual {
+		return true
+	}
+	return s.active+s.pending < s.fairSlots()
+}
+
+// fairSlots is this proxy's part of an overloaded server: of its slots and as
+// many statements that wait there, so that no slot is idle.
+func (s *Server) fairSlots() int {
+	proxies := s.m.proxies()
+	return max(1, (queuePerSlot*s.info.Slots+proxies-1)/proxies)
+}
+
 func (s *Server) open() int { return len(s.idle) + len(s.inUse) + s.dialing }
 
 // mayDial reports whether another connection may be opened now: always within
@@ -214,22 +270,18 @@
 	return s.open() < s.share+spare
 }
 
-func (s *Server) enqueue(priority int, turn uint64) *waiter {
-	w := &waiter{priority: priority, turn: turn, granted: make(chan *Conn, 1)}
-	at, _ := slices.BinarySearchFunc(s.waiters, w, func(a, b *waiter) int {
-		if a.priority != b.priority {
-			return a.priority - b.priority
-		}
-		return cmp.Compare(a.turn, b.turn)
-	})
-	s.waiters = slices.Insert(s.waiters, at, w)
-	return w
-}
-
-// wait returns the connection that was granted; nil: try again.
-func (s *Server) wait(w *waiter, deadline time.Time) (*Conn, error) {
-	pause := min(time.Until(deadline), limitPause)
-	timer := time.NewTimer(max(0, pause))
+// wait returns the connection that was granted; nil: try again. turn is the
+// place in the order of arrival, kept over several waits.
+func (s *Server) wait(want Want, turn *uint64) (*Conn, error) {
+	w := &waiter{granted: make(chan *Conn, 1)}
+	s.mu.Lock()
+	if *turn == 0 {
+		s.turns++
+		*turn = s.turns
+	}
+	s.waiters.Add(queue.Item[*waiter]{Value: w, Priority: want.Priority, Aim: want.Aim, Turn: *turn})
+	s.mu.Unlock()
+	timer := time.NewTimer(max(0, min(time.Until(want.Deadline), limitPause)))
 	defer timer.Stop()
 	select {
 	case conn := <-w.granted:
@@ -237,14 +289,14 @@
 	case <-timer.C:
 	}
 	s.mu.Lock()
-	s.waiters = slices.DeleteFunc(s.waiters, func(o *waiter) bool { return o == w })
+	s.waiters.Remove(w)
 	s.mu.Unlock()
 	select {
 	case conn := <-w.granted:
 		return conn, nil
 	default:
 	}
-	if time.Now().Before(deadline) {
+	if time.Now().Before(want.Deadline) {
 		return nil, nil
 	}
 	return nil, ErrNoConnection
@@ -266,7 +318,7 @@
 	s.answered(now)
 	s.handshake = average(s.handshake, time.Since(began))
 	conn := &Conn{server: s, raw: raw, prepared: map[string]string{}}
-	s.inUse[conn] = struct{}{}
+	s.use(conn)
 	return conn, nil
 }
 
@@ -285,7 +337,10 @@
 
 // fails notes that the server didn't answer, at the earliest since.
 func (s *Server) fails(since time.Time, refused bool) {
-	if s.failing.IsZero() || since.Before(s.failing) && s.heard.Before(since) {
+	if s.heard.After(since) {
+		return // it answered something else meanwhile
+	}
+	if s.failing.IsZero() || since.Before(s.failing) {
 		s.failing = since
 	}
 	s.refused = refused
@@ -318,44 +373,48 @@
 	return max(now.Sub(since), time.Millisecond)
 }
 
-// put returns a connection to the pool, or hands it to the next waiter.
+// put returns a connection to the pool.
 func (s *Server) put(conn *Conn) {
 	s.mu.Lock()
 	delete(s.inUse, conn)
-	if s.gone {
-		s.mu.Unlock()
-		conn.close()
-		return
+	s.begun(conn)
+	gone := s.gone
+	if !gone {
+		conn.idleSince = time.Now()
+		s.idle = append(s.idle, conn)
+		s.dispatch()
 	}
-	conn.idleSince = time.Now()
-	if len(s.waiters) > 0 {
-		s.inUse[conn] = struct{}{}
-		s.grant(conn)
-		s.mu.Unlock()
-		return
-	}
-	s.idle = append(s.idle, conn)
 	s.mu.Unlock()
-}
-
-// grant hands a connection, or with nil the right to try again, to the first
-// waiter.
-func (s *Server) grant(conn *Conn) {
-	w := s.waiters[0]
-	s.waiters = s.waiters[1:]
-	w.granted <- conn
+	if gone {
+		conn.close()
+	}
 }
 
 // drop forgets a closed connection and lets a waiter open another one.
 func (s *Server) drop(conn *Conn) {
 	s.mu.Lock()
 	delete(s.inUse, conn)
-	if len(s.waiters) > 0 {
-		s.grant(nil)
-	}
+	s.begun(conn)
+	s.dispatch()
 	s.mu.Unlock()
 }
 
+// dispatch hands idle connections, or else the right to open one, to waiters as
+// far as there is room.
+func (s *Server) dispatch() {
+	for s.hasRoom() {
+		w, ok := s.waiters.Take(s.latency, time.Now())
+		if !ok {
+			return
+		}
+		conn := s.takeIdle("")
+		w.granted <- conn
+		if conn == nil {
+			return
+		}
+	}
+}
+
 // update takes what control tells about the server.
 func (s *Server) update(info roster.Server, limit, proxies int) {
 	s.mu.Lock()
@@ -381,8 +440,12 @@
 	s.gone = true
 	idle := s.idle
 	s.idle = nil
-	for len(s.waiters) > 0 {
-		s.grant(nil)
+	for {
+		w, ok := s.waiters.Take(0, time.Now())
+		if !ok {
+			break
+		}
+		w.granted <- nil
 	}
 	s.mu.Unlock()
 	for _, conn := range idle {
@@ -394,7 +457,7 @@
 func (s *Server) trim(now time.Time) {
 	s.mu.Lock()
 	var spare []*Conn
-	for len(s.idle) > 0 && s.open() > s.share && now.Sub(s.idle[0].idleSince) > spareIdle {
+	for len(s.idle) > 0 && s.open() > s.share && now.Sub(s.idle[0].idleSince) > spareHandshakes*s.handshakeTime() {
 		spare = append(spare, s.idle[0])
 		s.idle = s.idle[1:]
 	}
@@ -407,7 +470,8 @@
 // NoteBehind notes that the server lacks a position.
 func (s *Server) NoteBehind(now time.Time) {
 	s.mu.Lock()
-	s.behind = now.Add(behindPause)
+	s.behindFor = min(max(2*s.behindFor, behindPause), behindMost)
+	s.behind = now.Add(s.behindFor)
 	s.mu.Unlock()
 }
 
@@ -416,13 +480,27 @@
 func (s *Server) Retry() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ahead := float64(len(s.waiters)+s.active+1) / float64(max(1, s.info.Slots))
+	ahead := float64(s.waiters.Len()+s.active+1) / float64(max(1, s.info.Slots))
 	return time.Duration(ahead * float64(max(s.latency, time.Millisecond)))
 }
 
+// took notes the time of a statement that ran.
+func (s *Server) took(measured time.Duration) {
+	s.latency = average(s.latency, measured)
+	weight := usualWeight
+	if s.latency < s.usual {
+		weight = latencyWeight
+	}
+	s.usual = weighted(s.usual, s.latency, weight)
+}
+
 func average(old, measured time.Duration) time.Duration {
+	return weighted(old, measured, latencyWeight)
+}
+
+func weighted(old, measured time.Duration, weight float64) time.Duration {
 	if old == 0 {
 		return measured
 	}
-	return time.Duration((1-latencyWeight)*float64(old) + latencyWeight*float64(measured))
+	return time.Duration((1-weight)*float64(old) + weight*float64(measured))
 }
--- a/internal/traffic/upstream/upstream.go
+++ b/internal/traffic/upstream/upstream.go
@@ -5,7 +5,7 @@
 //	m := upstream.New(upstream.Options{Dial: dial, DataCentre: "a", Now: boot.Now, Logger: logger})
 //	m.Update(servers, limitOf, proxies)
 //	server, ok := m.Server("server-1")
-//	conn, err := server.Acquire(fingerprint, priority, deadline)
+//	conn, err := server.Acquire(upstream.Want{Priority: 1, Aim: aim, Deadline: deadline})
 //	answer, err := conn.Do(request, deadline)
 //	conn.Release() // or conn.Discard() after an error
 //
@@ -36,6 +36,9 @@
 	// tickInterval is the pause between two looks at idle connections and
 	// silent servers.
 	tickInterval = 150 * time.Millisecond
+	// longUnheard stands in for the time since a server was heard that never
+	// was.
+	longUnheard = time.Hour
 	// openerLimit bounds the connections that are opened at once ahead of
 	// their use.
 	openerLimit = 8
@@ -56,6 +59,8 @@
 		Server  cluster.ServerName
 		Failing time.Duration
 		Refused bool
+		// Heard is the time since the last sign of life.
+		Heard time.Duration
 	}
 
 	// Manager is safe for concurrent use.
@@ -136,13 +141,35 @@
 		s.mu.Lock()
 		failing := s.failingFor(now)
 		if failing > 0 || now.Sub(s.heard) < time.Second {
-			list = append(list, Sight{Server: name, Failing: failing, Refused: s.refused && failing > 0})
+			list = append(list, Sight{
+				Server: name, Failing: failing, Refused: s.refused && failing > 0,
+				Heard: min(now.Sub(s.heard), longUnheard),
+			})
 		}
 		s.mu.Unlock()
 	}
 	return list
 }
 
+// Sever closes the connections in use to a server that was replaced because it
+// didn't answer, so that what waits for it gets its outcome now.
+func (m *Manager) Sever(name cluster.ServerName) {
+	s, ok := m.Server(name)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failingFor(m.options.Now()) == 0 {
+		return
+	}
+	for conn := range s.inUse {
+		if !conn.sent.IsZero() {
+			conn.close()
+		}
+	}
+}
+
 // Suspicion is signalled when a server stops to answer.
 func (m *Manager) Suspicion() <-chan struct{} { return m.suspicion }
 
@@ -178,7 +205,8 @@
 
 // openFirst opens a connection and puts it into the pool.
 func (s *Server) openFirst() {
-	conn, err := s.Acquire("", 0, time.Now().Add(dialTimeout))
+	now := time.Now()
+	conn, err := s.Acquire(Want{Aim: now, Deadline: now.Add(dialTimeout)})
 	if err != nil {
 		s.m.options.Logger.V(1).Info("opening ahead failed", "server", s.Info().Name, "error", err.Error())
 		return
