The first connection to a primary gives a sample; reads wait for it

Ruled out: the start itself (leases 0.1 s after the election).

Change: the position in a server's greeting is a sample, under the same check of the lease as an answer; the first read without sample goes to the primary, the others wait 200 ms for what it brings; two connections to a server are opened at once at most, since each takes a slot.

--- a/internal/traffic/backend/backend.go
+++ b/internal/traffic/backend/backend.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/burdockwood/burdockwood/internal/fleet/roster"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
 )
 
@@ -41,6 +42,9 @@
 		// connection must be closed. Errors: ErrNotSent, ErrBroken,
 		// ErrSilent.
 		Do(request statement.Request, deadline time.Time) (statement.Answer, error)
+		// Greeting returns the position that the server told when the
+		// connection was opened; zero: none.
+		Greeting() cluster.Mark
 		// Usable reports whether an idle connection is still open, as far
 		// as this side knows.
 		Usable() bool
--- a/internal/traffic/freshness/freshness.go
+++ b/internal/traffic/freshness/freshness.go
@@ -29,6 +29,9 @@
 	// margin is taken off a stated age, for the time between the arrival of
 	// a request and the first look at the clock.
 	margin = 30 * time.Millisecond
+	// ClaimTime is how long the others wait for the sample of the reader that
+	// went for it: a few statements on a busy primary.
+	ClaimTime = 200 * time.Millisecond
 )
 
 type (
@@ -46,6 +49,10 @@
 		samples []Sample
 		// latest is the newest sample, kept whatever its distance.
 		latest Sample
+		// noted is closed with the next sample; nil: nobody waits.
+		noted chan struct{}
+		// asked is when a reader last went to the primary for a sample.
+		asked time.Time
 	}
 )
 
@@ -67,6 +74,10 @@
 	if s.At.After(l.latest.At) {
 		l.latest = s
 	}
+	if l.noted != nil {
+		close(l.noted)
+		l.noted = nil
+	}
 	if n := len(l.samples); n > 0 && s.At.Sub(l.samples[n-1].At) < spacing {
 		return
 	}
@@ -93,6 +104,30 @@
 	return l.latest.Mark, true
 }
 
+// Claim reports whether the caller is the one to fetch a sample from the
+// primary, because nobody else has set out to lately. The others wait for
+// Noted: if all went, a restart of the proxies would put all reads on the
+// primary.
+func (l *Log) Claim(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.asked) < ClaimTime {
+		return false
+	}
+	l.asked = now
+	return true
+}
+
+// Noted returns a channel that is closed with the next sample.
+func (l *Log) Noted() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.noted == nil {
+		l.noted = make(chan struct{})
+	}
+	return l.noted
+}
+
 // Latest returns the newest sample.
 func (l *Log) Latest() Sample {
 	l.mu.Lock()
--- a/internal/traffic/link/link.go
+++ b/internal/traffic/link/link.go
@@ -270,10 +270,6 @@
 	if response.GetChanged() {
 		l.takeServers(response, now)
 	}
-	if response.GetChanged() || fresh {
-		l.proxies = int(response.GetProxies())
-		l.options.Upstream.Update(l.roster.List(), l.limitOf, l.proxies)
-	}
 	primacies := map[cluster.GroupName]tenure.Primacy{}
 	for _, p := range response.GetPrimacies() {
 		primacies[cluster.GroupName(p.GetGroup())] = tenure.Primacy{
@@ -283,6 +279,11 @@
 	l.severReplaced(primacies)
 	lease := time.Duration(response.GetLeaseMs()) * time.Millisecond
 	l.options.Tenure.Update(sent.Add(lease), primacies, now)
+	// After the primacies: the first connection to a primary gives a sample.
+	if response.GetChanged() || fresh {
+		l.proxies = int(response.GetProxies())
+		l.options.Upstream.Update(l.roster.List(), l.limitOf, l.proxies)
+	}
 	for group, p := range primacies {
 		if l.revision != response.GetRevision() {
 			l.options.Logger.V(1).Info("primary told", "group", group, "term", p.Term, "primary", p.Primary)
--- a/internal/traffic/session/attempt.go
+++ b/internal/traffic/session/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 	"github.com/burdockwood/burdockwood/internal/traffic/catalog"
+	"github.com/burdockwood/burdockwood/internal/traffic/freshness"
 	"github.com/burdockwood/burdockwood/internal/traffic/placement"
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
 	"github.com/burdockwood/burdockwood/internal/traffic/tenure"
@@ -129,6 +130,9 @@
 		return w.onPrimary()
 	}
 	need, known := w.need()
+	if !known && w.awaitSample() {
+		need, known = w.need()
+	}
 	if known {
 		if p, ok := w.cheapest(need); ok {
 			return p, nil
@@ -137,6 +141,26 @@
 	return w.onPrimary()
 }
 
+// awaitSample waits for the sample that another read fetches. It returns false
+// if there is none to wait for.
+func (w *work) awaitSample() bool {
+	log := w.s.core.log(w.route.Group)
+	noted := log.Noted()
+	if log.Claim(w.s.core.options.Now()) {
+		return false
+	}
+	began := time.Now()
+	timer := time.NewTimer(freshness.ClaimTime)
+	defer timer.Stop()
+	defer func() { w.waited += time.Since(began) }()
+	select {
+	case <-noted:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
 // need returns the position that a read of this statement must see.
 func (w *work) need() (cluster.Mark, bool) {
 	mark, known := w.s.core.log(w.route.Group).Need(w.began, w.route.MaxAge)
--- a/internal/traffic/session/core.go
+++ b/internal/traffic/session/core.go
@@ -25,6 +25,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 
+	"github.com/burdockwood/burdockwood/internal/fleet/roster"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/ops/metrics"
 	"github.com/burdockwood/burdockwood/internal/traffic/catalog"
@@ -187,6 +188,23 @@
 	return l
 }
 
+// Greet takes part in the opening of a connection: what the primary tells then
+// is a sample. Use it as upstream.Options.Greet.
+func (c *Core) Greet(server roster.Server) func(cluster.Mark) {
+	sent := c.options.Now()
+	ticket, err := c.options.Tenure.Begin(server.Group, sent)
+	if err != nil {
+		return func(cluster.Mark) {}
+	}
+	return func(mark cluster.Mark) {
+		now := c.options.Now()
+		if ticket.Primary == server.Name && c.options.Tenure.Valid(ticket, now) {
+			c.log(server.Group).Note(sample(sent, ticket, mark))
+		}
+		c.options.Tenure.End(ticket, now)
+	}
+}
+
 // count notes the outcome of a statement.
 func (c *Core) count(database string, code statement.Code, waited, total time.Duration) {
 	gometrics.GetOrRegisterCounter(`statements{outcome="`+code.String()+`"}`, c.options.Registry).Inc(1)
--- a/internal/traffic/upstream/server.go
+++ b/internal/traffic/upstream/server.go
@@ -22,6 +22,9 @@
 	// limitPause is how long no connection is tried after the server said
 	// that it has none left: another proxy closes idle ones meanwhile.
 	limitPause = 50 * time.Millisecond
+	// maxDialing bounds the connections that are being opened at once: each
+	// takes a slot, and after a restart all proxies open theirs.
+	maxDialing = 2
 	// spareHandshakes is how long a connection beyond the proxy's share may
 	// be idle, in times of opening one: other proxies may wait for it.
 	spareHandshakes = 10
@@ -263,7 +266,7 @@
 // mayDial reports whether another connection may be opened now: always within
 // the share, beyond it as far as the server has some that belong to nobody.
 func (s *Server) mayDial(now time.Time) bool {
-	if now.Before(s.full) {
+	if now.Before(s.full) || s.dialing >= maxDialing {
 		return false
 	}
 	spare := max(0, s.limit-s.share*s.m.proxies())
@@ -306,7 +309,16 @@
 func (s *Server) dial(deadline time.Time) (*Conn, error) {
 	began := time.Now()
 	info := s.Info()
+	greeted := func(cluster.Mark) {}
+	if s.m.options.Greet != nil {
+		greeted = s.m.options.Greet(info)
+	}
 	raw, err := s.m.options.Dial(info, min(dialTimeout, time.Until(deadline)))
+	if err != nil {
+		greeted(cluster.Mark{})
+	} else {
+		greeted(raw.Greeting())
+	}
 	now := s.m.options.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/traffic/upstream/upstream.go
+++ b/internal/traffic/upstream/upstream.go
@@ -47,7 +47,10 @@
 type (
 	// Options are what a manager needs.
 	Options struct {
-		Dial       backend.Dial
+		Dial backend.Dial
+		// Greet, if set, is called before a connection is opened; what it
+		// returns gets the position that the server told.
+		Greet      func(server roster.Server) func(cluster.Mark)
 		DataCentre cluster.DataCentre
 		// Now counts the time while the VM is suspended.
 		Now    func() time.Time
