Reads are asked again after a third of their time; a replica's lag is reckoned from samples

Change: freshness.Log.Lag, and a replica counts as behind only for what its lag misses; reads on the primary get a third of the timeout for each answer, later statements of a transaction half; patience with a silent primary 0.45 s, probe 0.3 s.

--- a/internal/fleet/coordinator/conduct.go
+++ b/internal/fleet/coordinator/conduct.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	// probeTimeout bounds a call to a server: three times the time of a
-	// busy server's answer.
-	probeTimeout = 400 * time.Millisecond
+	// probeTimeout bounds a call to a server: many round trips, and the wait
+	// for a slot of a busy one.
+	probeTimeout = 300 * time.Millisecond
 	// promoteTimeout bounds a call to the platform.
 	promoteTimeout = 700 * time.Millisecond
 	// takeoverPause is the time after an election in which nothing is
--- a/internal/fleet/succession/succession.go
+++ b/internal/fleet/succession/succession.go
@@ -48,7 +48,7 @@
 	refusedPatience = 150 * time.Millisecond
 	// silentPatience is how long a primary may be silent to all proxies with
 	// work outstanding: one slow statement doesn't silence it to the others.
-	silentPatience = 600 * time.Millisecond
+	silentPatience = 450 * time.Millisecond
 	// heardMargin is how much later than the first failure a sign of life
 	// must be to contradict it: answers that were on their way.
 	heardMargin = 50 * time.Millisecond
--- a/internal/traffic/freshness/freshness.go
+++ b/internal/traffic/freshness/freshness.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	log.Note(freshness.Sample{At: sent, Term: term, Mark: answer.Mark})
-//	mark, ok := log.Need(began, maxAge)
+//	needed, ok := log.Need(began, maxAge)
 //
 // An answer of the primary carries the position of its log. Whatever was
 // acknowledged before the request was sent is at or below that position, as
@@ -29,6 +29,8 @@
 	// margin is taken off a stated age, for the time between the arrival of
 	// a request and the first look at the clock.
 	margin = 30 * time.Millisecond
+	// longLag stands in for a lag beyond the samples.
+	longLag = time.Minute
 	// ClaimTime is how long the others wait for the sample of the reader that
 	// went for it: a few statements on a busy primary.
 	ClaimTime = 200 * time.Millisecond
@@ -87,21 +89,37 @@
 	l.samples = append(l.samples, s)
 }
 
-// Need returns the position that a read must see which began at began, and
-// false if no sample is young enough.
-func (l *Log) Need(began time.Time, maxAge time.Duration) (cluster.Mark, bool) {
+// Need returns the sample whose position a read must see which began at began,
+// and false if none is young enough.
+func (l *Log) Need(began time.Time, maxAge time.Duration) (Sample, bool) {
 	oldest := began.Add(margin - maxAge)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range l.samples {
 		if !s.At.Before(oldest) {
-			return s.Mark, true
+			return s, true
 		}
 	}
 	if l.latest.Mark.IsZero() || l.latest.At.Before(oldest) {
-		return cluster.Mark{}, false
+		return Sample{}, false
 	}
-	return l.latest.Mark, true
+	return l.latest, true
+}
+
+// Lag returns how far behind the primary a server was that held a position at
+// the time at. A server that lags usually goes on lagging by as much.
+func (l *Log) Lag(held cluster.Mark, at time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if held.Compare(l.latest.Mark) >= 0 {
+		return 0
+	}
+	for i := len(l.samples) - 1; i >= 0; i-- {
+		if l.samples[i].Mark.Compare(held) <= 0 {
+			return max(0, at.Sub(l.samples[i].At))
+		}
+	}
+	return longLag
 }
 
 // Claim reports whether the caller is the one to fetch a sample from the
--- a/internal/traffic/freshness/freshness_test.go
+++ b/internal/traffic/freshness/freshness_test.go
@@ -39,7 +39,7 @@
 			l.Note(s)
 		}
 		got, ok := l.Need(test.began, test.maxAge)
-		if got != test.want || ok != test.wantOK {
+		if got.Mark != test.want || ok != test.wantOK {
 			t.Errorf("%s: got %v %v, want %v %v", test.name, got, ok, test.want, test.wantOK)
 		}
 	}
@@ -51,7 +51,7 @@
 	l.Note(Sample{At: at(10), Term: 2, Mark: cluster.Mark{Term: 2, Position: 80}})
 	l.Note(Sample{At: at(20), Term: 1, Mark: position(91)})
 	want := cluster.Mark{Term: 2, Position: 80}
-	if got, ok := l.Need(at(30), time.Second); got != want || !ok {
+	if got, ok := l.Need(at(30), time.Second); got.Mark != want || !ok {
 		t.Errorf("got %v %v, want %v of the new term: the old one's may have been rolled back", got, ok, want)
 	}
 }
@@ -65,3 +65,47 @@
 		t.Errorf("got %d samples kept, want at most %d", got, kept)
 	}
 }
+
+func TestLag(t *testing.T) {
+	var l Log
+	for i := range 10 {
+		l.Note(Sample{At: at(100 * i), Term: 1, Mark: position(10 * i)})
+	}
+	tests := []struct {
+		name string
+		held cluster.Mark
+		at   time.Time
+		want time.Duration
+	}{
+		{"holds all", position(90), at(900), 0},
+		{"as far as a sample", position(50), at(900), 400 * time.Millisecond},
+		{"between two samples", position(55), at(900), 400 * time.Millisecond},
+		{"of a later term", cluster.Mark{Term: 2, Position: 1}, at(900), 0},
+		{"before all samples", cluster.Mark{Term: 0, Position: 5}, at(900), longLag},
+	}
+	for _, test := range tests {
+		if got := l.Lag(test.held, test.at); got != test.want {
+			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
+func TestClaim(t *testing.T) {
+	var l Log
+	if !l.Claim(at(0)) {
+		t.Error("got the first reader refused, want it to fetch a sample")
+	}
+	if l.Claim(at(100)) {
+		t.Error("got a second reader sent as well, want it to wait")
+	}
+	noted := l.Noted()
+	l.Note(Sample{At: at(120), Term: 1, Mark: position(1)})
+	select {
+	case <-noted:
+	default:
+		t.Error("got no word of the sample")
+	}
+	if !l.Claim(at(0).Add(ClaimTime)) {
+		t.Error("got the reader refused after the first one's time, want it to fetch a sample")
+	}
+}
--- a/internal/traffic/session/attempt.go
+++ b/internal/traffic/session/attempt.go
@@ -25,8 +25,8 @@
 	// changeWait bounds how long a request waits for a change of primary
 	// that is under way: the usual change takes less.
 	changeWait = 1200 * time.Millisecond
-	// readShare is the part of the statement's time that one server gets to
-	// answer a read, so that another can still be asked.
+	// readShare is the part of the statement's time that one server gets at
+	// most to answer a read, so that another can still be asked.
 	readShare = 3
 	// waitReserve is the part of the statement's time that is kept for the
 	// server once a connection is free.
@@ -161,16 +161,16 @@
 	}
 }
 
-// need returns the position that a read of this statement must see.
-func (w *work) need() (cluster.Mark, bool) {
-	mark, known := w.s.core.log(w.route.Group).Need(w.began, w.route.MaxAge)
+// need returns the sample whose position a read of this statement must see.
+func (w *work) need() (freshness.Sample, bool) {
+	needed, known := w.s.core.log(w.route.Group).Need(w.began, w.route.MaxAge)
 	if !known {
-		return cluster.Mark{}, false
+		return freshness.Sample{}, false
 	}
-	if w.route.Consistency == catalog.OwnWrites && w.s.own.Compare(mark) > 0 {
-		mark = w.s.own
+	if w.route.Consistency == catalog.OwnWrites && w.s.own.Compare(needed.Mark) > 0 {
+		needed.Mark, needed.At = w.s.own, w.s.ownAt
 	}
-	return mark, true
+	return needed, true
 }
 
 // onPrimary takes the right to use the primary. It waits for a change that is
@@ -227,10 +227,14 @@
 }
 
 // cheapest returns the server that is expected to answer a read soonest.
-func (w *work) cheapest(need cluster.Mark) (place, bool) {
+func (w *work) cheapest(need freshness.Sample) (place, bool) {
 	core := w.s.core
 	now := core.options.Now()
 	primary, _ := core.options.Tenure.Primary(w.route.Group)
+	log := core.log(w.route.Group)
+	lacks := func(held cluster.Mark, at time.Time) bool {
+		return held.Compare(need.Mark) < 0 && log.Lag(held, at) > now.Sub(need.At)
+	}
 	var servers []*upstream.Server
 	var candidates []placement.Candidate
 	for _, server := range core.options.Upstream.Group(w.route.Group) {
@@ -238,7 +242,7 @@
 		if info.Draining || w.avoid[info.Name] {
 			continue
 		}
-		c := server.Candidate(need, now)
+		c := server.Candidate(lacks, now)
 		c.Primary = info.Name == primary
 		if c.Failing && !c.Primary {
 			continue
@@ -260,7 +264,7 @@
 			return place{server: servers[best], ticket: ticket, onPrimary: true}, true
 		}
 	}
-	return place{server: servers[best], after: need}, true
+	return place{server: servers[best], after: need.Mark}, true
 }
 
 // try runs the statement at a place. again tells that it may be tried again:
@@ -283,7 +287,7 @@
 	if err != nil {
 		return w.noConnection(p, err)
 	}
-	limit := w.attemptDeadline(p)
+	limit := w.attemptDeadline()
 	request, err := w.s.ready(conn, w.next, limit)
 	if err != nil {
 		conn.Discard()
@@ -322,16 +326,17 @@
 	return time.Now().Add(w.route.Timeout / readShare)
 }
 
-// attemptDeadline leaves time for another server where one may be asked.
-func (w *work) attemptDeadline(p place) time.Time {
-	if w.writes || p.onPrimary && w.primary {
+// attemptDeadline bounds the wait for a read's answer, so that a lost one leaves
+// time to ask again. A write is never asked again once it was sent.
+func (w *work) attemptDeadline() time.Time {
+	if w.writes || w.attempts >= readShare {
 		return w.deadline
 	}
-	share := time.Now().Add(w.route.Timeout / readShare)
-	if share.Before(w.deadline) && w.attempts < readShare {
-		return share
+	limit := time.Now().Add(w.route.Timeout / readShare)
+	if limit.After(w.deadline) {
+		return w.deadline
 	}
-	return w.deadline
+	return limit
 }
 
 func (w *work) noConnection(p place, err error) (statement.Answer, bool) {
@@ -398,8 +403,8 @@
 		conn.Discard()
 	}
 	if answer.Code == statement.OK {
-		if w.writes && answer.Mark.Compare(w.s.own) > 0 {
-			w.s.own = answer.Mark
+		if w.writes {
+			w.s.wrote(answer.Mark)
 		}
 		return answer, false
 	}
--- a/internal/traffic/session/session.go
+++ b/internal/traffic/session/session.go
@@ -25,8 +25,10 @@
 		fingerprint string
 		prepared    map[string]prepared
 		// own covers the session's acknowledged writes.
-		own cluster.Mark
-		tx  *transaction
+		// ownAt is when the last of them was acknowledged.
+		own   cluster.Mark
+		ownAt time.Time
+		tx    *transaction
 	}
 
 	prepared struct {
@@ -137,6 +139,13 @@
 	}
 }
 
+// wrote notes the position of an acknowledged write.
+func (s *session) wrote(mark cluster.Mark) {
+	if mark.Compare(s.own) > 0 {
+		s.own, s.ownAt = mark, s.core.options.Now()
+	}
+}
+
 func (s *session) refuse(code statement.Code, detail string) statement.Answer {
 	return statement.Answer{Code: code, Detail: detail, State: s.state(), Mark: s.own}
 }
--- a/internal/traffic/session/transaction.go
+++ b/internal/traffic/session/transaction.go
@@ -148,12 +148,17 @@
 // onConn runs a statement on the transaction's connection.
 func (s *session) onConn(w *work) (statement.Answer, error) {
 	tx := s.tx
-	request, err := s.ready(tx.conn, w.next, w.deadline)
+	limit := w.deadline
+	if w.next.Verb != statement.Commit {
+		// A transaction that is given up sooner can be begun again in time.
+		limit = w.start.Add(w.route.Timeout / 2)
+	}
+	request, err := s.ready(tx.conn, w.next, limit)
 	if err != nil {
 		return statement.Answer{}, err
 	}
 	sent := s.core.options.Now()
-	answer, err := tx.conn.Do(request, w.deadline)
+	answer, err := tx.conn.Do(request, limit)
 	if err == nil && tx.onPrimary && s.core.options.Tenure.Valid(tx.ticket, s.core.options.Now()) {
 		s.core.log(tx.route.Group).Note(sample(sent, tx.ticket, answer.Mark))
 	}
@@ -200,8 +205,8 @@
 		if answer.Code == statement.Busy && answer.State == statement.Open && w.mayWait() {
 			continue
 		}
-		if answer.Code == statement.OK && tx.wrote && answer.Mark.Compare(s.own) > 0 {
-			s.own = answer.Mark
+		if answer.Code == statement.OK && tx.wrote {
+			s.wrote(answer.Mark)
 		}
 		s.afterCommit(tx, answer)
 		return answer
--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -61,7 +61,7 @@
 	case err == nil:
 		s.answered(now)
 		if !answer.Mark.IsZero() {
-			s.held = answer.Mark
+			s.held, s.heldAt = answer.Mark, now
 		}
 		if answer.Code == statement.OK && len(answer.Signature) > 1 {
 			s.took(now.Sub(began))
--- a/internal/traffic/upstream/server.go
+++ b/internal/traffic/upstream/server.go
@@ -31,7 +31,7 @@
 	// silentAfter is the time without an answer to outstanding work after
 	// which a server counts as failing: above a usual statement, queueing
 	// included.
-	silentAfter = 350 * time.Millisecond
+	silentAfter = 300 * time.Millisecond
 	// behindPause is how long a replica that lagged isn't asked again; it
 	// doubles up to behindMost while it goes on lagging.
 	behindPause = 100 * time.Millisecond
@@ -94,7 +94,9 @@
 		behind  time.Time
 		// behindFor is the last pause for lagging; zero: it answered since.
 		behindFor time.Duration
-		held      cluster.Mark
+		// held is the end of the server's log at heldAt.
+		held   cluster.Mark
+		heldAt time.Time
 		// turns numbers those who wait, in the order in which they came.
 		turns uint64
 	}
@@ -124,16 +126,16 @@
 	return s.info
 }
 
-// Candidate returns what the choice of a server needs. need is the position
-// that a replica must hold.
-func (s *Server) Candidate(need cluster.Mark, now time.Time) placement.Candidate {
+// Candidate returns what the choice of a server needs. lacks reports whether a
+// server that held a position at a time probably lacks what is needed now.
+func (s *Server) Candidate(lacks func(held cluster.Mark, at time.Time) bool, now time.Time) placement.Candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := placement.Candidate{
 		Near: s.info.DataCentre == s.m.options.DataCentre, Latency: s.latency, Active: s.active,
 		Waiting: s.waiters.Len(), Slots: s.info.Slots, Cold: now.Before(s.info.ColdUntil),
 		Failing: s.failingFor(now) > 0,
-		Behind:  now.Before(s.behind) && s.held.Compare(need) < 0,
+		Behind:  now.Before(s.behind) && lacks(s.held, s.heldAt),
 	}
 	if len(s.idle) == 0 {
 		c.Handshake = s.handshakeTime()
--- a/internal/traffic/upstream/upstream.go
+++ b/internal/traffic/upstream/upstream.go
@@ -35,7 +35,7 @@
 const (
 	// tickInterval is the pause between two looks at idle connections and
 	// silent servers.
-	tickInterval = 150 * time.Millisecond
+	tickInterval = 100 * time.Millisecond
 	// longUnheard stands in for the time since a server was heard that never
 	// was.
 	longUnheard = time.Hour
