--- a/internal/traffic/upstream/server.go
+++ b/internal/traffic/upstream/server.go
@@ -250,7 +250,7 @@
 // there in the order of arrival, so it waits here, where the order is better.
 // Later statements of open transactions don't ask.
 func (s *Server) hasRoom() bool {
-	if s.latency < overloadFactor*s.usual {
+	if s.latency <= overloadFactor*s.usual {
 		return true
 	}
 	return s.active+s.pending < s.fairSlots()
