--- a/internal/control/quorum/forming.go
+++ b/internal/control/quorum/forming.go
@@ -113,10 +113,22 @@
 	}
 	if m.Cluster == 0 || m.Cluster == c.state.Cluster {
 		c.learn(m.From, now)
+		c.relayProbe(m, now)
 	}
 	c.send(Message{Kind: MessageProbeAnswer, To: m.From, Configuration: c.genesis()})
 }
 
+// relayProbe passes the probe of a node that wants to join on to the leader,
+// whom the node may not know: its list of nodes can be older than all members
+// but this one.
+func (c *Core) relayProbe(m Message, now time.Time) {
+	if c.options.Resolve == nil || c.role == RoleLeader || !c.hearsLeader(now) || m.From.Node == c.leader.Node {
+		return
+	}
+	m.To = c.leader
+	c.out.messages = append(c.out.messages, m)
+}
+
 // genesis returns the first configuration if the log still holds it.
 func (c *Core) genesis() *Configuration {
 	if c.log.base != 0 || len(c.log.entries) == 0 {
--- /dev/null
+++ b/internal/control/revive/revive_test.go
@@ -0,0 +1,112 @@
+package revive
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/burdockwood/burdockwood/internal/control/quorum"
+	"github.com/burdockwood/burdockwood/internal/control/replica"
+	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
+)
+
+// fakeNode runs until ctx ends, or ends at once with an error.
+type fakeNode struct {
+	err     error
+	started chan struct{}
+}
+
+func (n *fakeNode) Run(ctx context.Context) error {
+	if n.err != nil {
+		return n.err
+	}
+	close(n.started)
+	<-ctx.Done()
+	return nil
+}
+
+func (n *fakeNode) Propose(context.Context, []byte) ([]byte, error) { return []byte("done"), nil }
+func (n *fakeNode) Confirm(context.Context) error                   { return nil }
+func (n *fakeNode) Leader() (replica.LeaderInfo, bool)              { return replica.LeaderInfo{Epoch: 3}, true }
+func (n *fakeNode) IsLeader() (uint64, bool)                        { return 3, true }
+func (n *fakeNode) Members() []replica.MemberInfo                   { return nil }
+func (n *fakeNode) LastIndex() uint64                               { return 9 }
+func (n *fakeNode) Resign(context.Context) error                    { return nil }
+func (n *fakeNode) Changes() <-chan struct{}                        { return nil }
+
+func (n *fakeNode) Step(context.Context, *controlpb.StepRequest) (*controlpb.StepResponse, error) {
+	return &controlpb.StepResponse{}, nil
+}
+
+func TestNodesAreOpenedAgain(t *testing.T) {
+	full := errors.New("no space left")
+	tests := []struct {
+		name      string
+		faults    []error
+		wantWiped int
+	}{
+		{"the disk refuses writes twice", []error{full, full}, 0},
+		{"the disk was replaced", []error{quorum.ErrRetired}, 1},
+		{"the folder can't be opened", []error{nil}, 0},
+	}
+	for _, test := range tests {
+		faults, wiped, resets := test.faults, 0, 0
+		good := &fakeNode{started: make(chan struct{})}
+		log := New(Options{
+			Open: func() (Node, error) {
+				if len(faults) == 0 {
+					return good, nil
+				}
+				fault := faults[0]
+				faults = faults[1:]
+				if fault == nil {
+					return nil, full
+				}
+				return &fakeNode{err: fault}, nil
+			},
+			Reset: func() { resets++ },
+			Wipe: func() error {
+				wiped++
+				return nil
+			},
+			Logger: logr.Discard(),
+		})
+		if _, err := log.Propose(t.Context(), nil); !errors.Is(err, replica.ErrNotLeader) {
+			t.Errorf("%s: got %v without a node, want %v", test.name, err, replica.ErrNotLeader)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var group errgroup.Group
+		group.Go(func() error { return log.Run(ctx) })
+		<-good.started
+		if result, err := log.Propose(ctx, nil); err != nil || string(result) != "done" {
+			t.Errorf("%s: got %q, %v, want the command done by the new node", test.name, result, err)
+		}
+		if epoch, leads := log.IsLeader(); epoch != 3 || !leads {
+			t.Errorf("%s: got epoch %d, leads %v", test.name, epoch, leads)
+		}
+		cancel()
+		if err := group.Wait(); err != nil {
+			t.Errorf("%s: %v", test.name, err)
+		}
+		if wiped != test.wantWiped || resets != len(test.faults)+1 {
+			t.Errorf("%s: got %d wipes and %d resets, want %d and %d", test.name, wiped, resets, test.wantWiped, len(test.faults)+1)
+		}
+		if _, known := log.Leader(); known {
+			t.Errorf("%s: got a leader after the end", test.name)
+		}
+	}
+}
+
+func TestChangesWakeWhenANodeIsOpened(t *testing.T) {
+	log := New(Options{Reset: func() {}, Logger: logr.Discard()})
+	changed := log.Changes()
+	log.replace(&holder{node: &fakeNode{}})
+	select {
+	case <-changed:
+	default:
+		t.Error("got no word of the opened node")
+	}
+}
--- a/internal/control/wal/files.go
+++ b/internal/control/wal/files.go
@@ -1,10 +1,12 @@
 package wal
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 
 	"github.com/rotisserie/eris"
@@ -90,6 +92,36 @@
 	return errors.Join(folder.Sync(), folder.Close())
 }
 
+// Wipe empties a data folder whose disk was replaced by another member for good.
+// Nothing of it counts any more, so a crash in between does no harm: what is
+// left is wiped when the node is told again that its disk was replaced.
+func Wipe(path string) error {
+	entries, err := os.ReadDir(path)
+	if err != nil {
+		return eris.Wrapf(err, "wipe the data folder %s", path)
+	}
+	// The identity goes last, so that the folder is told again.
+	slices.SortFunc(entries, func(a, b os.DirEntry) int {
+		return cmp.Compare(btoi(a.Name() == identityName), btoi(b.Name() == identityName))
+	})
+	for _, e := range entries {
+		if e.Name() == lockName || e.IsDir() {
+			continue
+		}
+		if err := os.Remove(filepath.Join(path, e.Name())); err != nil {
+			return eris.Wrapf(err, "wipe the data folder %s", path)
+		}
+	}
+	return syncFolder(path)
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // Close unlocks the folder.
 func (f *Folder) Close() error { return f.lock.Close() }
 
--- a/internal/control/wal/wal_test.go
+++ b/internal/control/wal/wal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -333,3 +334,32 @@
 		})
 	}
 }
+
+func TestWipeLeavesANewFolder(t *testing.T) {
+	path := t.TempDir()
+	open := func() (quorum.ID, func()) {
+		folder, err := OpenFolder(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		log, opened, err := Open(folder, "control-1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return opened.ID, func() {
+			if err := errors.Join(log.Close(), folder.Close()); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	first, closeFirst := open()
+	closeFirst()
+	if err := Wipe(path); err != nil {
+		t.Fatal(err)
+	}
+	second, closeSecond := open()
+	closeSecond()
+	if first.Disk == second.Disk {
+		t.Errorf("got disk %v again after the folder was wiped, want another one", second)
+	}
+}
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -158,6 +158,9 @@
 		maps.Equal(s.Proxies, earlier.Proxies)
 }
 
+// Reset empties the state, before a log is replayed from its beginning.
+func (m *Machine) Reset() { m.publish(empty()) }
+
 // View returns the present state.
 func (m *Machine) View() *State { return m.view.Load() }
 
--- a/internal/ops/logging/logging.go
+++ b/internal/ops/logging/logging.go
@@ -62,9 +62,17 @@
 		repeats *repeats
 	}
 
+	// Bound is how many lines of one message are written in a window; those
+	// beyond are counted.
+	Bound struct {
+		Lines  int
+		Window time.Duration
+	}
+
 	// repeats counts lines by message.
 	repeats struct {
 		mu       sync.Mutex
+		bound    Bound
 		messages map[string]*window
 	}
 
@@ -102,14 +110,19 @@
 // String returns the level's name.
 func (l *Level) String() string { return levelName(l.level.Level()) }
 
-// New returns a logger that writes to w.
+// New returns a logger that writes to w, with the bound of the package comment.
 func New(w io.Writer, format Format, level *Level) logr.Logger {
+	return NewBounded(w, format, level, Bound{Lines: repeatLimit, Window: repeatWindow})
+}
+
+// NewBounded returns a logger with another bound.
+func NewBounded(w io.Writer, format Format, level *Level, bound Bound) logr.Logger {
 	options := &slog.HandlerOptions{Level: &level.level, ReplaceAttr: replaceLevel}
 	var handler slog.Handler = slog.NewJSONHandler(w, options)
 	if format == FormatText {
 		handler = slog.NewTextHandler(w, options)
 	}
-	counted := &repeats{messages: make(map[string]*window)}
+	counted := &repeats{bound: bound, messages: make(map[string]*window)}
 	return logr.FromSlogHandler(&limiter{next: handler, repeats: counted})
 }
 
@@ -153,11 +166,11 @@
 		w = &window{start: now}
 		r.messages[message] = w
 	}
-	if now.Sub(w.start) >= repeatWindow {
+	if now.Sub(w.start) >= r.bound.Window {
 		dropped = w.dropped
 		*w = window{start: now}
 	}
-	if w.written >= repeatLimit {
+	if w.written >= r.bound.Lines {
 		w.dropped++
 		return 0, false
 	}
--- a/internal/ops/logging/logging_test.go
+++ b/internal/ops/logging/logging_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"strings"
 	"testing"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 func TestLevelChangesWhileRunning(t *testing.T) {
@@ -40,7 +44,7 @@
 
 func TestRepeatedLinesAreDropped(t *testing.T) {
 	var out bytes.Buffer
-	handler := &limiter{next: slog.NewTextHandler(&out, nil), repeats: &repeats{messages: map[string]*window{}}}
+	handler := &limiter{next: slog.NewTextHandler(&out, nil), repeats: &repeats{bound: Bound{Lines: repeatLimit, Window: repeatWindow}, messages: map[string]*window{}}}
 	start := time.Unix(1000, 0)
 	write := func(message string, at time.Duration) {
 		if err := handler.Handle(t.Context(), slog.NewRecord(start.Add(at), slog.LevelInfo, message, 0)); err != nil {
@@ -62,3 +66,62 @@
 		t.Errorf("got %q, want %q in it", got, want)
 	}
 }
+
+// blocked is a writer that takes nothing until it is released.
+type blocked struct{ release chan struct{} }
+
+func (b blocked) Write(p []byte) (int, error) {
+	<-b.release
+	return len(p), nil
+}
+
+func TestQueueNeverBlocks(t *testing.T) {
+	out := blocked{release: make(chan struct{})}
+	queue := NewQueue(out)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error { return queue.Run(ctx) })
+	logger := NewBounded(queue, FormatJSON, NewLevel(LevelInfo), Bound{Lines: 10 * queueLines, Window: time.Hour})
+	const lines = queueLines + 100
+	for range lines {
+		logger.Info("line")
+	}
+	if got := queue.dropped.Load(); got == 0 || got > lines {
+		t.Errorf("got %d lines left out with a stalled output, want some", got)
+	}
+	close(out.release)
+	cancel()
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestQueueTellsWhatItLeftOut(t *testing.T) {
+	var out bytes.Buffer
+	queue := NewQueue(&out)
+	for range queueLines + 7 {
+		if _, err := queue.Write([]byte("x\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := queue.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := out.String(), `"dropped-lines":7`; !strings.Contains(got, want) {
+		t.Errorf("got no %s in the output", want)
+	}
+	if got := strings.Count(out.String(), "x\n"); got != queueLines {
+		t.Errorf("got %d lines, want %d", got, queueLines)
+	}
+}
+
+// BenchmarkStalledOutput shows what a line costs a request while the output
+// takes nothing.
+func BenchmarkStalledOutput(b *testing.B) {
+	logger := NewBounded(NewQueue(io.Discard), FormatJSON, NewLevel(LevelInfo), Bound{Lines: b.N + 1, Window: time.Hour})
+	for b.Loop() {
+		logger.Info("statement not done", "request-id", "5c0e7a21d94b36f8", "outcome", "busy", "waited-ms", 12)
+	}
+}
--- a/internal/traffic/link/link.go
+++ b/internal/traffic/link/link.go
@@ -87,8 +87,10 @@
 		revision string
 		version  uint64
 		proxies  int
-		granted  atomic.Bool
-		failed   bool
+		// told are the primaries as they were logged last.
+		told    map[cluster.GroupName]tenure.Primacy
+		granted atomic.Bool
+		failed  bool
 	}
 )
 
@@ -96,7 +98,7 @@
 func New(options Options) *Link {
 	return &Link{
 		options: options, incarnation: rand.Uint64() | 1, members: slices.Clone(options.Seeds),
-		roster: roster.New(), next: rand.IntN(max(1, len(options.Seeds))),
+		roster: roster.New(), told: map[cluster.GroupName]tenure.Primacy{}, next: rand.IntN(max(1, len(options.Seeds))),
 	}
 }
 
@@ -285,8 +287,9 @@
 		l.options.Upstream.Update(l.roster.List(), l.limitOf, l.proxies)
 	}
 	for group, p := range primacies {
-		if l.revision != response.GetRevision() {
-			l.options.Logger.V(1).Info("primary told", "group", group, "term", p.Term, "primary", p.Primary)
+		if l.told[group] != p {
+			l.told[group] = p
+			l.options.Logger.Info("primary known", "group", group, "term", p.Term, "primary", p.Primary, "planned", p.Planned)
 		}
 	}
 	l.revision = response.GetRevision()
--- a/internal/traffic/session/attempt.go
+++ b/internal/traffic/session/attempt.go
@@ -434,6 +434,7 @@
 // finish counts the outcome and writes a line about one that isn't a success.
 func (w *work) finish(answer statement.Answer) statement.Answer {
 	total := time.Since(w.start)
+	w.s.noted = true
 	w.s.core.count(w.s.database, answer.Code, w.waited, total)
 	message := "statement not done"
 	if answer.Code == statement.OK {
--- a/internal/traffic/session/session.go
+++ b/internal/traffic/session/session.go
@@ -29,6 +29,8 @@
 		own   cluster.Mark
 		ownAt time.Time
 		tx    *transaction
+		// noted tells that the outcome of the statement was logged.
+		noted bool
 	}
 
 	prepared struct {
@@ -65,7 +67,14 @@
 			}
 			continue
 		}
-		if err := s.caller.Answer(s.handle(next)); err != nil {
+		s.noted = false
+		answer := s.handle(next)
+		if answer.Code != statement.OK && !s.noted {
+			s.core.options.Logger.Info("statement refused", "request-id", next.ID, "database", s.database,
+				"verb", next.Verb.String(), "outcome", answer.Code.String(), "reason", answer.Detail)
+			s.core.count(s.database, answer.Code, 0, 0)
+		}
+		if err := s.caller.Answer(answer); err != nil {
 			return err
 		}
 	}
--- a/internal/traffic/upstream/server.go
+++ b/internal/traffic/upstream/server.go
@@ -354,6 +354,10 @@
 	if s.heard.After(since) {
 		return // it answered something else meanwhile
 	}
+	if s.failing.IsZero() {
+		s.m.options.Logger.Info("server doesn't answer", "server", s.info.Name, "group", s.info.Group,
+			"address", s.info.Address.String(), "refused", refused)
+	}
 	if s.failing.IsZero() || since.Before(s.failing) {
 		s.failing = since
 	}
@@ -364,6 +368,10 @@
 // answered notes a sign of life.
 func (s *Server) answered(now time.Time) {
 	s.heard = now
+	if !s.failing.IsZero() {
+		s.m.options.Logger.Info("server answers again", "server", s.info.Name, "group", s.info.Group,
+			"silent-ms", now.Sub(s.failing).Milliseconds())
+	}
 	s.failing = time.Time{}
 	s.refused = false
 }
