Metrics of both roles: connections, waits, leases, samples, control's sync times

Cause: incidents are explained from logs and metrics alone.

Change: gauges of each server's connections, statements and times, of leases, terms, samples and sessions, of control's epoch, index, members and sync times; counters by tenant and outcome; waiting, service and total time by tenant.

--- a/internal/control/node/loop.go
+++ b/internal/control/node/loop.go
@@ -219,7 +219,12 @@
 	if !ready.Sync {
 		return nil
 	}
-	return n.log.Save(ready.HardState, ready.Entries)
+	began := time.Now()
+	err := n.log.Save(ready.HardState, ready.Entries)
+	if n.options.Synced != nil {
+		n.options.Synced(time.Since(began))
+	}
+	return err
 }
 
 // apply hands committed commands to the machine and answers their proposals.
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -91,6 +91,9 @@
 		MustJoin bool
 		Size     int
 
+		// Synced, if set, gets the time of each write and sync.
+		Synced func(time.Duration)
+
 		ElectionMin time.Duration
 		ElectionMax time.Duration
 		Heartbeat   time.Duration
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -33,6 +33,7 @@
 	"github.com/burdockwood/burdockwood/internal/fleet/state"
 	"github.com/burdockwood/burdockwood/internal/fleet/succession"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/ops/metrics"
 )
 
 const (
@@ -307,6 +308,24 @@
 	return c.term, nil
 }
 
+// Measure brings the figures of control up to date in the registry. Call it
+// before the registry is read.
+func (c *Coordinator) Measure(registry metrics.Registry) {
+	set := func(name string, value int64) { metrics.Gauge(registry, name).Update(value) }
+	epoch, leads := c.options.Log.IsLeader()
+	set("control-epoch", int64(epoch))
+	set("control-leads", map[bool]int64{true: 1}[leads])
+	set("control-index", int64(c.options.Log.LastIndex()))
+	set("control-members", int64(len(c.options.Log.Members())))
+	set("configuration-version", int64(c.options.Machine.View().Document.Version))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.term != nil {
+		set("proxies-with-lease", int64(c.term.lender.Live(c.options.Now())))
+		set("servers-known", int64(len(c.term.roster.List())))
+	}
+}
+
 // propose commits a command.
 func (c *Coordinator) propose(ctx context.Context, command state.Command) (state.Result, error) {
 	encoded, err := state.Encode(command)
--- a/internal/traffic/session/attempt.go
+++ b/internal/traffic/session/attempt.go
@@ -435,7 +435,7 @@
 func (w *work) finish(answer statement.Answer) statement.Answer {
 	total := time.Since(w.start)
 	w.s.noted = true
-	w.s.core.count(w.s.database, answer.Code, w.waited, total)
+	w.s.core.count(w.s.database, answer.Code, w.waited, total-w.waited, total)
 	message := "statement not done"
 	if answer.Code == statement.OK {
 		if total <= w.route.Objective {
--- a/internal/traffic/session/core.go
+++ b/internal/traffic/session/core.go
@@ -17,12 +17,12 @@
 package session
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
-	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 
 	"github.com/burdockwood/burdockwood/internal/fleet/roster"
@@ -205,9 +205,34 @@
 	}
 }
 
+// Measure brings the figures of leases, samples and sessions up to date in the
+// registry. Call it before the registry is read.
+func (c *Core) Measure() {
+	now, registry := c.options.Now(), c.options.Registry
+	set := func(name string, value int64, labels ...string) {
+		metrics.Gauge(registry, name, labels...).Update(value)
+	}
+	set("lease-left-ms", c.options.Tenure.Left(now).Milliseconds())
+	set("sessions", int64(c.Sessions()))
+	if current := c.Catalog(); current != nil {
+		set("configuration-version", int64(current.Version))
+	}
+	c.mu.Lock()
+	logs := maps.Clone(c.logs)
+	c.mu.Unlock()
+	for group, log := range logs {
+		set("group-term", int64(c.options.Tenure.Term(group)), "group", string(group))
+		if latest := log.Latest(); !latest.At.IsZero() {
+			set("sample-age-ms", now.Sub(latest.At).Milliseconds(), "group", string(group))
+		}
+	}
+	c.options.Upstream.Measure(registry)
+}
+
 // count notes the outcome of a statement.
-func (c *Core) count(database string, code statement.Code, waited, total time.Duration) {
-	gometrics.GetOrRegisterCounter(`statements{outcome="`+code.String()+`"}`, c.options.Registry).Inc(1)
+func (c *Core) count(database string, code statement.Code, waited, service, total time.Duration) {
+	metrics.Counter(c.options.Registry, "statements", "tenant", database, "outcome", code.String()).Inc(1)
 	c.tenants.Observe(database, metrics.StageWait, waited)
+	c.tenants.Observe(database, metrics.StageService, service)
 	c.tenants.Observe(database, metrics.StageTotal, total)
 }
--- a/internal/traffic/session/session.go
+++ b/internal/traffic/session/session.go
@@ -72,7 +72,7 @@
 		if answer.Code != statement.OK && !s.noted {
 			s.core.options.Logger.Info("statement refused", "request-id", next.ID, "database", s.database,
 				"verb", next.Verb.String(), "outcome", answer.Code.String(), "reason", answer.Detail)
-			s.core.count(s.database, answer.Code, 0, 0)
+			s.core.count(s.database, answer.Code, 0, 0, 0)
 		}
 		if err := s.caller.Answer(answer); err != nil {
 			return err
--- a/internal/traffic/upstream/upstream.go
+++ b/internal/traffic/upstream/upstream.go
@@ -76,6 +76,8 @@
 		// suspicion is signalled when a server stops to answer.
 		suspicion chan struct{}
 		toOpen    chan *Server
+		// measured are the names of the gauges that are registered.
+		measured map[string]bool
 	}
 )
 
