--- a/internal/ops/trace/trace.go
+++ b/internal/ops/trace/trace.go
@@ -35,17 +35,24 @@
 	keyProcess  = "process"
 	keyRequest  = "request-id"
 	keyGroup    = "group"
-	keyServer   = "server"
 	keyOutcome  = "outcome"
 	keyReason   = "reason"
 	keyTotal    = "total-ms"
 	keyDatabase = "database"
+	keyRole     = "role"
+	roleControl = "control"
 )
 
 var (
 	// ErrUnknownRequest tells that no line names the request.
 	ErrUnknownRequest = eris.New("no line names the request")
 
+	// standing are messages whose newest one tells what a process still
+	// believes, however old it is.
+	standing = map[string]bool{
+		"primary known": true, "primacy": true, "configuration in force": true, "link to control": true, "leads control": true,
+	}
+
 	// general are messages that concern all groups.
 	general = map[string]bool{
 		"link to control": true, "leads control": true, "doesn't lead control any more": true,
@@ -60,6 +67,8 @@
 		Time    time.Time
 		Process string
 		Message string
+		// Role is that of the process.
+		Role string
 		// Fields are all keys but those above.
 		Fields map[string]any
 	}
@@ -107,13 +116,13 @@
 	if json.Unmarshal(text[start:], &fields) != nil {
 		return Line{}, false
 	}
-	line := Line{Process: textOf(fields, keyProcess), Message: textOf(fields, keyMessage), Fields: fields}
+	line := Line{Process: textOf(fields, keyProcess), Message: textOf(fields, keyMessage), Role: textOf(fields, keyRole), Fields: fields}
 	at, err := time.Parse(time.RFC3339Nano, textOf(fields, keyTime))
 	if err != nil || line.Message == "" {
 		return Line{}, false
 	}
 	line.Time = at
-	for _, key := range []string{keyTime, keyMessage, keyProcess, "level", "role"} {
+	for _, key := range []string{keyTime, keyMessage, keyProcess, keyRole, "level"} {
 		delete(fields, key)
 	}
 	return line, true
@@ -159,16 +168,25 @@
 // collect picks the lines and marks the one that decided: the newest belief of
 // the request's group before its outcome, or the outcome's own line.
 func (s *Story) collect(lines []Line, start time.Time, last Line) {
-	server := textOf(last.Fields, keyServer)
+	earlier := map[string]Line{}
 	for _, line := range lines {
 		own := textOf(line.Fields, keyRequest) == s.Request
-		if !own && (line.Time.Before(start.Add(-lookBack)) || line.Time.After(last.Time)) {
-			continue
-		}
-		if own || s.concerns(line, server) {
-			s.Lines = append(s.Lines, Entry{Line: line, Own: own})
+		switch {
+		case own:
+			s.Lines = append(s.Lines, Entry{Line: line, Own: true})
+		case line.Time.After(last.Time) || !s.concerns(line):
+		case !line.Time.Before(start.Add(-lookBack)):
+			s.Lines = append(s.Lines, Entry{Line: line})
+		case standing[line.Message]:
+			key := line.Message + line.Process
+			if line.Time.After(earlier[key].Time) {
+				earlier[key] = line
+			}
 		}
 	}
+	for _, line := range earlier {
+		s.Lines = append(s.Lines, Entry{Line: line})
+	}
 	slices.SortStableFunc(s.Lines, func(a, b Entry) int { return a.Time.Compare(b.Time) })
 	deciding := -1
 	for i, entry := range s.Lines {
@@ -186,12 +204,12 @@
 
 // concerns reports whether a line that doesn't name the request tells what a
 // process believed about its group.
-func (s *Story) concerns(line Line, server string) bool {
+func (s *Story) concerns(line Line) bool {
 	if line.Fields[keyRequest] != nil {
 		return false
 	}
 	if group := textOf(line.Fields, keyGroup); group != "" {
-		return group == s.Group && (line.Process == s.Process || line.Fields["term"] != nil || textOf(line.Fields, keyServer) == server)
+		return group == s.Group && (line.Process == s.Process || line.Role == roleControl)
 	}
 	return general[line.Message] && (line.Process == s.Process || line.Message == "leads control")
 }
--- a/internal/ops/trace/trace_test.go
+++ b/internal/ops/trace/trace_test.go
@@ -9,7 +9,8 @@
 const logs = `
 2.1 control-1 {"time":"2026-04-03T22:35:21Z","level":"info","msg":"leads control","role":"control","process":"control-1","epoch":2}
 not a line
-{"time":"2026-04-03T22:35:29Z","level":"info","msg":"primary known","role":"proxy","process":"proxy-1","group":"g","term":1,"primary":"p"}
+{"time":"2026-04-03T22:30:00Z","level":"info","msg":"primary known","role":"proxy","process":"proxy-1","group":"g","term":0,"primary":"q"}
+{"time":"2026-04-03T22:31:29Z","level":"info","msg":"primary known","role":"proxy","process":"proxy-1","group":"g","term":1,"primary":"p"}
 {"time":"2026-04-03T22:35:30Z","level":"info","msg":"server doesn't answer","role":"proxy","process":"proxy-1","server":"p","group":"g"}
 {"time":"2026-04-03T22:35:30.2Z","level":"info","msg":"server doesn't answer","role":"proxy","process":"proxy-2","server":"p","group":"other"}
 {"time":"2026-04-03T22:35:30.5Z","level":"info","msg":"primacy","role":"control","process":"control-1","group":"g","term":2,"phase":"releasing"}
@@ -35,7 +36,7 @@
 		}
 		got = append(got, text)
 	}
-	want := "proxy-1 primary known, proxy-1 server doesn't answer, control-1 primacy, proxy-1 statement not done *"
+	want := "proxy-1 primary known, control-1 leads control, proxy-1 server doesn't answer, control-1 primacy, proxy-1 statement not done *"
 	if text := strings.Join(got, ", "); text != want {
 		t.Errorf("got %s, want %s", text, want)
 	}
--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -74,8 +74,13 @@
 		if s.heard.Before(began) {
 			s.fails(began, false)
 		}
-	default:
+	case now.Sub(s.heard) > silentAfter:
 		s.fails(now, false)
+	default:
+		// One connection broke while others are answered: a crash shows at
+		// the next one that is opened.
+		s.m.options.Logger.Info("connection broke", "server", s.info.Name, "group", s.info.Group,
+			"heard-ms-ago", now.Sub(s.heard).Milliseconds(), "request-id", request.ID, "error", err.Error())
 	}
 	return answer, err
 }
--- a/internal/traffic/upstream/upstream_test.go
+++ b/internal/traffic/upstream/upstream_test.go
@@ -336,3 +336,34 @@
 		t.Errorf("got %d connections open to a server that left, want 0", w.open)
 	}
 }
+
+func TestBrokenConnectionOfAServerThatAnswers(t *testing.T) {
+	tests := []struct {
+		name        string
+		heard       time.Duration
+		wantFailing bool
+	}{
+		{"heard a moment ago", 10 * time.Millisecond, false},
+		{"not heard for long", time.Minute, true},
+	}
+	for _, test := range tests {
+		_, server := newManager(&world{limit: 4}, 1)
+		conn, err := server.Acquire(want(time.Second))
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.raw.(*fakeConn).err = backend.ErrBroken
+		server.mu.Lock()
+		server.heard = time.Now().Add(-test.heard)
+		server.mu.Unlock()
+		if _, err := conn.Do(statement.Request{}, time.Now().Add(time.Second)); err == nil {
+			t.Fatal("got no error from a broken connection")
+		}
+		server.mu.Lock()
+		got := server.failingFor(time.Now()) > 0
+		server.mu.Unlock()
+		if got != test.wantFailing {
+			t.Errorf("%s: got failing %v, want %v", test.name, got, test.wantFailing)
+		}
+	}
+}
