Reads leave a primary that writes wait for to them

Ruled out: leases (all back 0.25 s after the start), replicas' connections.

Change: a primary that work of this proxy waits for costs a read 250 ms more.

--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -12,7 +12,7 @@
 // proxies: the time that a server lately took tells of the others' work, the
 // own outstanding work of what comes next. A slow, cold or silent server gets
 // less at once. Reads leave the primary to writes as long as a replica is about
-// as fast. A replica that lagged is asked again only after a pause, unless it
+// as fast, and for longer where writes wait for it, as after a restart. A replica that lagged is asked again only after a pause, unless it
 // is known to have caught up.
 package placement
 
@@ -27,6 +27,9 @@
 	// primaryFactor is the weight of the primary's time for reads that a
 	// replica could answer.
 	primaryFactor = 1.5
+	// contestedCost keeps reads off a primary that work waits for which can
+	// go nowhere else, as long as a replica answers within about that time.
+	contestedCost = 250 * time.Millisecond
 	// coldFactor is the weight of a server that has just started.
 	coldFactor = 2
 	// leastLatency stands in for a server that hasn't been used yet.
@@ -70,6 +73,9 @@
 	if c.Cold {
 		expected *= coldFactor
 	}
+	if c.Primary && c.Waiting > 0 {
+		expected += contestedCost
+	}
 	if !c.Near {
 		expected += crossDataCentre
 	}
--- a/internal/traffic/placement/placement_test.go
+++ b/internal/traffic/placement/placement_test.go
@@ -20,6 +20,7 @@
 	}{
 		{"reads leave the primary to writes", []Candidate{primary, replica}, 1},
 		{"unless the replica is much slower", []Candidate{primary, with(func(c *Candidate) { c.Latency = 30 * time.Millisecond })}, 0},
+		{"a primary that writes wait for is left to them", []Candidate{with(func(c *Candidate) { c.Primary = true; c.Waiting = 1 }), with(func(c *Candidate) { c.Latency = 60 * time.Millisecond; c.Waiting = 4 })}, 1},
 		{"the near one of two", []Candidate{with(func(c *Candidate) { c.Near = false }), replica}, 1},
 		{"the one with less outstanding work", []Candidate{with(func(c *Candidate) { c.Active = 2 }), replica}, 1},
 		{"more slots bear more work", []Candidate{with(func(c *Candidate) { c.Active = 2 }), with(func(c *Candidate) { c.Active = 2; c.Slots = 8 })}, 1},
