A test's fake control node gives up with its caller

Cause: the test of the link waited for ten minutes and failed by the time limit of go test: a fake follower was asked for a configuration, whose channel was nil, and the server's close waits for its handlers.

Change: the fake's Fetch ends with the call's context.

--- a/internal/traffic/link/link_test.go
+++ b/internal/traffic/link/link_test.go
@@ -45,8 +45,12 @@
 	}, nil
 }
 
-func (f *fakeControl) Fetch(context.Context, *fleetpb.FetchRequest) (*fleetpb.FetchResponse, error) {
-	<-f.fetching
+func (f *fakeControl) Fetch(ctx context.Context, _ *fleetpb.FetchRequest) (*fleetpb.FetchResponse, error) {
+	select {
+	case <-f.fetching:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 	var packed bytes.Buffer
 	w := gzip.NewWriter(&packed)
 	if _, err := w.Write([]byte("document")); err != nil {
