--- a/internal/control/daemon/daemon.go
+++ b/internal/control/daemon/daemon.go
@@ -20,7 +20,6 @@
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
 
 	"github.com/burdockwood/burdockwood/internal/backend/adapter"
@@ -31,6 +30,7 @@
 	"github.com/burdockwood/burdockwood/internal/control/service"
 	"github.com/burdockwood/burdockwood/internal/control/state"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/ops/actor"
 	"github.com/burdockwood/burdockwood/internal/ops/keys"
 	"github.com/burdockwood/burdockwood/internal/ops/metrics"
 	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
@@ -108,7 +108,7 @@
 		mux.Handle(server.PathPrefix(), server)
 	}
 	c.logger.Info("listening", "address", c.listener.Addr().String())
-	return runAll(ctx,
+	return actor.Run(ctx,
 		func(ctx context.Context) error {
 			return transport.Serve(ctx, c.trusted.Listener(c.listener), c.trusted.Guard(mux))
 		},
@@ -154,20 +154,6 @@
 	return log, nil
 }
 
-// runAll runs actors until one ends or ctx does.
-func runAll(ctx context.Context, actors ...func(context.Context) error) error {
-	var group run.Group
-	for _, actor := range actors {
-		actorCtx, cancel := context.WithCancel(ctx)
-		group.Add(func() error { return actor(actorCtx) }, func(error) { cancel() })
-	}
-	err := group.Run()
-	if ctx.Err() != nil {
-		return nil
-	}
-	return err
-}
-
 // tick lets the coordinator decide at intervals, after each commit and after
 // each change of leadership.
 func tick(ctx context.Context, c *coordinator.Coordinator, machine *state.Machine, log *node.Node) error {
--- a/internal/control/revive/revive.go
+++ b/internal/control/revive/revive.go
@@ -25,6 +25,7 @@
 	"github.com/burdockwood/burdockwood/internal/control/quorum"
 	"github.com/burdockwood/burdockwood/internal/control/replica"
 	"github.com/burdockwood/burdockwood/internal/model/pause"
+	"github.com/burdockwood/burdockwood/internal/ops/logging"
 	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
 )
 
@@ -90,20 +91,13 @@
 		if time.Since(began) > 2*mostPause {
 			wait = leastPause
 		}
-		l.options.Logger.Info("control node stopped; it is opened again", "error", errorText(err), "pause-ms", wait.Milliseconds())
+		l.options.Logger.Info("control node stopped; it is opened again", "error", logging.ErrorText(err), "pause-ms", wait.Milliseconds())
 		pause.For(ctx, wait)
 		wait = min(2*wait, mostPause)
 	}
 	return nil
 }
 
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 func (l *Log) runOne(ctx context.Context) error {
 	l.options.Reset()
 	node, err := l.options.Open()
--- a/internal/fleet/coordinator/conduct.go
+++ b/internal/fleet/coordinator/conduct.go
@@ -15,6 +15,7 @@
 	"github.com/burdockwood/burdockwood/internal/fleet/succession"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/model/pause"
+	"github.com/burdockwood/burdockwood/internal/ops/logging"
 )
 
 const (
@@ -182,17 +183,10 @@
 	command := state.Command{Primacy: &state.PrimacyChange{Group: k.group, From: from, To: to}}
 	result, err := k.c.propose(ctx, command)
 	k.logger.Info("primacy", "term", to.Term, "phase", to.Phase.String(), "primary", to.Primary, "target", to.Target,
-		"planned", to.Planned, "reason", reason, "applied", result.Applied, "error", errorText(err))
+		"planned", to.Planned, "reason", reason, "applied", result.Applied, "error", logging.ErrorText(err))
 	return err == nil && result.Applied
 }
 
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 // probe asks the primary itself.
 func (k *conductor) probe(ctx context.Context, p state.Primacy, reason string) {
 	server, known := k.server(p.Primary)
@@ -204,7 +198,7 @@
 			result.Alive, result.Role = true, server.Role
 		}
 		k.logger.Info("probed the primary", "server", p.Primary, "reason", reason, "alive", result.Alive,
-			"role", status.Role.String(), "error", errorText(err))
+			"role", status.Role.String(), "error", logging.ErrorText(err))
 	}
 	result.At = k.c.options.Now()
 	k.c.mu.Lock()
@@ -319,7 +313,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	err := k.c.options.Promoter.Promote(callCtx, k.group, p.Target, Fence{Holder: k.c.options.Name, Token: k.l.epoch})
 	cancel()
-	k.logger.Info("promotion asked for", "server", p.Target, "term", p.Term, "error", errorText(err))
+	k.logger.Info("promotion asked for", "server", p.Target, "term", p.Term, "error", logging.ErrorText(err))
 	if errors.Is(err, ErrPromotionRefused) {
 		k.refused[p.Target] = k.c.options.Now().Add(leadPatience)
 		k.chooseAgain(ctx, p, "the platform refused the target")
--- a/internal/ops/logging/logging.go
+++ b/internal/ops/logging/logging.go
@@ -196,3 +196,12 @@
 		return LevelError
 	}
 }
+
+// ErrorText returns the text of an error for a line that is also written without
+// one; empty: there was none.
+func ErrorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/internal/traffic/catalog/catalog.go
+++ b/internal/traffic/catalog/catalog.go
@@ -89,12 +89,3 @@
 	g, ok := c.groups[name]
 	return g, ok
 }
-
-// Groups returns the names of all groups.
-func (c *Catalog) Groups() []cluster.GroupName {
-	names := make([]cluster.GroupName, 0, len(c.groups))
-	for name := range c.groups {
-		names = append(names, name)
-	}
-	return names
-}
--- a/internal/traffic/link/link.go
+++ b/internal/traffic/link/link.go
@@ -23,13 +23,14 @@
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
 
 	"github.com/burdockwood/burdockwood/internal/fleet/message"
 	"github.com/burdockwood/burdockwood/internal/fleet/roster"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/model/pause"
+	"github.com/burdockwood/burdockwood/internal/ops/actor"
+	"github.com/burdockwood/burdockwood/internal/ops/logging"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 	"github.com/burdockwood/burdockwood/internal/rpc/transport"
 	"github.com/burdockwood/burdockwood/internal/traffic/catalog"
@@ -120,12 +121,7 @@
 
 // Run renews until ctx ends.
 func (l *Link) Run(ctx context.Context) error {
-	var group run.Group
-	for _, actor := range []func(context.Context) error{l.renewAll, l.reportAll, l.tickAll, l.fetchAll} {
-		actorCtx, cancel := context.WithCancel(ctx)
-		group.Add(func() error { return actor(actorCtx) }, func(error) { cancel() })
-	}
-	return group.Run()
+	return actor.Run(ctx, l.renewAll, l.reportAll, l.tickAll, l.fetchAll)
 }
 
 // Ready reports whether the proxy can serve, and if not, why.
@@ -176,7 +172,7 @@
 	}
 	if l.failed != (err != nil) {
 		l.failed = err != nil
-		l.options.Logger.Info("link to control", "up", err == nil, "node", target.String(), "error", errorText(err),
+		l.options.Logger.Info("link to control", "up", err == nil, "node", target.String(), "error", logging.ErrorText(err),
 			"lease-left-ms", l.options.Tenure.Left(l.options.Now()).Milliseconds())
 	}
 	if err == nil {
@@ -189,13 +185,6 @@
 	l.mu.Unlock()
 }
 
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 // errNotLed tells that the asked node doesn't lead.
 var errNotLed = eris.New("the control node doesn't lead")
 
--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -151,9 +151,6 @@
 	return key, nil
 }
 
-// Unprepared forgets a name that the server doesn't know.
-func (c *Conn) Unprepared(name string) { delete(c.prepared, name) }
-
 // Unsure tells that the server's session values may differ from what is
 // remembered; they are set anew before the next use.
 func (c *Conn) Unsure() { c.unsure = true }
--- /dev/null
+++ b/internal/traffic/upstream/sight.go
@@ -0,0 +1,84 @@
+package upstream
+
+// This file holds what a pool learns of its server: whether it answers, how far
+// behind it is and how long it takes.
+
+import "time"
+
+// fails notes that the server didn't answer, at the earliest since.
+func (s *Server) fails(since time.Time, refused bool) {
+	if s.heard.After(since) {
+		return // it answered something else meanwhile
+	}
+	if s.failing.IsZero() {
+		s.m.options.Logger.Info("server doesn't answer", "server", s.info.Name, "group", s.info.Group,
+			"address", s.info.Address.String(), "refused", refused)
+	}
+	if s.failing.IsZero() || since.Before(s.failing) {
+		s.failing = since
+	}
+	s.refused = refused
+	s.m.suspect()
+}
+
+// answered notes a sign of life.
+func (s *Server) answered(now time.Time) {
+	s.heard = now
+	if !s.failing.IsZero() {
+		s.m.options.Logger.Info("server answers again", "server", s.info.Name, "group", s.info.Group,
+			"silent-ms", now.Sub(s.failing).Milliseconds())
+	}
+	s.failing = time.Time{}
+	s.refused = false
+}
+
+// failingFor returns since when the server hasn't answered while it should
+// have; zero: it answers.
+func (s *Server) failingFor(now time.Time) time.Duration {
+	if !s.plan.Direct {
+		return 0
+	}
+	since := s.failing
+	for conn := range s.inUse {
+		sent := conn.sent
+		if sent.IsZero() || now.Sub(sent) < silentAfter || s.heard.After(sent) {
+			continue
+		}
+		if since.IsZero() || sent.Before(since) {
+			since = sent
+		}
+	}
+	if since.IsZero() {
+		return 0
+	}
+	return max(now.Sub(since), time.Millisecond)
+}
+
+// NoteBehind notes that the server lacks a position.
+func (s *Server) NoteBehind(now time.Time) {
+	s.mu.Lock()
+	s.behindFor = min(max(2*s.behindFor, behindPause), behindMost)
+	s.behind = now.Add(s.behindFor)
+	s.mu.Unlock()
+}
+
+// took notes the time of a statement that ran.
+func (s *Server) took(measured time.Duration) {
+	s.latency = average(s.latency, measured)
+	weight := usualWeight
+	if s.latency < s.usual {
+		weight = latencyWeight
+	}
+	s.usual = weighted(s.usual, s.latency, weight)
+}
+
+func average(old, measured time.Duration) time.Duration {
+	return weighted(old, measured, latencyWeight)
+}
+
+func weighted(old, measured time.Duration, weight float64) time.Duration {
+	if old == 0 {
+		return measured
+	}
+	return time.Duration((1-weight)*float64(old) + weight*float64(measured))
+}
