Configurations come from the leader first

Ruled out: the acknowledgement (synced on a majority, told with the next renewal).

Change: the leader, which has just answered, is asked first for 0.5 s, then the others in turn, each with twice the time, up to 4 s; a fetch that fails is logged.

Test: TestConfigurationsComeFromTheLeaderFirst.

--- a/internal/traffic/link/fetch.go
+++ b/internal/traffic/link/fetch.go
@@ -5,7 +5,6 @@
 	"compress/gzip"
 	"context"
 	"io"
-	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -16,9 +15,11 @@
 )
 
 const (
-	// fetchTimeout bounds a fetch: a large configuration on a slow link, which
-	// other traffic fills as well.
-	fetchTimeout = 2 * time.Second
+	// firstFetch bounds the first try, so that a frozen node costs little of
+	// the time in which a configuration must be in force. It doubles up to
+	// lastFetch, which is for a large configuration on a slow and busy link.
+	firstFetch = 500 * time.Millisecond
+	lastFetch  = 4 * time.Second
 	// fetchPause is the pause before another control node is asked.
 	fetchPause = 50 * time.Millisecond
 	// maxDocument bounds an unpacked configuration: several times what
@@ -46,30 +47,41 @@
 		case <-ctx.Done():
 			return nil
 		case <-l.nudge:
+			l.fetchWanted(ctx)
 		}
-		for ctx.Err() == nil && l.version.Load() < l.wanted.Load() {
-			target := l.anyMember()
-			if err := l.fetch(ctx, target); err != nil {
-				l.options.Logger.V(1).Info("no configuration fetched", "node", target.String(), "error", err.Error())
-				pause.For(ctx, fetchPause)
-			}
+	}
+}
+
+// fetchWanted asks control nodes, one after the other, until the version that is
+// wanted is in force.
+func (l *Link) fetchWanted(ctx context.Context) {
+	timeout := firstFetch
+	for try := 0; ctx.Err() == nil && l.version.Load() < l.wanted.Load(); try++ {
+		target := l.source(try)
+		err := l.fetch(ctx, target, timeout)
+		if err == nil {
+			continue
 		}
+		l.options.Logger.Info("no configuration fetched", "node", target.String(), "version", l.wanted.Load(), "error", err.Error())
+		timeout = min(2*timeout, lastFetch)
+		pause.For(ctx, fetchPause)
 	}
 }
 
-// anyMember returns one of the control nodes by lot.
-func (l *Link) anyMember() netip.AddrPort {
+// source returns the control node for a try: the leader, which has just answered
+// and has the version, then the others in turn.
+func (l *Link) source(try int) netip.AddrPort {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.members) == 0 {
+	if try == 0 && l.leader.IsValid() || len(l.members) == 0 {
 		return l.leader
 	}
-	return l.members[rand.IntN(len(l.members))]
+	return l.members[try%len(l.members)]
 }
 
 // fetch gets a configuration and puts it in force.
-func (l *Link) fetch(ctx context.Context, target netip.AddrPort) error {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+func (l *Link) fetch(ctx context.Context, target netip.AddrPort, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	response, err := l.client(target).Fetch(ctx, &fleetpb.FetchRequest{Version: l.wanted.Load()})
 	if err != nil {
--- a/internal/traffic/link/link_test.go
+++ b/internal/traffic/link/link_test.go
@@ -28,6 +28,7 @@
 	leader   string
 	version  uint64
 	renewals atomic.Int64
+	fetches  atomic.Int64
 	// fetching blocks fetches until it is closed.
 	fetching chan struct{}
 }
@@ -46,6 +47,7 @@
 }
 
 func (f *fakeControl) Fetch(ctx context.Context, _ *fleetpb.FetchRequest) (*fleetpb.FetchResponse, error) {
+	f.fetches.Add(1)
 	select {
 	case <-f.fetching:
 	case <-ctx.Done():
@@ -133,3 +135,17 @@
 		t.Errorf("got %v, want the primary usable", err)
 	}
 }
+
+// TestConfigurationsComeFromTheLeaderFirst has control nodes that are frozen: a
+// proxy that asked them by lot was without a configuration for 4 s.
+func TestConfigurationsComeFromTheLeaderFirst(t *testing.T) {
+	leader := &fakeControl{version: 8, fetching: make(chan struct{})}
+	close(leader.fetching)
+	address := serve(t, leader)
+	frozen := &fakeControl{leader: address.String(), fetching: make(chan struct{})}
+	_, core, _ := start(t, serve(t, frozen), serve(t, frozen), serve(t, frozen), address)
+	until(t, "the configuration is in force", func() bool { return core.Catalog() != nil })
+	if got := frozen.fetches.Load(); got != 0 {
+		t.Errorf("got %d fetches from nodes that don't lead, want the leader asked first", got)
+	}
+}
