No plan for connections without the configuration

Change: pools follow servers only once a configuration is in force, and at once when one comes. The test of the link fails without it.

--- a/internal/traffic/link/fetch.go
+++ b/internal/traffic/link/fetch.go
@@ -100,7 +100,9 @@
 	}
 	l.options.Core.SetCatalog(next)
 	l.version.Store(response.GetVersion())
-	l.limitsChanged.Store(true)
+	l.servers.Lock()
+	l.useServers()
+	l.servers.Unlock()
 	l.options.Logger.Info("configuration in force", "version", response.GetVersion(), "bytes", len(body))
 	return nil
 }
--- a/internal/traffic/link/link.go
+++ b/internal/traffic/link/link.go
@@ -87,12 +87,11 @@
 		members     []netip.AddrPort
 		leader      netip.AddrPort
 		next        int
+		// servers guards roster, proxies and peers.
+		servers sync.Mutex
 		// The fields below belong to the renewing goroutine.
 		roster   *roster.Roster
 		revision string
-		// limitsChanged tells that a newer configuration may have changed the
-		// servers' connections.
-		limitsChanged atomic.Bool
 		// wanted is the newest version that control told of.
 		wanted atomic.Uint64
 		// version is the one in force here.
@@ -274,9 +273,6 @@
 func (l *Link) take(response *fleetpb.RenewResponse, sent time.Time) {
 	now := l.options.Now()
 	l.want(response.GetDocumentVersion())
-	if response.GetChanged() {
-		l.takeServers(response, now)
-	}
 	primacies := map[cluster.GroupName]tenure.Primacy{}
 	for _, p := range response.GetPrimacies() {
 		primacies[cluster.GroupName(p.GetGroup())] = tenure.Primacy{
@@ -288,10 +284,11 @@
 	l.options.Tenure.Update(sent.Add(lease), primacies, now)
 	// After the primacies: the first connection to a primary gives a sample.
 	if response.GetChanged() {
+		l.servers.Lock()
+		l.takeServers(response, now)
 		l.proxies, l.peers = int(response.GetProxies()), peersFrom(response.GetPeers())
-	}
-	if response.GetChanged() || l.limitsChanged.Swap(false) {
-		l.options.Upstream.Update(l.roster.List(), l.planOf)
+		l.useServers()
+		l.servers.Unlock()
 	}
 	for group, p := range primacies {
 		if l.told[group] != p {
@@ -357,6 +354,15 @@
 	return peers
 }
 
+// useServers has the pools follow what is known of servers. Without a
+// configuration the limits of connections aren't known, and a plan made without
+// them would send everything through one proxy. l.servers is held.
+func (l *Link) useServers() {
+	if l.options.Core.Catalog() != nil {
+		l.options.Upstream.Update(l.roster.List(), l.planOf)
+	}
+}
+
 func (l *Link) limitOf(group cluster.GroupName) int {
 	if current := l.options.Core.Catalog(); current != nil {
 		if g, ok := current.Group(group); ok {
--- a/internal/traffic/link/link_test.go
+++ b/internal/traffic/link/link_test.go
@@ -117,8 +117,15 @@
 	if ready, reason := l.Ready(time.Now()); ready {
 		t.Errorf("got ready without a configuration, reason %q", reason)
 	}
+	if _, known := l.options.Upstream.Server("p"); known {
+		t.Error("got a server used before its limit of connections is known")
+	}
 	close(control.fetching)
 	until(t, "the configuration is in force", func() bool { return core.Catalog() != nil })
+	until(t, "the servers are used, without another word of control", func() bool {
+		_, known := l.options.Upstream.Server("p")
+		return known
+	})
 	until(t, "the proxy is ready", func() bool {
 		ready, _ := l.Ready(time.Now())
 		return ready
