--- a/internal/traffic/link/link.go
+++ b/internal/traffic/link/link.go
@@ -89,7 +89,8 @@
 		next        int
 		// servers guards roster, proxies and peers.
 		servers sync.Mutex
-		// The fields below belong to the renewing goroutine.
+		// Where nothing else is said, the fields below belong to the renewing
+		// goroutine.
 		roster   *roster.Roster
 		revision string
 		// wanted is the newest version that control told of.
