--- /dev/null
+++ b/internal/cli/explain/explain.go
@@ -0,0 +1,140 @@
+// Package explain holds the command that tells from logs alone what became of
+// a request, and why.
+//
+// # Usage
+//
+//	cmd := explain.NewCmdExplain(f)
+package explain
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockwood/burdockwood/internal/cli/command"
+	"github.com/burdockwood/burdockwood/internal/cli/exit"
+	"github.com/burdockwood/burdockwood/internal/cli/factory"
+	"github.com/burdockwood/burdockwood/internal/cli/iostreams"
+	"github.com/burdockwood/burdockwood/internal/cli/output"
+	"github.com/burdockwood/burdockwood/internal/ops/trace"
+)
+
+const timeForm = "15:04:05.000"
+
+var errLog = eris.New("can't read the log")
+
+// explainOptions are the flags of the command.
+type explainOptions struct {
+	output.Options
+	Logs []string `long:"log" value-name:"FILE" description:"log of a process; may be repeated; without any, standard input is read"`
+}
+
+var columns = []output.Column[trace.Entry]{
+	{Name: "time", Value: func(e trace.Entry) any { return e.Time.Format(timeForm) }},
+	{Name: "process", Value: func(e trace.Entry) any { return e.Process }},
+	{Name: "mark", Value: func(e trace.Entry) any { return mark(e) }},
+	{Name: "message", Value: func(e trace.Entry) any { return e.Message }},
+	{Name: "details", Value: func(e trace.Entry) any { return details(e) }},
+}
+
+// NewCmdExplain returns the command "explain".
+func NewCmdExplain(f *factory.Factory) *command.Command {
+	options := &explainOptions{}
+	return &command.Command{
+		Name:  "explain",
+		Short: "Tell from logs what became of a request, and why",
+		Long: `Tell from logs what became of a request, and why: the lines of all processes
+that name it, and what they believed about its group at that time, in order.
+
+Marks: "=" names the request, "*" decided the outcome. Lines are written for each
+request that failed or was late; one that went well leaves none.`,
+		Example: `burdockwood explain 5c0e7a21d94b36f8 --log proxy-1.log --log control-1.log
+cat *.log | burdockwood explain 5c0e7a21d94b36f8 --json time,process,message,details`,
+		Arguments:      "REQUEST-ID",
+		LeastArguments: 1,
+		MostArguments:  1,
+		Options:        options,
+		Run: func(_ context.Context, call command.Call) error {
+			return explainRun(f.Streams, options, call.Arguments[0])
+		},
+	}
+}
+
+func explainRun(streams *iostreams.Streams, options *explainOptions, request string) error {
+	lines, err := readAll(streams.In, options.Logs)
+	if err != nil {
+		return err
+	}
+	story, err := trace.Explain(request, lines)
+	if err != nil {
+		return exit.New(exit.Failed, err, "give the logs of the proxy that served it; a request that went well leaves no line")
+	}
+	if err := output.Write(streams, columns, story.Lines, options.JSON); err != nil {
+		return err
+	}
+	if options.JSON != "" {
+		return nil
+	}
+	_, err = fmt.Fprintf(streams.Out, "\n%s\n", verdict(story))
+	return err
+}
+
+func readAll(in io.Reader, paths []string) ([]trace.Line, error) {
+	if len(paths) == 0 {
+		return trace.Read(in)
+	}
+	var all []trace.Line
+	for _, path := range paths {
+		lines, err := readFile(path)
+		if err != nil {
+			return nil, exit.New(exit.Usage, exit.Detail(errLog, "--log %s: %v", path, err), "name a file with the output of a process")
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+func readFile(path string) (lines []trace.Line, err error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, file.Close()) }()
+	return trace.Read(file)
+}
+
+func mark(e trace.Entry) string {
+	text := ""
+	if e.Own {
+		text += "="
+	}
+	if e.Deciding {
+		text += "*"
+	}
+	return text
+}
+
+func details(e trace.Entry) string {
+	var parts []string
+	for _, key := range slices.Sorted(maps.Keys(e.Fields)) {
+		if text := fmt.Sprint(e.Fields[key]); text != "" {
+			parts = append(parts, key+"="+text)
+		}
+	}
+	return strings.Join(parts, " ")
+}
+
+func verdict(s trace.Story) string {
+	text := fmt.Sprintf("request %s to database %s on %s: %s", s.Request, s.Database, s.Process, s.Outcome)
+	if s.Reason != "" {
+		text += ": " + s.Reason
+	}
+	return text
+}
--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -21,6 +21,7 @@
 	"github.com/burdockwood/burdockwood/internal/cli/dev"
 	"github.com/burdockwood/burdockwood/internal/cli/doctor"
 	"github.com/burdockwood/burdockwood/internal/cli/exit"
+	"github.com/burdockwood/burdockwood/internal/cli/explain"
 	"github.com/burdockwood/burdockwood/internal/cli/export"
 	"github.com/burdockwood/burdockwood/internal/cli/factory"
 	"github.com/burdockwood/burdockwood/internal/cli/failover"
@@ -78,6 +79,7 @@
 		config.NewCmdConfig(f),
 		failover.NewCmdFailover(f),
 		doctor.NewCmdDoctor(f),
+		explain.NewCmdExplain(f),
 		top.NewCmdTop(f),
 		completion.NewCmdCompletion(f),
 		version.NewCmdVersion(f),
--- a/internal/fleet/coordinator/conduct.go
+++ b/internal/fleet/coordinator/conduct.go
@@ -375,8 +375,9 @@
 // Its role alone doesn't count: it may have been the primary before and not be
 // demoted yet.
 func (k *conductor) awaitLead(ctx context.Context, p state.Primacy, before roster.Server) (cluster.Term, bool) {
-	until := k.c.options.Now().Add(leadPatience)
-	for k.c.options.Now().Before(until) && ctx.Err() == nil {
+	began := k.c.options.Now()
+	askAt := began.Add(leadPoll)
+	for now := began; now.Sub(began) < leadPatience && ctx.Err() == nil; now = k.c.options.Now() {
 		k.c.mu.Lock()
 		news := k.l.news
 		k.c.mu.Unlock()
@@ -387,9 +388,11 @@
 		if before.Role == cluster.RoleReplica && server.Role == cluster.RolePrimary && server.Born.Equal(before.Born) {
 			return p.LogTerm, true
 		}
-		if k.await(ctx, news, leadPoll) {
+		if now.Before(askAt) {
+			k.await(ctx, news, askAt.Sub(now))
 			continue
 		}
+		askAt = now.Add(leadPoll)
 		status, err := k.status(ctx, server)
 		if err == nil && status.Role == cluster.RolePrimary && status.Promised > p.LogTerm {
 			return status.Promised, true
@@ -398,17 +401,14 @@
 	return p.LogTerm, false
 }
 
-// await waits for news, at most for d, and reports whether there were any.
-func (k *conductor) await(ctx context.Context, news <-chan struct{}, d time.Duration) bool {
+// await waits for news, at most for d.
+func (k *conductor) await(ctx context.Context, news <-chan struct{}, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-		return false
 	case <-timer.C:
-		return false
 	case <-news:
-		return true
 	}
 }
 
--- /dev/null
+++ b/internal/ops/trace/trace_test.go
@@ -0,0 +1,51 @@
+package trace
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+const logs = `
+2.1 control-1 {"time":"2026-04-03T22:35:21Z","level":"info","msg":"leads control","role":"control","process":"control-1","epoch":2}
+not a line
+{"time":"2026-04-03T22:35:29Z","level":"info","msg":"primary known","role":"proxy","process":"proxy-1","group":"g","term":1,"primary":"p"}
+{"time":"2026-04-03T22:35:30Z","level":"info","msg":"server doesn't answer","role":"proxy","process":"proxy-1","server":"p","group":"g"}
+{"time":"2026-04-03T22:35:30.2Z","level":"info","msg":"server doesn't answer","role":"proxy","process":"proxy-2","server":"p","group":"other"}
+{"time":"2026-04-03T22:35:30.5Z","level":"info","msg":"primacy","role":"control","process":"control-1","group":"g","term":2,"phase":"releasing"}
+{"time":"2026-04-03T22:35:31Z","level":"info","msg":"statement not done","role":"proxy","process":"proxy-1","request-id":"a1","database":"d","group":"g","server":"p","outcome":"unknown","reason":"the write may have run","total-ms":600}
+{"time":"2026-04-03T22:35:31Z","level":"info","msg":"statement late","role":"proxy","process":"proxy-1","request-id":"b2","group":"g","total-ms":600}
+{"time":"2026-04-03T22:35:40Z","level":"info","msg":"primary known","role":"proxy","process":"proxy-1","group":"g","term":2,"primary":"r"}
+`
+
+func TestExplain(t *testing.T) {
+	lines, err := Read(strings.NewReader(logs))
+	if err != nil {
+		t.Fatal(err)
+	}
+	story, err := Explain("a1", lines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, entry := range story.Lines {
+		text := entry.Process + " " + entry.Message
+		if entry.Deciding {
+			text += " *"
+		}
+		got = append(got, text)
+	}
+	want := "proxy-1 primary known, proxy-1 server doesn't answer, control-1 primacy, proxy-1 statement not done *"
+	if text := strings.Join(got, ", "); text != want {
+		t.Errorf("got %s, want %s", text, want)
+	}
+	if story.Outcome != "unknown" || story.Process != "proxy-1" || story.Group != "g" || story.Reason != "the write may have run" {
+		t.Errorf("got %+v", story)
+	}
+}
+
+func TestExplainUnknownRequest(t *testing.T) {
+	if _, err := Explain("zz", nil); !errors.Is(err, ErrUnknownRequest) {
+		t.Errorf("got %v, want %v", err, ErrUnknownRequest)
+	}
+}
