After a restart: the herd's age counts, servers get their fair part at once

Change: a statement that follows the welcome at once is taken to have waited since the connection came; a server whose usual time isn't known yet gets this proxy's fair part, connections being opened included. Tests: TestAFreshServerGetsAPart, TestTheFirstStatementHasWaitedSinceTheConnection. The other tests of the pool use one whose usual time is known.

--- a/internal/traffic/session/attempt.go
+++ b/internal/traffic/session/attempt.go
@@ -31,6 +31,9 @@
 	// waitReserve is the part of the statement's time that is kept for the
 	// server once a connection is free.
 	waitReserve = 8
+	// promptly is how soon after the welcome a statement comes for which the
+	// caller connected: a few round trips.
+	promptly = 50 * time.Millisecond
 	// retryAfterChange is the advice to a caller that met a change of
 	// primary: the time that a usual change takes.
 	retryAfterChange = 500 * time.Millisecond
@@ -52,8 +55,10 @@
 		tx *transaction
 		// began is when it (or its transaction) came, on the clock of
 		// leases.
-		began    time.Time
-		start    time.Time
+		began time.Time
+		start time.Time
+		// aim is when it should be done.
+		aim      time.Time
 		deadline time.Time
 		attempts int
 		waited   time.Duration
@@ -78,10 +83,22 @@
 	return &work{
 		s: s, route: route, next: next, writes: writes, began: s.core.options.Now(), start: start,
 		primary:  writes || route.Consistency == catalog.OnPrimary,
+		aim:      s.wanted(start).Add(route.Objective),
 		deadline: start.Add(route.Timeout), avoid: map[cluster.ServerName]bool{},
 	}
 }
 
+// wanted returns since when the caller has waited for a statement that came at
+// a time. After a restart the callers that connected meanwhile were all let wait
+// for the first lease: their statements are older than they look, and go behind
+// those that can still be done in time.
+func (s *session) wanted(came time.Time) time.Time {
+	if came.Sub(s.welcomed) < promptly {
+		return s.came
+	}
+	return came
+}
+
 // single runs a statement outside a transaction.
 func (s *session) single(next statement.Statement, route catalog.Route, writes bool) statement.Answer {
 	w := s.newWork(next, route, writes)
@@ -281,7 +298,7 @@
 	began := time.Now()
 	conn, err := p.server.Acquire(upstream.Want{
 		Fingerprint: w.s.fingerprint, Priority: w.route.Priority,
-		Aim: w.start.Add(w.route.Objective), Deadline: w.waitUntil(p),
+		Aim: w.aim, Deadline: w.waitUntil(p),
 	})
 	w.waited += time.Since(began)
 	if err != nil {
@@ -293,7 +310,7 @@
 		conn.Discard()
 		return w.failedBefore(p, err)
 	}
-	request.After, request.Priority, request.Aim = p.after, w.route.Priority, w.start.Add(w.route.Objective)
+	request.After, request.Priority, request.Aim = p.after, w.route.Priority, w.aim
 	if w.tx != nil {
 		if answer, err := w.open(conn, p, limit); err != nil || answer.Code != statement.OK {
 			return w.notOpened(conn, p, answer, err)
--- a/internal/traffic/session/core.go
+++ b/internal/traffic/session/core.go
@@ -6,7 +6,7 @@
 //
 //	core := session.NewCore(session.Options{Tenure: t, Upstream: m, Now: boot.Now, Logger: logger})
 //	core.SetCatalog(catalog)
-//	err := core.Serve(caller, "payroll") // until the caller leaves
+//	err := core.Serve(caller, "payroll", came) // until the caller leaves
 //
 // # Outcomes
 //
@@ -116,10 +116,11 @@
 	return ok
 }
 
-// Serve answers a caller until it leaves or the proxy stops.
-func (c *Core) Serve(caller Caller, database string) error {
+// Serve answers a caller until it leaves or the proxy stops. came is when the
+// caller connected: its first statement may have waited since then.
+func (c *Core) Serve(caller Caller, database string, came time.Time) error {
 	s := &session{
-		core: c, caller: caller, database: database,
+		core: c, caller: caller, database: database, came: came, welcomed: time.Now(),
 		values: map[string]string{}, prepared: map[string]prepared{},
 	}
 	c.mu.Lock()
--- a/internal/traffic/session/session.go
+++ b/internal/traffic/session/session.go
@@ -27,6 +27,10 @@
 		own   cluster.Mark
 		ownAt time.Time
 		tx    *transaction
+		// came is when the caller connected, welcomed when it was told that
+		// it may send.
+		came     time.Time
+		welcomed time.Time
 		// noted tells that the outcome of the statement was logged.
 		noted bool
 	}
--- a/internal/traffic/session/session_test.go
+++ b/internal/traffic/session/session_test.go
@@ -190,7 +190,7 @@
 	for i, text := range texts {
 		caller.statements = append(caller.statements, parse(i, text))
 	}
-	if err := b.core.Serve(caller, database); err != nil && !strings.Contains(err.Error(), "closed") {
+	if err := b.core.Serve(caller, database, time.Now()); err != nil && !strings.Contains(err.Error(), "closed") {
 		b.t.Fatal(err)
 	}
 	states := [...]string{"I", "T", "E"}
@@ -427,3 +427,22 @@
 		t.Errorf("got version %d in force, want 1", got)
 	}
 }
+
+func TestTheFirstStatementHasWaitedSinceTheConnection(t *testing.T) {
+	connected := time.Now()
+	welcomed := connected.Add(700 * time.Millisecond)
+	tests := []struct {
+		name string
+		came time.Time
+		want time.Time
+	}{
+		{"sent at once after a long welcome", welcomed.Add(2 * time.Millisecond), connected},
+		{"sent later, by a session that was only opened", welcomed.Add(time.Second), welcomed.Add(time.Second)},
+	}
+	for _, test := range tests {
+		s := &session{came: connected, welcomed: welcomed}
+		if got := s.wanted(test.came); !got.Equal(test.want) {
+			t.Errorf("%s: got a wait since %v, want %v", test.name, got, test.want)
+		}
+	}
+}
--- a/internal/traffic/session/transaction.go
+++ b/internal/traffic/session/transaction.go
@@ -157,7 +157,7 @@
 	if err != nil {
 		return statement.Answer{}, err
 	}
-	request.Priority, request.Aim = w.route.Priority, w.start.Add(w.route.Objective)
+	request.Priority, request.Aim = w.route.Priority, w.aim
 	sent := s.core.options.Now()
 	answer, err := tx.conn.Do(request, limit)
 	if err == nil && tx.onPrimary && s.core.options.Tenure.Valid(tx.ticket, s.core.options.Now()) {
--- a/internal/traffic/upstream/server.go
+++ b/internal/traffic/upstream/server.go
@@ -46,6 +46,9 @@
 	// overloadFactor is how many times the usual a statement takes on a
 	// server that has more work than slots.
 	overloadFactor = 2
+	// learnedAfter is the number of statements after which it is known what is
+	// usual: the average forgets its first value by then.
+	learnedAfter = 20
 	// queuePerSlot is the number of statements that all proxies together
 	// keep at an overloaded server for each slot.
 	queuePerSlot = 2
@@ -87,6 +90,8 @@
 		latency   time.Duration
 		usual     time.Duration
 		handshake time.Duration
+		// measured counts the statements that were timed.
+		measured int
 		// full is the time until which no connection is tried.
 		full    time.Time
 		heard   time.Time
@@ -249,12 +254,18 @@
 // hasRoom reports whether new work may be sent now. A server that takes much
 // longer than usual has more work than slots: what this proxy adds would wait
 // there in the order of arrival, so it waits here, where the order is better.
-// Later statements of open transactions don't ask.
+// The same holds until it is known what is usual: a proxy that has just started
+// meets all who waited for it. Later statements of open transactions don't ask.
 func (s *Server) hasRoom() bool {
-	if !s.plan.Direct || s.latency <= overloadFactor*s.usual {
+	if !s.plan.Direct || !s.overloaded() {
 		return true
 	}
-	return s.active+s.pending < s.fairSlots()
+	return s.active+s.pending+s.dialing < s.fairSlots()
+}
+
+// overloaded reports whether the server has, or may have, more work than slots.
+func (s *Server) overloaded() bool {
+	return s.measured < learnedAfter || s.latency > overloadFactor*s.usual
 }
 
 // fairSlots is this proxy's part of an overloaded server: of its slots and as
--- a/internal/traffic/upstream/sight.go
+++ b/internal/traffic/upstream/sight.go
@@ -64,6 +64,7 @@
 
 // took notes the time of a statement that ran.
 func (s *Server) took(measured time.Duration) {
+	s.measured++
 	s.latency = average(s.latency, measured)
 	weight := usualWeight
 	if s.latency < s.usual {
--- a/internal/traffic/upstream/upstream_test.go
+++ b/internal/traffic/upstream/upstream_test.go
@@ -65,7 +65,15 @@
 	return nil
 }
 
+// newManager returns a pool whose usual time is known, as after a while of use.
 func newManager(w *world, proxies int) (*Manager, *Server) {
+	m, server := newFreshManager(w, proxies)
+	server.measured = learnedAfter
+	return m, server
+}
+
+// newFreshManager returns a pool as after the start of the proxy.
+func newFreshManager(w *world, proxies int) (*Manager, *Server) {
 	m := New(Options{Dial: w.dial, Now: time.Now, Logger: logr.Discard()})
 	servers := []roster.Server{{Name: "s", Group: "g", Slots: 2}}
 	m.Update(servers, func(s roster.Server) ownership.Plan {
@@ -228,6 +236,26 @@
 	}
 }
 
+func TestAFreshServerGetsAPart(t *testing.T) {
+	_, server := newFreshManager(&world{limit: 16}, 2)
+	for range 2 {
+		if _, err := server.Acquire(want(time.Second)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := server.Acquire(want(20 * time.Millisecond)); !errors.Is(err, ErrNoConnection) {
+		t.Errorf("got %v before any statement was timed, want more than this proxy's part to wait", err)
+	}
+	server.mu.Lock()
+	for range learnedAfter {
+		server.took(10 * time.Millisecond)
+	}
+	server.mu.Unlock()
+	if _, err := server.Acquire(want(time.Second)); err != nil {
+		t.Errorf("got %v once the usual time is known, want a connection", err)
+	}
+}
+
 func TestAdapt(t *testing.T) {
 	set := func(name, value string) statement.Statement {
 		return statement.Statement{Verb: statement.Set, Name: name, Value: value}
