A proxy that was frozen doesn't blame servers; a lost answer isn't slowness

A lost answer counted as a third of the timeout though others were answered meanwhile. Ruled out: replicas left out by mistake after the thaw (they lagged 1.4 to 2 s, and all samples were new). Change: ticks tell when the process stalled; what was under way then isn't timed and no server is blamed for it.

--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -65,7 +65,7 @@
 		if !answer.Mark.IsZero() {
 			s.held, s.heldAt = answer.Mark, now
 		}
-		if answer.Code == statement.OK && len(answer.Signature) > 1 {
+		if answer.Code == statement.OK && len(answer.Signature) > 1 && s.m.stalls.lastEnd(now).Before(began) {
 			s.took(now.Sub(began))
 		}
 		if answer.Code == statement.OK && !request.After.IsZero() {
@@ -74,10 +74,7 @@
 	case c.through:
 		// The owner sees the server.
 	case errors.Is(err, backend.ErrSilent):
-		s.latency = average(s.latency, now.Sub(began))
-		if s.heard.Before(began) {
-			s.fails(began, false)
-		}
+		s.silent(began, now)
 	case now.Sub(s.heard) > silentAfter:
 		s.fails(now, false)
 	default:
--- a/internal/traffic/upstream/sight.go
+++ b/internal/traffic/upstream/sight.go
@@ -21,6 +21,17 @@
 	s.m.suspect()
 }
 
+// silent notes a request of began whose answer didn't come. If others were
+// answered since, or if this process didn't run, it says nothing about the
+// server: the answer was lost.
+func (s *Server) silent(began, now time.Time) {
+	if s.heard.After(began) || !s.m.stalls.lastEnd(now).Before(began) {
+		return
+	}
+	s.latency = average(s.latency, now.Sub(began))
+	s.fails(began, false)
+}
+
 // answered notes a sign of life.
 func (s *Server) answered(now time.Time) {
 	s.heard = now
@@ -39,8 +50,12 @@
 		return 0
 	}
 	since := s.failing
+	stallEnd := s.m.stalls.lastEnd(now)
 	for conn := range s.inUse {
 		sent := conn.sent
+		if !sent.IsZero() && sent.Before(stallEnd) {
+			sent = stallEnd
+		}
 		if sent.IsZero() || now.Sub(sent) < silentAfter || s.heard.After(sent) {
 			continue
 		}
--- a/internal/traffic/upstream/upstream.go
+++ b/internal/traffic/upstream/upstream.go
@@ -81,6 +81,7 @@
 		// suspicion is signalled when a server stops to answer.
 		suspicion chan struct{}
 		toOpen    chan *Server
+		stalls    stalls
 		// measured are the names of the gauges that are registered.
 		measured map[string]bool
 	}
@@ -228,6 +229,7 @@
 // look trims each pool and raises the suspicion of a silent server.
 func (m *Manager) look() {
 	steady, now := time.Now(), m.options.Now()
+	m.stalls.tick(now)
 	for _, s := range *m.servers.Load() {
 		s.trim(steady)
 		s.mu.Lock()
