Callers of a proxy that is parted from control are sent elsewhere

Change: a proxy is ready only while 1.5 s of its lease are left, more than a lost renewal takes; a session that was refused for want of a lease is closed once it is idle outside a transaction, so that the caller connects again, to a proxy that is ready. Tests: TestACallerIsSentElsewhereWithoutALease, TestReadinessEndsBeforeTheLease.

--- a/internal/traffic/link/link.go
+++ b/internal/traffic/link/link.go
@@ -55,9 +55,11 @@
 	softTick = 50 * time.Millisecond
 	// leaveTimeout bounds the last call.
 	leaveTimeout = 300 * time.Millisecond
-	// unledGrace is how long a proxy counts as ready after its lease ended,
-	// so that a short disturbance of all proxies takes none out of rotation.
-	unledGrace = 500 * time.Millisecond
+	// readyReserve is what must be left of the lease for a proxy to be ready:
+	// below the lease less a renewal that times out, so that a lost renewal
+	// takes no proxy out of rotation, and about the time in which no new
+	// callers come once it isn't ready, so that those who come are served.
+	readyReserve = 1500 * time.Millisecond
 )
 
 type (
@@ -129,8 +131,8 @@
 	if l.options.Core.Catalog() == nil {
 		return false, "no configuration yet"
 	}
-	if !l.granted.Load() || l.options.Tenure.Left(now.Add(-unledGrace)) == 0 {
-		return false, "no lease: control can't be reached"
+	if !l.granted.Load() || l.options.Tenure.Left(now) < readyReserve {
+		return false, "the lease ends or has ended: control can't be reached"
 	}
 	return true, ""
 }
--- a/internal/traffic/link/link_test.go
+++ b/internal/traffic/link/link_test.go
@@ -156,3 +156,29 @@
 		t.Errorf("got %d fetches from nodes that don't lead, want the leader asked first", got)
 	}
 }
+
+// TestReadinessEndsBeforeTheLease checks that callers stop coming before they
+// would be refused, and that one lost renewal changes nothing.
+func TestReadinessEndsBeforeTheLease(t *testing.T) {
+	const lease, held = 3500 * time.Millisecond, 400 * time.Millisecond
+	tests := []struct {
+		name    string
+		elapsed time.Duration
+		want    bool
+	}{
+		{"just renewed", 0, true},
+		{"a renewal was held and the next one lost", held + renewTimeout, true},
+		{"two probes before the end", lease - 1400*time.Millisecond, false},
+		{"ended", lease + time.Millisecond, false},
+	}
+	for _, test := range tests {
+		l, _, rights := start(t, serve(t, &fakeControl{leader: "none"}))
+		now := time.Now()
+		l.options.Core.SetCatalog(catalog.New(1, nil, nil, catalog.Limits{}))
+		l.granted.Store(true)
+		rights.Update(now.Add(lease), nil, now)
+		if got, reason := l.Ready(now.Add(test.elapsed)); got != test.want {
+			t.Errorf("%s: got ready %v (%s), want %v", test.name, got, reason, test.want)
+		}
+	}
+}
--- a/internal/traffic/session/attempt.go
+++ b/internal/traffic/session/attempt.go
@@ -208,6 +208,7 @@
 		if !errors.Is(err, tenure.ErrChanging) || !w.awaitChange(changed) {
 			after := retryAfterChange
 			if errors.Is(err, tenure.ErrNoLease) {
+				w.s.misplaced = true
 				after = retryWithoutLease
 			}
 			refusal := w.refusal(statement.Busy, err.Error(), after)
--- a/internal/traffic/session/session.go
+++ b/internal/traffic/session/session.go
@@ -33,6 +33,9 @@
 		welcomed time.Time
 		// noted tells that the outcome of the statement was logged.
 		noted bool
+		// misplaced tells that a statement was refused because this proxy has
+		// no lease: another proxy may serve the caller.
+		misplaced bool
 	}
 
 	prepared struct {
@@ -82,9 +85,16 @@
 	}
 }
 
+// idleMisplaced is how long a session may be idle that this proxy can't serve: a
+// few round trips, so that no request is on its way when it is closed.
+const idleMisplaced = 20 * time.Millisecond
+
 // idleDeadline returns the end of the time that an open transaction may rest, or
-// that a session may be idle while the proxy stops.
+// that a session may be idle while the proxy stops or is parted from control.
 func (s *session) idleDeadline() time.Time {
+	if s.misplaced && s.tx == nil {
+		return time.Now().Add(idleMisplaced)
+	}
 	current := s.core.Catalog()
 	if limit := s.core.idleLimit.Load(); limit > 0 && s.tx == nil {
 		return time.Now().Add(time.Duration(limit))
--- a/internal/traffic/session/session_test.go
+++ b/internal/traffic/session/session_test.go
@@ -56,6 +56,9 @@
 	fakeCaller struct {
 		statements []statement.Statement
 		answers    []statement.Answer
+		// patience is how long the session would have waited for the last
+		// statement; zero: as long as the caller likes.
+		patience time.Duration
 	}
 )
 
@@ -125,7 +128,11 @@
 func (c *fakeConn) Usable() bool           { return true }
 func (c *fakeConn) Close() error           { return nil }
 
-func (c *fakeCaller) Next(time.Time) (statement.Statement, error) {
+func (c *fakeCaller) Next(deadline time.Time) (statement.Statement, error) {
+	c.patience = 0
+	if !deadline.IsZero() {
+		c.patience = time.Until(deadline)
+	}
 	if len(c.statements) == 0 {
 		return statement.Statement{}, os.ErrClosed
 	}
@@ -446,3 +453,37 @@
 		}
 	}
 }
+
+// TestACallerIsSentElsewhereWithoutALease has a proxy that a cut parts from
+// control: its sessions went on being refused for the whole cut while others
+// could serve.
+func TestACallerIsSentElsewhereWithoutALease(t *testing.T) {
+	lost := func(b *bed) { b.core.options.Tenure = tenure.New() }
+	tests := []struct {
+		name    string
+		prepare func(*bed)
+		texts   []string
+		want    bool
+	}{
+		{"served", nil, []string{"READ 1"}, false},
+		{"refused", lost, []string{"READ 1"}, true},
+		{"refused inside a transaction: it is ended first", lost, []string{"BEGIN", "READ 1"}, false},
+		{"the transaction has ended", lost, []string{"BEGIN", "READ 1", "ROLLBACK"}, true},
+	}
+	for _, test := range tests {
+		b := newBed(t)
+		if test.prepare != nil {
+			test.prepare(b)
+		}
+		caller := &fakeCaller{}
+		for i, text := range test.texts {
+			caller.statements = append(caller.statements, parse(i, text))
+		}
+		if err := b.core.Serve(caller, "primary", time.Now()); err != nil && !strings.Contains(err.Error(), "closed") {
+			t.Fatal(err)
+		}
+		if got := caller.patience > 0 && caller.patience <= idleMisplaced; got != test.want {
+			t.Errorf("%s: got the session closed once idle %v (after %v), want %v", test.name, got, caller.patience, test.want)
+		}
+	}
+}
