Servers that stopped to answer are probed

Cause: a replica that once didn't answer a proxy was left out of reads from then on; only another answer would have shown that it was back, and nothing asked it. Ruled out: reads kept off by a lack of samples (trial with candidates logged: the primary was the only one). Change: a server that doesn't answer is probed by opening a connection, after 0.2 s, then at pauses that double up to 2 s and drift apart.

--- a/internal/traffic/upstream/server.go
+++ b/internal/traffic/upstream/server.go
@@ -97,7 +97,11 @@
 		heard   time.Time
 		failing time.Time
 		refused bool
-		behind  time.Time
+		// probeAt is when a failing server is probed next, probePause the
+		// pause after that.
+		probeAt    time.Time
+		probePause time.Duration
+		behind     time.Time
 		// behindFor is the last pause for lagging; zero: it answered since.
 		behindFor time.Duration
 		// held is the end of the server's log at heldAt.
--- a/internal/traffic/upstream/upstream.go
+++ b/internal/traffic/upstream/upstream.go
@@ -43,7 +43,7 @@
 	// was.
 	longUnheard = time.Hour
 	// openerLimit bounds the connections that are opened at once ahead of
-	// their use.
+	// their use, or to probe a server.
 	openerLimit = 8
 )
 
@@ -210,7 +210,7 @@
 				return nil
 			})
 		case <-ticker.C:
-			m.look()
+			m.look(&group)
 		}
 	}
 }
@@ -226,18 +226,25 @@
 	conn.Release()
 }
 
-// look trims each pool and raises the suspicion of a silent server.
-func (m *Manager) look() {
+// look trims each pool, raises the suspicion of a silent server and has it
+// probed.
+func (m *Manager) look(probes *errgroup.Group) {
 	steady, now := time.Now(), m.options.Now()
 	m.stalls.tick(now)
 	for _, s := range *m.servers.Load() {
 		s.trim(steady)
 		s.mu.Lock()
-		failing := s.failingFor(now)
+		failing, due := s.failingFor(now) > 0, s.probeDue(now)
 		s.mu.Unlock()
-		if failing > 0 {
+		if failing {
 			m.suspect()
 		}
+		if due {
+			probes.TryGo(func() error {
+				s.probe()
+				return nil
+			})
+		}
 	}
 }
 
