Reads that a server failed are asked again elsewhere

Ruled out: failures of the proxies' own; the outcome is the server's. Change: a read, or the first statement of a read transaction, that a server failed is asked again elsewhere; the share of failed statements counts in the choice of a server, with a half-life of 2 s.

--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -36,6 +36,10 @@
 	leastLatency = 5 * time.Millisecond
 	// failingCost puts a server behind all that answer.
 	failingCost = time.Minute
+	// mostFaults bounds the share of failed statements in the reckoning, so
+	// that a server that failed all is asked again before others are ten
+	// times as slow.
+	mostFaults = 0.9
 	// behindCost puts a replica that lately lagged behind the primary.
 	behindCost = 10 * time.Second
 )
@@ -58,6 +62,8 @@
 	Handshake time.Duration
 	Cold      bool
 	Failing   bool
+	// Faults is the share of statements, 0 to 1, that lately failed there.
+	Faults float64
 	// Behind tells that it probably lacks the position asked for.
 	Behind bool
 }
@@ -66,7 +72,7 @@
 func Expected(c Candidate) time.Duration {
 	latency := max(c.Latency, leastLatency)
 	queue := float64(c.Active+c.Waiting) / float64(max(1, c.Slots))
-	expected := time.Duration(float64(latency) * (1 + queue))
+	expected := time.Duration(float64(latency) * (1 + queue) / (1 - min(c.Faults, mostFaults)))
 	if c.Primary {
 		expected = time.Duration(float64(expected) * primaryFactor)
 	}
--- a/internal/traffic/placement/placement_test.go
+++ b/internal/traffic/placement/placement_test.go
@@ -29,6 +29,8 @@
 		{"a warm server", []Candidate{with(func(c *Candidate) { c.Cold = true }), replica}, 1},
 		{"a replica that lags comes after the primary", []Candidate{with(func(c *Candidate) { c.Behind = true }), primary}, 1},
 		{"a silent server comes last", []Candidate{with(func(c *Candidate) { c.Failing = true }), with(func(c *Candidate) { c.Behind = true })}, 1},
+		{"a server that fails half of its statements", []Candidate{with(func(c *Candidate) { c.Faults = 0.5 }), with(func(c *Candidate) { c.Active = 1 })}, 1},
+		{"one that fails all is asked before others wait for long", []Candidate{with(func(c *Candidate) { c.Faults = 1 }), with(func(c *Candidate) { c.Waiting = 100 })}, 0},
 		{"an unused server isn't free", []Candidate{with(func(c *Candidate) { c.Latency = 0; c.Active = 4 }), with(func(c *Candidate) { c.Latency = 6 * time.Millisecond })}, 1},
 	}
 	for _, test := range tests {
--- a/internal/traffic/session/attempt.go
+++ b/internal/traffic/session/attempt.go
@@ -129,8 +129,8 @@
 // the work is kept: only what hasn't run or has only read is tried again.
 func (w *work) giveUp(answer statement.Answer) statement.Answer {
 	code := statement.Busy
-	if answer.Code == statement.TimedOut {
-		code = statement.TimedOut
+	if answer.Code == statement.TimedOut || answer.Code == statement.Failed {
+		code = answer.Code
 	}
 	return w.refusal(code, "no attempt succeeded, last: "+w.last, busyPause)
 }
@@ -426,6 +426,10 @@
 		}
 		return answer, false
 	}
+	if w.failedRead(answer) {
+		w.noteFailed(p, answer)
+		return answer, true
+	}
 	if !answer.Code.NotRun() {
 		return answer, false
 	}
@@ -433,6 +437,22 @@
 	return answer, true
 }
 
+// failedRead reports whether a server failed a statement that only reads:
+// another one may answer it.
+func (w *work) failedRead(answer statement.Answer) bool {
+	readsOnly := !w.writes && (w.tx == nil || w.tx.reads)
+	return readsOnly && answer.Code == statement.Failed
+}
+
+// noteFailed remembers a server that failed the statement.
+func (w *work) noteFailed(p place, answer statement.Answer) {
+	w.last = answer.Code.String() + " " + answer.Detail
+	w.avoid[p.server.Info().Name] = true
+	if w.primary {
+		time.Sleep(min(busyPause, max(0, time.Until(w.deadline))))
+	}
+}
+
 // noteNotRun remembers why a server didn't run the statement.
 func (w *work) noteNotRun(p place, answer statement.Answer) {
 	w.last = answer.Code.String() + " " + answer.Detail
--- a/internal/traffic/session/session_test.go
+++ b/internal/traffic/session/session_test.go
@@ -273,6 +273,8 @@
 		{"write that found no room is tried again", "primary", func(b *bed) { b.script("p", "WRITE 1 x", reaction{code: statement.Busy}) }, []string{"WRITE 1 x"}, []string{"ok I"}, "WRITE 1 x; WRITE 1 x"},
 		{"read whose answer is lost is tried again", "primary", func(b *bed) { b.script("p", "READ 1", reaction{err: backend.ErrBroken}) }, []string{"READ 1"}, []string{"ok I"}, "READ 1; READ 1"},
 		{"failed write isn't tried again", "primary", func(b *bed) { b.script("p", "WRITE 1 x", reaction{code: statement.Failed}) }, []string{"WRITE 1 x"}, []string{"failed I"}, "WRITE 1 x"},
+		{"failed read is tried again", "primary", func(b *bed) { b.script("p", "READ 1", reaction{code: statement.Failed}) }, []string{"READ 1"}, []string{"ok I"}, "READ 1; READ 1"},
+		{"failed write in a transaction isn't tried again", "primary", func(b *bed) { b.script("p", "WRITE 1 x", reaction{code: statement.Failed}) }, []string{"BEGIN", "WRITE 1 x"}, []string{"ok T", "failed T"}, "begin; WRITE 1 x"},
 		{"commit whose answer is lost", "primary", func(b *bed) { b.script("p", "COMMIT", reaction{err: backend.ErrBroken}) }, []string{"BEGIN", "WRITE 1 x", "COMMIT"}, []string{"ok T", "ok T", "unknown I"}, "begin; WRITE 1 x; COMMIT"},
 		{"commit of reads whose answer is lost", "primary", func(b *bed) { b.script("p", "COMMIT", reaction{err: backend.ErrBroken}) }, []string{"BEGIN", "READ 1", "COMMIT"}, []string{"ok T", "ok T", "aborted I"}, "begin; READ 1; COMMIT"},
 		{"statement lost inside", "primary", func(b *bed) { b.script("p", "READ 2", reaction{err: backend.ErrBroken}) }, []string{"BEGIN", "READ 1", "READ 2", "READ 3", "COMMIT"}, []string{"ok T", "ok T", "aborted E", "bad-statement E", "aborted I"}, "begin; READ 1; READ 2"},
@@ -296,6 +298,45 @@
 	}
 }
 
+// TestFailedReadsGoElsewhere has a replica that fails what it is asked while its
+// health check is good.
+func TestFailedReadsGoElsewhere(t *testing.T) {
+	failing := func(b *bed) {
+		for name, s := range b.servers {
+			if name != "p" {
+				s.answers["*"] = []reaction{{code: statement.Failed}}
+			}
+		}
+	}
+	tests := []struct {
+		name  string
+		texts []string
+		want  string
+	}{
+		{"single", []string{"READ 1"}, "ok I"},
+		{"first of a read transaction", []string{"BEGIN READ", "READ 1", "COMMIT"}, "ok T, ok T, ok I"},
+	}
+	for _, test := range tests {
+		b := newBed(t)
+		b.sampled(7)
+		failing(b)
+		if got := strings.Join(b.play("aged", test.texts...), ", "); got != test.want {
+			t.Errorf("%s: got %q, want %q", test.name, got, test.want)
+		}
+	}
+}
+
+// TestAReadThatFailsEverywhere checks that its outcome says so: it did run.
+func TestAReadThatFailsEverywhere(t *testing.T) {
+	b := newBed(t)
+	for range maxAttempts {
+		b.servers["p"].answers["READ 1"] = append(b.servers["p"].answers["READ 1"], reaction{code: statement.Failed})
+	}
+	if got := strings.Join(b.play("primary", "READ 1"), ", "); got != "failed I" {
+		t.Errorf("got %q, want %q", got, "failed I")
+	}
+}
+
 // recall has the primary's term end, as after a crash.
 func (b *bed) recall() {
 	now := time.Now()
--- a/internal/traffic/session/transaction.go
+++ b/internal/traffic/session/transaction.go
@@ -79,6 +79,11 @@
 		w.noteNotRun(p, answer)
 		return answer, true
 	}
+	if w.failedRead(answer) {
+		w.s.undoOn(conn, false)
+		w.noteFailed(p, answer)
+		return answer, true
+	}
 	if answer.State == statement.Idle && w.next.Verb == statement.Commit {
 		conn.Release()
 		return answer, false
--- a/internal/traffic/upstream/server.go
+++ b/internal/traffic/upstream/server.go
@@ -104,6 +104,9 @@
 		behind     time.Time
 		// behindFor is the last pause for lagging; zero: it answered since.
 		behindFor time.Duration
+		// faults is the share of statements that failed, as of faultAt.
+		faults  float64
+		faultAt time.Time
 		// held is the end of the server's log at heldAt.
 		held   cluster.Mark
 		heldAt time.Time
@@ -145,6 +148,7 @@
 		Near: s.info.DataCentre == s.m.options.DataCentre, Latency: s.latency, Active: s.active,
 		Waiting: s.waiters.Len(), Slots: s.info.Slots, Cold: now.Before(s.info.ColdUntil),
 		Failing: s.failingFor(now) > 0,
+		Faults:  s.faultShare(now),
 		Behind:  now.Before(s.behind) && lacks(s.held, s.heldAt),
 	}
 	if len(s.idle) == 0 {
--- a/internal/traffic/upstream/sight.go
+++ b/internal/traffic/upstream/sight.go
@@ -3,7 +3,10 @@
 // This file holds what a pool learns of its server: whether it answers, how far
 // behind it is and how long it takes.
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // fails notes that the server didn't answer, at the earliest since.
 func (s *Server) fails(since time.Time, refused bool) {
@@ -77,6 +80,32 @@
 	s.mu.Unlock()
 }
 
+const (
+	// faultWeight is the weight of one statement in the share that fails: ten
+	// in a row are noticed, one isn't.
+	faultWeight = 0.1
+	// faultHalfLife is the time in which the share halves without statements,
+	// so that the server is tried again.
+	faultHalfLife = 2 * time.Second
+)
+
+// outcome notes whether a statement failed at the server.
+func (s *Server) outcome(failed bool, now time.Time) {
+	share := (1 - faultWeight) * s.faultShare(now)
+	if failed {
+		share += faultWeight
+	}
+	s.faults, s.faultAt = share, now
+}
+
+// faultShare returns the share of statements that lately failed.
+func (s *Server) faultShare(now time.Time) float64 {
+	if s.faults == 0 {
+		return 0
+	}
+	return s.faults * math.Exp2(-float64(now.Sub(s.faultAt))/float64(faultHalfLife))
+}
+
 // took notes the time of a statement that ran.
 func (s *Server) took(measured time.Duration) {
 	s.measured++
