A caller's next try counts its time from the first

Change: a session remembers the operation that failed; the same statement again within 2 s keeps its first arrival, so it waits behind what can still be done in time.

--- a/internal/traffic/session/attempt.go
+++ b/internal/traffic/session/attempt.go
@@ -31,9 +31,6 @@
 	// waitReserve is the part of the statement's time that is kept for the
 	// server once a connection is free.
 	waitReserve = 8
-	// promptly is how soon after the welcome a statement comes for which the
-	// caller connected: a few round trips.
-	promptly = 50 * time.Millisecond
 	// retryAfterChange is the advice to a caller that met a change of
 	// primary: the time that a usual change takes.
 	retryAfterChange = 500 * time.Millisecond
@@ -80,25 +77,18 @@
 
 func (s *session) newWork(next statement.Statement, route catalog.Route, writes bool) *work {
 	start := time.Now()
+	since := start
+	if s.tx == nil || s.tx.conn == nil {
+		since = s.begin(next, start)
+	}
 	return &work{
 		s: s, route: route, next: next, writes: writes, began: s.core.options.Now(), start: start,
 		primary:  writes || route.Consistency == catalog.OnPrimary,
-		aim:      s.wanted(start).Add(route.Objective),
+		aim:      since.Add(route.Objective),
 		deadline: start.Add(route.Timeout), avoid: map[cluster.ServerName]bool{},
 	}
 }
 
-// wanted returns since when the caller has waited for a statement that came at
-// a time. After a restart the callers that connected meanwhile were all let wait
-// for the first lease: their statements are older than they look, and go behind
-// those that can still be done in time.
-func (s *session) wanted(came time.Time) time.Time {
-	if came.Sub(s.welcomed) < promptly {
-		return s.came
-	}
-	return came
-}
-
 // single runs a statement outside a transaction.
 func (s *session) single(next statement.Statement, route catalog.Route, writes bool) statement.Answer {
 	w := s.newWork(next, route, writes)
@@ -473,6 +463,9 @@
 func (w *work) finish(answer statement.Answer) statement.Answer {
 	total := time.Since(w.start)
 	w.s.noted = true
+	if answer.Code != statement.OK {
+		w.s.fail(time.Now())
+	}
 	w.s.core.count(w.s.database, answer.Code, w.waited, total-w.waited, total)
 	message := "statement not done"
 	if answer.Code == statement.OK {
--- a/internal/traffic/session/session.go
+++ b/internal/traffic/session/session.go
@@ -31,6 +31,9 @@
 		// it may send.
 		came     time.Time
 		welcomed time.Time
+		// op is the operation that the caller is at, failed the last one that
+		// failed.
+		op, failed operation
 		// noted tells that the outcome of the statement was logged.
 		noted bool
 		// misplaced tells that a statement was refused because this proxy has
@@ -134,7 +137,7 @@
 func (s *session) handle(next statement.Statement) statement.Answer {
 	switch next.Verb {
 	case statement.Begin, statement.BeginRead:
-		return s.begin(next)
+		return s.beginTransaction(next)
 	case statement.Rollback:
 		return s.rollback()
 	case statement.Commit:
@@ -175,7 +178,7 @@
 	return statement.Answer{State: s.state(), Mark: s.own}
 }
 
-func (s *session) begin(next statement.Statement) statement.Answer {
+func (s *session) beginTransaction(next statement.Statement) statement.Answer {
 	if s.tx != nil {
 		return s.refuse(statement.BadStatement, "a transaction is open already")
 	}
--- a/internal/traffic/session/session_test.go
+++ b/internal/traffic/session/session_test.go
@@ -476,25 +476,6 @@
 	}
 }
 
-func TestTheFirstStatementHasWaitedSinceTheConnection(t *testing.T) {
-	connected := time.Now()
-	welcomed := connected.Add(700 * time.Millisecond)
-	tests := []struct {
-		name string
-		came time.Time
-		want time.Time
-	}{
-		{"sent at once after a long welcome", welcomed.Add(2 * time.Millisecond), connected},
-		{"sent later, by a session that was only opened", welcomed.Add(time.Second), welcomed.Add(time.Second)},
-	}
-	for _, test := range tests {
-		s := &session{came: connected, welcomed: welcomed}
-		if got := s.wanted(test.came); !got.Equal(test.want) {
-			t.Errorf("%s: got a wait since %v, want %v", test.name, got, test.want)
-		}
-	}
-}
-
 // TestACallerIsSentElsewhereWithoutALease has a proxy that a cut parts from
 // control: its sessions went on being refused for the whole cut while others
 // could serve.
