--- a/internal/fleet/succession/succession.go
+++ b/internal/fleet/succession/succession.go
@@ -14,7 +14,7 @@
 // A primary that ends on purpose (it drains) is replaced while it still
 // serves, so that callers wait for milliseconds. One that nobody can reach is
 // replaced as soon as proxies that use it and a probe of control agree. One
-// that answers some proxies is replaced only if many can't reach it for long:
+// that answers some proxies is replaced only if many can't reach it for long each:
 // a change rolls back what no replica has received.
 package succession
 
@@ -174,7 +174,7 @@
 		return afterProbe(s, now, worth, "no proxy reaches the primary")
 	}
 	steady := now.Sub(s.SettledAt) >= changePause
-	if failing > 0 && steady && partCut(s.Sights, now) && float64(failing) >= partShare*float64(total) {
+	if parted := partedCount(s.Sights, now); parted > 0 && steady && float64(parted) >= partShare*float64(total) {
 		return Verdict{Kind: Replace, Planned: true, Reason: "many proxies don't reach the primary"}
 	}
 	unheard := !known || now.Sub(primary.Heard) > unheardPatience
@@ -229,15 +229,17 @@
 	return now.Sub(sight.At.Add(-sight.Failing)) >= patience
 }
 
-// partCut reports whether a proxy has been without the primary for
-// partPatience.
-func partCut(sights map[cluster.ProxyName]Sight, now time.Time) bool {
+// partedCount counts the proxies that have been without the primary for
+// partPatience each. An overloaded primary is silent to many for a short time, a
+// cut parts the same ones all the while.
+func partedCount(sights map[cluster.ProxyName]Sight, now time.Time) int {
+	count := 0
 	for _, sight := range sights {
 		if recent(sight, now) && sight.Failing > 0 && now.Sub(sight.At.Add(-sight.Failing)) >= partPatience {
-			return true
+			count++
 		}
 	}
-	return false
+	return count
 }
 
 // afterProbe replaces a primary that a recent probe of control didn't reach
--- a/internal/fleet/succession/succession_test.go
+++ b/internal/fleet/succession/succession_test.go
@@ -53,6 +53,7 @@
 		{"refused for a moment", Situation{Servers: group(), Probe: dead, Sights: map[cluster.ProxyName]Sight{"a": refused(50 * time.Millisecond)}}, Keep, false},
 		{"refused", Situation{Servers: group(), Sights: map[cluster.ProxyName]Sight{"a": refused(200 * time.Millisecond)}}, Probe, false},
 		{"one of two cut off for long", Situation{SettledAt: long, Servers: group(), Sights: map[cluster.ProxyName]Sight{"a": silent(2 * time.Second), "b": ok}}, Replace, true},
+		{"overloaded: one silent for long, many for a moment", Situation{SettledAt: long, Servers: group(), Sights: map[cluster.ProxyName]Sight{"a": silent(1300 * time.Millisecond), "b": silent(400 * time.Millisecond), "c": silent(300 * time.Millisecond), "d": ok, "e": ok}}, Keep, false},
 		{"one of two cut off, just changed", Situation{SettledAt: now, Servers: group(), Sights: map[cluster.ProxyName]Sight{"a": silent(2 * time.Second), "b": ok}}, Keep, false},
 		{"one of four cut off", Situation{SettledAt: long, Servers: group(), Sights: map[cluster.ProxyName]Sight{"a": silent(2 * time.Second), "b": ok, "c": ok, "d": ok}}, Keep, false},
 		{"old sights don't count", Situation{Servers: group(), Sights: map[cluster.ProxyName]Sight{"a": {Failing: time.Second, At: now.Add(-time.Minute)}}}, Keep, false},
