--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -69,7 +69,7 @@
 			s.outcome(!ran, now)
 		}
 		if answer.Code == statement.OK && len(answer.Signature) > 1 && s.m.stalls.lastEnd(now).Before(began) {
-			s.took(now.Sub(began))
+			s.took(now.Sub(began), now)
 		}
 		if answer.Code == statement.OK && !request.After.IsZero() {
 			s.behindFor = 0
--- a/internal/traffic/upstream/server.go
+++ b/internal/traffic/upstream/server.go
@@ -88,6 +88,7 @@
 		// latency is the time that a statement lately took, usual the time
 		// that it takes without load.
 		latency   time.Duration
+		latencyAt time.Time
 		usual     time.Duration
 		handshake time.Duration
 		// measured counts the statements that were timed.
@@ -145,7 +146,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := placement.Candidate{
-		Near: s.info.DataCentre == s.m.options.DataCentre, Latency: s.latency, Active: s.active,
+		Near: s.info.DataCentre == s.m.options.DataCentre, Latency: s.latencyBy(now), Active: s.active,
 		Waiting: s.waiters.Len(), Slots: s.info.Slots, Cold: now.Before(s.info.ColdUntil),
 		Failing: s.failingFor(now) > 0,
 		Faults:  s.faultShare(now),
--- a/internal/traffic/upstream/sight.go
+++ b/internal/traffic/upstream/sight.go
@@ -31,7 +31,7 @@
 	if s.heard.After(began) || !s.m.stalls.lastEnd(now).Before(began) {
 		return
 	}
-	s.latency = average(s.latency, now.Sub(began))
+	s.latency, s.latencyAt = average(s.latencyBy(now), now.Sub(began)), now
 	s.fails(began, false)
 }
 
@@ -106,10 +106,24 @@
 	return s.faults * math.Exp2(-float64(now.Sub(s.faultAt))/float64(faultHalfLife))
 }
 
+// latencyHalfLife is the time in which what a statement lately took comes half
+// the way back to what is usual: a server that was slow and is avoided for it
+// would never be seen to be fast again.
+const latencyHalfLife = time.Second
+
+// latencyBy returns what a statement is expected to take now.
+func (s *Server) latencyBy(now time.Time) time.Duration {
+	excess := float64(s.latency - s.usual)
+	if excess <= 0 {
+		return s.latency
+	}
+	return s.usual + time.Duration(excess*math.Exp2(-float64(now.Sub(s.latencyAt))/float64(latencyHalfLife)))
+}
+
 // took notes the time of a statement that ran.
-func (s *Server) took(measured time.Duration) {
+func (s *Server) took(measured time.Duration, now time.Time) {
 	s.measured++
-	s.latency = average(s.latency, measured)
+	s.latency, s.latencyAt = average(s.latencyBy(now), measured), now
 	weight := usualWeight
 	if s.latency < s.usual {
 		weight = latencyWeight
--- a/internal/traffic/upstream/upstream_test.go
+++ b/internal/traffic/upstream/upstream_test.go
@@ -248,7 +248,7 @@
 	}
 	server.mu.Lock()
 	for range learnedAfter {
-		server.took(10 * time.Millisecond)
+		server.took(10*time.Millisecond, time.Now())
 	}
 	server.mu.Unlock()
 	if _, err := server.Acquire(want(time.Second)); err != nil {
