A read waits at its owner for its whole time

Change: the bound of a third holds from when the owner has a connection. A frozen owner costs a read its time now, and is avoided for 1.5 s after. Test: TestWaitingKeepsItsPlace.

--- a/internal/traffic/broker/broker_test.go
+++ b/internal/traffic/broker/broker_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockwood/burdockwood/internal/fleet/roster"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
@@ -251,6 +253,37 @@
 	}
 }
 
+// TestWaitingKeepsItsPlace has a read wait at its owner for longer than a server
+// may take to answer it.
+func TestWaitingKeepsItsPlace(t *testing.T) {
+	const answerWithin = 30 * time.Millisecond
+	server := &fakeServer{}
+	_, conn, _ := newOwner(t, server, 1)
+	for _, r := range []statement.Request{request(statement.Begin, ""), request(statement.Read, "READ 1")} {
+		if _, err := do(t, conn, r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	second := conn.(*connection).owners.Connect("s", conn.(*connection).list)
+	var group errgroup.Group
+	group.Go(func() error {
+		r := request(statement.Read, "READ 2")
+		r.AnswerWithin = answerWithin
+		got, err := second.Do(r, time.Now().Add(5*time.Second))
+		if err == nil && got.Code != statement.OK {
+			return eris.Errorf("got %+v, want the read done once the connection is free", got)
+		}
+		return err
+	})
+	time.Sleep(2 * answerWithin)
+	if _, err := do(t, conn, request(statement.Commit, "COMMIT")); err != nil {
+		t.Fatal(err)
+	}
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestTransactionsOfDeadProxiesEnd(t *testing.T) {
 	server := &fakeServer{}
 	service, conn, _ := newOwner(t, server, 1)
--- a/internal/traffic/broker/conn.go
+++ b/internal/traffic/broker/conn.go
@@ -172,7 +172,7 @@
 		Server: string(c.server), Handle: c.handle, Id: request.ID, Verb: uint32(request.Verb), Text: request.Text,
 		AfterTerm: uint64(request.After.Term), AfterPosition: uint64(request.After.Position),
 		DeadlineMs: uint32(max(left-ownerMargin, left/2).Milliseconds()), AimMs: uint32(max(0, time.Until(request.Aim)).Milliseconds()),
-		Priority: uint32(request.Priority),
+		Priority: uint32(request.Priority), AnswerMs: uint32(request.AnswerWithin.Milliseconds()),
 	}
 	if c.begin != nil {
 		m.Begin = uint32(c.begin.Verb)
--- a/internal/traffic/broker/serve.go
+++ b/internal/traffic/broker/serve.go
@@ -124,12 +124,27 @@
 		conn.Discard()
 		return fault(fleetpb.ExecuteResponse_FAULT_NOT_SENT, err), nil
 	}
+	deadline = answerBy(r, deadline)
 	if response := begin(conn, r, deadline); response != nil {
 		return response, nil
 	}
 	return s.run(conn, r, deadline), nil
 }
 
+// answerBy returns when the server must have answered, now that it is about to
+// get the statement. What waits for a connection isn't bounded by it: a caller
+// that gave up waiting here and came again would have lost its place.
+func answerBy(r *fleetpb.ExecuteRequest, deadline time.Time) time.Time {
+	if r.GetAnswerMs() == 0 {
+		return deadline
+	}
+	limit := time.Now().Add(milliseconds(r.GetAnswerMs()))
+	if limit.After(deadline) {
+		return deadline
+	}
+	return limit
+}
+
 var (
 	errNoTransaction = eris.New("the transaction isn't open here any more")
 	errNotOwner      = eris.New("this proxy doesn't own connections to the server")
--- a/internal/traffic/session/attempt.go
+++ b/internal/traffic/session/attempt.go
@@ -302,6 +302,10 @@
 		return w.failedBefore(p, err)
 	}
 	request.After, request.Priority, request.Aim = p.after, w.route.Priority, w.aim
+	if conn.Through() {
+		request.AnswerWithin = max(time.Until(limit), time.Millisecond)
+		limit = w.deadline
+	}
 	if w.tx != nil {
 		if answer, err := w.open(conn, p, limit); err != nil || answer.Code != statement.OK {
 			return w.notOpened(conn, p, answer, err)
--- a/internal/traffic/statement/statement.go
+++ b/internal/traffic/statement/statement.go
@@ -122,6 +122,9 @@
 		// number and the nearer time first.
 		Priority int
 		Aim      time.Time
+		// AnswerWithin is how long the server may take where the statement
+		// waits on its way to it; zero: until the deadline.
+		AnswerWithin time.Duration
 	}
 
 	// Answer is the outcome of a statement.
--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -42,6 +42,10 @@
 // Server returns the pool that the connection belongs to.
 func (c *Conn) Server() *Server { return c.server }
 
+// Through reports whether requests go through a proxy that owns connections, and
+// may wait there.
+func (c *Conn) Through() bool { return c.through }
+
 // Do sends a request and returns its answer. The connection must be discarded
 // after an error.
 func (c *Conn) Do(request statement.Request, deadline time.Time) (statement.Answer, error) {
