--- a/internal/traffic/link/link.go
+++ b/internal/traffic/link/link.go
@@ -85,10 +85,12 @@
 	Link struct {
 		options     Options
 		incarnation uint64
-		mu          sync.Mutex
-		members     []netip.AddrPort
-		leader      netip.AddrPort
-		next        int
+		// mu guards seeds, members, leader and next.
+		mu      sync.Mutex
+		seeds   []netip.AddrPort
+		members []netip.AddrPort
+		leader  netip.AddrPort
+		next    int
 		// servers guards roster, proxies and peers.
 		servers sync.Mutex
 		// Where nothing else is said, the fields below belong to the renewing
@@ -115,7 +117,8 @@
 // New returns a link.
 func New(options Options) *Link {
 	return &Link{
-		options: options, incarnation: rand.Uint64() | 1, members: slices.Clone(options.Seeds),
+		options: options, incarnation: rand.Uint64() | 1,
+		seeds: slices.Clone(options.Seeds), members: slices.Clone(options.Seeds),
 		nudge:  make(chan struct{}, 1),
 		roster: roster.New(), told: map[cluster.GroupName]tenure.Primacy{}, next: rand.IntN(max(1, len(options.Seeds))),
 	}
@@ -230,15 +233,27 @@
 // learnMembers takes the control nodes that the leader named. The seeds stay
 // known, in case that all of them are replaced.
 func (l *Link) learnMembers(names []string, leader netip.AddrPort) {
-	members := slices.Clone(l.options.Seeds)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	members := slices.Clone(l.seeds)
 	for _, name := range names {
 		if address, err := netip.ParseAddrPort(name); err == nil && !slices.Contains(members, address) {
 			members = append(members, address)
 		}
 	}
+	l.members, l.leader = members, leader
+}
+
+// SetSeeds takes other seeds. Control nodes that are known stay known.
+func (l *Link) SetSeeds(seeds []netip.AddrPort) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.members, l.leader = members, leader
+	l.seeds = slices.Clone(seeds)
+	for _, seed := range seeds {
+		if !slices.Contains(l.members, seed) {
+			l.members = append(l.members, seed)
+		}
+	}
 }
 
 func (l *Link) releases() []*fleetpb.Release {
--- a/internal/traffic/link/link_test.go
+++ b/internal/traffic/link/link_test.go
@@ -182,3 +182,13 @@
 		}
 	}
 }
+
+// TestOtherSeeds has all control nodes exchanged for others before this proxy
+// found one.
+func TestOtherSeeds(t *testing.T) {
+	control := &fakeControl{version: 8, fetching: make(chan struct{})}
+	close(control.fetching)
+	l, _, rights := start(t, netip.MustParseAddrPort("127.0.0.1:1"))
+	l.SetSeeds([]netip.AddrPort{serve(t, control)})
+	until(t, "the lease is there", func() bool { return rights.Left(time.Now()) > 0 })
+}
