A failed statement's line tells of the server's load; the advice is true

The advice was to come back after 8 ms whatever waited. Change: the lines of late and failed statements hold the proxy's running and waiting statements, connections, and lately and usual time of the server tried last; the advice is the time that the work there takes.

--- a/internal/traffic/session/attempt.go
+++ b/internal/traffic/session/attempt.go
@@ -62,8 +62,8 @@
 		// avoid are servers that failed this statement.
 		avoid map[cluster.ServerName]bool
 		last  string
-		// server is the one tried last.
-		server cluster.ServerName
+		// server is the one tried last, nil if none was.
+		server *upstream.Server
 	}
 
 	// place is where a statement runs.
@@ -122,7 +122,11 @@
 	if answer.Code == statement.TimedOut || answer.Code == statement.Failed {
 		code = answer.Code
 	}
-	return w.refusal(code, "no attempt succeeded, last: "+w.last, busyPause)
+	after := busyPause
+	if w.server != nil {
+		after = max(after, w.server.Retry())
+	}
+	return w.refusal(code, "no attempt succeeded, last: "+w.last, after)
 }
 
 // refusal says that nothing ran, and when to come back.
@@ -279,7 +283,7 @@
 // it hasn't run, or only reads.
 func (w *work) try(p place) (answer statement.Answer, again bool) {
 	core := w.s.core
-	w.server = p.server.Info().Name
+	w.server = p.server
 	keepTicket := false
 	defer func() {
 		if p.onPrimary && !keepTicket {
@@ -478,11 +482,18 @@
 		}
 		message = "statement late"
 	}
-	w.s.core.options.Logger.Info(message, "request-id", w.next.ID, "database", w.s.database,
+	now := w.s.core.options.Now()
+	logger := w.s.core.options.Logger
+	if w.server != nil {
+		load := w.server.Load(now)
+		logger = logger.WithValues("server", w.server.Info().Name, "server-running", load.Running, "server-waiting", load.Waiting,
+			"server-connections", load.Open, "server-lately-ms", load.Lately.Milliseconds(), "server-usual-ms", load.Usual.Milliseconds())
+	}
+	logger.Info(message, "request-id", w.next.ID, "database", w.s.database,
 		"group", w.route.Group, "verb", w.next.Verb.String(), "outcome", answer.Code.String(), "reason", answer.Detail,
-		"last-attempt", w.last, "attempts", w.attempts, "server", w.server, "waited-ms", w.waited.Milliseconds(), "total-ms", total.Milliseconds(),
+		"last-attempt", w.last, "attempts", w.attempts, "waited-ms", w.waited.Milliseconds(), "total-ms", total.Milliseconds(),
 		"term", w.s.core.options.Tenure.Term(w.route.Group),
-		"lease-left-ms", w.s.core.options.Tenure.Left(w.s.core.options.Now()).Milliseconds())
+		"lease-left-ms", w.s.core.options.Tenure.Left(now).Milliseconds())
 	return answer
 }
 
--- a/internal/traffic/session/retry_test.go
+++ b/internal/traffic/session/retry_test.go
@@ -1,6 +1,8 @@
 package session
 
 import (
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -66,3 +68,19 @@
 		t.Errorf("third try: got a wait since %v ms, want 0", got.Sub(start).Milliseconds())
 	}
 }
+
+// TestARefusalSaysWhenToComeBack has a server that takes 200 ms for a statement:
+// 8 ms was the advice whatever it took.
+func TestARefusalSaysWhenToComeBack(t *testing.T) {
+	b := newBed(t)
+	b.script("p", "READ 1", reaction{before: func() { time.Sleep(200 * time.Millisecond) }})
+	b.play("primary", "READ 1")
+	server, _ := b.core.options.Upstream.Server("p")
+	w := &work{s: &session{core: b.core}, server: server, last: "busy"}
+	answer := w.giveUp(statement.Answer{Code: statement.Busy})
+	_, advice, _ := strings.Cut(answer.Detail, "retry after ")
+	ms, err := strconv.Atoi(strings.TrimSuffix(advice, " ms"))
+	if err != nil || ms < 50 {
+		t.Errorf("got %q, want the time that a statement takes there, divided by its 4 slots", answer.Detail)
+	}
+}
--- a/internal/traffic/upstream/sight.go
+++ b/internal/traffic/upstream/sight.go
@@ -24,6 +24,22 @@
 	s.m.suspect()
 }
 
+// Load is what a proxy knows of the work at a server.
+type Load struct {
+	// Running and Waiting are this proxy's statements that the server executes
+	// and that wait here, Open its connections.
+	Running, Waiting, Open int
+	// Lately is what a statement took lately, Usual what it takes without load.
+	Lately, Usual time.Duration
+}
+
+// Load returns the work at the server as of now.
+func (s *Server) Load(now time.Time) Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Load{Running: s.active, Waiting: s.waiters.Len(), Open: s.open(), Lately: s.latencyBy(now), Usual: s.usual}
+}
+
 // silent notes a request of began whose answer didn't come. If others were
 // answered since, or if this process didn't run, it says nothing about the
 // server: the answer was lost.
