A leader that a control node names is asked at once

Ruled out: the election (0.03 s after the second node was up). Change: a named leader is asked without a pause, once in a row; the longest pause is 50 ms.

--- a/internal/traffic/link/link.go
+++ b/internal/traffic/link/link.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -48,7 +49,7 @@
 	reportTimeout = 500 * time.Millisecond
 	// leastPause and mostPause bound the pause after a failed renewal.
 	leastPause = 20 * time.Millisecond
-	mostPause  = 100 * time.Millisecond
+	mostPause  = 50 * time.Millisecond
 	// reportPause is the least time between two reports of one suspicion.
 	reportPause = 100 * time.Millisecond
 	// softTick is the pause between two looks at a pending release.
@@ -141,13 +142,18 @@
 }
 
 func (l *Link) renewAll(ctx context.Context) error {
-	wait := leastPause
+	wait, directed := leastPause, false
 	for ctx.Err() == nil {
 		target := l.target()
 		err := l.renew(ctx, target)
 		l.note(ctx, target, err)
 		if err == nil {
-			wait = leastPause
+			wait, directed = leastPause, false
+			continue
+		}
+		// The leader that a node named is asked at once, but two nodes that
+		// name each other aren't asked by turns without a pause.
+		if directed = !directed && errors.Is(err, errNotLed) && l.leaderKnown(); directed {
 			continue
 		}
 		pause.For(ctx, wait/2+rand.N(wait/2))
@@ -156,6 +162,12 @@
 	return nil
 }
 
+func (l *Link) leaderKnown() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leader.IsValid()
+}
+
 // target returns the leader as far as known, else the next control node.
 func (l *Link) target() netip.AddrPort {
 	l.mu.Lock()
--- a/internal/traffic/link/link_test.go
+++ b/internal/traffic/link/link_test.go
@@ -27,6 +27,7 @@
 	fleetpb.Fleet
 	leader   string
 	version  uint64
+	asked    atomic.Int64
 	renewals atomic.Int64
 	fetches  atomic.Int64
 	// fetching blocks fetches until it is closed.
@@ -34,6 +35,7 @@
 }
 
 func (f *fakeControl) Renew(_ context.Context, r *fleetpb.RenewRequest) (*fleetpb.RenewResponse, error) {
+	f.asked.Add(1)
 	if f.leader != "" {
 		return &fleetpb.RenewResponse{Leader: f.leader}, nil
 	}
@@ -192,3 +194,20 @@
 	l.SetSeeds([]netip.AddrPort{serve(t, control)})
 	until(t, "the lease is there", func() bool { return rights.Left(time.Now()) > 0 })
 }
+
+// TestNodesThatNameEachOther has two control nodes of which each takes the other
+// for the leader: they aren't asked without a pause.
+func TestNodesThatNameEachOther(t *testing.T) {
+	first, second := &fakeControl{}, &fakeControl{}
+	a, b := serve(t, first), serve(t, second)
+	first.leader, second.leader = b.String(), a.String()
+	l, _, _ := start(t, a, b)
+	const span = 500 * time.Millisecond
+	time.Sleep(span)
+	if got, most := first.asked.Load()+second.asked.Load(), int64(4*span/leastPause); got > most {
+		t.Errorf("got %d calls in %v, want %d at most", got, span, most)
+	}
+	if l.options.Tenure.Left(time.Now()) != 0 {
+		t.Error("got a lease from nodes that don't lead")
+	}
+}
