Servers that don't answer don't hold up the look at the others

Change: connections are opened and servers looked at by actors of their own. Test: TestUnreachableServersDontStallTheLook.

--- /dev/null
+++ b/internal/traffic/upstream/run_test.go
@@ -0,0 +1,58 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/burdockwood/burdockwood/internal/fleet/roster"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/traffic/backend"
+	"github.com/burdockwood/burdockwood/internal/traffic/ownership"
+)
+
+// TestUnreachableServersDontStallTheLook has more servers to open connections to
+// than are opened at once, none of which answers.
+func TestUnreachableServersDontStallTheLook(t *testing.T) {
+	answer := make(chan struct{})
+	m := New(Options{
+		Dial: func(roster.Server, time.Duration) (backend.Conn, error) {
+			<-answer
+			return nil, backend.ErrSilent
+		},
+		Now: time.Now, Logger: logr.Discard(),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error { return m.Run(ctx) })
+	var servers []roster.Server
+	for i := range 3 * openerLimit {
+		servers = append(servers, roster.Server{Name: cluster.ServerName(fmt.Sprint("s", i)), Group: "g", Slots: 2})
+	}
+	m.Update(servers, func(roster.Server) ownership.Plan { return ownership.Plan{Direct: true, Share: 1, Holders: 1} })
+	for len(m.toOpen) > 2*openerLimit {
+		time.Sleep(time.Millisecond)
+	}
+	before := m.stalls.ticked.Load()
+	for range 2000 {
+		if now := m.stalls.ticked.Load(); now != nil && before != nil && now.Sub(*before) >= 3*tickInterval {
+			break
+		}
+		if before == nil {
+			before = m.stalls.ticked.Load()
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if now := m.stalls.ticked.Load(); now == nil || before == nil || !now.After(*before) {
+		t.Error("got no look at the servers while connections are being opened")
+	}
+	close(answer)
+	cancel()
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/traffic/upstream/upstream.go
+++ b/internal/traffic/upstream/upstream.go
@@ -31,6 +31,7 @@
 
 	"github.com/burdockwood/burdockwood/internal/fleet/roster"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/ops/actor"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 	"github.com/burdockwood/burdockwood/internal/traffic/ownership"
 )
@@ -195,22 +196,44 @@
 // Run opens connections ahead of their use, closes those that aren't needed
 // and looks for silent servers until ctx ends.
 func (m *Manager) Run(ctx context.Context) error {
-	var group errgroup.Group
-	group.SetLimit(openerLimit)
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	return actor.Run(ctx, m.openAll, m.lookAll, func(ctx context.Context) error {
+		<-ctx.Done()
+		m.closeAll()
+		return nil
+	})
+}
+
+// openAll opens connections ahead of their use. It may wait for servers that
+// don't answer.
+func (m *Manager) openAll(ctx context.Context) error {
+	var openers errgroup.Group
+	openers.SetLimit(openerLimit)
 	for {
 		select {
 		case <-ctx.Done():
-			m.closeAll()
-			return group.Wait()
+			return openers.Wait()
 		case s := <-m.toOpen:
-			group.Go(func() error {
+			openers.Go(func() error {
 				s.openFirst()
 				return nil
 			})
+		}
+	}
+}
+
+// lookAll looks at all servers, and waits for none: a late look counts as a stall
+// of this process.
+func (m *Manager) lookAll(ctx context.Context) error {
+	var probes errgroup.Group
+	probes.SetLimit(openerLimit)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return probes.Wait()
 		case <-ticker.C:
-			m.look(&group)
+			m.look(&probes)
 		}
 	}
 }
