A session keeps a digest of its operations, not their text

Cause (read, not seen): a session kept the statement that began its present and its last failed operation; a text may have 1 MiB, and a VM has 184 MB. Change: a digest of verb, name and text. Test: TestTheNextTryHasWaitedSinceTheFirst as before.

--- a/internal/traffic/session/retry.go
+++ b/internal/traffic/session/retry.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
 )
 
@@ -18,7 +20,9 @@
 // operation is what a caller wants done: a statement, or a transaction that
 // begins with it.
 type operation struct {
-	first statement.Statement
+	// first is the digest of the statement that begins it: the text may be
+	// large, and each session keeps two operations.
+	first uint64
 	// since is when the caller began to wait for it.
 	since time.Time
 	// ended is when it failed.
@@ -40,7 +44,7 @@
 	case s.failed.again(first, now):
 		since = s.failed.since
 	}
-	s.op = operation{first: first, since: since}
+	s.op = operation{first: digest(first), since: since}
 	return since
 }
 
@@ -55,5 +59,16 @@
 	if o.ended.IsZero() || now.Sub(o.ended) > retryWindow {
 		return false
 	}
-	return o.first.Verb == first.Verb && o.first.Name == first.Name && o.first.Text == first.Text
+	return o.first == digest(first)
+}
+
+// digest returns the same number for the same verb, name and text.
+func digest(s statement.Statement) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range []string{s.Verb.String(), s.Name, s.Text} {
+		_, _ = d.WriteString(part) // it never fails
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
 }
