--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -12,8 +12,10 @@
 // proxies: the time that a server lately took tells of the others' work, the
 // own outstanding work of what comes next. A slow, cold or silent server gets
 // less at once. Reads leave the primary to writes as long as a replica is about
-// as fast, and for longer where writes wait for it, as after a restart. A replica that lagged is asked again only after a pause, unless it
-// is known to have caught up.
+// as fast, and for longer where writes wait for it, as after a restart. A replica
+// that lagged is asked again only after a pause, unless it is known to have caught
+// up. A server that fails part of its statements answers them soon and looks idle:
+// it counts as if each were asked until it is answered.
 package placement
 
 import (
--- a/internal/traffic/session/session.go
+++ b/internal/traffic/session/session.go
@@ -12,6 +12,16 @@
 	"github.com/burdockwood/burdockwood/internal/traffic/upstream"
 )
 
+const (
+	// idleMisplaced is how long a session may be idle that this proxy can't
+	// serve: a few round trips, so that no request is on its way when it is
+	// closed.
+	idleMisplaced = 20 * time.Millisecond
+	// undoTimeout bounds the rollback on a connection; one that takes longer
+	// is closed, which undoes the same.
+	undoTimeout = 300 * time.Millisecond
+)
+
 type (
 	// session is one caller's connection.
 	session struct {
@@ -88,10 +98,6 @@
 	}
 }
 
-// idleMisplaced is how long a session may be idle that this proxy can't serve: a
-// few round trips, so that no request is on its way when it is closed.
-const idleMisplaced = 20 * time.Millisecond
-
 // idleDeadline returns the end of the time that an open transaction may rest, or
 // that a session may be idle while the proxy stops or is parted from control.
 func (s *session) idleDeadline() time.Time {
@@ -238,10 +244,6 @@
 	s.endTicket(tx)
 }
 
-// undoTimeout bounds the rollback on a connection; one that takes longer is
-// closed, which undoes the same.
-const undoTimeout = 300 * time.Millisecond
-
 func (s *session) undoOn(conn *upstream.Conn, valuesChanged bool) {
 	if valuesChanged {
 		conn.Unsure()
--- a/internal/traffic/upstream/sight.go
+++ b/internal/traffic/upstream/sight.go
@@ -8,6 +8,28 @@
 	"time"
 )
 
+const (
+	// faultWeight is the weight of one statement in the share that fails: ten
+	// in a row are noticed, one isn't.
+	faultWeight = 0.1
+	// faultHalfLife is the time in which the share halves without statements,
+	// so that the server is tried again.
+	faultHalfLife = 2 * time.Second
+	// latencyHalfLife is the time in which what a statement lately took comes
+	// half the way back to what is usual: a server that was slow and is
+	// avoided for it would never be seen to be fast again.
+	latencyHalfLife = time.Second
+)
+
+// Load is what a proxy knows of the work at a server.
+type Load struct {
+	// Running and Waiting are this proxy's statements that the server executes
+	// and that wait here, Open its connections.
+	Running, Waiting, Open int
+	// Lately is what a statement took lately, Usual what it takes without load.
+	Lately, Usual time.Duration
+}
+
 // fails notes that the server didn't answer, at the earliest since.
 func (s *Server) fails(since time.Time, refused bool) {
 	if s.heard.After(since) {
@@ -24,15 +46,6 @@
 	s.m.suspect()
 }
 
-// Load is what a proxy knows of the work at a server.
-type Load struct {
-	// Running and Waiting are this proxy's statements that the server executes
-	// and that wait here, Open its connections.
-	Running, Waiting, Open int
-	// Lately is what a statement took lately, Usual what it takes without load.
-	Lately, Usual time.Duration
-}
-
 // Load returns the work at the server as of now.
 func (s *Server) Load(now time.Time) Load {
 	s.mu.Lock()
@@ -96,15 +109,6 @@
 	s.mu.Unlock()
 }
 
-const (
-	// faultWeight is the weight of one statement in the share that fails: ten
-	// in a row are noticed, one isn't.
-	faultWeight = 0.1
-	// faultHalfLife is the time in which the share halves without statements,
-	// so that the server is tried again.
-	faultHalfLife = 2 * time.Second
-)
-
 // outcome notes whether a statement failed at the server.
 func (s *Server) outcome(failed bool, now time.Time) {
 	share := (1 - faultWeight) * s.faultShare(now)
@@ -122,11 +126,6 @@
 	return s.faults * math.Exp2(-float64(now.Sub(s.faultAt))/float64(faultHalfLife))
 }
 
-// latencyHalfLife is the time in which what a statement lately took comes half
-// the way back to what is usual: a server that was slow and is avoided for it
-// would never be seen to be fast again.
-const latencyHalfLife = time.Second
-
 // latencyBy returns what a statement is expected to take now.
 func (s *Server) latencyBy(now time.Time) time.Duration {
 	excess := float64(s.latency - s.usual)
