--- a/internal/proxy/conn/quiet.go
+++ b/internal/model/socket/socket.go
@@ -1,13 +1,21 @@
-package conn
+// Package socket looks at open connections.
+//
+// # Usage
+//
+//	if !socket.IsQuiet(conn) {
+//		// the other end closed it, or sent something unasked
+//	}
+package socket
 
 import (
 	"net"
 	"syscall"
 )
 
-// isQuiet looks at a socket without waiting: true if it is open and has
-// nothing to read.
-func isQuiet(c net.Conn) bool {
+// IsQuiet looks at a socket without waiting: true if it is open and has
+// nothing to read. Deadlines of the connection don't matter. One that isn't a
+// socket of its own counts as quiet.
+func IsQuiet(c net.Conn) bool {
 	raw, ok := c.(syscall.Conn)
 	if !ok {
 		return true
--- a/internal/proxy/conn/conn.go
+++ b/internal/proxy/conn/conn.go
@@ -23,6 +23,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/rotisserie/eris"
 
+	"github.com/burdockwood/burdockwood/internal/model/socket"
 	"github.com/burdockwood/burdockwood/internal/proxy/wire"
 )
 
@@ -194,7 +195,7 @@
 	if !c.IsClean() {
 		return false
 	}
-	return isQuiet(c.net)
+	return socket.IsQuiet(c.net)
 }
 
 // Close ends the connection.
