--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -27,6 +27,7 @@
 	"github.com/burdockwood/burdockwood/internal/control/registry"
 	"github.com/burdockwood/burdockwood/internal/control/replica"
 	"github.com/burdockwood/burdockwood/internal/control/state"
+	"github.com/burdockwood/burdockwood/internal/model/broadcast"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 )
 
@@ -94,7 +95,7 @@
 		epoch    uint64
 		since    time.Time
 		revision uint64
-		changed  chan struct{}
+		changed  broadcast.Signal
 		// fullAfter is the revision at which a group was last removed.
 		fullAfter uint64
 		// groupsRevision is that of the group that changed last.
@@ -165,7 +166,6 @@
 	return &Coordinator{
 		log: log, machine: machine, parse: parse,
 		actions: make(chan Action, actionQueue),
-		changed: make(chan struct{}),
 	}
 }
 
@@ -179,9 +179,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if p, ok := c.proxies[name]; ok {
-		own = p.changed
+		own = p.changed.Next()
 	}
-	return c.changed, own
+	return c.changed.Next(), own
 }
 
 // Announce takes in what a server announces, or tells why not. Errors:
@@ -316,8 +316,7 @@
 // bump returns the next revision and wakes those that wait for changes.
 func (c *Coordinator) bump() uint64 {
 	c.revision++
-	close(c.changed)
-	c.changed = make(chan struct{})
+	c.changed.Notify()
 	return c.revision
 }
 
--- a/internal/control/coordinator/proxies.go
+++ b/internal/control/coordinator/proxies.go
@@ -12,6 +12,7 @@
 	"github.com/burdockwood/burdockwood/internal/control/failover"
 	"github.com/burdockwood/burdockwood/internal/control/grant"
 	"github.com/burdockwood/burdockwood/internal/control/state"
+	"github.com/burdockwood/burdockwood/internal/model/broadcast"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 )
 
@@ -58,8 +59,8 @@
 		drain          bool
 		drainRevision  uint64
 		registerAt     time.Time
-		// changed is closed when something changed for this proxy alone.
-		changed chan struct{}
+		// changed tells that something changed for this proxy alone.
+		changed broadcast.Signal
 	}
 )
 
@@ -120,7 +121,6 @@
 	p := &proxy{
 		uses:    map[ServerKey]grant.Use{},
 		servers: map[ServerKey]struct{}{},
-		changed: make(chan struct{}),
 	}
 	if earlier != nil {
 		p.servers = earlier.servers
@@ -201,8 +201,7 @@
 
 // wake tells the proxy's held heartbeats that something changed for it alone.
 func (p *proxy) wake() {
-	close(p.changed)
-	p.changed = make(chan struct{})
+	p.changed.Notify()
 }
 
 func (p *proxy) isLive(now time.Time) bool { return now.Sub(p.heard) <= ProxySilentAfter }
--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -40,6 +40,7 @@
 	"github.com/burdockwood/burdockwood/internal/control/quorum"
 	"github.com/burdockwood/burdockwood/internal/control/replica"
 	"github.com/burdockwood/burdockwood/internal/control/wal"
+	"github.com/burdockwood/burdockwood/internal/model/broadcast"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 )
 
@@ -136,7 +137,7 @@
 
 		view    atomic.Pointer[view]
 		members atomic.Pointer[[]replica.MemberInfo]
-		changed atomic.Pointer[chan struct{}]
+		changed broadcast.Signal
 		index   atomic.Uint64
 	}
 
@@ -168,8 +169,6 @@
 		proposals: map[uint64]*proposal{},
 		reads:     map[uint64]*read{},
 	}
-	changed := make(chan struct{})
-	n.changed.Store(&changed)
 	n.view.Store(&view{})
 	n.members.Store(&[]replica.MemberInfo{})
 	if err := n.open(); err != nil {
@@ -342,4 +341,4 @@
 
 // Changes returns a channel that is closed at the next change of the leader or
 // of this node's leadership.
-func (n *Node) Changes() <-chan struct{} { return *n.changed.Load() }
+func (n *Node) Changes() <-chan struct{} { return n.changed.Next() }
--- a/internal/control/node/publish.go
+++ b/internal/control/node/publish.go
@@ -35,8 +35,7 @@
 		return
 	}
 	n.logger.Info("leadership changed", "epoch", next.epoch, "leads", next.leads, "leader", next.leader.Name)
-	changed := make(chan struct{})
-	close(*n.changed.Swap(&changed))
+	n.changed.Notify()
 }
 
 // address returns the address of a listed node.
--- a/internal/control/revive/revive.go
+++ b/internal/control/revive/revive.go
@@ -15,7 +15,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +23,7 @@
 
 	"github.com/burdockwood/burdockwood/internal/control/quorum"
 	"github.com/burdockwood/burdockwood/internal/control/replica"
+	"github.com/burdockwood/burdockwood/internal/model/broadcast"
 	"github.com/burdockwood/burdockwood/internal/model/pause"
 	"github.com/burdockwood/burdockwood/internal/ops/logging"
 	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
@@ -64,9 +64,8 @@
 	Log struct {
 		options Options
 		current atomic.Pointer[holder]
-		mu      sync.Mutex
-		// opened is closed and replaced when a node was opened.
-		opened chan struct{}
+		// opened tells that a node was opened or stopped.
+		opened broadcast.Signal
 	}
 
 	holder struct{ node Node }
@@ -76,7 +75,7 @@
 
 // New returns a log without a node; Run opens it.
 func New(options Options) *Log {
-	return &Log{options: options, opened: make(chan struct{})}
+	return &Log{options: options}
 }
 
 // Run opens and runs nodes until ctx ends.
@@ -117,10 +116,7 @@
 // replace sets the node in use and wakes those who wait for a change.
 func (l *Log) replace(h *holder) {
 	l.current.Store(h)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	close(l.opened)
-	l.opened = make(chan struct{})
+	l.opened.Notify()
 }
 
 func (l *Log) node() Node {
@@ -181,9 +177,7 @@
 // Changes returns a channel that is closed at the next change of the leader, or
 // when a node was opened or stopped.
 func (l *Log) Changes() <-chan struct{} {
-	l.mu.Lock()
-	opened := l.opened
-	l.mu.Unlock()
+	opened := l.opened.Next()
 	if n := l.node(); n != nil {
 		return n.Changes()
 	}
--- a/internal/control/state/machine.go
+++ b/internal/control/state/machine.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/burdockwood/burdockwood/internal/model/broadcast"
 )
 
 // snapshotFormat is the version of the encoding of snapshots. A newer release
@@ -16,9 +18,8 @@
 type (
 	// Machine is the state machine; it implements replica.Machine.
 	Machine struct {
-		view atomic.Pointer[State]
-		// changed is closed and replaced with each change.
-		changed atomic.Pointer[chan struct{}]
+		view    atomic.Pointer[State]
+		changed broadcast.Signal
 	}
 
 	snapshot struct {
@@ -30,8 +31,6 @@
 // New returns a machine with an empty state.
 func New() *Machine {
 	m := &Machine{}
-	changed := make(chan struct{})
-	m.changed.Store(&changed)
 	m.view.Store(empty())
 	return m
 }
@@ -41,7 +40,7 @@
 
 // Changed returns a channel that is closed at the next change. Take it before
 // View, so that no change is missed.
-func (m *Machine) Changed() <-chan struct{} { return *m.changed.Load() }
+func (m *Machine) Changed() <-chan struct{} { return m.changed.Next() }
 
 // Apply executes a committed command. A command that this release doesn't
 // know changes nothing.
@@ -82,8 +81,7 @@
 
 func (m *Machine) publish(next *State) {
 	m.view.Store(next)
-	fresh := make(chan struct{})
-	close(*m.changed.Swap(&fresh))
+	m.changed.Notify()
 }
 
 func empty() *State {
--- a/internal/fleet/coordinator/conduct.go
+++ b/internal/fleet/coordinator/conduct.go
@@ -82,7 +82,7 @@
 	running := map[cluster.GroupName]bool{}
 	for {
 		c.mu.Lock()
-		news, groups := l.news, l.roster.Groups()
+		news, groups := l.news.Next(), l.roster.Groups()
 		c.mu.Unlock()
 		for group := range c.options.Machine.View().Primacies {
 			groups = append(groups, group)
@@ -112,7 +112,7 @@
 	defer timer.Stop()
 	for ctx.Err() == nil {
 		k.c.mu.Lock()
-		news := k.l.news
+		news := k.l.news.Next()
 		k.c.mu.Unlock()
 		again := k.step(ctx)
 		timer.Reset(again)
@@ -373,7 +373,7 @@
 	askAt := began.Add(leadPoll)
 	for now := began; now.Sub(began) < leadPatience && ctx.Err() == nil; now = k.c.options.Now() {
 		k.c.mu.Lock()
-		news := k.l.news
+		news := k.l.news.Next()
 		k.c.mu.Unlock()
 		server, known := k.server(p.Target)
 		if !known {
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -32,6 +32,7 @@
 	"github.com/burdockwood/burdockwood/internal/fleet/roster"
 	"github.com/burdockwood/burdockwood/internal/fleet/state"
 	"github.com/burdockwood/burdockwood/internal/fleet/succession"
+	"github.com/burdockwood/burdockwood/internal/model/broadcast"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/ops/metrics"
 )
@@ -139,9 +140,9 @@
 		peers    map[cluster.ProxyName]Peer
 		// peersChanged tells that the proxies don't know the present peers.
 		peersChanged bool
-		// news is closed and replaced with each change that proxies or the
-		// changes of primaries wait for.
-		news  chan struct{}
+		// news tells of each change that proxies or the changes of primaries
+		// wait for.
+		news  broadcast.Signal
 		ended chan struct{}
 	}
 
@@ -202,7 +203,7 @@
 		settled: map[cluster.GroupName]settledAt{},
 		unsaved: map[cluster.ServerName]struct{}{},
 		peers:   map[cluster.ProxyName]Peer{},
-		news:    make(chan struct{}), ended: make(chan struct{}),
+		ended:   make(chan struct{}),
 	}
 	l.recall(c.options.Machine.View().Servers, now)
 	c.mu.Lock()
@@ -299,8 +300,7 @@
 
 // wake wakes those who wait without a change that proxies must hear of.
 func (l *leadership) wake() {
-	close(l.news)
-	l.news = make(chan struct{})
+	l.news.Notify()
 }
 
 func (l *leadership) revisionName() string { return fmt.Sprintf("%d.%d", l.epoch, l.revision) }
--- a/internal/fleet/coordinator/serve.go
+++ b/internal/fleet/coordinator/serve.go
@@ -154,7 +154,7 @@
 	defer timer.Stop()
 	for {
 		c.mu.Lock()
-		news, stale := l.news, l.revisionName() != r.Revision
+		news, stale := l.news.Next(), l.revisionName() != r.Revision
 		c.mu.Unlock()
 		if stale || r.Leaving {
 			return nil
--- a/internal/fleet/coordinator/servers.go
+++ b/internal/fleet/coordinator/servers.go
@@ -35,7 +35,7 @@
 func (c *Coordinator) saveServers(ctx context.Context, l *leadership) error {
 	for {
 		c.mu.Lock()
-		news := l.news
+		news := l.news.Next()
 		change := l.takeUnsaved()
 		c.mu.Unlock()
 		if change == nil {
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -22,6 +22,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/burdockwood/burdockwood/internal/control/replica"
+	"github.com/burdockwood/burdockwood/internal/model/broadcast"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 )
 
@@ -123,7 +124,7 @@
 	// Machine holds the state; it implements replica.Machine.
 	Machine struct {
 		view    atomic.Pointer[State]
-		changed atomic.Pointer[chan struct{}]
+		changed broadcast.Signal
 	}
 
 	snapshot struct {
@@ -137,8 +138,6 @@
 // New returns a machine with an empty state.
 func New() *Machine {
 	m := &Machine{}
-	changed := make(chan struct{})
-	m.changed.Store(&changed)
 	m.view.Store(empty())
 	return m
 }
@@ -166,7 +165,7 @@
 
 // Changed returns a channel that is closed at the next change. Take it before
 // View, so that no change is missed.
-func (m *Machine) Changed() <-chan struct{} { return *m.changed.Load() }
+func (m *Machine) Changed() <-chan struct{} { return m.changed.Next() }
 
 // Encode returns the form of a command that Apply takes.
 func Encode(c Command) ([]byte, error) {
@@ -278,8 +277,7 @@
 
 func (m *Machine) publish(s *State) {
 	m.view.Store(s)
-	next := make(chan struct{})
-	close(*m.changed.Swap(&next))
+	m.changed.Notify()
 }
 
 // String names the phase.
--- /dev/null
+++ b/internal/model/broadcast/broadcast_test.go
@@ -0,0 +1,58 @@
+package broadcast
+
+import (
+	"testing"
+
+	"golang.org/x/sync/errgroup"
+)
+
+func TestNotify(t *testing.T) {
+	var s Signal
+	s.Notify() // nobody waits
+	first, same := s.Next(), s.Next()
+	select {
+	case <-first:
+		t.Fatal("got a channel closed before the change")
+	default:
+	}
+	s.Notify()
+	<-first
+	<-same
+	select {
+	case <-s.Next():
+		t.Error("got a channel closed that was taken after the change")
+	default:
+	}
+}
+
+// TestNoChangeIsMissed has waiters look at a counter and wait for its end.
+func TestNoChangeIsMissed(t *testing.T) {
+	const changes = 1000
+	var s Signal
+	counter := make(chan int, 1)
+	counter <- 0
+	read := func() int {
+		n := <-counter
+		counter <- n
+		return n
+	}
+	var group errgroup.Group
+	for range 4 {
+		group.Go(func() error {
+			for {
+				next := s.Next()
+				if read() == changes {
+					return nil
+				}
+				<-next
+			}
+		})
+	}
+	for range changes {
+		counter <- <-counter + 1
+		s.Notify()
+	}
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -25,6 +25,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/burdockwood/burdockwood/internal/model/broadcast"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/standin/shiplog"
 )
@@ -99,7 +100,7 @@
 		mu         sync.Mutex
 		current    *Tx
 		generation int
-		changed    chan struct{}
+		changed    broadcast.Signal
 	}
 )
 
@@ -117,7 +118,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(ErrStorage, "%v", err)
 	}
-	e := &Engine{folder: options.Folder, log: log, writer: make(chan struct{}, 1), changed: make(chan struct{})}
+	e := &Engine{folder: options.Folder, log: log, writer: make(chan struct{}, 1)}
 	e.shipDelay.Store(int64(options.ShipDelay))
 	e.applyLag.Store(int64(options.ApplyLag))
 	e.state.Store(&State{Role: cluster.RoleReplica, Promised: promised, Received: log.End()})
@@ -139,11 +140,7 @@
 func (e *Engine) State() State { return *e.state.Load() }
 
 // Changed returns a channel that is closed at the next change of state.
-func (e *Engine) Changed() <-chan struct{} {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.changed
-}
+func (e *Engine) Changed() <-chan struct{} { return e.changed.Next() }
 
 // SetLag sets the age at which entries are sent and applied.
 func (e *Engine) SetLag(ship, apply time.Duration) {
@@ -286,8 +283,7 @@
 	next := e.State()
 	change(&next)
 	e.state.Store(&next)
-	close(e.changed)
-	e.changed = make(chan struct{})
+	e.changed.Notify()
 }
 
 // acquire takes the right to change the database.
--- a/internal/traffic/freshness/freshness.go
+++ b/internal/traffic/freshness/freshness.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"github.com/burdockwood/burdockwood/internal/model/broadcast"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 )
 
@@ -51,8 +52,8 @@
 		samples []Sample
 		// latest is the newest sample, kept whatever its distance.
 		latest Sample
-		// noted is closed with the next sample; nil: nobody waits.
-		noted chan struct{}
+		// noted tells of the next sample.
+		noted broadcast.Signal
 		// asked is when a reader last went to the primary for a sample.
 		asked time.Time
 	}
@@ -76,10 +77,7 @@
 	if s.At.After(l.latest.At) {
 		l.latest = s
 	}
-	if l.noted != nil {
-		close(l.noted)
-		l.noted = nil
-	}
+	l.noted.Notify()
 	if n := len(l.samples); n > 0 && s.At.Sub(l.samples[n-1].At) < spacing {
 		return
 	}
@@ -137,14 +135,7 @@
 }
 
 // Noted returns a channel that is closed with the next sample.
-func (l *Log) Noted() <-chan struct{} {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.noted == nil {
-		l.noted = make(chan struct{})
-	}
-	return l.noted
-}
+func (l *Log) Noted() <-chan struct{} { return l.noted.Next() }
 
 // Latest returns the newest sample.
 func (l *Log) Latest() Sample {
--- a/internal/traffic/tenure/tenure.go
+++ b/internal/traffic/tenure/tenure.go
@@ -21,6 +21,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/burdockwood/burdockwood/internal/model/broadcast"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 )
 
@@ -60,11 +61,10 @@
 		mu     sync.Mutex
 		until  time.Time
 		groups map[cluster.GroupName]*group
-		// changed is closed and replaced when a primary or the lease
-		// becomes usable.
-		changed chan struct{}
-		// released is closed and replaced when a term was released.
-		released chan struct{}
+		// changed tells that a primary or the lease became usable.
+		changed broadcast.Signal
+		// released tells that a term was released.
+		released broadcast.Signal
 	}
 
 	group struct {
@@ -83,10 +83,7 @@
 
 // New returns a tenure without lease.
 func New() *Tenure {
-	return &Tenure{
-		groups:  map[cluster.GroupName]*group{},
-		changed: make(chan struct{}), released: make(chan struct{}),
-	}
+	return &Tenure{groups: map[cluster.GroupName]*group{}}
 }
 
 // Update takes a grant of control: the end of the lease, and the primacies if
@@ -112,8 +109,7 @@
 	}
 	t.settle(now)
 	if usable {
-		close(t.changed)
-		t.changed = make(chan struct{})
+		t.changed.Notify()
 	}
 }
 
@@ -161,8 +157,7 @@
 		}
 	}
 	if any {
-		close(t.released)
-		t.released = make(chan struct{})
+		t.released.Notify()
 	}
 }
 
@@ -260,15 +255,7 @@
 }
 
 // Changed returns a channel that is closed when a primary becomes usable.
-func (t *Tenure) Changed() <-chan struct{} {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.changed
-}
+func (t *Tenure) Changed() <-chan struct{} { return t.changed.Next() }
 
 // Released returns a channel that is closed when a term was released.
-func (t *Tenure) Released() <-chan struct{} {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.released
-}
+func (t *Tenure) Released() <-chan struct{} { return t.released.Next() }
