--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -69,10 +69,11 @@
 		if !answer.Mark.IsZero() {
 			s.held, s.heldAt = answer.Mark, now
 		}
-		if ran := len(answer.Signature) > 1; ran || answer.Code == statement.Failed {
+		ran := answer.Code == statement.OK && len(answer.Signature) > 1
+		if ran || answer.Code == statement.Failed {
 			s.outcome(!ran, now)
 		}
-		if answer.Code == statement.OK && len(answer.Signature) > 1 && s.m.stalls.lastEnd(now).Before(began) {
+		if ran && s.m.stalls.lastEnd(now).Before(began) {
 			s.took(now.Sub(began), now)
 		}
 		if answer.Code == statement.OK && !request.After.IsZero() {
