--- a/internal/measure/relay/link.go
+++ b/internal/measure/relay/link.go
@@ -12,28 +12,36 @@
 	return l.class
 }
 
-// set changes the link's mode. A link that was cut or refused ends.
+// set changes the link's mode. A link that was cut, also one way, or refused ends.
 func (l *link) set(mode Mode) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if mode == l.mode {
 		return
 	}
-	if mode == Refused || l.mode == Cut {
+	if mode == Refused || l.mode == Cut || l.mode == OneWay {
 		l.closeLocked()
 	}
 	l.mode = mode
-	close(l.changed)
-	l.changed = make(chan struct{})
+	l.changed.Notify()
 }
 
-// await returns once the link is open.
-func (l *link) await(ctx context.Context) error {
+// silence holds bytes for good.
+func (l *link) silence(mode Mode) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent = mode
+	l.changed.Notify()
+}
+
+// await returns once the link is open in a direction.
+func (l *link) await(ctx context.Context, d direction) error {
 	for {
+		changed := l.changed.Next()
 		l.mu.Lock()
-		mode, changed := l.mode, l.changed
+		mode := max(l.mode, l.silent)
 		l.mu.Unlock()
-		if mode == Open {
+		if mode == Open || mode == OneWay && d == forth {
 			return nil
 		}
 		select {
@@ -93,12 +101,12 @@
 
 // write delivers bytes when they are due and the link is open. It ends the
 // link after the last byte.
-func (l *link) write(ctx context.Context, to net.Conn, from <-chan chunk) error {
+func (l *link) write(ctx context.Context, to net.Conn, from <-chan chunk, d direction) error {
 	for c := range from {
 		if err := sleepUntil(ctx, c.due); err != nil {
 			return err
 		}
-		if err := l.await(ctx); err != nil {
+		if err := l.await(ctx, d); err != nil {
 			return err
 		}
 		if _, err := to.Write(c.data); err != nil {
@@ -106,7 +114,7 @@
 		}
 		l.relay.bytes.Add(int64(len(c.data)))
 	}
-	if err := l.await(ctx); err != nil {
+	if err := l.await(ctx, d); err != nil {
 		return err
 	}
 	to.Close()
--- a/internal/measure/relay/relay.go
+++ b/internal/measure/relay/relay.go
@@ -11,8 +11,9 @@
 //
 // A frozen link holds bytes and delivers them after Heal, as a stopped process
 // does. A cut link holds bytes too, but its connections are reset by Heal, as
-// after a long partition. A refused link resets its connections and each new
-// one at once. Every buffer is bounded.
+// after a long partition; a link cut one way still forwards what callers send. A
+// refused link resets its connections and each new one at once. A connection that
+// was silenced stays so for good, while new ones work. Every buffer is bounded.
 package relay
 
 import (
@@ -26,6 +27,8 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/burdockwood/burdockwood/internal/model/broadcast"
 )
 
 const (
@@ -33,6 +36,9 @@
 	Open Mode = iota
 	// Frozen holds bytes until Heal.
 	Frozen
+	// OneWay forwards what callers send and holds the answers until Heal,
+	// which then resets the connections.
+	OneWay
 	// Cut holds bytes until Heal, which then resets the connections.
 	Cut
 	// Refused resets connections.
@@ -44,6 +50,12 @@
 	dialTimeout    = 2 * time.Second
 )
 
+const (
+	// forth is the way from the caller to the target, back the other.
+	forth direction = iota
+	back
+)
+
 // ErrListen tells that the relay can't listen.
 var ErrListen = eris.New("the relay cannot listen")
 
@@ -51,6 +63,9 @@
 	// Mode is how a link treats bytes.
 	Mode uint8
 
+	// direction is one way through a link.
+	direction uint8
+
 	// Options describe a relay.
 	Options struct {
 		// Listen is the address to listen on; empty: any port on loopback.
@@ -83,10 +98,12 @@
 		caller net.Conn
 		target net.Conn
 
-		mu      sync.Mutex
-		class   string
-		mode    Mode
-		changed chan struct{}
+		mu    sync.Mutex
+		class string
+		mode  Mode
+		// silent is OneWay or Cut for a connection that was silenced.
+		silent  Mode
+		changed broadcast.Signal
 	}
 
 	chunk struct {
@@ -161,6 +178,25 @@
 	r.update()
 }
 
+// Silence has the present connections hold bytes for good: the answers with
+// OneWay, both directions with Cut.
+func (r *Relay) Silence(mode Mode) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for l := range r.links {
+		l.silence(mode)
+	}
+}
+
+// Reset resets the present connections.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for l := range r.links {
+		l.close()
+	}
+}
+
 // Wait returns when the relay has ended.
 func (r *Relay) Wait() error {
 	err := r.group.Wait()
@@ -199,7 +235,7 @@
 
 // forward serves one connection until either side ends it.
 func (r *Relay) forward(ctx context.Context, caller net.Conn) {
-	l := &link{relay: r, caller: caller, changed: make(chan struct{})}
+	l := &link{relay: r, caller: caller}
 	if !r.add(l) {
 		reset(caller)
 		return
@@ -216,7 +252,7 @@
 	}
 	arrived := time.Now()
 	r.classify(l, first[:n])
-	if l.await(ctx) != nil {
+	if l.await(ctx, forth) != nil {
 		return
 	}
 	if err := l.dial(ctx); err != nil {
@@ -227,12 +263,12 @@
 	group, ctx := errgroup.WithContext(ctx)
 	stopGroup := context.AfterFunc(ctx, l.close)
 	defer stopGroup()
-	out, back := make(chan chunk, maxChunks), make(chan chunk, maxChunks)
+	out, answers := make(chan chunk, maxChunks), make(chan chunk, maxChunks)
 	out <- chunk{data: first[:n], due: arrived.Add(r.delay())}
 	group.Go(func() error { return l.read(ctx, caller, out) })
-	group.Go(func() error { return l.write(ctx, l.target, out) })
-	group.Go(func() error { return l.read(ctx, l.target, back) })
-	group.Go(func() error { return l.write(ctx, caller, back) })
+	group.Go(func() error { return l.write(ctx, l.target, out, forth) })
+	group.Go(func() error { return l.read(ctx, l.target, answers) })
+	group.Go(func() error { return l.write(ctx, caller, answers, back) })
 	// Whichever direction ends first ends the link.
 	_ = group.Wait()
 }
--- a/internal/measure/relay/relay_test.go
+++ b/internal/measure/relay/relay_test.go
@@ -128,3 +128,65 @@
 		t.Errorf("end: %v", err)
 	}
 }
+
+func TestSilenceAndOneWay(t *testing.T) {
+	tests := []struct {
+		name    string
+		disturb func(*relay.Relay)
+		// wantNew is what a new connection gets for "new" meanwhile, wantOld
+		// what the old one gets after Heal.
+		wantNew, wantOld string
+		// wantForth is the number of bytes that still reach the target.
+		wantForth int64
+	}{
+		{"silenced for good, new ones work", func(r *relay.Relay) { r.Silence(relay.Cut) }, "new", "", 0},
+		{"answers silenced for good, new ones work", func(r *relay.Relay) { r.Silence(relay.OneWay) }, "new", "", 4},
+		{"cut one way", func(r *relay.Relay) { r.Set(relay.OneWay) }, "", "", 4},
+		{"reset, new ones work", func(r *relay.Relay) { r.Reset() }, "new", "", 0},
+		{"frozen", func(r *relay.Relay) { r.Set(relay.Frozen) }, "", "old", 0},
+	}
+	for _, test := range tests {
+		ctx, cancel := context.WithCancel(t.Context())
+		target := startEcho(t).Addr().(*net.TCPAddr).AddrPort()
+		r, err := relay.Start(ctx, relay.Options{Target: target})
+		if err != nil {
+			t.Fatal(err)
+		}
+		old := dial(t, r)
+		old.send("before")
+		if got := old.receive(patience); got != "before" {
+			t.Fatalf("%s: got %q before", test.name, got)
+		}
+		test.disturb(r)
+		before := r.Bytes()
+		// A reset may be noticed by the sending.
+		_, _ = old.conn.Write([]byte("old\n"))
+		if got := old.receive(silence); got != "" {
+			t.Errorf("%s: got %q on the old connection, want nothing", test.name, got)
+		}
+		if got := r.Bytes() - before; got != test.wantForth {
+			t.Errorf("%s: got %d bytes passed on, want %d", test.name, got, test.wantForth)
+		}
+		fresh := dial(t, r)
+		fresh.send("new")
+		within := patience
+		if test.wantNew == "" {
+			within = silence
+		}
+		if got := fresh.receive(within); got != test.wantNew {
+			t.Errorf("%s: got %q on a new connection, want %q", test.name, got, test.wantNew)
+		}
+		r.Heal()
+		within = patience
+		if test.wantOld == "" {
+			within = silence
+		}
+		if got := old.receive(within); got != test.wantOld {
+			t.Errorf("%s: got %q on the old connection after Heal, want %q", test.name, got, test.wantOld)
+		}
+		cancel()
+		if err := r.Wait(); err != nil {
+			t.Error(err)
+		}
+	}
+}
