Relay: count bytes before they are written, so that a count covers what was received

Change: counts first, and takes back what a failed write left out. A new test compares the count after each of 2,000 exchanges.

--- a/internal/measure/relay/link.go
+++ b/internal/measure/relay/link.go
@@ -115,10 +115,13 @@
 		if err := l.awaitOpen(ctx, d); err != nil {
 			return err
 		}
-		if _, err := to.Write(c.data); err != nil {
+		// Counted before the write, so that the count covers every byte that
+		// the other side has received.
+		l.relay.bytes.Add(int64(len(c.data)))
+		if n, err := to.Write(c.data); err != nil {
+			l.relay.bytes.Add(int64(n - len(c.data)))
 			return err
 		}
-		l.relay.bytes.Add(int64(len(c.data)))
 	}
 	if err := l.awaitOpen(ctx, d); err != nil {
 		return err
--- a/internal/measure/relay/relay_test.go
+++ b/internal/measure/relay/relay_test.go
@@ -202,3 +202,30 @@
 		}
 	}
 }
+
+// TestForwardedBytesCoverWhatWasReceived reads the count each time that a response
+// has been received. The count must cover the request and the response, or a caller
+// that compares two counts sees bytes of an earlier exchange.
+func TestForwardedBytesCoverWhatWasReceived(t *testing.T) {
+	const exchanges = 2000
+	ctx, cancel := context.WithCancel(t.Context())
+	target := startEcho(t).Addr().(*net.TCPAddr).AddrPort()
+	r, err := relay.Start(ctx, relay.Options{Target: target})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := dial(t, r)
+	for i := range exchanges {
+		c.send("line")
+		if got := c.receive(receiveTimeout); got != "line" {
+			t.Fatalf("exchange %d: got %q, want %q", i, got, "line")
+		}
+		if got, want := r.ForwardedBytes(), int64(2*len("line\n")*(i+1)); got != want {
+			t.Fatalf("exchange %d: got %d bytes forwarded, want %d", i, got, want)
+		}
+	}
+	cancel()
+	if err := r.Wait(); err != nil {
+		t.Error(err)
+	}
+}
