--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -41,6 +41,7 @@
 	"github.com/burdockwood/burdockwood/internal/fleet/failover"
 	"github.com/burdockwood/burdockwood/internal/fleet/leases"
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
+	"github.com/burdockwood/burdockwood/internal/fleet/samples"
 	"github.com/burdockwood/burdockwood/internal/fleet/state"
 	"github.com/burdockwood/burdockwood/internal/model/broadcast"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
@@ -185,6 +186,8 @@
 		serverLog  *changelog.Log[cluster.ServerName]
 		peerLog    *changelog.Log[cluster.ProxyName]
 		primaryLog *changelog.Log[cluster.GroupName]
+		// samples are the newest log positions that proxies have sent.
+		samples *samples.Table
 		// discovered is true once the end of the discovery was sent to the
 		// proxies.
 		discovered bool
@@ -264,6 +267,7 @@
 		serverLog:      changelog.New[cluster.ServerName](maxRemembered),
 		peerLog:        changelog.New[cluster.ProxyName](maxRemembered),
 		primaryLog:     changelog.New[cluster.GroupName](maxRemembered),
+		samples:        samples.New(),
 		view:           view,
 		ended:          make(chan struct{}),
 	}
--- a/internal/fleet/coordinator/requests.go
+++ b/internal/fleet/coordinator/requests.go
@@ -9,6 +9,7 @@
 	"github.com/burdockwood/burdockwood/internal/fleet/failover"
 	"github.com/burdockwood/burdockwood/internal/fleet/leases"
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
+	"github.com/burdockwood/burdockwood/internal/fleet/samples"
 	"github.com/burdockwood/burdockwood/internal/fleet/state"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 )
@@ -50,6 +51,18 @@
 		// AcceptsPartial is true if the grant may contain only what has changed
 		// since Revision.
 		AcceptsPartial bool
+		// Clock is Grant.Clock of the last grant plus the time since the proxy
+		// received that, or zero. It counts only if Revision is this leader's.
+		Clock time.Duration
+		// Samples are what the proxy has learnt of primaries' log positions.
+		Samples []AgedSample
+	}
+
+	// AgedSample is a sample with its age at the time when the message that
+	// contains it was made. Sample.TakenAt isn't set.
+	AgedSample struct {
+		samples.Sample
+		Age time.Duration
 	}
 
 	// Peer is a proxy that runs statements for other proxies.
@@ -91,6 +104,11 @@
 		// RemovedServers say of Servers.
 		PartialPeers bool
 		RemovedPeers []cluster.ProxyName
+		// Clock is the time since this leader was elected, and Held the time
+		// since it received the renewal. Both don't exceed the true time.
+		Clock, Held time.Duration
+		// Samples are the newest that any proxy has sent.
+		Samples []AgedSample
 	}
 )
 
@@ -98,6 +116,7 @@
 // is outdated, at the latest after Options.LongPoll. Errors: ErrNotLeader,
 // consensus.ErrUnknownOutcome, and the error of ctx.
 func (c *Coordinator) Renew(ctx context.Context, r Renewal) (Grant, error) {
+	received := c.options.Now()
 	l, err := c.currentLeadership()
 	if err != nil {
 		return Grant{}, err
@@ -112,7 +131,7 @@
 	if err := c.awaitChange(ctx, l, r); err != nil {
 		return Grant{}, err
 	}
-	return c.newGrant(l, r), nil
+	return c.newGrant(l, r, received), nil
 }
 
 // registerProxy adds a proxy to the replicated state before its first lease, so
@@ -141,6 +160,7 @@
 	}
 	l.leases.Renew(r.Proxy, r.Incarnation, r.MinUsableTerms, now)
 	l.recordObservations(r.Proxy, r.Observations, now)
+	l.recordSamples(r, now)
 	if c.hasReleasingGroup() {
 		l.changed.Notify()
 	}
@@ -164,6 +184,23 @@
 	}
 }
 
+// recordSamples stores the samples of a renewal. The time at which they were taken is
+// known only from the clock reading that the proxy returns, because the renewal may
+// have been delayed.
+func (l *leadership) recordSamples(r Renewal, now time.Time) {
+	if _, known := l.parseRevision(r.Revision); !known || r.Clock <= 0 {
+		return
+	}
+	sentAfter := l.startedAt.Add(r.Clock)
+	if sentAfter.After(now) {
+		return
+	}
+	for _, s := range r.Samples {
+		s.TakenAt = sentAfter.Add(-s.Age)
+		l.samples.Record(s.Sample)
+	}
+}
+
 // hasReleasingGroup reports whether the change of any group's primary waits for
 // proxies to release the old term.
 func (c *Coordinator) hasReleasingGroup() bool {
@@ -213,14 +250,18 @@
 	}
 }
 
-// newGrant returns the response to a renewal.
-func (c *Coordinator) newGrant(l *leadership, r Renewal) Grant {
+// newGrant returns the response to a renewal that was received at the given time.
+func (c *Coordinator) newGrant(l *leadership, r Renewal, received time.Time) Grant {
 	now := c.options.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	current := c.options.Machine.View()
 	grant := Grant{LeaseDuration: c.options.LeaseDuration, Revision: l.revisionID(), Proxies: l.leases.Count(now)}
 	grant.DocumentVersion = current.Document.Version
+	grant.Clock, grant.Held = now.Sub(l.startedAt), now.Sub(received)
+	for _, s := range l.samples.Recent(now) {
+		grant.Samples = append(grant.Samples, AgedSample{Sample: s, Age: now.Sub(s.TakenAt)})
+	}
 	grant.RevisionChanged = grant.Revision != r.Revision
 	if !grant.RevisionChanged {
 		return grant
--- a/internal/fleet/fleetrpc/fleetrpc.go
+++ b/internal/fleet/fleetrpc/fleetrpc.go
@@ -96,6 +96,7 @@
 		Revision:       request.GetRevision(),
 		MinUsableTerms: minUsableTermsFromProto(request.GetReleases()), Observations: observationsFromProto(request.GetEvidence()), Leaving: request.GetLeaving(),
 		Peer: peerFromProto(request), Draining: request.GetDraining(), AcceptsPartial: request.GetAcceptsPartial(),
+		Clock: time.Duration(request.GetClockUs()) * time.Microsecond, Samples: samplesFromProto(request.GetSamples()),
 	})
 	response := &fleetpb.RenewResponse{}
 	if leader, known := s.options.ConsensusLog.Leader(); known {
@@ -154,6 +155,10 @@
 	for _, name := range g.RemovedServers {
 		response.RemovedServers = append(response.RemovedServers, string(name))
 	}
+	response.ClockUs, response.HeldMs = uint64(g.Clock.Microseconds()), uint32(g.Held.Milliseconds())
+	for _, s := range g.Samples {
+		response.Samples = append(response.Samples, protoconv.SampleToProto(s.Sample, s.Age))
+	}
 	for _, name := range g.RemovedPeers {
 		response.RemovedPeers = append(response.RemovedPeers, string(name))
 	}
@@ -170,6 +175,15 @@
 	return terms
 }
 
+func samplesFromProto(list []*fleetpb.Sample) []coordinator.AgedSample {
+	aged := make([]coordinator.AgedSample, 0, len(list))
+	for _, pb := range list {
+		s, age := protoconv.SampleFromProto(pb)
+		aged = append(aged, coordinator.AgedSample{Sample: s, Age: age})
+	}
+	return aged
+}
+
 func observationsFromProto(list []*fleetpb.Evidence) []coordinator.Observation {
 	observations := make([]coordinator.Observation, 0, len(list))
 	for _, e := range list {
--- a/internal/fleet/protoconv/protoconv.go
+++ b/internal/fleet/protoconv/protoconv.go
@@ -1,5 +1,5 @@
-// Package protoconv converts backend servers between registry.Server and the RPC
-// message fleetpb.Server.
+// Package protoconv converts backend servers and samples between their types and the
+// RPC messages fleetpb.Server and fleetpb.Sample.
 //
 // # Usage
 //
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
+	"github.com/burdockwood/burdockwood/internal/fleet/samples"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 )
@@ -63,3 +64,21 @@
 	}
 	return s, nil
 }
+
+// SampleToProto returns the message for a sample of the given age. The age is rounded
+// up, because a sample may be taken for older than it is, but not for newer.
+func SampleToProto(s samples.Sample, age time.Duration) *fleetpb.Sample {
+	return &fleetpb.Sample{
+		Group: string(s.Group), Term: uint64(s.Term), LogTerm: uint64(s.Position.Term), LogPosition: uint64(s.Position.Position),
+		AgeMs: uint32((age + time.Millisecond).Milliseconds()),
+	}
+}
+
+// SampleFromProto returns the sample that a message describes, without TakenAt, and
+// its age.
+func SampleFromProto(pb *fleetpb.Sample) (samples.Sample, time.Duration) {
+	return samples.Sample{
+		Group: cluster.GroupName(pb.GetGroup()), Term: cluster.Term(pb.GetTerm()),
+		Position: cluster.LogPosition{Term: cluster.Term(pb.GetLogTerm()), Position: cluster.Position(pb.GetLogPosition())},
+	}, time.Duration(pb.GetAgeMs()) * time.Millisecond
+}
--- a/internal/traffic/controlclient/client.go
+++ b/internal/traffic/controlclient/client.go
@@ -31,12 +31,14 @@
 
 	"github.com/burdockwood/burdockwood/internal/fleet/protoconv"
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
+	"github.com/burdockwood/burdockwood/internal/fleet/samples"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/model/pause"
 	"github.com/burdockwood/burdockwood/internal/ops/logging"
 	"github.com/burdockwood/burdockwood/internal/ops/rungroup"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 	"github.com/burdockwood/burdockwood/internal/rpc/transport"
+	"github.com/burdockwood/burdockwood/internal/traffic/freshness"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
 	"github.com/burdockwood/burdockwood/internal/traffic/ownership"
 	"github.com/burdockwood/burdockwood/internal/traffic/routing"
@@ -59,6 +61,8 @@
 	// drainCheckInterval is the interval of the checks whether the drain time of
 	// a term has passed.
 	drainCheckInterval = 50 * time.Millisecond
+	// maxSharedAge is the age up to which samples are sent to the control plane.
+	maxSharedAge = 2 * time.Second
 	// leaveTimeout bounds the call that ends the lease at shutdown.
 	leaveTimeout = 300 * time.Millisecond
 	// minReadyLease is the remaining lease that a proxy needs to be ready. It is
@@ -128,6 +132,12 @@
 		draining atomic.Bool
 		// loggedPrimaries are the primaries that were logged last.
 		loggedPrimaries map[cluster.GroupName]lease.GroupPrimary
+		// leaderClock is the leader's clock in the last response, which arrived
+		// no later than leaderClockAt.
+		leaderClock   time.Duration
+		leaderClockAt time.Time
+		// samplesSentAt is when the last renewal that succeeded was sent.
+		samplesSentAt time.Time
 		// everGranted is true once the control plane has granted a lease.
 		everGranted atomic.Bool
 		// disconnected is true if the last renewal failed.
@@ -236,11 +246,15 @@
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	sent := c.options.Now()
+	clock := uint64(0)
+	if c.leaderClock > 0 {
+		clock = uint64((c.leaderClock + sent.Sub(c.leaderClockAt)).Microseconds())
+	}
 	response, err := c.fleetClient(target).Renew(ctx, &fleetpb.RenewRequest{
 		Proxy: string(c.options.Proxy), Incarnation: c.incarnation, Revision: c.revision,
 		Releases: c.minUsableTerms(), Evidence: c.observations(),
 		Address: c.options.Address.String(), DataCentre: string(c.options.DataCentre), Draining: c.draining.Load(),
-		AcceptsPartial: true,
+		AcceptsPartial: true, ClockUs: clock, Samples: c.ownSamples(sent),
 	})
 	if err != nil {
 		return err
@@ -254,6 +268,30 @@
 	return nil
 }
 
+// ownSamples returns the samples that this proxy took since the last renewal that
+// succeeded, with their ages at the time now.
+func (c *Client) ownSamples(now time.Time) []*fleetpb.Sample {
+	var list []*fleetpb.Sample
+	for group, s := range c.options.Sessions.OwnSamples(c.samplesSentAt) {
+		if age := now.Sub(s.SentAt); age < maxSharedAge {
+			list = append(list, protoconv.SampleToProto(samples.Sample{Group: group, Term: s.Term, Position: s.Position}, age))
+		}
+	}
+	return list
+}
+
+// applySamples records the samples of a response to a renewal that was sent at sentAt.
+// The leader made the response at the earliest HeldMs after that.
+func (c *Client) applySamples(response *fleetpb.RenewResponse, sentAt, now time.Time) {
+	c.leaderClock, c.leaderClockAt = time.Duration(response.GetClockUs())*time.Microsecond, now
+	c.samplesSentAt = sentAt
+	madeAfter := sentAt.Add(time.Duration(response.GetHeldMs()) * time.Millisecond)
+	for _, pb := range response.GetSamples() {
+		s, age := protoconv.SampleFromProto(pb)
+		c.options.Sessions.RecordSharedSample(s.Group, freshness.Sample{SentAt: madeAfter.Add(-age), Term: s.Term, Position: s.Position})
+	}
+}
+
 // fleetClient returns an RPC client of a control node.
 func (c *Client) fleetClient(target netip.AddrPort) fleetpb.Fleet {
 	return fleetpb.NewFleetProtobufClient(transport.URL(target), c.options.HTTPClient)
@@ -324,6 +362,7 @@
 func (c *Client) applyRenewal(response *fleetpb.RenewResponse, sentAt time.Time) {
 	now := c.options.Now()
 	c.requestConfig(response.GetDocumentVersion())
+	c.applySamples(response, sentAt, now)
 	primaries := map[cluster.GroupName]lease.GroupPrimary{}
 	for _, p := range response.GetPrimacies() {
 		primaries[cluster.GroupName(p.GetGroup())] = lease.GroupPrimary{
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -330,3 +330,37 @@
 		t.Errorf("got %q with %d open transactions, want a rollback at the end and none open", got, len(service.transactions))
 	}
 }
+
+// TestNextOwnerIsCalledAtOnce lists, before the owner, a proxy that isn't listening
+// and one that owns no connections, as during a rolling restart.
+func TestNextOwnerIsCalledAtOnce(t *testing.T) {
+	server := &fakeServer{}
+	_, _, ownerHost := startOwner(t, server, 4)
+	other := httptest.NewServer(fleetpb.NewBrokerServer(New(Options{
+		Pools: upstream.New(upstream.Options{Now: time.Now, Logger: logr.Discard()}), Logger: logr.Discard(),
+	})))
+	t.Cleanup(other.Close)
+	stopped := httptest.NewServer(http.NotFoundHandler())
+	stopped.Close()
+	peer := func(name cluster.ProxyName, host *httptest.Server) ownership.Peer {
+		return ownership.Peer{Name: name, Address: netip.MustParseAddrPort(strings.TrimPrefix(host.URL, "http://"))}
+	}
+	tests := []struct {
+		name   string
+		owners []ownership.Peer
+		want   error
+	}{
+		{"the first isn't listening, the second isn't an owner", []ownership.Peer{peer("stopped", stopped), peer("other", other), peer("owner", ownerHost)}, nil},
+		{"no owner", []ownership.Peer{peer("stopped", stopped), peer("other", other)}, backend.ErrNotSent},
+	}
+	for _, test := range tests {
+		conn := NewOwnerClient(&http.Client{}, logr.Discard()).Connect("s", test.owners)
+		answer, err := do(t, conn, request(statement.Write, "WRITE 1 x"))
+		if !errors.Is(err, test.want) || err == nil && answer.Code != statement.OK {
+			t.Errorf("%s: got %v, %v, want error %v", test.name, answer.Code, err, test.want)
+		}
+	}
+	if got := strings.Join(server.receivedStatements, "; "); got != "WRITE 1 x" {
+		t.Errorf("got statements %q at the server, want the write once", got)
+	}
+}
--- a/internal/traffic/forward/owners.go
+++ b/internal/traffic/forward/owners.go
@@ -24,6 +24,12 @@
 	// ownerBackoff is how long an unreachable owner is avoided: about the time
 	// after which the control plane no longer lists a crashed proxy.
 	ownerBackoff = 1500 * time.Millisecond
+	// notOwnerBackoff is how long an owner is avoided that doesn't own connections
+	// to the server: until all proxies know the same peers.
+	notOwnerBackoff = 500 * time.Millisecond
+	// maxOwnerTries bounds the owners that a statement is sent to one after the
+	// other while it certainly hasn't reached a server.
+	maxOwnerTries = 3
 	// responseMargin is subtracted from the time that an owner gets, so that its
 	// answer arrives before the deadline. It covers round trips between data
 	// centres on a busy VM.
@@ -119,6 +125,13 @@
 	return true
 }
 
+// avoid makes other owners preferred for a time.
+func (c *OwnerClient) avoid(name cluster.ProxyName, backoff time.Duration, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.avoidUntil[name] = now.Add(backoff)
+}
+
 // Do stores session settings, prepared statements and the begin of a transaction here,
 // and sends them to the owner together with the next statement that reads, writes
 // or ends a transaction. See backend.Conn.
@@ -147,14 +160,27 @@
 }
 
 // send calls the owner with a request. Within a transaction, the owner is the one
-// that holds it.
+// that holds it. Otherwise, if the owner can't be reached or isn't an owner any more,
+// the statement hasn't reached a server, and the next owner is called at once: during
+// a rolling restart of hundreds of proxies, some owner is always away.
 func (c *connection) send(request statement.Request, deadline time.Time) (statement.Answer, error) {
+	for try := 1; ; try++ {
+		answer, another, err := c.sendOnce(request, deadline)
+		if !another || try >= min(maxOwnerTries, len(c.owners)) {
+			return answer, err
+		}
+	}
+}
+
+// sendOnce calls one owner. another is true if another owner may be called.
+func (c *connection) sendOnce(request statement.Request, deadline time.Time) (answer statement.Answer, another bool, err error) {
 	now := time.Now()
 	remaining := deadline.Sub(now)
 	if remaining <= 0 {
-		return statement.Answer{}, eris.Wrap(backend.ErrNotSent, "no time left")
+		return statement.Answer{}, false, eris.Wrap(backend.ErrNotSent, "no time left")
 	}
-	if c.handle == 0 {
+	inTransaction := c.handle != 0
+	if !inTransaction {
 		c.owner = c.client.pickOwner(c.owners, now)
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(callGrace))
@@ -162,19 +188,26 @@
 	client := fleetpb.NewBrokerProtobufClient(transport.URL(c.owner.Address), c.client.httpClient)
 	response, err := client.Execute(ctx, c.newRequest(request, remaining))
 	if err != nil {
-		return statement.Answer{}, c.callError(err)
+		err = c.callError(err)
+		return statement.Answer{}, !inTransaction && errors.Is(err, backend.ErrNotSent), err
 	}
 	c.client.recordResponse(c.owner.Name, time.Now())
+	if response.GetNotOwner() {
+		c.client.avoid(c.owner.Name, notOwnerBackoff, time.Now())
+		answer, err = c.faultResult(response)
+		return answer, !inTransaction, err
+	}
 	c.handle, c.deferredBegin = response.GetHandle(), nil
 	if response.GetFault() != fleetpb.ExecuteResponse_FAULT_NONE {
 		c.handle = 0
-		return c.faultResult(response)
+		answer, err = c.faultResult(response)
+		return answer, false, err
 	}
 	return statement.Answer{
 		Code: statement.Code(response.GetCode()), Detail: response.GetDetail(), Rows: response.GetRows(),
 		Signature: response.GetSignature(), State: statement.TxState(response.GetState()),
 		Position: newPosition(response.GetMarkTerm(), response.GetMarkPosition()),
-	}, nil
+	}, false, nil
 }
 
 // newRequest returns the RPC request. remaining is the time until the deadline. In the
--- a/internal/traffic/forward/service.go
+++ b/internal/traffic/forward/service.go
@@ -124,7 +124,9 @@
 	}
 	pool, ok := s.options.Pools.Pool(cluster.ServerName(r.GetServer()))
 	if !ok || pool.ForwardsStatements() {
-		return faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, errNotOwner), nil
+		response := faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, errNotOwner)
+		response.NotOwner = true
+		return response, nil
 	}
 	conn, err := pool.Acquire(upstream.AcquireOptions{
 		Fingerprint: fingerprint, Priority: int(r.GetPriority()),
--- a/internal/traffic/freshness/freshness.go
+++ b/internal/traffic/freshness/freshness.go
@@ -12,9 +12,14 @@
 // was sent is at or below that position, provided that no other server was the primary
 // at the time; the code that calls Record checks that. RequiredSample returns the oldest
 // sample that is recent enough, because replicas have most likely applied its position.
+//
+// Proxies share their samples through the control plane (see package samples), because
+// one of hundreds of proxies seldom has a recent one of its own. A shared sample is
+// recorded some time after it was taken, so samples aren't recorded in order.
 package freshness
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -46,6 +51,8 @@
 		SentAt   time.Time
 		Term     cluster.Term
 		Position cluster.LogPosition
+		// Shared is true if another proxy took the sample.
+		Shared bool
 	}
 
 	// Tracker stores the samples of a group. It is safe for concurrent use.
@@ -55,6 +62,8 @@
 		// latest is the newest sample. It is stored even if it follows the
 		// one before by less than minSampleInterval.
 		latest Sample
+		// latestOwn is the newest sample that isn't shared.
+		latestOwn Sample
 		// sampleRecorded is notified of each sample.
 		sampleRecorded broadcast.Signal
 		// lastFetch is when a read last claimed the fetch of a sample.
@@ -76,19 +85,37 @@
 	}
 	if s.Term > t.latest.Term {
 		t.samples = t.samples[:0]
-		t.latest = Sample{}
+		t.latest, t.latestOwn = Sample{}, Sample{}
 	}
 	if s.SentAt.After(t.latest.SentAt) {
 		t.latest = s
 	}
+	if !s.Shared && s.SentAt.After(t.latestOwn.SentAt) {
+		t.latestOwn = s
+	}
 	t.sampleRecorded.Notify()
-	if n := len(t.samples); n > 0 && s.SentAt.Sub(t.samples[n-1].SentAt) < minSampleInterval {
+	t.insert(s)
+}
+
+// insert stores a sample in the order of SentAt, unless it follows or precedes another
+// one by less than minSampleInterval. t.mu is held.
+func (t *Tracker) insert(s Sample) {
+	at := len(t.samples)
+	for at > 0 && t.samples[at-1].SentAt.After(s.SentAt) {
+		at--
+	}
+	if at > 0 && s.SentAt.Sub(t.samples[at-1].SentAt) < minSampleInterval ||
+		at < len(t.samples) && t.samples[at].SentAt.Sub(s.SentAt) < minSampleInterval {
 		return
 	}
 	if len(t.samples) == maxSamples {
-		t.samples = append(t.samples[:0], t.samples[maxSamples/4:]...)
+		if at == 0 {
+			return
+		}
+		dropped := min(at, maxSamples/4)
+		t.samples, at = append(t.samples[:0], t.samples[dropped:]...), at-dropped
 	}
-	t.samples = append(t.samples, s)
+	t.samples = slices.Insert(t.samples, at, s)
 }
 
 // RequiredSample returns the sample whose position a read that began at start must
@@ -142,6 +169,13 @@
 // SampleRecorded returns a channel that is closed when the next sample is recorded.
 func (t *Tracker) SampleRecorded() <-chan struct{} { return t.sampleRecorded.Next() }
 
+// LatestOwn returns the newest sample that this proxy took itself.
+func (t *Tracker) LatestOwn() Sample {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.latestOwn
+}
+
 // Latest returns the newest sample.
 func (t *Tracker) Latest() Sample {
 	t.mu.Lock()
--- a/internal/traffic/session/manager.go
+++ b/internal/traffic/session/manager.go
@@ -205,6 +205,27 @@
 	return t
 }
 
+// OwnSamples returns, for each group, the newest sample that this proxy took itself
+// after the given time.
+func (m *Manager) OwnSamples(after time.Time) map[cluster.GroupName]freshness.Sample {
+	m.mu.Lock()
+	trackers := maps.Clone(m.trackers)
+	m.mu.Unlock()
+	recent := map[cluster.GroupName]freshness.Sample{}
+	for group, tracker := range trackers {
+		if s := tracker.LatestOwn(); s.SentAt.After(after) {
+			recent[group] = s
+		}
+	}
+	return recent
+}
+
+// RecordSharedSample records a sample that another proxy took.
+func (m *Manager) RecordSharedSample(group cluster.GroupName, s freshness.Sample) {
+	s.Shared = true
+	m.tracker(group).Record(s)
+}
+
 // SampleOnConnect is called before a connection to a server is opened. The function
 // that it returns records the log position that the server sends as a sample, if
 // the server is the primary. Use it as upstream.Options.BeforeConnect.
--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -84,6 +84,9 @@
 		if succeeded && pool.manager.stallDetector.lastStallEnd(now).Before(start) {
 			pool.recordLatency(now.Sub(start), now)
 		}
+		if answer.Code == statement.Busy && !c.forwardsStatements {
+			pool.lastRejection = time.Now()
+		}
 		if answer.Code == statement.OK && !request.MinPosition.IsZero() {
 			pool.lagBackoff = 0
 		}
--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -10,6 +10,7 @@
 
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/traffic/admission"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 	"github.com/burdockwood/burdockwood/internal/traffic/balancer"
 	"github.com/burdockwood/burdockwood/internal/traffic/ownership"
@@ -47,16 +48,6 @@
 	// baseLatencyWeight is the weight of a higher latency in the moving average
 	// of the base latency; a lower one has the weight latencyWeight.
 	baseLatencyWeight = 0.002
-	// overloadFactor is the ratio of recent latency to base latency above which
-	// a server has more statements than slots.
-	overloadFactor = 2
-	// minTimedStatements is the number of statements after which the base
-	// latency is known. The influence of the first value on the average has
-	// faded by then.
-	minTimedStatements = 20
-	// statementsPerSlot is the number of statements for each of the server's slots
-	// that all proxies together send to an overloaded server.
-	statementsPerSlot = 2
 	// latencyWeight is the weight of a new measurement in a moving average.
 	latencyWeight = 0.15
 	// defaultConnectTime is the assumed time to open a connection until one was
@@ -108,6 +99,9 @@
 		connectTime time.Duration
 		// timedStatements counts the statements that were timed.
 		timedStatements int
+		// lastRejection is when the server last rejected a statement because it
+		// had no room, on the clock of time.Now; zero: never.
+		lastRejection time.Time
 		// noDialUntil is the end of the back-off at the server's connection
 		// limit.
 		noDialUntil time.Time
@@ -294,33 +288,22 @@
 	}
 }
 
-// hasCapacity reports whether new work may be sent to the server now. A server
-// whose latency is far above its base latency has more statements than slots, and
-// queues them in the order of arrival. So statements above this proxy's fair share
-// wait here instead, where the queue orders them by priority and soft deadline. The
-// same applies until the base latency is known, because a proxy that has just
-// started gets the requests of all callers that waited for it. Later statements of
-// open transactions aren't limited to the fair share. p.mu is held.
+// hasCapacity reports whether new work may be sent to the server now. What may not
+// waits here, where the queue orders it by priority and soft deadline. Later statements
+// of open transactions aren't limited. p.mu is held.
 func (p *Pool) hasCapacity() bool {
-	if !p.plan.OwnsConnections || !p.isOverloaded() {
+	if !p.plan.OwnsConnections {
 		return true
 	}
-	return p.running+p.awaitingFirstRequest+p.dialing < p.fairShare()
-}
-
-// isOverloaded reports whether the server has, or may have, more statements than
-// slots. p.mu is held.
-func (p *Pool) isOverloaded() bool {
-	return p.timedStatements < minTimedStatements || p.recentLatency > overloadFactor*p.baseLatency
+	return p.running+p.awaitingFirstRequest+p.dialing < p.load().MaxRunning(time.Now())
 }
 
-// fairShare returns the number of statements that this proxy may have running on an
-// overloaded server: its part of statementsPerSlot statements for each slot. The
-// statements beyond the slots are queued at the server, so that no slot is idle.
-// p.mu is held.
-func (p *Pool) fairShare() int {
-	owners := max(1, p.plan.OwnerCount)
-	return max(1, (statementsPerSlot*p.server.Slots+owners-1)/owners)
+// load returns what is known of the server's load. p.mu is held.
+func (p *Pool) load() admission.Load {
+	return admission.Load{
+		Slots: p.server.Slots, Owners: p.plan.OwnerCount, RecentLatency: p.recentLatency, BaseLatency: p.baseLatency,
+		Timed: p.timedStatements, LastRejection: p.lastRejection,
+	}
 }
 
 // connectionCount returns the number of connections, those being opened included.
--- a/internal/traffic/upstream/upstream_test.go
+++ b/internal/traffic/upstream/upstream_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/traffic/admission"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 	"github.com/burdockwood/burdockwood/internal/traffic/ownership"
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
@@ -22,6 +23,10 @@
 	limit   int
 	open    int
 	dialErr error
+	// slotCount is the number of slots of each server; zero: 2.
+	slotCount int
+	// code is the code of all answers.
+	code statement.Code
 	// requests are the requests that were sent on all connections.
 	requests []statement.Request
 }
@@ -33,6 +38,13 @@
 	err error
 }
 
+func (f *fakeServers) slots() int {
+	if f.slotCount == 0 {
+		return 2
+	}
+	return f.slotCount
+}
+
 func (f *fakeServers) dial(registry.Server, time.Duration) (backend.Conn, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -50,7 +62,7 @@
 	c.f.mu.Lock()
 	defer c.f.mu.Unlock()
 	c.f.requests = append(c.f.requests, r)
-	return statement.Answer{}, c.err
+	return statement.Answer{Code: c.f.code}, c.err
 }
 
 func (c *fakeConn) InitialPosition() cluster.LogPosition { return cluster.LogPosition{} }
@@ -71,7 +83,7 @@
 // servers' connections; one connection is reserved for control.
 func newManager(f *fakeServers, proxies int) (*Manager, *Pool) {
 	m, pool := newManagerWithoutBaseline(f, proxies)
-	pool.timedStatements = minTimedStatements
+	pool.timedStatements = admission.MinTimed
 	return m, pool
 }
 
@@ -79,7 +91,7 @@
 // of the proxy.
 func newManagerWithoutBaseline(f *fakeServers, proxies int) (*Manager, *Pool) {
 	m := New(Options{Dial: f.dial, Now: time.Now, Logger: logr.Discard()})
-	servers := []registry.Server{{Name: "s", Group: "g", Slots: 2}}
+	servers := []registry.Server{{Name: "s", Group: "g", Slots: f.slots()}}
 	m.SetServers(servers, func(s registry.Server) ownership.ConnectionPlan {
 		return ownership.PlanConnections(ownership.Server{Name: s.Name, MaxConnections: f.limit}, proxies, ownership.PeerSet{}, ownership.Peer{})
 	})
@@ -188,7 +200,8 @@
 		{"more proxies than connections, and no known peers to own them", 4, 9, 1},
 	}
 	for _, test := range tests {
-		_, pool := newManager(&fakeServers{limit: test.limit}, test.proxies)
+		// Slots are plenty, so that only the connections limit the work.
+		_, pool := newManager(&fakeServers{limit: test.limit, slotCount: 64}, test.proxies)
 		got := 0
 		for {
 			pool.mu.Lock()
@@ -209,7 +222,7 @@
 }
 
 func TestIdleConnectionsBeyondShareAreClosed(t *testing.T) {
-	f := &fakeServers{limit: 16}
+	f := &fakeServers{limit: 16, slotCount: 64}
 	_, pool := newManager(f, 9)
 	var conns []*Conn
 	for range 4 {
@@ -243,6 +256,29 @@
 	}
 }
 
+// TestRejectionLimitsToFairShare replays a burst that the server partly rejects: its
+// latencies are as usual, because rejected statements have none.
+func TestRejectionLimitsToFairShare(t *testing.T) {
+	f := &fakeServers{limit: 16, code: statement.Busy}
+	_, pool := newManager(f, 2)
+	conn, err := pool.Acquire(options(time.Second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Do(statement.Request{}, time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := pool.Acquire(options(time.Second)); err != nil {
+		t.Fatalf("got %v, want the second statement of this proxy's fair share admitted", err)
+	}
+	if _, err := pool.Acquire(options(time.Second)); err != nil {
+		t.Fatalf("got %v, want the answered statement not counted", err)
+	}
+	if _, err := pool.Acquire(options(20 * time.Millisecond)); !errors.Is(err, ErrAcquireTimeout) {
+		t.Errorf("got %v after the server rejected a statement, want statements beyond this proxy's fair share to wait", err)
+	}
+}
+
 func TestServerWithoutBaselineGetsFairShare(t *testing.T) {
 	_, pool := newManagerWithoutBaseline(&fakeServers{limit: 16}, 2)
 	for range 2 {
@@ -254,7 +290,7 @@
 		t.Errorf("got %v before the base latency is known, want a statement beyond this proxy's fair share to wait", err)
 	}
 	pool.mu.Lock()
-	for range minTimedStatements {
+	for range admission.MinTimed {
 		pool.recordLatency(10*time.Millisecond, time.Now())
 	}
 	pool.mu.Unlock()
