Reads keep off the primary by shared samples; late work is refused by prediction

Change: proxies share samples through the leader's responses, with ages that are never too low (internal/fleet/samples). internal/traffic/admission (queue, limits, prediction, memory of refused work; the package queue is part of it now) refuses late work that isn't expected to run within 3/8 of its timeout, with a time to come back, and puts what comes back behind what can be in time. Owners are chosen by what a statement does, so that retries meet where they were refused. Statements of callers that closed their connections are withdrawn.

--- a/internal/fleet/coordinator/difference_test.go
+++ b/internal/fleet/coordinator/difference_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
+	"github.com/burdockwood/burdockwood/internal/fleet/samples"
 	"github.com/burdockwood/burdockwood/internal/fleet/state"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 )
@@ -127,3 +128,50 @@
 		t.Errorf("got %d servers, partial %v, at the end of the discovery, want all 3", len(grant.Servers), grant.PartialServers)
 	}
 }
+
+// TestSharedSampleIsNeverNewerThanTaken has a proxy send a sample in a renewal that is
+// delayed, and checks the age at which the leader passes it on. A sample that counted as
+// newer than it is would let a replica answer without acknowledged commits.
+func TestSharedSampleIsNeverNewerThanTaken(t *testing.T) {
+	t.Parallel()
+	const age, delay = 30 * time.Millisecond, 50 * time.Millisecond
+	taken := samples.Sample{Group: testGroup, Term: 1, Position: cluster.LogPosition{Term: 1, Position: 7}}
+	tests := []struct {
+		name  string
+		renew func(held Grant) Renewal
+		want  bool
+	}{
+		{"known clock", func(held Grant) Renewal { return Renewal{Revision: held.Revision, Clock: held.Clock} }, true},
+		{"no clock", func(held Grant) Renewal { return Renewal{Revision: held.Revision} }, false},
+		{"clock of another leader", func(held Grant) Renewal { return Renewal{Revision: "999.1", Clock: held.Clock} }, false},
+		{"clock ahead of the leader's", func(held Grant) Renewal { return Renewal{Revision: held.Revision, Clock: held.Clock + time.Hour} }, false},
+	}
+	for _, test := range tests {
+		f := newFixture(t)
+		f.announceAll()
+		held := f.renew(1)
+		// The sample is taken age before the renewal is made, just after the
+		// grant was received, and the renewal arrives after the delay.
+		takenAt := time.Now().Add(-age)
+		time.Sleep(delay)
+		renewal := test.renew(held)
+		renewal.Proxy, renewal.Incarnation = "proxy-1", 7
+		renewal.Samples = []AgedSample{{Sample: taken, Age: age}}
+		if _, err := f.coordinator.Renew(t.Context(), renewal); err != nil {
+			t.Fatal(err)
+		}
+		grant := f.renewPeer("proxy-2", "", true, false)
+		if got := len(grant.Samples) == 1; got != test.want {
+			t.Fatalf("%s: got samples %+v, want one %v", test.name, grant.Samples, test.want)
+		}
+		if !test.want {
+			continue
+		}
+		if got, least := grant.Samples[0].Age, time.Since(takenAt); got < least-time.Millisecond {
+			t.Errorf("%s: got age %v, want at least %v", test.name, got, least)
+		}
+		if grant.Samples[0].Position != taken.Position || grant.Samples[0].Term != 1 {
+			t.Errorf("%s: got %+v, want position and term of %+v", test.name, grant.Samples[0], taken)
+		}
+	}
+}
--- a/internal/traffic/admission/limit.go
+++ b/internal/traffic/admission/limit.go
@@ -1,4 +1,5 @@
-// Package admission decides how much work a proxy sends to a backend server. It does
+// Package admission decides how much work a proxy sends to a backend server, in which
+// order the rest waits, and what is refused at once because it can't be served. It does
 // no input or output.
 //
 // # Usage
@@ -8,6 +9,14 @@
 //		// send the statement
 //	}
 //
+//	var q admission.Queue[*waiter]
+//	item := admission.Item[*waiter]{Value: w, Priority: 1, SoftDeadline: soft, HoldUntil: hold, Arrival: n}
+//	if d := q.Decide(item, pace, now); !d.Wait {
+//		// refuse; the caller should come back after d.RetryAfter
+//	}
+//	q.Add(item, now)
+//	next, ok := q.Pop(serviceTime, now)
+//
 // # Load patterns
 //
 // A server executes as many statements at once as it has slots, queues some more in
@@ -22,6 +31,12 @@
 //     owners may have just started), or that has just rejected a statement gets each
 //     owner's fair share. Rejections show overload before latencies do, because
 //     rejected statements have none.
+//
+// Work beyond what a server can do waits in a Queue. A lagging replica, a lost server
+// or a burst may bring more for seconds. Then work that can be in time goes first, what
+// comes back after a refusal goes behind it (see Retries), and late work waits only as
+// long as it may still run: a statement that is held until its caller gives up takes a
+// place for nothing, and its caller learns too late that it should come back.
 package admission
 
 import "time"
--- a/internal/traffic/queue/queue_test.go
+++ b/internal/traffic/admission/queue_test.go
@@ -1,4 +1,4 @@
-package queue
+package admission
 
 import (
 	"slices"
@@ -6,10 +6,6 @@
 	"time"
 )
 
-var start = time.Unix(1000, 0)
-
-func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
-
 // TestPop pops all items at start. Each takes 10 ms, so an item is late if its soft
 // deadline is before at(10).
 func TestPop(t *testing.T) {
@@ -27,7 +23,7 @@
 	for _, test := range tests {
 		var q Queue[string]
 		for _, item := range test.items {
-			q.Add(item)
+			q.Add(item, start)
 		}
 		var got []string
 		for {
@@ -56,7 +52,7 @@
 		add := func(now time.Time) {
 			id := len(softDeadlines)
 			softDeadlines[id] = now.Add(softDeadlineMs * time.Millisecond)
-			q.Add(Item[int]{Value: id, SoftDeadline: softDeadlines[id], Arrival: uint64(id)})
+			q.Add(Item[int]{Value: id, SoftDeadline: softDeadlines[id], Arrival: uint64(id)}, now)
 		}
 		for range 200 {
 			add(start)
@@ -80,7 +76,7 @@
 		return id
 	})
 	byArrival := simulate(func(q *Queue[int], _ time.Time) int {
-		first := slices.MinFunc(q.items, func(a, b Item[int]) int { return int(a.Arrival) - int(b.Arrival) })
+		first := slices.MinFunc(q.items, func(a, b queued[int]) int { return int(a.Arrival) - int(b.Arrival) })
 		q.Remove(first.Value)
 		return first.Value
 	})
@@ -91,7 +87,7 @@
 
 func TestRemove(t *testing.T) {
 	var q Queue[string]
-	q.Add(Item[string]{Value: "a"})
+	q.Add(Item[string]{Value: "a"}, start)
 	q.Remove("a")
 	q.Remove("b")
 	if _, ok := q.Pop(0, start); ok || q.Len() != 0 {
--- a/internal/traffic/controlclient/client_test.go
+++ b/internal/traffic/controlclient/client_test.go
@@ -16,7 +16,9 @@
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
+	"github.com/burdockwood/burdockwood/internal/traffic/freshness"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
 	"github.com/burdockwood/burdockwood/internal/traffic/routing"
 	"github.com/burdockwood/burdockwood/internal/traffic/session"
@@ -261,3 +263,28 @@
 		}
 	}
 }
+
+// TestSamplesAreShared records samples in a client and applies those of a response,
+// and checks the ages that are sent and the times that are recorded.
+func TestSamplesAreShared(t *testing.T) {
+	c, sessions, _ := start(t, serve(t, &fakeControl{leader: "none"}))
+	now := time.Now()
+	own := freshness.Sample{SentAt: now.Add(-100 * time.Millisecond), Term: 3, Position: cluster.LogPosition{Term: 2, Position: 9}}
+	sessions.RecordSharedSample("other", own)
+	if got := c.ownSamples(now); len(got) != 0 {
+		t.Errorf("got %v to send, want no sample of another proxy", got)
+	}
+	c.applyRenewal(&fleetpb.RenewResponse{
+		Granted: true, LeaseMs: 1000, ClockUs: 5_000_000, HeldMs: 300,
+		Samples: []*fleetpb.Sample{{Group: "g", Term: 3, LogTerm: 2, LogPosition: 7, AgeMs: 80}},
+	}, now.Add(-400*time.Millisecond))
+	// Sent 400 ms ago, held for 300 ms, then 80 ms old: taken no later than 180 ms ago.
+	got, known := sessions.LatestSample("g")
+	want := freshness.Sample{SentAt: now.Add(-180 * time.Millisecond), Term: 3, Position: cluster.LogPosition{Term: 2, Position: 7}, Shared: true}
+	if !known || got != want {
+		t.Errorf("got sample %+v, %v, want %+v", got, known, want)
+	}
+	if c.leaderClock != 5*time.Second {
+		t.Errorf("got the leader's clock %v, want 5s", c.leaderClock)
+	}
+}
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"net/http/httptest"
@@ -364,3 +365,41 @@
 		t.Errorf("got statements %q at the server, want the write once", got)
 	}
 }
+
+// TestForwardedStatementOfAGoneCallerIsWithdrawn queues a statement at the owner, whose
+// only connection is in a transaction, and has the caller give up.
+func TestForwardedStatementOfAGoneCallerIsWithdrawn(t *testing.T) {
+	server := &fakeServer{}
+	_, first, host := startOwner(t, server, 1)
+	if _, err := do(t, first, request(statement.Begin, "")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := do(t, first, request(statement.Read, "READ 1")); err != nil {
+		t.Fatal(err)
+	}
+	second := NewOwnerClient(&http.Client{}, logr.Discard()).Connect("s", []ownership.Peer{{Name: "owner", Address: netip.MustParseAddrPort(strings.TrimPrefix(host.URL, "http://"))}})
+	caller, leave := context.WithCancel(t.Context())
+	abandoned := request(statement.Write, "WRITE 1 x")
+	abandoned.CallerContext = caller
+	time.AfterFunc(50*time.Millisecond, leave)
+	start := time.Now()
+	if _, err := do(t, second, abandoned); err == nil {
+		t.Error("got no error for a statement whose caller has left")
+	}
+	if waited := time.Since(start); waited > time.Second {
+		t.Errorf("got a wait of %v for a caller that has left, want it to end at once", waited)
+	}
+	// Give the owner time to notice that the call has ended.
+	time.Sleep(50 * time.Millisecond)
+	if _, err := do(t, first, request(statement.Commit, "COMMIT")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := do(t, second, request(statement.Read, "READ 2")); err != nil {
+		t.Errorf("got %v for the next statement, want the connection to work", err)
+	}
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	if got := strings.Join(server.receivedStatements, "; "); got != "begin; READ 1; COMMIT; READ 2" {
+		t.Errorf("got statements %q at the server, want them without the write", got)
+	}
+}
--- a/internal/traffic/forward/owners.go
+++ b/internal/traffic/forward/owners.go
@@ -27,6 +27,9 @@
 	// notOwnerBackoff is how long an owner is avoided that doesn't own connections
 	// to the server: until all proxies know the same peers.
 	notOwnerBackoff = 500 * time.Millisecond
+	// transitWeight is the weight of a new measurement in the moving average of the
+	// time that calls spend on the network.
+	transitWeight = 0.1
 	// maxOwnerTries bounds the owners that a statement is sent to one after the
 	// other while it certainly hasn't reached a server.
 	maxOwnerTries = 3
@@ -58,6 +61,9 @@
 		avoidUntil map[cluster.ProxyName]time.Time
 		// lastResponse is when each owner last answered.
 		lastResponse map[cluster.ProxyName]time.Time
+		// transit is the moving average of the time that a call and its response
+		// are on the network.
+		transit time.Duration
 	}
 
 	// connection forwards statements for a server to its owners. It implements
@@ -93,24 +99,32 @@
 	return &connection{client: c, server: server, owners: owners, settings: map[string]string{}, prepared: map[string]statement.Statement{}}
 }
 
-// pickOwner returns the first owner that isn't in its back-off, or the first one if
-// all are.
-func (c *OwnerClient) pickOwner(owners []ownership.Peer, now time.Time) ownership.Peer {
+// pickOwner returns the owner for a statement with the given digest; owners in their
+// back-off come last.
+func (c *OwnerClient) pickOwner(owners []ownership.Peer, digest uint64, now time.Time) ownership.Peer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, peer := range owners {
-		if now.After(c.avoidUntil[peer.Name]) {
-			return peer
-		}
-	}
-	return owners[0]
+	return ownership.ChooseOwner(owners, digest, func(peer ownership.Peer) bool { return now.After(c.avoidUntil[peer.Name]) })
 }
 
-// recordResponse records that an owner responded.
-func (c *OwnerClient) recordResponse(name cluster.ProxyName, now time.Time) {
+// recordResponse records that an owner responded. took is the time of the call, and
+// elapsed the part of it that the owner reports; zero: unknown.
+func (c *OwnerClient) recordResponse(name cluster.ProxyName, took, elapsed time.Duration, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastResponse[name] = now
+	if elapsed > 0 && elapsed <= took {
+		c.transit += time.Duration(transitWeight * float64(took-elapsed-c.transit))
+	}
+}
+
+// softDeadlineLeft returns the time that an owner has for a statement, so that its
+// response arrives by the soft deadline. The whole transit is subtracted: the way there
+// is still to come as well.
+func (c *OwnerClient) softDeadlineLeft(softDeadline, now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(0, softDeadline.Sub(now)-c.transit)
 }
 
 // recordFailure records a failed call, and reports whether the owner is avoided from
@@ -181,17 +195,25 @@
 	}
 	inTransaction := c.handle != 0
 	if !inTransaction {
-		c.owner = c.client.pickOwner(c.owners, now)
+		c.owner = c.client.pickOwner(c.owners, request.Digest(), now)
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(callGrace))
 	defer cancel()
+	if request.CallerContext != nil {
+		defer context.AfterFunc(request.CallerContext, cancel)()
+	}
 	client := fleetpb.NewBrokerProtobufClient(transport.URL(c.owner.Address), c.client.httpClient)
 	response, err := client.Execute(ctx, c.newRequest(request, remaining))
+	if err != nil && request.CallerContext != nil && request.CallerContext.Err() != nil {
+		c.handle = 0
+		return statement.Answer{}, false, eris.Wrap(backend.ErrConnectionLost, "the caller closed its connection")
+	}
 	if err != nil {
 		err = c.callError(err)
 		return statement.Answer{}, !inTransaction && errors.Is(err, backend.ErrNotSent), err
 	}
-	c.client.recordResponse(c.owner.Name, time.Now())
+	arrived := time.Now()
+	c.client.recordResponse(c.owner.Name, arrived.Sub(now), time.Duration(response.GetElapsedUs())*time.Microsecond, arrived)
 	if response.GetNotOwner() {
 		c.client.avoid(c.owner.Name, notOwnerBackoff, time.Now())
 		answer, err = c.faultResult(response)
@@ -217,7 +239,8 @@
 	r := &fleetpb.ExecuteRequest{
 		Server: string(c.server), Handle: c.handle, Id: request.ID, Verb: uint32(request.Verb), Text: request.Text,
 		AfterTerm: uint64(request.MinPosition.Term), AfterPosition: uint64(request.MinPosition.Position),
-		DeadlineMs: uint32(max(remaining-responseMargin, remaining/2).Milliseconds()), AimMs: uint32(max(0, time.Until(request.SoftDeadline)).Milliseconds()),
+		DeadlineMs: uint32(max(remaining-responseMargin, remaining/2).Milliseconds()), AimMs: uint32(c.client.softDeadlineLeft(request.SoftDeadline, time.Now()).Milliseconds()),
+		HoldMs:   uint32(request.HoldFor.Milliseconds()),
 		Priority: uint32(request.Priority), AnswerMs: uint32(request.ResponseTimeout.Milliseconds()),
 	}
 	if c.deferredBegin != nil {
@@ -260,7 +283,7 @@
 func (c *connection) faultResult(r *fleetpb.ExecuteResponse) (statement.Answer, error) {
 	switch r.GetFault() {
 	case fleetpb.ExecuteResponse_FAULT_NO_ROOM:
-		return statement.Answer{Code: statement.Busy, Detail: r.GetDetail()}, nil
+		return statement.Answer{Code: statement.Busy, Detail: r.GetDetail(), RetryAfter: milliseconds(r.GetRetryAfterMs())}, nil
 	case fleetpb.ExecuteResponse_FAULT_NOT_SENT:
 		return statement.Answer{}, eris.Wrap(backend.ErrNotSent, r.GetDetail())
 	case fleetpb.ExecuteResponse_FAULT_SILENT:
--- a/internal/traffic/forward/service.go
+++ b/internal/traffic/forward/service.go
@@ -107,7 +107,17 @@
 
 // Execute runs a statement of another proxy; see fleetpb.Broker. Failures are
 // reported as faults of the response.
-func (s *Service) Execute(_ context.Context, r *fleetpb.ExecuteRequest) (*fleetpb.ExecuteResponse, error) {
+func (s *Service) Execute(ctx context.Context, r *fleetpb.ExecuteRequest) (*fleetpb.ExecuteResponse, error) {
+	arrived := time.Now()
+	response, err := s.execute(ctx, r)
+	if response != nil {
+		response.ElapsedUs = uint32(time.Since(arrived).Microseconds())
+	}
+	return response, err
+}
+
+// execute is Execute without the measurement of its time.
+func (s *Service) execute(ctx context.Context, r *fleetpb.ExecuteRequest) (*fleetpb.ExecuteResponse, error) {
 	deadline := time.Now().Add(milliseconds(r.GetDeadlineMs()))
 	settings := settingsFromProto(r.GetValues())
 	fingerprint := statement.Fingerprint(settings)
@@ -120,7 +130,7 @@
 			conn.Discard()
 			return faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, err), nil
 		}
-		return s.runStatement(conn, r, deadline), nil
+		return s.runStatement(ctx, conn, r, deadline), nil
 	}
 	pool, ok := s.options.Pools.Pool(cluster.ServerName(r.GetServer()))
 	if !ok || pool.ForwardsStatements() {
@@ -130,10 +140,12 @@
 	}
 	conn, err := pool.Acquire(upstream.AcquireOptions{
 		Fingerprint: fingerprint, Priority: int(r.GetPriority()),
-		SoftDeadline: time.Now().Add(milliseconds(r.GetAimMs())), Deadline: deadline,
+		SoftDeadline: time.Now().Add(milliseconds(r.GetAimMs())), Deadline: deadline, CallerContext: ctx,
+		Digest:  statement.Statement{Verb: statement.Verb(r.GetVerb()), Query: r.GetShape(), Text: r.GetText()}.Digest(),
+		HoldFor: milliseconds(r.GetHoldMs()),
 	})
 	if err != nil {
-		return faultResponse(acquireFault(err), err), nil
+		return acquireFault(err), nil
 	}
 	if err := conn.ApplySettings(settings, fingerprint, deadline); err != nil {
 		conn.Discard()
@@ -143,7 +155,7 @@
 	if response := beginTransaction(conn, r, deadline); response != nil {
 		return response, nil
 	}
-	return s.runStatement(conn, r, deadline), nil
+	return s.runStatement(ctx, conn, r, deadline), nil
 }
 
 // responseDeadline returns the deadline for the server's answer to a statement that
@@ -168,12 +180,18 @@
 	errNotOwner      = eris.New("this proxy doesn't own connections to the server")
 )
 
-// acquireFault returns the fault for a failed acquisition of a connection.
-func acquireFault(err error) fleetpb.ExecuteResponse_Fault {
+// acquireFault returns the response for a failed acquisition of a connection.
+func acquireFault(err error) *fleetpb.ExecuteResponse {
+	var refused *upstream.RefusedError
+	if errors.As(err, &refused) {
+		response := faultResponse(fleetpb.ExecuteResponse_FAULT_NO_ROOM, err)
+		response.RetryAfterMs = uint32(max(1, refused.RetryAfter.Milliseconds()))
+		return response
+	}
 	if errors.Is(err, upstream.ErrAcquireTimeout) {
-		return fleetpb.ExecuteResponse_FAULT_NO_ROOM
+		return faultResponse(fleetpb.ExecuteResponse_FAULT_NO_ROOM, err)
 	}
-	return fleetpb.ExecuteResponse_FAULT_NOT_SENT
+	return faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, err)
 }
 
 // beginTransaction begins a transaction if the request asks for one. It returns nil on
@@ -198,8 +216,9 @@
 }
 
 // runStatement runs the statement. Afterwards it releases the connection, or stores
-// it under the response's handle if a transaction is open on it.
-func (s *Service) runStatement(conn *upstream.Conn, r *fleetpb.ExecuteRequest, deadline time.Time) *fleetpb.ExecuteResponse {
+// it under the response's handle if a transaction is open on it. If the other proxy has
+// given up meanwhile, nobody will know the handle, so the transaction is rolled back.
+func (s *Service) runStatement(ctx context.Context, conn *upstream.Conn, r *fleetpb.ExecuteRequest, deadline time.Time) *fleetpb.ExecuteResponse {
 	request, err := prepareRequest(conn, r, deadline)
 	if err != nil {
 		conn.Discard()
@@ -221,6 +240,10 @@
 		conn.Release()
 		return response
 	}
+	if ctx.Err() != nil {
+		conn.Discard()
+		return response
+	}
 	response.Handle = s.keepTransaction(conn)
 	return response
 }
--- a/internal/traffic/ownership/ownership.go
+++ b/internal/traffic/ownership/ownership.go
@@ -186,6 +186,21 @@
 	return cmp.Or(cmp.Compare(other.weight, r.weight), cmp.Compare(r.peer.Name, other.peer.Name)) < 0
 }
 
+// ChooseOwner returns the owner for a piece of work with the given digest: the one of
+// the highest rendezvous weight for which usable returns true, or the highest of all if
+// there is none. Work with the same digest meets at the same owner, whichever proxy
+// forwards it.
+func ChooseOwner(owners []Peer, digest uint64, usable func(Peer) bool) Peer {
+	best, bestUsable, bestWeight := owners[0], false, uint64(0)
+	for i, owner := range owners {
+		weight, ok := mix(digest, xxhash.Sum64String(string(owner.Name))), usable(owner)
+		if i == 0 || ok && !bestUsable || ok == bestUsable && weight > bestWeight {
+			best, bestUsable, bestWeight = owner, ok, weight
+		}
+	}
+	return best
+}
+
 // mix returns a hash of two hashes: the finalizer of SplitMix64 over their
 // combination, so that the weights of one peer for different keys are independent.
 func mix(a, b uint64) uint64 {
--- a/internal/traffic/session/execution.go
+++ b/internal/traffic/session/execution.go
@@ -1,6 +1,8 @@
 package session
 
 import (
+	"context"
+	"fmt"
 	"time"
 
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
@@ -28,6 +30,14 @@
 	// deadline at which the wait for a connection ends. It is left to the server
 	// for its answer.
 	reserveDivisor = 8
+	// holdNumerator and holdDenominator are the part of the statement timeout for
+	// which a late statement may wait for a connection.
+	holdNumerator, holdDenominator = 3, 8
+	// answerTransit is the time that a statement and its answer are on their way
+	// between the caller and this proxy, on a network of 2 Mbit/s. Without it, the
+	// queue of an overloaded server would choose, among the statements that it takes
+	// for in time, mostly those that reach their callers just too late.
+	answerTransit = 10 * time.Millisecond
 	// retryAfterChange is the delay that callers are advised to retry after while
 	// the primary is being replaced: the time that it usually takes.
 	retryAfterChange = 500 * time.Millisecond
@@ -54,8 +64,9 @@
 		// on the clock of time.Now.
 		bootStart time.Time
 		start     time.Time
-		// softDeadline is when the statement should be done: the route's latency
-		// target after the caller began to wait for it (see recordWaitStart).
+		// softDeadline is when the statement should be done here: the route's
+		// latency target after the caller began to wait for it (see
+		// recordWaitStart), without the time that its answer is on its way.
 		// The statement fails only at deadline.
 		softDeadline time.Time
 		deadline     time.Time
@@ -63,10 +74,15 @@
 		// waitTime is the total time spent waiting for a connection, a sample or
 		// the primary.
 		waitTime time.Duration
+		// callerContext ends when the caller has closed its connection.
+		callerContext context.Context
 		// excluded are the servers that reads aren't retried on.
 		excluded map[cluster.ServerName]bool
 		// lastFailure is why the last attempt failed.
 		lastFailure string
+		// failedAttempts lists the attempts that failed and were retried: the
+		// server, the outcome and the time since the statement was received.
+		failedAttempts []string
 		// lastPool is the pool of the server that was tried last; nil: none.
 		lastPool *upstream.Pool
 	}
@@ -92,7 +108,7 @@
 	return &execution{
 		session: s, route: route, stmt: next, writes: writes, bootStart: s.manager.options.Now(), start: start,
 		primaryOnly:  writes || route.Consistency == routing.Strong,
-		softDeadline: waitingSince.Add(route.LatencyTarget),
+		softDeadline: waitingSince.Add(route.LatencyTarget - min(answerTransit, route.LatencyTarget/4)),
 		deadline:     start.Add(route.StatementTimeout), excluded: map[cluster.ServerName]bool{},
 	}
 }
@@ -108,6 +124,9 @@
 // runWithRetries attempts the statement until it has an outcome, or until its attempts
 // or its time are used up.
 func (e *execution) runWithRetries() statement.Answer {
+	callerContext, endWatch := e.session.watchCaller()
+	defer endWatch()
+	e.callerContext = callerContext
 	for {
 		e.attempts++
 		t, refusal := e.chooseTarget()
@@ -118,7 +137,8 @@
 		if !retry {
 			return answer
 		}
-		if e.attempts >= maxAttempts || !time.Now().Before(e.deadline) {
+		e.failedAttempts = append(e.failedAttempts, fmt.Sprintf("%s %s %dms", t.pool.Server().Name, answer.Code, time.Since(e.start).Milliseconds()))
+		if e.attempts >= maxAttempts || !time.Now().Before(e.deadline) || callerContext.Err() != nil {
 			return e.finalAnswer(answer)
 		}
 	}
@@ -138,7 +158,8 @@
 	began := time.Now()
 	conn, err := t.pool.Acquire(upstream.AcquireOptions{
 		Fingerprint: e.session.fingerprint, Priority: e.route.Priority,
-		SoftDeadline: e.softDeadline, Deadline: e.acquireDeadline(t),
+		SoftDeadline: e.softDeadline, Deadline: e.acquireDeadline(t), CallerContext: e.callerContext,
+		Digest: e.stmt.Digest(), HoldFor: e.holdTime(),
 	})
 	e.waitTime += time.Since(began)
 	if err != nil {
@@ -151,6 +172,7 @@
 		return e.handleFailureBeforeSend(t, err)
 	}
 	request.MinPosition, request.Priority, request.SoftDeadline = t.minPosition, e.route.Priority, e.softDeadline
+	request.CallerContext, request.HoldFor = e.callerContext, e.holdTime()
 	if conn.ForwardsStatements() {
 		request.ResponseTimeout = max(time.Until(limit), time.Millisecond)
 		limit = e.deadline
@@ -187,6 +209,13 @@
 	return time.Now().Add(e.route.StatementTimeout / readTimeoutDivisor)
 }
 
+// holdTime returns how long the statement may wait for a connection once it can't be
+// done by its soft deadline any more. It is a part of the time that the caller has, so
+// that a caller that is refused can come back.
+func (e *execution) holdTime() time.Duration {
+	return e.route.StatementTimeout * holdNumerator / holdDenominator
+}
+
 // attemptDeadline returns the deadline for the answer. For a read, it leaves time for
 // a retry if the answer is lost. A write isn't retried after it was sent, so it gets
 // all the remaining time.
--- a/internal/traffic/session/manager.go
+++ b/internal/traffic/session/manager.go
@@ -55,6 +55,9 @@
 		// Interrupt makes a Next that hasn't received a whole statement fail,
 		// so that the session computes its idle deadline again.
 		Interrupt()
+		// Gone reports whether the caller has closed its connection, as far as
+		// that shows without blocking. It may be called while Next isn't.
+		Gone() bool
 		Close() error
 	}
 
@@ -226,6 +229,12 @@
 	m.tracker(group).Record(s)
 }
 
+// LatestSample returns the newest sample of a group, and false if there is none.
+func (m *Manager) LatestSample(group cluster.GroupName) (freshness.Sample, bool) {
+	s := m.tracker(group).Latest()
+	return s, !s.Position.IsZero()
+}
+
 // SampleOnConnect is called before a connection to a server is opened. The function
 // that it returns records the log position that the server sends as a sample, if
 // the server is the primary. Use it as upstream.Options.BeforeConnect.
--- a/internal/traffic/session/outcome.go
+++ b/internal/traffic/session/outcome.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
@@ -21,7 +22,7 @@
 	if answer.Code == statement.TimedOut || answer.Code == statement.Failed {
 		code = answer.Code
 	}
-	after := busyBackoff
+	after := max(busyBackoff, answer.RetryAfter)
 	if e.lastPool != nil {
 		after = max(after, e.lastPool.RetryAfter())
 	}
@@ -40,6 +41,10 @@
 	e.lastFailure = err.Error()
 	name := t.pool.Server().Name
 	e.excluded[name] = true
+	var refused *upstream.RefusedError
+	if errors.As(err, &refused) {
+		return e.handleRefusal(t, refused.RetryAfter)
+	}
 	if errors.Is(err, upstream.ErrAcquireTimeout) && e.primaryOnly {
 		return e.retryLater(statement.Busy, "no connection to the primary became free in time", t.pool.RetryAfter()), false
 	}
@@ -49,6 +54,17 @@
 	return statement.Answer{Code: statement.Busy}, true
 }
 
+// handleRefusal handles a statement that wasn't queued for a server, because it
+// wouldn't have run in time. Another server may run it, but not if this was the primary:
+// replicas were tried before, or may not run it.
+func (e *execution) handleRefusal(t target, retryAfter time.Duration) (statement.Answer, bool) {
+	if e.primaryOnly || t.onPrimary {
+		return e.retryLater(statement.Busy, e.lastFailure, retryAfter), false
+	}
+	e.excluded[t.pool.Server().Name] = true
+	return statement.Answer{Code: statement.Busy, RetryAfter: retryAfter}, true
+}
+
 // handleFailureBeforeSend handles a failure before the statement was sent.
 func (e *execution) handleFailureBeforeSend(t target, err error) (statement.Answer, bool) {
 	e.lastFailure = err.Error()
@@ -116,6 +132,15 @@
 	if !answer.Code.NotRun() {
 		return answer, false
 	}
+	return e.handleNotRun(t, answer)
+}
+
+// handleNotRun handles an answer that says that the statement hasn't run.
+func (e *execution) handleNotRun(t target, answer statement.Answer) (statement.Answer, bool) {
+	if answer.RetryAfter > 0 {
+		e.lastFailure = answer.Detail
+		return e.handleRefusal(t, answer.RetryAfter)
+	}
 	e.recordNotRun(t, answer)
 	return answer, true
 }
@@ -181,7 +206,7 @@
 	}
 	logger.Info(message, "request-id", e.stmt.ID, "database", e.session.database,
 		"group", e.route.Group, "verb", e.stmt.Verb.String(), "outcome", answer.Code.String(), "reason", answer.Detail,
-		"last-attempt", e.lastFailure, "attempts", e.attempts, "waited-ms", e.waitTime.Milliseconds(), "total-ms", total.Milliseconds(),
+		"last-attempt", e.lastFailure, "attempts", e.attempts, "failed-attempts", strings.Join(e.failedAttempts, ", "), "primary-only", e.primaryOnly, "waited-ms", e.waitTime.Milliseconds(), "total-ms", total.Milliseconds(),
 		"term", e.session.manager.options.Lease.Term(e.route.Group),
 		"lease-left-ms", e.session.manager.options.Lease.Remaining(now).Milliseconds())
 	return answer
--- a/internal/traffic/session/retry.go
+++ b/internal/traffic/session/retry.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
 )
 
@@ -54,7 +52,7 @@
 	case s.lastFailed.isRetry(first, now):
 		waitingSince = s.lastFailed.waitingSince
 	}
-	s.current = operation{firstDigest: digest(first), waitingSince: waitingSince}
+	s.current = operation{firstDigest: first.Digest(), waitingSince: waitingSince}
 	return waitingSince
 }
 
@@ -70,17 +68,5 @@
 	if o.failedAt.IsZero() || now.Sub(o.failedAt) > retryWindow {
 		return false
 	}
-	return o.firstDigest == digest(first)
-}
-
-// digest returns a hash of a statement's verb, name (of a session setting or prepared
-// statement; otherwise empty) and text.
-func digest(s statement.Statement) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	for _, part := range []string{s.Verb.String(), s.Name, s.Text} {
-		_, _ = d.WriteString(part) // never fails
-		_, _ = d.Write([]byte{0})
-	}
-	return d.Sum64()
+	return o.firstDigest == first.Digest()
 }
--- a/internal/traffic/session/session_test.go
+++ b/internal/traffic/session/session_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -69,6 +70,8 @@
 		// idleTimeout is the time to the idle deadline that the last call of
 		// Next got; zero: none.
 		idleTimeout time.Duration
+		// gone is true once the caller has closed its connection.
+		gone atomic.Bool
 	}
 )
 
@@ -160,6 +163,7 @@
 }
 
 func (c *fakeCaller) Interrupt()   {}
+func (c *fakeCaller) Gone() bool   { return c.gone.Load() }
 func (c *fakeCaller) Close() error { return nil }
 
 // newFixture returns a fixture with the servers "p" (primary), "r1" and "r2", and a
@@ -541,3 +545,38 @@
 		}
 	}
 }
+
+// TestStatementOfAGoneCallerIsWithdrawn queues a write behind a transaction that holds
+// the only connection, and closes the caller's connection meanwhile. The write must not
+// reach the server once the connection is free: under overload, such statements kept a
+// primary busy for 10 s after the load had ended.
+func TestStatementOfAGoneCallerIsWithdrawn(t *testing.T) {
+	f := newFixture(t)
+	pool, _ := f.manager.options.Pools.Pool("p")
+	var held []*upstream.Conn
+	for {
+		conn, err := pool.Acquire(upstream.AcquireOptions{Deadline: time.Now().Add(20 * time.Millisecond)})
+		if err != nil {
+			break
+		}
+		held = append(held, conn)
+	}
+	gone := &fakeCaller{statements: []statement.Statement{parse(1, "WRITE 1 x")}}
+	gone.gone.Store(true)
+	start := time.Now()
+	if err := f.manager.Serve(gone, "primary", time.Now()); err == nil {
+		t.Error("got no error from a session whose caller is gone")
+	}
+	if waited, limit := time.Since(start), firstGoneCheck+5*goneCheckInterval; waited > limit {
+		t.Errorf("got a wait of %v for a caller that is gone, want at most %v", waited, limit)
+	}
+	if len(gone.answers) != 1 || gone.answers[0].Code != statement.Busy {
+		t.Errorf("got answers %+v, want not run", gone.answers)
+	}
+	for _, conn := range held {
+		conn.Release()
+	}
+	if got := f.servers["p"].receivedStatements; len(got) > 0 {
+		t.Errorf("got statements %v at the server, want none", got)
+	}
+}
--- a/internal/traffic/session/transaction.go
+++ b/internal/traffic/session/transaction.go
@@ -80,8 +80,7 @@
 func (e *execution) handleFirstAnswer(conn *upstream.Conn, t target, answer statement.Answer, keepPermit *bool) (statement.Answer, bool) {
 	if answer.Code.NotRun() {
 		e.session.rollBackOn(conn, false)
-		e.recordNotRun(t, answer)
-		return answer, true
+		return e.handleNotRun(t, answer)
 	}
 	if e.isFailedRead(answer) {
 		e.session.rollBackOn(conn, false)
--- a/internal/traffic/statement/statement.go
+++ b/internal/traffic/statement/statement.go
@@ -15,10 +15,13 @@
 package statement
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 )
 
@@ -138,6 +141,14 @@
 		// forwarded, without the time that the statement is queued at the
 		// proxy that owns the connection; zero: only the deadline applies.
 		ResponseTimeout time.Duration
+		// HoldFor is how long the statement may be queued once it can't be done by
+		// SoftDeadline any more; zero: until the deadline.
+		HoldFor time.Duration
+		// CallerContext ends when the caller has given up. A forwarded statement
+		// that is still queued then is withdrawn. It is nil if that isn't
+		// watched. It is a field because a Request is passed through pools and
+		// connections unchanged.
+		CallerContext context.Context
 	}
 
 	// Answer is the outcome of a statement.
@@ -152,6 +163,9 @@
 		Rows      [][]byte
 		Signature []byte
 		State     TxState
+		// RetryAfter is when there will be room, if Code is Busy because the
+		// statement was refused before it was sent to the server; else zero.
+		RetryAfter time.Duration
 		// Position is the position of the server's log after the statement;
 		// zero: unknown.
 		Position cluster.LogPosition
@@ -184,6 +198,19 @@
 	}[v]
 }
 
+// Digest returns a hash of what the statement does: its verb, the query that it
+// executes, and its text. A caller that comes back with the same operation has the same
+// digest, though another identifier and, at another proxy, other prepared names.
+func (s Statement) Digest() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range []string{s.Verb.String(), s.Query, s.Text} {
+		_, _ = d.WriteString(part) // never fails
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
 // Fingerprint returns a text that is the same for equal sets of session settings.
 func Fingerprint(settings map[string]string) string {
 	parts := make([]string, 0, len(settings))
--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -1,7 +1,9 @@
 package upstream
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -14,7 +16,6 @@
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 	"github.com/burdockwood/burdockwood/internal/traffic/balancer"
 	"github.com/burdockwood/burdockwood/internal/traffic/ownership"
-	"github.com/burdockwood/burdockwood/internal/traffic/queue"
 )
 
 const (
@@ -50,6 +51,10 @@
 	baseLatencyWeight = 0.002
 	// latencyWeight is the weight of a new measurement in a moving average.
 	latencyWeight = 0.15
+	// latencyMarginPercent is applied to the recent latency to decide whether a
+	// waiting statement can still be in time, because about half of them take longer
+	// than the average.
+	latencyMarginPercent = 125
 	// defaultConnectTime is the assumed time to open a connection until one was
 	// measured.
 	defaultConnectTime = 15 * time.Millisecond
@@ -59,6 +64,9 @@
 	// ErrServerRemoved is returned if the server has been removed from the
 	// servers that may be used.
 	ErrServerRemoved = eris.New("the backend server takes no new work")
+	// ErrCallerGone is returned if AcquireOptions.CallerContext ended before a
+	// connection became free.
+	ErrCallerGone = eris.New("the caller closed its connection before one to the backend server became free")
 	// ErrAcquireTimeout is returned if no connection became free before the
 	// deadline.
 	ErrAcquireTimeout = eris.New("no connection to the backend server became free in time")
@@ -81,7 +89,9 @@
 		inUse map[*Conn]struct{}
 		// dialing is the number of connections that are being opened.
 		dialing int
-		waiters queue.Queue[*waiter]
+		waiters admission.Queue[*waiter]
+		// retries recognizes callers that come back after a refusal.
+		retries *admission.Retries
 		// running counts the statements that were sent and not yet answered.
 		running int
 
@@ -144,6 +154,22 @@
 		// gives up.
 		SoftDeadline time.Time
 		Deadline     time.Time
+		// CallerContext ends when the caller has given up; nil: never.
+		CallerContext context.Context
+		// Digest identifies what the work does, so that a caller that comes back
+		// after a refusal is recognized; zero: unknown.
+		Digest uint64
+		// HoldFor is how long the work may wait once it can't be done by
+		// SoftDeadline any more; zero: until Deadline.
+		HoldFor time.Duration
+	}
+
+	// RefusedError is returned if the work wouldn't get a connection in time.
+	RefusedError struct {
+		// RetryAfter is when there will be room. Expected is the predicted wait,
+		// Ahead the amount of work that goes before.
+		RetryAfter, Expected time.Duration
+		Ahead                int
 	}
 
 	// waiter is a call of Acquire that waits. It receives a connection, or nil
@@ -187,10 +213,37 @@
 	return p.connectTime
 }
 
+// Error says why the work was refused.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("too much work waits for the backend server: %d ahead, %d ms expected", e.Ahead, e.Expected.Milliseconds())
+}
+
 // Acquire returns an idle connection, opens one, or waits for one until
 // options.Deadline. The connection must be given to Release or Discard. Errors:
-// ErrServerRemoved, ErrAcquireTimeout and those of backend.Dial.
+// RefusedError, ErrServerRemoved, ErrAcquireTimeout, ErrCallerGone and those of
+// backend.Dial.
 func (p *Pool) Acquire(options AcquireOptions) (*Conn, error) {
+	arrivedAt := time.Now()
+	if options.Digest == 0 {
+		return p.acquire(options, arrivedAt)
+	}
+	p.mu.Lock()
+	options.SoftDeadline = p.retries.SoftDeadline(options.Digest, options.SoftDeadline, arrivedAt)
+	p.mu.Unlock()
+	conn, err := p.acquire(options, arrivedAt)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		p.retries.Record(options.Digest, options.SoftDeadline, time.Now())
+	} else {
+		p.retries.Done(options.Digest)
+	}
+	return conn, err
+}
+
+// acquire is Acquire for work that arrived at arrivedAt, whether or not its caller was
+// refused before.
+func (p *Pool) acquire(options AcquireOptions, arrivedAt time.Time) (*Conn, error) {
 	var arrival uint64
 	for {
 		conn, ready, err := p.tryAcquire(options, arrival != 0)
@@ -200,7 +253,7 @@
 		if ready || err != nil {
 			return conn, err
 		}
-		conn, err = p.wait(options, &arrival)
+		conn, err = p.wait(options, arrivedAt, &arrival)
 		if err != nil {
 			return nil, err
 		}
@@ -306,6 +359,12 @@
 	}
 }
 
+// pace returns how fast the server works for this proxy. p.mu is held.
+func (p *Pool) pace(now time.Time) admission.Pace {
+	latency := p.currentLatency(now)
+	return admission.Pace{Service: latency * latencyMarginPercent / 100, Interval: latency / time.Duration(p.load().MaxRunning(now))}
+}
+
 // connectionCount returns the number of connections, those being opened included.
 // p.mu is held.
 func (p *Pool) connectionCount() int { return len(p.idle) + len(p.inUse) + p.dialing }
@@ -334,21 +393,35 @@
 // should call tryAcquire again. It returns after connectionLimitBackoff at the latest,
 // because waiters aren't woken at the end of that back-off. arrival is the sequence
 // number of this call of Acquire; wait assigns it if it is zero, and it is kept over
-// several waits. Errors: ErrAcquireTimeout.
-func (p *Pool) wait(options AcquireOptions, arrival *uint64) (*Conn, error) {
-	w := &waiter{granted: make(chan *Conn, 1)}
+// several waits. Errors: RefusedError, ErrAcquireTimeout,
+// ErrCallerGone.
+func (p *Pool) wait(options AcquireOptions, arrivedAt time.Time, arrival *uint64) (*Conn, error) {
+	w, now := &waiter{granted: make(chan *Conn, 1)}, time.Now()
 	p.mu.Lock()
 	if *arrival == 0 {
 		p.lastArrival++
 		*arrival = p.lastArrival
 	}
-	p.waiters.Add(queue.Item[*waiter]{Value: w, Priority: options.Priority, SoftDeadline: options.SoftDeadline, Arrival: *arrival})
+	item := admission.Item[*waiter]{Value: w, Priority: options.Priority, SoftDeadline: options.SoftDeadline, Arrival: *arrival}
+	if options.HoldFor > 0 {
+		item.HoldUntil = arrivedAt.Add(options.HoldFor)
+	}
+	if d := p.waiters.Decide(item, p.pace(now), now); !d.Wait {
+		p.mu.Unlock()
+		return nil, &RefusedError{RetryAfter: d.RetryAfter, Expected: d.Expected, Ahead: d.Ahead}
+	}
+	p.waiters.Add(item, now)
 	p.mu.Unlock()
 	timer := time.NewTimer(max(0, min(time.Until(options.Deadline), connectionLimitBackoff)))
 	defer timer.Stop()
+	var callerGone <-chan struct{}
+	if options.CallerContext != nil {
+		callerGone = options.CallerContext.Done()
+	}
 	select {
 	case conn := <-w.granted:
 		return conn, nil
+	case <-callerGone:
 	case <-timer.C:
 	}
 	p.mu.Lock()
@@ -359,6 +432,9 @@
 		return conn, nil
 	default:
 	}
+	if options.CallerContext != nil && options.CallerContext.Err() != nil {
+		return nil, ErrCallerGone
+	}
 	if time.Now().Before(options.Deadline) {
 		return nil, nil
 	}
@@ -459,7 +535,7 @@
 // connection is idle, it wakes one waiter, which may open one. p.mu is held.
 func (p *Pool) wakeWaiters() {
 	for p.hasCapacity() {
-		w, ok := p.waiters.Pop(p.recentLatency, time.Now())
+		w, ok := p.waiters.Pop(p.recentLatency*latencyMarginPercent/100, time.Now())
 		if !ok {
 			return
 		}
--- a/internal/traffic/upstream/upstream.go
+++ b/internal/traffic/upstream/upstream.go
@@ -11,7 +11,7 @@
 //
 // Terms: a server executes as many statements at once as it has slots. A statement's
 // soft deadline is when it should be done; it orders waiting statements (see package
-// queue). A server is unresponsive if requests to it go unanswered.
+// admission). A server is unresponsive if requests to it go unanswered.
 //
 // # Shares
 //
@@ -36,6 +36,7 @@
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/ops/rungroup"
+	"github.com/burdockwood/burdockwood/internal/traffic/admission"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 	"github.com/burdockwood/burdockwood/internal/traffic/ownership"
 )
@@ -119,7 +120,7 @@
 	for _, server := range servers {
 		p := old[server.Name]
 		if p == nil {
-			p = &Pool{manager: m, inUse: map[*Conn]struct{}{}}
+			p = &Pool{manager: m, inUse: map[*Conn]struct{}{}, retries: admission.NewRetries()}
 		}
 		p.setServer(server, connectionPlan(server))
 		if old[server.Name] == nil {
