RPC requests without headers that nobody reads; connections for transactions tried and left out

Cause: on links of 2 Mbit/s each 250 bytes take a millisecond, and a forwarded statement crosses four links. Headers of twirp's clients that no server reads were a fifth of a short request. Tried: half of a server's connections for proxies that own none, each for one transaction, with overload made known to all proxies by control.

--- a/internal/rpc/transport/transport.go
+++ b/internal/rpc/transport/transport.go
@@ -19,6 +19,7 @@
 	"crypto/subtle"
 	"crypto/tls"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -45,10 +46,15 @@
 	// MaxBodyBytes is the maximum size of a request's body.
 	MaxBodyBytes = 8 << 20
 
-	authHeader = "Authorization"
-	authScheme = "Bearer "
+	authHeader      = "Authorization"
+	userAgentHeader = "User-Agent"
+	dateHeader      = "Date"
+	authScheme      = "Bearer "
 )
 
+// unreadHeaders are headers of twirp's clients that no server reads.
+var unreadHeaders = []string{"Accept", "Twirp-Version"}
+
 type (
 	// Options configure a client.
 	Options struct {
@@ -87,8 +93,9 @@
 		counter *ByteCounter
 	}
 
-	// authRoundTripper adds a key to each request.
-	authRoundTripper struct {
+	// rpcRoundTripper removes the headers that servers don't read from each request
+	// and adds a key.
+	rpcRoundTripper struct {
 		keyring Keyring
 		next    http.RoundTripper
 	}
@@ -108,15 +115,21 @@
 	return n, err
 }
 
-// RoundTrip sends the request with the keyring's key as its bearer token.
-func (t *authRoundTripper) RoundTrip(request *http.Request) (*http.Response, error) {
-	key := t.keyring.RequestKey()
-	if key == "" {
-		return t.next.RoundTrip(request)
+// RoundTrip sends the request with the keyring's key as its bearer token, and without
+// the headers in unreadHeaders. They made up a fifth of a short request, and on a link of
+// 2 Mbit/s each 250 bytes take a millisecond.
+func (t *rpcRoundTripper) RoundTrip(request *http.Request) (*http.Response, error) {
+	trimmed := *request
+	trimmed.Header = maps.Clone(request.Header)
+	for _, name := range unreadHeaders {
+		delete(trimmed.Header, name)
+	}
+	// An empty value keeps the HTTP client from sending its own.
+	trimmed.Header[userAgentHeader] = []string{""}
+	if key := t.keyring.RequestKey(); key != "" {
+		trimmed.Header.Set(authHeader, authScheme+key)
 	}
-	keyed := request.Clone(request.Context())
-	keyed.Header.Set(authHeader, authScheme+key)
-	return t.next.RoundTrip(keyed)
+	return t.next.RoundTrip(&trimmed)
 }
 
 // RequestKey returns the key.
@@ -141,7 +154,7 @@
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 	}
-	return &http.Client{Transport: &authRoundTripper{keyring: keyring, next: next}}
+	return &http.Client{Transport: &rpcRoundTripper{keyring: keyring, next: next}}
 }
 
 // newDialFunc returns a function that opens connections as options say.
@@ -198,11 +211,19 @@
 	})
 }
 
+// withoutDate returns a handler that doesn't send the time of day with responses.
+func withoutDate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header()[dateHeader] = nil
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Serve serves requests on listener until ctx ends, then shuts the server down.
 // Requests still in flight after 2 s are aborted.
 func Serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
 	server := &http.Server{
-		Handler:           handler,
+		Handler:           withoutDate(handler),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       2 * idleConnTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/traffic/routing/routing.go
+++ b/internal/traffic/routing/routing.go
@@ -43,7 +43,7 @@
 		StatementTimeout time.Duration
 		// LatencyTarget is the time in which a statement should be done. The
 		// statement's soft deadline is the end of that time: queues prefer
-		// statements that can still meet it (see package queue). A statement
+		// statements that can still meet it (see package admission). A statement
 		// that misses it still runs, and is logged as late.
 		LatencyTarget time.Duration
 		// Priority orders queued statements; 0 is the highest.
--- a/internal/traffic/session/retry.go
+++ b/internal/traffic/session/retry.go
@@ -34,7 +34,7 @@
 //
 // A statement's soft deadline is its route's latency target after the start of that
 // wait. A pool's queue prefers statements that can still meet their soft deadline, and
-// among them the earlier one (see package queue).
+// among them the earlier one (see package admission).
 //
 // The wait began before the statement was received in two cases:
 //   - The statement is the first after the handshake. The wait then began when the
--- a/internal/traffic/statement/statement.go
+++ b/internal/traffic/statement/statement.go
@@ -133,7 +133,7 @@
 		// zero: any.
 		MinPosition cluster.LogPosition
 		// Priority and SoftDeadline order the statement in a queue (see package
-		// queue): the lower number first, then the earlier time. SoftDeadline is
+		// admission): the lower number first, then the earlier time. SoftDeadline is
 		// when the statement should be done; a late one still runs.
 		Priority     int
 		SoftDeadline time.Time
