Owners where proxies are more than eight times the slots

Under overload each sends one statement, so the server's own queue, in the order of arrival, decided what was late, and after a loss of power 71 connections of 27 ms each kept every server busy for 0.3 s. Ruled out: the statements' way through an owner.

--- a/internal/traffic/ownership/ownership.go
+++ b/internal/traffic/ownership/ownership.go
@@ -14,8 +14,8 @@
 //
 // # Owners
 //
-// If a server accepts at least one connection for each proxy, every proxy owns
-// connections. If it doesn't, proxies without a connection would have to wait until
+// If a server accepts at least one connection for each proxy, and there are at most
+// eight proxies for each of its slots, every proxy owns connections. If it accepts fewer, proxies without a connection would have to wait until
 // another one closes its own and would mostly be refused, and opening a connection
 // for each statement costs a small server as much as the statement. So a few
 // proxies own all connections, several each, and queue the statements of all
@@ -55,6 +55,9 @@
 	// maxOwnersPerSlot bounds the owners for each slot of the server. It is below
 	// the number of statements that a server queues for each slot.
 	maxOwnersPerSlot = 4
+	// maxDirectPerSlot is the number of proxies for each slot of the server up to
+	// which all may own connections.
+	maxDirectPerSlot = 8
 	// reservedForControl is the number of connections of each server that the
 	// proxies leave to the control plane.
 	reservedForControl = 1
@@ -131,7 +134,7 @@
 func PlanConnections(server Server, proxies int, peers PeerSet, self Peer) ConnectionPlan {
 	usable := max(1, server.MaxConnections-reservedForControl)
 	proxies = max(1, proxies)
-	if usable >= proxies || peers.Len() == 0 {
+	if usable >= proxies && !isCrowded(server, proxies) || peers.Len() == 0 {
 		share := max(1, usable/proxies)
 		return ConnectionPlan{OwnsConnections: true, Share: share, Unassigned: max(0, usable-share*proxies), OwnerCount: proxies}
 	}
@@ -145,6 +148,15 @@
 	return ConnectionPlan{Owners: NewPeerSet(owners).highest(count, key, self.DataCentre)}
 }
 
+// isCrowded reports whether the proxies are so many that one statement of each is more
+// than the server can execute and queue. Then their own queues would hold one statement
+// each, and the server's queue, in the order of arrival, would decide what is late. After
+// a restart of all proxies, opening one connection for each would keep it busy for longer
+// than the work that waits.
+func isCrowded(server Server, proxies int) bool {
+	return server.Slots > 0 && proxies > maxDirectPerSlot*server.Slots
+}
+
 // ownerCount returns the number of proxies that own the usable connections of a
 // server if they can't all own some.
 func ownerCount(server Server, usable, peers int) int {
--- a/internal/traffic/ownership/ownership_test.go
+++ b/internal/traffic/ownership/ownership_test.go
@@ -38,6 +38,8 @@
 		{"fewer connections than minPerOwner: one owner", 0, 3, 60, 1, 2},
 		{"one proxy", 0, 16, 1, 1, 15},
 		{"hundreds of proxies before a server with few slots", 2, 88, 295, 8, 87},
+		{"a connection for each proxy, but far more proxies than slots", 6, 170, 71, 24, 169},
+		{"a connection for each proxy, and not many more proxies than slots", 6, 170, 48, 48, 169},
 		{"a server with slots to spare", 6, 33, 60, 8, 32},
 	}
 	for _, test := range tests {
