--- a/internal/traffic/admission/retries.go
+++ b/internal/traffic/admission/retries.go
@@ -10,20 +10,20 @@
 	maxRetries = 4096
 )
 
-// Retries recognizes callers that come back with a statement that was refused. Under
-// overload, most statements are such retries. Their soft deadline has usually passed
-// already, but they arrive at another proxy, which takes them for new. If they ran
-// before statements that can still be in time, those would be late as well. So the
-// owner of a server's connections, where statements of all proxies meet, remembers what
-// was refused. Two callers that send the same text within retryMemory are taken for one.
-// Retries isn't safe for concurrent use.
-type Retries struct {
-	firstTries map[uint64]firstTry
-	// order holds the digests in the order in which they were recorded.
-	order []recordedDigest
-}
-
 type (
+	// Retries recognizes callers that come back with a statement that was refused.
+	// Under overload, most statements are such retries. Their soft deadline has usually
+	// passed already, but they arrive at another proxy, which takes them for new. If
+	// they ran before statements that can still be in time, those would be late as
+	// well. So the owner of a server's connections, where statements of all proxies
+	// meet, remembers what was refused. Two callers that send the same text within
+	// retryMemory are taken for one. Retries isn't safe for concurrent use.
+	Retries struct {
+		firstTries map[uint64]firstTry
+		// order holds the digests in the order in which they were recorded.
+		order []recordedDigest
+	}
+
 	firstTry struct {
 		softDeadline time.Time
 		recordedAt   time.Time
--- a/internal/traffic/session/abandon.go
+++ b/internal/traffic/session/abandon.go
@@ -20,6 +20,7 @@
 func (s *session) watchCaller() (context.Context, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var timer *time.Timer
+	// started orders the assignment of timer before its use in the first check.
 	started := make(chan struct{})
 	timer = time.AfterFunc(firstGoneCheck, func() {
 		<-started
