An owner that stops doesn't answer that a transaction is open

Since statements of callers that left are withdrawn, an owner rolls a transaction back if its call has ended. Calls also end when the owner shuts down, and then its answer still arrives: transaction open, no handle. The proxy sent the next statement without a handle, and it ran outside the transaction. Ruled out: mixed sessions (the statement is the same caller's), the begin lost on the way to a second owner (it is kept until an owner answers). Change: the owner answers with a fault, after which the proxy aborts or repeats the transaction; a proxy takes "open" without a handle as a lost connection.

--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -403,3 +403,45 @@
 		t.Errorf("got statements %q at the server, want them without the write", got)
 	}
 }
+
+// TestTransactionOfAStoppingOwner begins a transaction at an owner whose calls are being
+// cancelled, as when it shuts down or the caller leaves. The owner rolls the transaction
+// back, so it must not answer as if it were open: the next statement ran outside of it.
+func TestTransactionOfAStoppingOwner(t *testing.T) {
+	server := &fakeServer{}
+	service, _, _ := startOwner(t, server, 4)
+	stopped, stop := context.WithCancel(t.Context())
+	stop()
+	response, err := service.Execute(stopped, &fleetpb.ExecuteRequest{
+		Server: "s", Begin: uint32(statement.Begin), Verb: uint32(statement.Read), Text: "READ 1", DeadlineMs: 1000,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if response.GetFault() == fleetpb.ExecuteResponse_FAULT_NONE {
+		t.Errorf("got state %v with handle %d and no fault, want a fault", statement.TxState(response.GetState()), response.GetHandle())
+	}
+}
+
+// TestOpenTransactionWithoutHandle has an owner answer that a transaction is open without
+// a handle. No later statement could be sent there, so the transaction must fail.
+func TestOpenTransactionWithoutHandle(t *testing.T) {
+	host := httptest.NewServer(fleetpb.NewBrokerServer(brokerFunc(func(*fleetpb.ExecuteRequest) *fleetpb.ExecuteResponse {
+		return &fleetpb.ExecuteResponse{State: uint32(statement.InTransaction)}
+	})))
+	t.Cleanup(host.Close)
+	conn := NewOwnerClient(&http.Client{}, logr.Discard()).Connect("s", []ownership.Peer{{Name: "owner", Address: netip.MustParseAddrPort(strings.TrimPrefix(host.URL, "http://"))}})
+	if _, err := do(t, conn, request(statement.Begin, "")); err != nil {
+		t.Fatal(err)
+	}
+	if answer, err := do(t, conn, request(statement.Read, "READ 1")); !errors.Is(err, backend.ErrConnectionLost) {
+		t.Errorf("got %+v, %v, want %v", answer, err, backend.ErrConnectionLost)
+	}
+}
+
+// brokerFunc is a broker that answers with a function.
+type brokerFunc func(*fleetpb.ExecuteRequest) *fleetpb.ExecuteResponse
+
+func (f brokerFunc) Execute(_ context.Context, r *fleetpb.ExecuteRequest) (*fleetpb.ExecuteResponse, error) {
+	return f(r), nil
+}
--- a/internal/traffic/forward/owners.go
+++ b/internal/traffic/forward/owners.go
@@ -225,6 +225,10 @@
 		answer, err = c.faultResult(response)
 		return answer, false, err
 	}
+	if c.handle == 0 && statement.TxState(response.GetState()) != statement.Idle {
+		// Without a handle, the next statement would run outside the transaction.
+		return statement.Answer{}, false, eris.Wrap(backend.ErrConnectionLost, "the owner of the connection ended the transaction")
+	}
 	return statement.Answer{
 		Code: statement.Code(response.GetCode()), Detail: response.GetDetail(), Rows: response.GetRows(),
 		Signature: response.GetSignature(), State: statement.TxState(response.GetState()),
--- a/internal/traffic/forward/service.go
+++ b/internal/traffic/forward/service.go
@@ -216,8 +216,9 @@
 }
 
 // runStatement runs the statement. Afterwards it releases the connection, or stores
-// it under the response's handle if a transaction is open on it. If the other proxy has
-// given up meanwhile, nobody will know the handle, so the transaction is rolled back.
+// it under the response's handle if a transaction is open on it. If ctx has ended, the
+// other proxy has given up or this one stops, so that nobody can use the handle, and the
+// transaction is rolled back.
 func (s *Service) runStatement(ctx context.Context, conn *upstream.Conn, r *fleetpb.ExecuteRequest, deadline time.Time) *fleetpb.ExecuteResponse {
 	request, err := prepareRequest(conn, r, deadline)
 	if err != nil {
@@ -240,9 +241,9 @@
 		conn.Release()
 		return response
 	}
-	if ctx.Err() != nil {
+	if err := ctx.Err(); err != nil {
 		conn.Discard()
-		return response
+		return faultResponse(fleetpb.ExecuteResponse_FAULT_BROKEN, err)
 	}
 	response.Handle = s.keepTransaction(conn)
 	return response
