A control node that was opened again hears of its own leadership

A node whose full disk stops it before it has heard of a leader reports no change, and the coordinator went on waiting for one on that node. Ruled out: disk, quorum, the proxies' search for the leader. Change: the supervisor's channel of changes also ends when its node stops.

--- a/internal/control/supervisor/supervisor.go
+++ b/internal/control/supervisor/supervisor.go
@@ -18,11 +18,13 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/twitchtv/twirp"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockwood/burdockwood/internal/control/consensus"
 	"github.com/burdockwood/burdockwood/internal/control/quorum"
@@ -74,9 +76,21 @@
 		nodeChanged broadcast.Signal
 	}
 
-	// nodeHolder holds a Node, since an atomic.Pointer can't point to an
-	// interface value directly.
-	nodeHolder struct{ node Node }
+	// nodeHolder holds a node in use.
+	nodeHolder struct {
+		node Node
+		// stopped is closed when the node has stopped.
+		stopped chan struct{}
+		// mu guards the fields below.
+		mu    sync.Mutex
+		ended bool
+		// nodeChange is the node's channel that merged belongs to. merged is
+		// closed when nodeChange or stopped is.
+		nodeChange <-chan struct{}
+		merged     chan struct{}
+		// waits are the goroutines that wait to close merged.
+		waits errgroup.Group
+	}
 )
 
 var _ consensus.Log = (*Log)(nil)
@@ -113,9 +127,13 @@
 	if err != nil {
 		return err
 	}
-	l.setHolder(&nodeHolder{node: node})
+	h := &nodeHolder{node: node, stopped: make(chan struct{})}
+	l.setHolder(h)
 	err = node.Run(ctx)
 	l.setHolder(nil)
+	if endErr := h.end(); endErr != nil {
+		return errors.Join(err, endErr)
+	}
 	if errors.Is(err, quorum.ErrRetired) {
 		l.options.Logger.Info("the disk of this node is no longer a member of the cluster; emptying the data folder to join as a new member")
 		return errors.Join(err, l.options.Wipe())
@@ -123,6 +141,15 @@
 	return err
 }
 
+// end ends the channels of changes after the node has stopped.
+func (h *nodeHolder) end() error {
+	h.mu.Lock()
+	h.ended = true
+	close(h.stopped)
+	h.mu.Unlock()
+	return h.waits.Wait()
+}
+
 // setHolder sets the node in use, nil for none, and closes the channels that
 // Changes has returned while there was none.
 func (l *Log) setHolder(h *nodeHolder) {
@@ -190,12 +217,38 @@
 // when a node is opened or stops.
 func (l *Log) Changes() <-chan struct{} {
 	nodeChanged := l.nodeChanged.Next()
-	if n := l.node(); n != nil {
-		return n.Changes()
+	if h := l.current.Load(); h != nil {
+		return h.changes()
 	}
 	return nodeChanged
 }
 
+// changes returns a channel that is closed at the next change of the leader, or when
+// the node stops. A node that stops before it has heard of a leader doesn't report a
+// change, and whoever waited for one would never hear of the next node.
+func (h *nodeHolder) changes() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	nodeChange := h.node.Changes()
+	if nodeChange == h.nodeChange {
+		return h.merged
+	}
+	if h.ended {
+		return h.stopped
+	}
+	merged := make(chan struct{})
+	h.nodeChange, h.merged = nodeChange, merged
+	h.waits.Go(func() error {
+		defer close(merged)
+		select {
+		case <-nodeChange:
+		case <-h.stopped:
+		}
+		return nil
+	})
+	return merged
+}
+
 // Resign gives up leadership if this node leads.
 func (l *Log) Resign(ctx context.Context) error {
 	if n := l.node(); n != nil {
--- a/internal/control/supervisor/supervisor_test.go
+++ b/internal/control/supervisor/supervisor_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockwood/burdockwood/internal/control/consensus"
 	"github.com/burdockwood/burdockwood/internal/control/quorum"
+	"github.com/burdockwood/burdockwood/internal/model/broadcast"
 	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
 )
 
@@ -105,10 +107,78 @@
 func TestChangesSignalsOpenedNode(t *testing.T) {
 	consensusLog := New(Options{Reset: func() {}, Logger: logr.Discard()})
 	changed := consensusLog.Changes()
-	consensusLog.setHolder(&nodeHolder{node: &fakeNode{}})
+	consensusLog.setHolder(&nodeHolder{node: &fakeNode{}, stopped: make(chan struct{})})
 	select {
 	case <-changed:
 	default:
 		t.Error("Changes was not closed when a node was opened")
 	}
 }
+
+// changingNode is a node whose leadership changes and which stops when a test says so.
+type changingNode struct {
+	fakeNode
+	changes broadcast.Signal
+	stop    chan struct{}
+}
+
+func (n *changingNode) Changes() <-chan struct{} { return n.changes.Next() }
+
+func (n *changingNode) Run(ctx context.Context) error {
+	close(n.started)
+	select {
+	case <-n.stop:
+		return errors.New("no space left")
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// TestChangesEndWithTheNode waits for a change on a node that stops without one, as one
+// whose disk is full does before it has heard of a leader. Who waits must hear of the
+// next node: a control node that was reopened led without knowing it, and no proxy got a
+// lease for 15 s.
+func TestChangesEndWithTheNode(t *testing.T) {
+	tests := []struct {
+		name string
+		act  func(n *changingNode)
+	}{
+		{"the leader changes", func(n *changingNode) { n.changes.Notify() }},
+		{"the node stops", func(n *changingNode) { close(n.stop) }},
+	}
+	for _, test := range tests {
+		first := &changingNode{fakeNode: fakeNode{started: make(chan struct{})}, stop: make(chan struct{})}
+		opened := 0
+		consensusLog := New(Options{
+			Open: func() (Node, error) {
+				if opened++; opened > 1 {
+					return &changingNode{fakeNode: fakeNode{started: make(chan struct{})}, stop: make(chan struct{})}, nil
+				}
+				return first, nil
+			},
+			Reset: func() {}, Logger: logr.Discard(),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var group errgroup.Group
+		group.Go(func() error { return consensusLog.Run(ctx) })
+		<-first.started
+		changed, again := consensusLog.Changes(), consensusLog.Changes()
+		select {
+		case <-changed:
+			t.Errorf("%s: Changes was closed before", test.name)
+		default:
+		}
+		test.act(first)
+		for _, c := range []<-chan struct{}{changed, again} {
+			select {
+			case <-c:
+			case <-time.After(10 * time.Second):
+				t.Errorf("%s: Changes wasn't closed", test.name)
+			}
+		}
+		cancel()
+		if err := group.Wait(); err != nil {
+			t.Errorf("%s: %v", test.name, err)
+		}
+	}
+}
