--- /dev/null
+++ b/internal/traffic/upstream/acquire.go
@@ -0,0 +1,211 @@
+package upstream
+
+// This file holds how work gets a connection: at once, by opening one, or after a wait.
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/traffic/admission"
+	"github.com/burdockwood/burdockwood/internal/traffic/backend"
+)
+
+// Acquire returns an idle connection, opens one, or waits for one until
+// options.Deadline. The connection must be given to Release or Discard. Errors:
+// RefusedError, ErrServerRemoved, ErrAcquireTimeout, ErrCallerGone and those of
+// backend.Dial.
+func (p *Pool) Acquire(options AcquireOptions) (*Conn, error) {
+	arrivedAt := time.Now()
+	if options.Digest == 0 {
+		return p.acquire(options, arrivedAt)
+	}
+	p.mu.Lock()
+	options.SoftDeadline = p.retries.SoftDeadline(options.Digest, options.SoftDeadline, arrivedAt)
+	p.mu.Unlock()
+	conn, err := p.acquire(options, arrivedAt)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		p.retries.Record(options.Digest, options.SoftDeadline, time.Now())
+	} else {
+		p.retries.Done(options.Digest)
+	}
+	return conn, err
+}
+
+// acquire is Acquire for work that arrived at arrivedAt, whether or not its caller was
+// refused before.
+func (p *Pool) acquire(options AcquireOptions, arrivedAt time.Time) (*Conn, error) {
+	var arrival uint64
+	for {
+		conn, ready, err := p.tryAcquire(options, arrival != 0)
+		if errors.Is(err, backend.ErrConnectionLimit) && time.Now().Before(options.Deadline) {
+			continue
+		}
+		if ready || err != nil {
+			return conn, err
+		}
+		conn, err = p.wait(options, arrivedAt, &arrival)
+		if err != nil {
+			return nil, err
+		}
+		if conn != nil && conn.raw.Usable() {
+			return conn, nil
+		}
+		if conn != nil {
+			conn.Discard()
+		}
+	}
+}
+
+// tryAcquire returns an idle connection or opens one. ready is false if Acquire has to
+// wait. waited is true if this call of Acquire has waited before; a call that hasn't
+// goes behind those that are waiting.
+func (p *Pool) tryAcquire(options AcquireOptions, waited bool) (conn *Conn, ready bool, err error) {
+	for {
+		p.mu.Lock()
+		if p.removed {
+			p.mu.Unlock()
+			return nil, true, ErrServerRemoved
+		}
+		if !p.hasCapacity() || p.waiters.Len() > 0 && !waited {
+			p.mu.Unlock()
+			return nil, false, nil
+		}
+		conn = p.popIdle(options.Fingerprint)
+		if conn == nil {
+			break
+		}
+		p.mu.Unlock()
+		if conn.raw.Usable() {
+			return conn, true, nil
+		}
+		conn.Discard()
+		conn = nil
+	}
+	if !p.canDial(time.Now()) {
+		p.mu.Unlock()
+		return nil, false, nil
+	}
+	p.dialing++
+	p.mu.Unlock()
+	conn, err = p.dial(options.Deadline)
+	return conn, true, err
+}
+
+// popIdle removes and returns an idle connection, or nil if there is none. It prefers
+// one whose session settings have the fingerprint, then one without session settings,
+// then the one used last. p.mu is held.
+func (p *Pool) popIdle(fingerprint string) *Conn {
+	if len(p.idle) == 0 {
+		return nil
+	}
+	best := len(p.idle) - 1
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if p.idle[i].fingerprint == fingerprint {
+			best = i
+			break
+		}
+		if p.idle[i].fingerprint == "" {
+			best = i
+		}
+	}
+	conn := p.idle[best]
+	p.idle = slices.Delete(p.idle, best, best+1)
+	p.markInUse(conn)
+	return conn
+}
+
+// markInUse records that a connection is in use and that its first request hasn't
+// been sent. p.mu is held.
+func (p *Pool) markInUse(conn *Conn) {
+	p.inUse[conn] = struct{}{}
+	conn.awaitingFirstRequest = true
+	p.awaitingFirstRequest++
+}
+
+// markStarted records that the first request on a connection is being sent, or that
+// the connection is returned without one. p.mu is held.
+func (p *Pool) markStarted(conn *Conn) {
+	if conn.awaitingFirstRequest {
+		conn.awaitingFirstRequest = false
+		p.awaitingFirstRequest--
+	}
+}
+
+// hasCapacity reports whether new work may be sent to the server now. What may not
+// waits here, where the queue orders it by priority and soft deadline. Later statements
+// of open transactions aren't limited. p.mu is held.
+func (p *Pool) hasCapacity() bool {
+	if !p.plan.OwnsConnections {
+		return true
+	}
+	return p.running+p.awaitingFirstRequest+p.dialing < p.load().MaxRunning(time.Now())
+}
+
+// load returns what is known of the server's load. p.mu is held.
+func (p *Pool) load() admission.Load {
+	return admission.Load{
+		Slots: p.server.Slots, Owners: p.plan.OwnerCount, RecentLatency: p.recentLatency, BaseLatency: p.baseLatency,
+		Timed: p.timedStatements, LastRejection: p.lastRejection,
+	}
+}
+
+// pace returns how fast the server works for this proxy. p.mu is held.
+func (p *Pool) pace(now time.Time) admission.Pace {
+	latency := p.currentLatency(now)
+	return admission.Pace{Service: latency * latencyMarginPercent / 100, Interval: latency / time.Duration(p.load().MaxRunning(now))}
+}
+
+// wait waits until a connection is granted and returns it, or returns nil if Acquire
+// should call tryAcquire again. It returns after connectionLimitBackoff at the latest,
+// because waiters aren't woken at the end of that back-off. arrival is the sequence
+// number of this call of Acquire; wait assigns it if it is zero, and it is kept over
+// several waits. Errors: RefusedError, ErrAcquireTimeout,
+// ErrCallerGone.
+func (p *Pool) wait(options AcquireOptions, arrivedAt time.Time, arrival *uint64) (*Conn, error) {
+	w, now := &waiter{granted: make(chan *Conn, 1)}, time.Now()
+	p.mu.Lock()
+	if *arrival == 0 {
+		p.lastArrival++
+		*arrival = p.lastArrival
+	}
+	item := admission.Item[*waiter]{Value: w, Priority: options.Priority, SoftDeadline: options.SoftDeadline, Arrival: *arrival}
+	if options.HoldFor > 0 {
+		item.HoldUntil = arrivedAt.Add(options.HoldFor)
+	}
+	if d := p.waiters.Decide(item, p.pace(now), now); !d.Wait {
+		p.mu.Unlock()
+		return nil, &RefusedError{RetryAfter: d.RetryAfter, Expected: d.Expected, Ahead: d.Ahead}
+	}
+	p.waiters.Add(item, now)
+	p.mu.Unlock()
+	timer := time.NewTimer(max(0, min(time.Until(options.Deadline), connectionLimitBackoff)))
+	defer timer.Stop()
+	var callerGone <-chan struct{}
+	if options.CallerContext != nil {
+		callerGone = options.CallerContext.Done()
+	}
+	select {
+	case conn := <-w.granted:
+		return conn, nil
+	case <-callerGone:
+	case <-timer.C:
+	}
+	p.mu.Lock()
+	p.waiters.Remove(w)
+	p.mu.Unlock()
+	select {
+	case conn := <-w.granted:
+		return conn, nil
+	default:
+	}
+	if options.CallerContext != nil && options.CallerContext.Err() != nil {
+		return nil, ErrCallerGone
+	}
+	if time.Now().Before(options.Deadline) {
+		return nil, nil
+	}
+	return nil, ErrAcquireTimeout
+}
