Sessions: one way to list trackers and to read the newest sample; no platform header in a test

Cause: OwnSamples copied the map of trackers as UpdateMetrics did, LatestSample was called by a test alone beside a twin of it in UpdateMetrics, and the test of the transport named a header of the platform. Change: allTrackers serves both, UpdateMetrics calls LatestSample, and the test keeps a header of a neutral name under the same checks. Behaviour is the same.

--- a/internal/rpc/transport/transport_test.go
+++ b/internal/rpc/transport/transport_test.go
@@ -9,7 +9,7 @@
 )
 
 // TestHeaders sends a request as twirp's clients do, and checks what is left of its
-// headers on the wire. Headers that a server reads, such as the holder of a duty, stay.
+// headers on the wire. Headers that a server may read stay.
 func TestHeaders(t *testing.T) {
 	var got http.Header
 	server := httptest.NewServer(withoutDate(RequireKey("secret", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -21,7 +21,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for name, value := range map[string]string{"Content-Type": "application/protobuf", "Accept": "application/protobuf", "Twirp-Version": "v8.1.3", "Duty-Holder": "core-1"} {
+	for name, value := range map[string]string{"Content-Type": "application/protobuf", "Accept": "application/protobuf", "Twirp-Version": "v8.1.3", "Kept": "core-1"} {
 		request.Header.Set(name, value)
 	}
 	response, err := NewClient("secret", Options{}).Do(request)
@@ -31,7 +31,7 @@
 	response.Body.Close()
 	tests := []struct{ name, want string }{
 		{"Content-Type", "application/protobuf"},
-		{"Duty-Holder", "core-1"},
+		{"Kept", "core-1"},
 		{"Authorization", "Bearer secret"},
 		{"Accept", ""},
 		{"Twirp-Version", ""},
--- a/internal/traffic/session/manager.go
+++ b/internal/traffic/session/manager.go
@@ -109,6 +109,13 @@
 	}
 }
 
+// allTrackers returns a copy of the map of trackers.
+func (m *Manager) allTrackers() map[cluster.GroupName]*freshness.Tracker {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.trackers)
+}
+
 // SetConfig puts a configuration in force unless the one in force has the same or a
 // newer version.
 func (m *Manager) SetConfig(next *routing.Config) {
@@ -211,11 +218,8 @@
 // OwnSamples returns, for each group, the newest sample that this proxy took itself
 // after the given time.
 func (m *Manager) OwnSamples(after time.Time) map[cluster.GroupName]freshness.Sample {
-	m.mu.Lock()
-	trackers := maps.Clone(m.trackers)
-	m.mu.Unlock()
 	recent := map[cluster.GroupName]freshness.Sample{}
-	for group, tracker := range trackers {
+	for group, tracker := range m.allTrackers() {
 		if s := tracker.LatestOwn(); s.SentAt.After(after) {
 			recent[group] = s
 		}
@@ -265,12 +269,9 @@
 	if current := m.Config(); current != nil {
 		set("configuration-version", int64(current.Version))
 	}
-	m.mu.Lock()
-	trackers := maps.Clone(m.trackers)
-	m.mu.Unlock()
-	for group, tracker := range trackers {
+	for group := range m.allTrackers() {
 		set("group-term", int64(m.options.Lease.Term(group)), "group", string(group))
-		if latest := tracker.Latest(); !latest.SentAt.IsZero() {
+		if latest, known := m.LatestSample(group); known {
 			set("sample-age-ms", now.Sub(latest.SentAt).Milliseconds(), "group", string(group))
 		}
 	}
