Failover: a response in flight isn't taken for a primary that still responds

The margin for that was 50 ms, less than a loaded primary takes for a statement, so the response counted as a sign of life until the observation was 2.5 s old. Change: a response shows that the primary responds if it came 200 ms or more after the first failure. So that a living primary isn't missed, a proxy whose next report may still show such a response is waited for, half a second at most.

--- a/internal/fleet/failover/failover.go
+++ b/internal/fleet/failover/failover.go
@@ -61,9 +61,13 @@
 	// make it so, because the primary still responds to the other proxies.
 	unresponsiveTimeout = 450 * time.Millisecond
 	// inFlightMargin is the minimum time between the first failure and a
-	// response that shows that the primary still responds. An earlier
-	// response may have been in flight when the primary failed.
-	inFlightMargin = 50 * time.Millisecond
+	// response that shows that the primary still responds. The request that
+	// failed first may have been running while others were still answered, for
+	// about as long as a busy primary takes for a statement.
+	inFlightMargin = 200 * time.Millisecond
+	// maxReportInterval is the longest time between two reports of a proxy that
+	// reaches control: the long poll of a renewal and the way there.
+	maxReportInterval = 500 * time.Millisecond
 	// partialFailureTimeout is how long some proxies may be unable to reach
 	// the primary before it is replaced although other proxies reach it.
 	partialFailureTimeout = 1200 * time.Millisecond
@@ -202,40 +206,55 @@
 // decideByObservations decides by what the proxies report on the primary. known
 // is false if the primary isn't registered; then primary is the zero value.
 func decideByObservations(s GroupState, primary registry.Server, known bool, now time.Time) Decision {
-	reachable, unreachable, timedOut := countObservations(s.Observations, now)
-	total := reachable + unreachable
-	if unreachable > 0 && reachable == 0 {
-		return decideWithProbe(s, now, timedOut, "no proxy reaches the primary")
+	c := countObservations(s.Observations, now)
+	total := c.reachable + c.unreachable
+	if c.unreachable > 0 && c.reachable == 0 {
+		return decideWithProbe(s, now, c.timedOut && !c.reportDue, "no proxy reaches the primary")
 	}
 	intervalPassed := now.Sub(s.SettledSince) >= minPartialFailoverInterval
 	if longUnreachable := countLongUnreachable(s.Observations, now); longUnreachable > 0 && intervalPassed && float64(longUnreachable) >= minUnreachableShare*float64(total) {
 		return Decision{Action: ReplacePrimary, Planned: true, Reason: "many proxies don't reach the primary"}
 	}
 	announcementsMissing := !known || now.Sub(primary.LastAnnounced) > announcementTimeout
-	if reachable == 0 && s.DiscoveryDone && announcementsMissing {
+	if c.reachable == 0 && s.DiscoveryDone && announcementsMissing {
 		return decideWithProbe(s, now, true, "the primary sends no announcements and no proxy reports a response from it")
 	}
 	return Decision{Action: KeepPrimary}
 }
 
-// countObservations counts the proxies that reach the primary and those that
-// don't, and reports whether any failure exceeds its timeout. It ignores a proxy
-// that has no failure, but whose last response came before the first failure of
-// another proxy or at most inFlightMargin after it: that response doesn't show
-// whether the primary still responds.
-func countObservations(observations map[cluster.ProxyName]Observation, now time.Time) (reachable, unreachable int, timedOut bool) {
+// observationCount is what the proxies' reports on a primary show together.
+type observationCount struct {
+	// reachable and unreachable are the numbers of proxies that reach the primary
+	// and that don't.
+	reachable, unreachable int
+	// timedOut is true if a failure has exceeded its timeout.
+	timedOut bool
+	// reportDue is true if the next report of a proxy without a failure may show
+	// that the primary still responds.
+	reportDue bool
+}
+
+// countObservations counts the proxies that reach the primary and those that don't. It
+// ignores a proxy that has no failure, but whose last response came before the first
+// failure of another proxy or at most inFlightMargin after it: that response doesn't
+// show whether the primary still responds.
+func countObservations(observations map[cluster.ProxyName]Observation, now time.Time) observationCount {
 	failureStart := earliestFailure(observations, now)
+	conclusiveFrom := failureStart.Add(inFlightMargin)
+	var c observationCount
 	for _, o := range observations {
 		switch {
 		case !isRecent(o, now):
 		case o.FailingFor > 0:
-			unreachable++
-			timedOut = timedOut || exceedsTimeout(o, now)
-		case o.LastResponse.After(failureStart.Add(inFlightMargin)):
-			reachable++
+			c.unreachable++
+			c.timedOut = c.timedOut || exceedsTimeout(o, now)
+		case o.LastResponse.After(conclusiveFrom):
+			c.reachable++
+		case o.ReportedAt.Before(conclusiveFrom) && now.Sub(conclusiveFrom) < maxReportInterval:
+			c.reportDue = true
 		}
 	}
-	return reachable, unreachable, timedOut
+	return c
 }
 
 // earliestFailure returns when the first of the proxies that don't reach the
