Control node tests: a repeated command is the caller's, and it is counted

Cause: TestCommandsSurviveRestartsOfAllNodes and TestLostDiskIsReplaced proposed a command again when its outcome was unknown, but allowed no repetition: "got 400 commands, 1 repeated", and, as each node then holds one command more, "got no all commands on control-3 after 30s". Change: the test cluster counts the unknown outcomes, and each test allows as many repetitions and no more. Instead of a number of commands, all nodes must hold the same commands in the same order as the leader, which is stricter.

--- a/internal/control/node/cluster_test.go
+++ b/internal/control/node/cluster_test.go
@@ -65,6 +65,9 @@
 		running   map[cluster.NodeName]*process
 		// partitioned is the node that is cut off from the others, or nil.
 		partitioned atomic.Pointer[cluster.NodeName]
+		// unknown counts the proposals whose outcome was unknown, and which propose
+		// then repeated.
+		unknown int
 		// reserved holds the listeners of nodes that haven't run yet.
 		reserved map[cluster.NodeName]net.Listener
 	}
@@ -269,20 +272,29 @@
 	return p.node.ConfirmLeadership(ctx)
 }
 
-// propose proposes a command to the current leader until it is committed, and returns
-// how often its outcome was unknown.
-func (s *testCluster) propose(command string) (unknown int) {
+// propose proposes a command to the current leader until it is committed. A proposal
+// whose outcome is unknown may be committed later, and is proposed again all the same.
+func (s *testCluster) propose(command string) {
 	s.t.Helper()
 	s.waitFor("commit of "+command, func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		_, err := s.running[s.leader()].node.Propose(ctx, []byte(command))
 		if errors.Is(err, consensus.ErrUnknownOutcome) {
-			unknown++
+			s.unknown++
 		}
 		return err == nil
 	})
-	return unknown
+}
+
+// waitForCommands waits until all running nodes have applied the same commands.
+func (s *testCluster) waitForCommands() {
+	s.t.Helper()
+	for name, p := range s.running {
+		s.waitFor("all commands on "+string(name), func() bool {
+			return slices.Equal(p.machine.list(), s.running[s.leader()].machine.list())
+		})
+	}
 }
 
 // upToDateVoters returns the number of voting members that hold the leader's log up to
--- a/internal/control/node/node_test.go
+++ b/internal/control/node/node_test.go
@@ -17,19 +17,18 @@
 	s := newTestCluster(t, 3, nil)
 	s.startAll()
 	const commands = 300
-	unknown := 0
 	for i := range commands {
 		if i == commands/2 {
 			s.stop(s.leader())
 		}
-		unknown += s.propose(strconv.Itoa(i))
+		s.propose(strconv.Itoa(i))
 	}
-	checkCommands(t, s, commands, unknown)
+	checkCommands(t, s, commands)
 }
 
 // checkCommands checks that the leader applied all commands in order, and repeated at
 // most as many as had an unknown outcome.
-func checkCommands(t *testing.T, s *testCluster, want, unknown int) {
+func checkCommands(t *testing.T, s *testCluster, want int) {
 	t.Helper()
 	list := s.running[s.leader()].machine.list()
 	next, repeated := 0, 0
@@ -43,8 +42,8 @@
 			t.Fatalf("got command %s after %d", command, next-1)
 		}
 	}
-	if next != want || repeated > unknown {
-		t.Errorf("got %d commands, %d repeated; want %d, at most %d repeated", next, repeated, want, unknown)
+	if next != want || repeated > s.unknown {
+		t.Errorf("got %d commands, %d repeated; want %d, at most %d repeated", next, repeated, want, s.unknown)
 	}
 }
 
@@ -71,10 +70,8 @@
 		s.waitFor("replacement of "+string(lost), func() bool { return s.upToDateVoters() == 3 })
 	}
 	propose(20)
-	for name, p := range s.running {
-		s.waitFor("all commands on "+string(name), func() bool { return len(p.machine.list()) == total })
-	}
-	checkCommands(t, s, total, 0)
+	s.waitForCommands()
+	checkCommands(t, s, total)
 }
 
 func TestDisklessNodesFormNoSecondCluster(t *testing.T) {
@@ -114,11 +111,11 @@
 	}
 	epoch, _ := s.running[s.leader()].node.IsLeader()
 	s.partitioned.Store(nil)
-	s.waitFor("caught-up node", func() bool { return len(p.machine.list()) == 50 })
+	s.waitForCommands()
 	if got, _ := s.running[s.leader()].node.IsLeader(); got != epoch {
 		t.Errorf("got epoch %d after the partition, want %d", got, epoch)
 	}
-	checkCommands(t, s, 50, 0)
+	checkCommands(t, s, 50)
 }
 
 func TestCommandsSurviveRestartsOfAllNodes(t *testing.T) {
@@ -132,10 +129,8 @@
 			s.startAll()
 		}
 	}
-	for name, p := range s.running {
-		s.waitFor("all commands on "+string(name), func() bool { return len(p.machine.list()) == commands })
-	}
-	checkCommands(t, s, commands, 0)
+	s.waitForCommands()
+	checkCommands(t, s, commands)
 }
 
 func TestGrownClusterSurvivesTwoFailures(t *testing.T) {
@@ -154,7 +149,7 @@
 		s.stop(name)
 	}
 	s.propose("1")
-	checkCommands(t, s, 2, 0)
+	checkCommands(t, s, 2)
 }
 
 // failingFS is a data folder whose disk fails after a number of syncs.
@@ -184,6 +179,60 @@
 	return f.File.Sync()
 }
 
+// hangingFS is a data folder whose disk hangs once, for hang at the sync with the number
+// hangAt.
+type hangingFS struct {
+	*wal.Folder
+	syncs  atomic.Int64
+	hangAt int64
+	hang   time.Duration
+}
+
+type hangingFile struct {
+	wal.File
+	fs *hangingFS
+}
+
+func (f *hangingFS) Create(name string) (wal.File, error) {
+	file, err := f.Folder.Create(name)
+	return &hangingFile{File: file, fs: f}, err
+}
+
+func (f *hangingFile) Sync() error {
+	if f.fs.syncs.Add(1) == f.fs.hangAt {
+		time.Sleep(f.fs.hang)
+	}
+	return f.File.Sync()
+}
+
+// TestHangingDisksLeaveOutcomesUnknown has all disks hang for longer than a caller waits
+// for its command. The command is committed all the same, so that it is there twice after
+// its caller has proposed it again; nothing else repeats it, and all nodes agree.
+func TestHangingDisksLeaveOutcomesUnknown(t *testing.T) {
+	const commands, hangAt, hang = 100, 60, 2 * time.Second
+	s := newTestCluster(t, 3, func(o *node.Options) {
+		folder, err := wal.OpenFolder(o.Folder)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() {
+			if err := folder.Close(); err != nil {
+				t.Error(err)
+			}
+		})
+		o.FS, o.SnapshotEntries = &hangingFS{Folder: folder, hangAt: hangAt, hang: hang}, 30
+	})
+	s.startAll()
+	for i := range commands {
+		s.propose(strconv.Itoa(i))
+	}
+	s.waitForCommands()
+	checkCommands(t, s, commands)
+	if s.unknown == 0 {
+		t.Error("got no proposal with an unknown outcome, want the one that was synced by hanging disks")
+	}
+}
+
 func TestFailedSyncStopsNode(t *testing.T) {
 	const syncs = 60
 	var failing *failingFS
