Queues: as much work in time as possible, by service time; fair limits while work waits

Hypothesis: while replicas lag, a group's primary is offered 1.5 to 2 times what it can do. In the order of soft deadlines it executes what is about to be late, and one statement of 30 ms takes the place of several shorter ones. Change: a queue plans which of its items will be in time (Moore and Hodgson: whenever one would be late, the longest of its priority so far gives way) and runs the rest after them. How long statements of a kind (a database) take is estimated from how much longer they take than all that run on the server at that time, and is sent along with forwarded statements. Late work counts as waiting for as long as none has run lately, so it is refused at once rather than held. A server whose latency is 1.3 times the usual while work waits here is taken for overloaded: what waits would only be queued there. TestDecide: two items had the arrival number 0, before all that waited; they arrive last now.

--- a/internal/traffic/admission/limit.go
+++ b/internal/traffic/admission/limit.go
@@ -48,6 +48,9 @@
 	// overloadFactor is the ratio of recent latency to base latency above which a
 	// server has more statements than slots.
 	overloadFactor = 2
+	// waitingFactor takes the place of overloadFactor while work waits here. What
+	// waits would be queued at the server instead, in the order of arrival.
+	waitingFactor = 1.3
 	// fairPerSlot is the number of statements for each slot that all owners
 	// together send to an overloaded server. Those beyond the slots are queued
 	// there, so that no slot is idle.
@@ -72,6 +75,8 @@
 	// without load, and Timed the number of statements that were measured.
 	RecentLatency, BaseLatency time.Duration
 	Timed                      int
+	// Waiting is the number of statements that wait at this proxy.
+	Waiting int
 	// LastRejection is when the server last rejected a statement because it had no
 	// room; zero: never.
 	LastRejection time.Time
@@ -80,8 +85,14 @@
 // Overloaded reports whether the server has, or may have, more statements than
 // slots.
 func (l Load) Overloaded(now time.Time) bool {
-	rejected := !l.LastRejection.IsZero() && now.Sub(l.LastRejection) < rejectionMemory
-	return rejected || l.Timed < MinTimed || l.RecentLatency > overloadFactor*l.BaseLatency
+	if rejected := !l.LastRejection.IsZero() && now.Sub(l.LastRejection) < rejectionMemory; rejected || l.Timed < MinTimed {
+		return true
+	}
+	factor := float64(overloadFactor)
+	if l.Waiting > 0 {
+		factor = waitingFactor
+	}
+	return float64(l.RecentLatency) > factor*float64(l.BaseLatency)
 }
 
 // MaxRunning returns the number of statements that this proxy may have running on the
--- a/internal/traffic/admission/overload_test.go
+++ b/internal/traffic/admission/overload_test.go
@@ -27,8 +27,8 @@
 		{"in time behind others", waiting(5), Item[int]{Value: 99, Priority: 1, SoftDeadline: at(200), HoldUntil: at(300)}, Decision{Wait: true, Expected: 60 * time.Millisecond, Ahead: 5}},
 		{"a higher priority goes before them", waiting(5), Item[int]{Value: 99, SoftDeadline: at(200), HoldUntil: at(300)}, Decision{Wait: true, Expected: 10 * time.Millisecond}},
 		{"late, but soon", waiting(5), Item[int]{Value: 99, Priority: 1, SoftDeadline: at(-10), HoldUntil: at(300)}, Decision{Wait: true, Expected: 60 * time.Millisecond, Ahead: 5}},
-		{"late, and not before its caller should come back", waiting(40), Item[int]{Value: 99, Priority: 1, SoftDeadline: at(-10), HoldUntil: at(300)}, Decision{RetryAfter: 410 * time.Millisecond, Expected: 410 * time.Millisecond, Ahead: 40}},
-		{"late, and may wait for any time", waiting(40), Item[int]{Value: 99, Priority: 1, SoftDeadline: at(-10)}, Decision{Wait: true, Expected: 410 * time.Millisecond, Ahead: 40}},
+		{"late, and not before its caller should come back", waiting(40), Item[int]{Value: 99, Priority: 1, SoftDeadline: at(-10), HoldUntil: at(300), Arrival: 99}, Decision{RetryAfter: 410 * time.Millisecond, Expected: 410 * time.Millisecond, Ahead: 40}},
+		{"late, and may wait for any time", waiting(40), Item[int]{Value: 99, Priority: 1, SoftDeadline: at(-10), Arrival: 99}, Decision{Wait: true, Expected: 410 * time.Millisecond, Ahead: 40}},
 		{"held for as long as it may be", waiting(1), Item[int]{Value: 0, Priority: 1, SoftDeadline: at(-400), HoldUntil: at(-1)}, Decision{RetryAfter: minRetryAfter, Expected: 10 * time.Millisecond}},
 	}
 	for _, test := range tests {
--- a/internal/traffic/admission/queue.go
+++ b/internal/traffic/admission/queue.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -30,6 +31,9 @@
 		HoldUntil time.Time
 		// Arrival is a sequence number that orders items by arrival.
 		Arrival uint64
+		// Service is the time for which the server executes the item; zero:
+		// unknown, as long as the average item.
+		Service time.Duration
 	}
 
 	// Queue holds the work that waits for a server, in the order in which it is to
@@ -37,24 +41,37 @@
 	//
 	// After a failover, a restart of all servers or a burst, more work is queued
 	// than can be done before its soft deadline. In the order of arrival, all of it
-	// would be late. So work that can still meet its soft deadline goes first: by
-	// priority, then by the earlier soft deadline. Work that can't meet it follows,
-	// by priority, then in the order of arrival: callers still use late answers.
+	// would be late; in the order of soft deadlines, most of it would be done just
+	// too late. So as much work as possible is done in time: see schedule. What
+	// can't be in time follows, by priority, then in the order of arrival: callers
+	// still use late answers.
 	Queue[T comparable] struct {
+		// items are sorted by priority, then by soft deadline.
 		items []queued[T]
+		// scheduled are indices of items that schedule works on.
+		scheduled []int
 		// pace is the moving average of the time between two items that left the
 		// queue while others waited; zero: not measured since it was empty.
 		pace time.Duration
 		// lastPop is when the last item left, or when the first one was added to
-		// the empty queue.
-		lastPop time.Time
+		// the empty queue. lastLatePop is the same for items that couldn't be in
+		// time any more.
+		lastPop, lastLatePop time.Time
+		// meanService is the moving average of Item.Service of the items that
+		// left.
+		meanService time.Duration
 	}
 
-	// queued is an item with its soft deadline in nanoseconds, which are compared
-	// much faster.
 	queued[T comparable] struct {
 		Item[T]
+		// softDeadline is Item.SoftDeadline in nanoseconds, which are compared
+		// much faster.
 		softDeadline int64
+		// inTime and occupancy are results of schedule: whether the item will be
+		// done by its soft deadline, and for how long it keeps the next one
+		// waiting.
+		inTime    bool
+		occupancy time.Duration
 	}
 
 	// Pace is how fast a server works, as far as the queue's own pace isn't known.
@@ -80,9 +97,18 @@
 // Add adds an item.
 func (q *Queue[T]) Add(item Item[T], now time.Time) {
 	if len(q.items) == 0 {
-		q.pace, q.lastPop = 0, now
+		q.pace, q.lastPop, q.lastLatePop = 0, now, now
 	}
-	q.items = append(q.items, newQueued(item))
+	q.insert(newQueued(item))
+}
+
+// insert inserts an item in the order of items and returns its index.
+func (q *Queue[T]) insert(item queued[T]) int {
+	at, _ := slices.BinarySearchFunc(q.items, item, func(a, b queued[T]) int {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.softDeadline, b.softDeadline), cmp.Compare(a.Arrival, b.Arrival))
+	})
+	q.items = slices.Insert(q.items, at, item)
+	return at
 }
 
 // Len returns the number of items.
@@ -101,23 +127,35 @@
 		var none T
 		return none, false
 	}
-	completion := now.Add(serviceTime).UnixNano()
-	best := 0
-	for i := range q.items {
-		if q.items[i].precedes(&q.items[best], completion) {
-			best = i
-		}
+	interval := serviceTime
+	if q.pace > 0 {
+		interval = q.pace
+	}
+	q.schedule(now.Add(serviceTime), interval)
+	first := slices.IndexFunc(q.items, func(i queued[T]) bool { return i.inTime })
+	if first < 0 {
+		first = q.firstLate()
+		q.lastLatePop = now
 	}
-	value := q.items[best].Value
-	q.items = slices.Delete(q.items, best, best+1)
-	since := now.Sub(q.lastPop)
-	if q.pace == 0 {
-		q.pace = since
-	} else {
-		q.pace += time.Duration(paceWeight * float64(since-q.pace))
+	item := q.items[first]
+	q.items = slices.Delete(q.items, first, first+1)
+	q.pace = WeightedAverage(q.pace, now.Sub(q.lastPop), paceWeight)
+	if item.Service > 0 {
+		q.meanService = WeightedAverage(q.meanService, item.Service, paceWeight)
 	}
 	q.lastPop = now
-	return value, true
+	return item.Value, true
+}
+
+// firstLate returns the index of the first item if none can be in time.
+func (q *Queue[T]) firstLate() int {
+	first := 0
+	for i := range q.items {
+		if q.items[i].precedesLate(&q.items[first]) {
+			first = i
+		}
+	}
+	return first
 }
 
 // Decide decides whether an item, which may be in the queue already, may wait. An item
@@ -126,18 +164,37 @@
 // prediction ignores work that arrives later and goes before a late item, which is why
 // a late item's wait is bounded and decided again while it waits.
 func (q *Queue[T]) Decide(item Item[T], pace Pace, now time.Time) Decision {
-	completion, candidate := now.Add(pace.Service).UnixNano(), newQueued(item)
-	ahead := 0
+	interval := q.interval(pace, now)
+	count := len(q.items)
+	q.Remove(item.Value)
+	inQueue := len(q.items) < count
+	at := q.insert(newQueued(item))
+	q.schedule(now.Add(pace.Service), interval)
+	inTime := q.items[at].inTime
+	d := Decision{Wait: true, Expected: q.items[at].occupancy}
+	lateAhead := 0
 	for i := range q.items {
-		if q.items[i].precedes(&candidate, completion) && q.items[i].Value != item.Value {
-			ahead++
+		if i == at || !q.items[i].precedes(&q.items[at]) {
+			continue
+		}
+		d.Ahead++
+		d.Expected += q.items[i].occupancy
+		if !q.items[i].inTime {
+			lateAhead++
 		}
 	}
-	interval := q.interval(pace, now)
-	expected := time.Duration(ahead+1) * interval
-	d := Decision{Wait: true, Expected: expected, Ahead: ahead}
-	late := now.Add(expected + pace.Service).After(item.SoftDeadline)
-	if late && !item.HoldUntil.IsZero() && now.Add(expected).After(item.HoldUntil) {
+	if !inQueue {
+		q.items = slices.Delete(q.items, at, at+1)
+	}
+	if inTime || item.HoldUntil.IsZero() {
+		return d
+	}
+	if len(q.items) > 0 {
+		// While work that can be in time keeps the server busy, late work
+		// doesn't run.
+		d.Expected = max(d.Expected, time.Duration(lateAhead+1)*now.Sub(q.lastLatePop))
+	}
+	if now.Add(d.Expected).After(item.HoldUntil) {
 		d.Wait = false
 		d.RetryAfter = min(max(time.Duration(len(q.items)+1)*interval, minRetryAfter), maxRetryAfter)
 	}
@@ -161,18 +218,22 @@
 	return queued[T]{Item: item, softDeadline: item.SoftDeadline.UnixNano()}
 }
 
-// precedes reports whether a goes before b if either would be done at completion, in
-// nanoseconds.
-func (a *queued[T]) precedes(b *queued[T], completion int64) bool {
-	inTimeA, inTimeB := a.softDeadline >= completion, b.softDeadline >= completion
-	if inTimeA != inTimeB {
-		return inTimeA
+// precedes reports whether a, an item that comes before or after b in the queue, runs
+// before b.
+func (a *queued[T]) precedes(b *queued[T]) bool {
+	if a.inTime != b.inTime {
+		return a.inTime
+	}
+	if a.inTime {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.softDeadline, b.softDeadline), cmp.Compare(a.Arrival, b.Arrival)) < 0
 	}
+	return a.precedesLate(b)
+}
+
+// precedesLate reports whether a runs before b if neither can be in time.
+func (a *queued[T]) precedesLate(b *queued[T]) bool {
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
-	if inTimeA && a.softDeadline != b.softDeadline {
-		return a.softDeadline < b.softDeadline
-	}
 	return a.Arrival < b.Arrival
 }
--- /dev/null
+++ b/internal/traffic/admission/schedule.go
@@ -0,0 +1,58 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// schedule decides which items will be done by their soft deadline if the first one is
+// done at completion and the items follow each other at the given mean interval. It
+// goes through the items by priority, and within a priority by soft deadline. Whenever
+// an item would be late, the longest item of its priority so far gives way, which
+// leaves as few late ones as possible (the algorithm of Moore and Hodgson): one long
+// statement makes room for several short ones.
+func (q *Queue[T]) schedule(completion time.Time, interval time.Duration) {
+	first := completion.UnixNano()
+	next := first
+	q.scheduled = q.scheduled[:0]
+	for i := range q.items {
+		item := &q.items[i]
+		item.occupancy, item.inTime = q.occupancy(item.Service, interval), false
+		if i > 0 && item.Priority != q.items[i-1].Priority {
+			q.scheduled = q.scheduled[:0]
+		}
+		if item.softDeadline < first {
+			continue
+		}
+		item.inTime = true
+		q.scheduled = append(q.scheduled, i)
+		isLate := next > item.softDeadline
+		next += int64(item.occupancy)
+		if isLate {
+			next -= int64(q.dropLongest().occupancy)
+		}
+	}
+}
+
+// dropLongest removes the longest item from q.scheduled, of several the one with the
+// earliest soft deadline, and returns it.
+func (q *Queue[T]) dropLongest() *queued[T] {
+	longest := 0
+	for i, at := range q.scheduled {
+		if q.items[at].occupancy > q.items[q.scheduled[longest]].occupancy {
+			longest = i
+		}
+	}
+	item := &q.items[q.scheduled[longest]]
+	item.inTime = false
+	q.scheduled = slices.Delete(q.scheduled, longest, longest+1)
+	return item
+}
+
+// occupancy returns for how long an item keeps the next one waiting.
+func (q *Queue[T]) occupancy(service, interval time.Duration) time.Duration {
+	if service == 0 || q.meanService == 0 {
+		return interval
+	}
+	return time.Duration(float64(interval) * float64(service) / float64(q.meanService))
+}
--- a/internal/traffic/forward/owners.go
+++ b/internal/traffic/forward/owners.go
@@ -244,7 +244,7 @@
 		Server: string(c.server), Handle: c.handle, Id: request.ID, Verb: uint32(request.Verb), Text: request.Text,
 		AfterTerm: uint64(request.MinPosition.Term), AfterPosition: uint64(request.MinPosition.Position),
 		DeadlineMs: uint32(max(remaining-responseMargin, remaining/2).Milliseconds()), AimMs: uint32(c.client.softDeadlineLeft(request.SoftDeadline, time.Now()).Milliseconds()),
-		HoldMs:   uint32(request.HoldFor.Milliseconds()),
+		HoldMs: uint32(request.HoldFor.Milliseconds()), Kind: request.Kind,
 		Priority: uint32(request.Priority), AnswerMs: uint32(request.ResponseTimeout.Milliseconds()),
 	}
 	if c.deferredBegin != nil {
--- a/internal/traffic/forward/service.go
+++ b/internal/traffic/forward/service.go
@@ -142,7 +142,7 @@
 		Fingerprint: fingerprint, Priority: int(r.GetPriority()),
 		SoftDeadline: time.Now().Add(milliseconds(r.GetAimMs())), Deadline: deadline, CallerContext: ctx,
 		Digest:  statement.Statement{Verb: statement.Verb(r.GetVerb()), Query: r.GetShape(), Text: r.GetText()}.Digest(),
-		HoldFor: milliseconds(r.GetHoldMs()),
+		HoldFor: milliseconds(r.GetHoldMs()), Kind: r.GetKind(),
 	})
 	if err != nil {
 		return acquireFault(err), nil
--- a/internal/traffic/session/execution.go
+++ b/internal/traffic/session/execution.go
@@ -159,7 +159,7 @@
 	conn, err := t.pool.Acquire(upstream.AcquireOptions{
 		Fingerprint: e.session.fingerprint, Priority: e.route.Priority,
 		SoftDeadline: e.softDeadline, Deadline: e.acquireDeadline(t), CallerContext: e.callerContext,
-		Digest: e.stmt.Digest(), HoldFor: e.holdTime(),
+		Digest: e.stmt.Digest(), HoldFor: e.holdTime(), Kind: e.session.kind,
 	})
 	e.waitTime += time.Since(began)
 	if err != nil {
@@ -172,7 +172,7 @@
 		return e.handleFailureBeforeSend(t, err)
 	}
 	request.MinPosition, request.Priority, request.SoftDeadline = t.minPosition, e.route.Priority, e.softDeadline
-	request.CallerContext, request.HoldFor = e.callerContext, e.holdTime()
+	request.CallerContext, request.HoldFor, request.Kind = e.callerContext, e.holdTime(), e.session.kind
 	if conn.ForwardsStatements() {
 		request.ResponseTimeout = max(time.Until(limit), time.Millisecond)
 		limit = e.deadline
--- a/internal/traffic/upstream/acquire.go
+++ b/internal/traffic/upstream/acquire.go
@@ -26,6 +26,9 @@
 	conn, err := p.acquire(options, arrivedAt)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if conn != nil {
+		conn.kind = options.Kind
+	}
 	if err != nil {
 		p.retries.Record(options.Digest, options.SoftDeadline, time.Now())
 	} else {
@@ -148,7 +151,7 @@
 func (p *Pool) load() admission.Load {
 	return admission.Load{
 		Slots: p.server.Slots, Owners: p.plan.OwnerCount, RecentLatency: p.recentLatency, BaseLatency: p.baseLatency,
-		Timed: p.timedStatements, LastRejection: p.lastRejection,
+		Timed: p.timedStatements, Waiting: p.waiters.Len(), LastRejection: p.lastRejection,
 	}
 }
 
@@ -171,7 +174,7 @@
 		p.lastArrival++
 		*arrival = p.lastArrival
 	}
-	item := admission.Item[*waiter]{Value: w, Priority: options.Priority, SoftDeadline: options.SoftDeadline, Arrival: *arrival}
+	item := admission.Item[*waiter]{Value: w, Priority: options.Priority, SoftDeadline: options.SoftDeadline, Arrival: *arrival, Service: p.manager.serviceTimes.Expected(options.Kind, p.baseLatency)}
 	if options.HoldFor > 0 {
 		item.HoldUntil = arrivedAt.Add(options.HoldFor)
 	}
--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -37,6 +37,9 @@
 	// awaitingFirstRequest is true from the acquisition of the connection to its
 	// first request. It is guarded by the pool's mutex.
 	awaitingFirstRequest bool
+	// kind is the kind of the work that the connection was acquired for; zero:
+	// unknown.
+	kind uint64
 	// forwardsStatements is true if statements are forwarded to a proxy that owns
 	// connections to the server.
 	forwardsStatements bool
@@ -82,6 +85,7 @@
 			pool.recordOutcome(!succeeded, now)
 		}
 		if succeeded && pool.manager.stallDetector.lastStallEnd(now).Before(start) {
+			pool.manager.serviceTimes.Record(c.kind, now.Sub(start), pool.currentLatency(now))
 			pool.recordLatency(now.Sub(start), now)
 		}
 		if answer.Code == statement.Busy && !c.forwardsStatements {
--- a/internal/traffic/upstream/health.go
+++ b/internal/traffic/upstream/health.go
@@ -6,6 +6,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/burdockwood/burdockwood/internal/traffic/admission"
 )
 
 const (
@@ -150,23 +152,10 @@
 func (p *Pool) recordLatency(measured time.Duration, now time.Time) {
 	p.timedStatements++
 	p.recentLatency, p.latencyUpdated = smooth(p.currentLatency(now), measured), now
-	weight := baseLatencyWeight
-	if p.recentLatency < p.baseLatency {
-		weight = latencyWeight
-	}
-	p.baseLatency = weightedAverage(p.baseLatency, p.recentLatency, weight)
+	p.baseLatency = admission.FollowBase(p.baseLatency, p.recentLatency)
 }
 
 // smooth returns the exponential moving average after a new measurement.
 func smooth(old, measured time.Duration) time.Duration {
-	return weightedAverage(old, measured, latencyWeight)
-}
-
-// weightedAverage returns the average of old and measured, with weight for the
-// latter; an old value of zero counts as missing.
-func weightedAverage(old, measured time.Duration, weight float64) time.Duration {
-	if old == 0 {
-		return measured
-	}
-	return time.Duration((1-weight)*float64(old) + weight*float64(measured))
+	return admission.WeightedAverage(old, measured, admission.LatencyWeight)
 }
--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -46,11 +46,6 @@
 	// up to maxLagBackoff while the replica keeps lagging.
 	minLagBackoff = 100 * time.Millisecond
 	maxLagBackoff = 800 * time.Millisecond
-	// baseLatencyWeight is the weight of a higher latency in the moving average
-	// of the base latency; a lower one has the weight latencyWeight.
-	baseLatencyWeight = 0.002
-	// latencyWeight is the weight of a new measurement in a moving average.
-	latencyWeight = 0.15
 	// latencyMarginPercent is applied to the recent latency to decide whether a
 	// waiting statement can still be in time, because about half of them take longer
 	// than the average.
@@ -162,6 +157,8 @@
 		// HoldFor is how long the work may wait once it can't be done by
 		// SoftDeadline any more; zero: until Deadline.
 		HoldFor time.Duration
+		// Kind identifies work that takes about as long; zero: unknown.
+		Kind uint64
 	}
 
 	// RefusedError is returned if the work wouldn't get a connection in time.
--- a/internal/traffic/upstream/upstream.go
+++ b/internal/traffic/upstream/upstream.go
@@ -95,6 +95,7 @@
 		// advance.
 		openRequests  chan *Pool
 		stallDetector stallDetector
+		serviceTimes  *admission.ServiceTimes
 		// registeredGauges are the names of the gauges in the registry.
 		registeredGauges map[string]bool
 	}
@@ -102,7 +103,7 @@
 
 // New returns a manager without servers.
 func New(options Options) *Manager {
-	m := &Manager{options: options, unresponsive: make(chan struct{}, 1), openRequests: make(chan *Pool, 256)}
+	m := &Manager{options: options, unresponsive: make(chan struct{}, 1), openRequests: make(chan *Pool, 256), serviceTimes: admission.NewServiceTimes()}
 	m.pools.Store(&map[cluster.ServerName]*Pool{})
 	m.groups.Store(&map[cluster.GroupName][]*Pool{})
 	return m
