Pools: idle connections of a share are closed; a proxy without a lease has no share

Hypothesis: after a loss of power a server counts the old connections for 3 s more. The proxies had kept their whole shares open (21 of 22 connections a server on further), so that hardly any were left when they started again. Change: a connection of the share that has been idle for 3 s is closed, except the last one. A proxy whose lease has ended keeps no idle connections: other proxies take its part. TestIdleConnectionsBeyondShareAreClosed became a table with that case and three more.

--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -38,6 +39,11 @@
 	// idle, as a multiple of the time to open one. Other proxies may be waiting
 	// for it.
 	idleTimeoutFactor = 10
+	// shareIdleTimeout is how long a connection of the proxy's share may be idle
+	// before it is closed, except the last one. A server keeps the connections of
+	// a VM that lost power for some seconds, and those that weren't needed would
+	// leave the VM that starts again without any.
+	shareIdleTimeout = 3 * time.Second
 	// unresponsiveAfter is the time without any response to an outstanding
 	// request after which a server is unresponsive. It is longer than a usual
 	// statement takes, queueing included.
@@ -384,11 +390,13 @@
 }
 
 // trimIdle closes connections beyond the proxy's share that have been idle for more
-// than idleTimeoutFactor times the time to open one.
-func (p *Pool) trimIdle(now time.Time) {
+// than idleTimeoutFactor times the time to open one, and those of its share that have
+// been idle for more than shareIdleTimeout, but not the last one. A proxy without a lease
+// has no share: it can serve few callers, and other proxies take its part.
+func (p *Pool) trimIdle(holdsLease bool, now time.Time) {
 	p.mu.Lock()
 	var surplus []*Conn
-	for len(p.idle) > 0 && p.connectionCount() > p.plan.Share && now.Sub(p.idle[0].idleSince) > idleTimeoutFactor*p.expectedConnectTime() {
+	for len(p.idle) > 0 && now.Sub(p.idle[0].idleSince) > p.idleTimeout(holdsLease) {
 		surplus = append(surplus, p.idle[0])
 		p.idle = p.idle[1:]
 	}
@@ -398,6 +406,19 @@
 	}
 }
 
+// idleTimeout returns how long the connection that has been idle for longest may be
+// idle. p.mu is held.
+func (p *Pool) idleTimeout(holdsLease bool) time.Duration {
+	switch count := p.connectionCount(); {
+	case count > p.plan.Share || !holdsLease:
+		return idleTimeoutFactor * p.expectedConnectTime()
+	case count > 1:
+		return shareIdleTimeout
+	default:
+		return math.MaxInt64
+	}
+}
+
 // RetryAfter returns the time after which a rejected request should be retried: the
 // time that the server takes for the work that is queued and running.
 func (p *Pool) RetryAfter() time.Duration {
--- a/internal/traffic/upstream/upstream.go
+++ b/internal/traffic/upstream/upstream.go
@@ -64,6 +64,8 @@
 		// proxies that own the server's connections.
 		ConnectViaOwners func(server cluster.ServerName, owners []ownership.Peer) backend.Conn
 		DataCentre       cluster.DataCentre
+		// HoldsLease reports whether this proxy may use primaries; nil: always.
+		HoldsLease func(now time.Time) bool
 		// Now reads a clock that includes the time for which the VM is
 		// suspended.
 		Now    func() time.Time
@@ -273,8 +275,9 @@
 func (m *Manager) checkOnce(probes *errgroup.Group) {
 	monotonic, now := time.Now(), m.options.Now()
 	m.stallDetector.tick(now)
+	holdsLease := m.options.HoldsLease == nil || m.options.HoldsLease(now)
 	for _, p := range *m.pools.Load() {
-		p.trimIdle(monotonic)
+		p.trimIdle(holdsLease, monotonic)
 		p.mu.Lock()
 		failing, due := p.unresponsiveFor(now) > 0, p.isProbeDue(now)
 		p.mu.Unlock()
--- a/internal/traffic/upstream/upstream_test.go
+++ b/internal/traffic/upstream/upstream_test.go
@@ -221,23 +221,39 @@
 	}
 }
 
-func TestIdleConnectionsBeyondShareAreClosed(t *testing.T) {
-	f := &fakeServers{limit: 16, slotCount: 64}
-	_, pool := newManager(f, 9)
-	var conns []*Conn
-	for range 4 {
-		conn, err := pool.Acquire(options(time.Second))
-		if err != nil {
-			t.Fatal(err)
-		}
-		conns = append(conns, conn)
-	}
-	for _, conn := range conns {
-		conn.Release()
+// TestIdleConnectionsAreClosed checks which of four idle connections of a proxy with a
+// share of three are kept. A server that counts the connections of a VM that lost power
+// for three more seconds had 1 of 22 left for it when it started again.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	tests := []struct {
+		name       string
+		idle       time.Duration
+		holdsLease bool
+		want       int
+	}{
+		{"just used", 0, true, 4},
+		{"beyond the share", time.Second, true, 3},
+		{"the share", time.Minute, true, 1},
+		{"without a lease", time.Second, false, 0},
 	}
-	pool.trimIdle(time.Now().Add(time.Minute))
-	if f.open != 1 {
-		t.Errorf("got %d connections kept, want the share of 1", f.open)
+	for _, test := range tests {
+		f := &fakeServers{limit: 16, slotCount: 64}
+		_, pool := newManager(f, 4)
+		var conns []*Conn
+		for range 4 {
+			conn, err := pool.Acquire(options(time.Second))
+			if err != nil {
+				t.Fatal(err)
+			}
+			conns = append(conns, conn)
+		}
+		for _, conn := range conns {
+			conn.Release()
+		}
+		pool.trimIdle(test.holdsLease, time.Now().Add(test.idle))
+		if f.open != test.want {
+			t.Errorf("%s: got %d connections kept, want %d", test.name, f.open, test.want)
+		}
 	}
 }
 
