--- a/internal/cli/explain/explain.go
+++ b/internal/cli/explain/explain.go
@@ -15,6 +15,7 @@
 	"os"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -28,12 +29,17 @@
 
 const timeFormat = "15:04:05.000"
 
-var errReadLog = eris.New("can't read the log")
+var (
+	errReadLog = eris.New("can't read the log")
+	errWhat    = eris.New("nothing to explain, or two things at once")
+)
 
 // explainOptions are the flags of the command.
 type explainOptions struct {
 	output.Options
-	Logs []string `long:"log" value-name:"FILE" description:"log of a process; may be repeated; without any, standard input is read"`
+	Summary bool          `long:"summary" description:"count what was late or not done, by time, group, database, outcome and cause, instead of one request"`
+	Window  time.Duration `long:"window" value-name:"DURATION" default:"2s" description:"length of the windows that --summary counts in"`
+	Logs    []string      `long:"log" value-name:"FILE" description:"log of a process; may be repeated; without any, standard input is read"`
 }
 
 var columns = []output.Column[trace.Entry]{
@@ -44,26 +50,49 @@
 	{Name: "details", Value: func(e trace.Entry) any { return formatDetails(e) }},
 }
 
+var lossColumns = []output.Column[trace.Loss]{
+	{Name: "time", Value: func(l trace.Loss) any { return l.Window.Format(timeFormat) }},
+	{Name: "group", Value: func(l trace.Loss) any { return l.Group }},
+	{Name: "database", Value: func(l trace.Loss) any { return l.Database }},
+	{Name: "primary-only", Value: func(l trace.Loss) any { return l.Primary }},
+	{Name: "outcome", Value: func(l trace.Loss) any { return l.Outcome }},
+	{Name: "cause", Value: func(l trace.Loss) any { return l.Cause }},
+	{Name: "count", Value: func(l trace.Loss) any { return l.Count }},
+	{Name: "waited-ms", Value: func(l trace.Loss) any { return l.Waited.Milliseconds() }},
+	{Name: "total-ms", Value: func(l trace.Loss) any { return l.Total.Milliseconds() }},
+}
+
 // NewCmdExplain returns the command "explain".
 func NewCmdExplain(f *factory.Factory) *command.Command {
 	options := &explainOptions{}
 	return &command.Command{
 		Name:  "explain",
-		Short: "Show from logs what happened to a request, and why",
+		Short: "Show from logs what happened to a request, or what was lost in all",
 		Long: `Show from logs what happened to a request, and why: the lines of all processes
 that name the request, and those that show how each process saw the state of its
 group at the time, in order of time.
 
 In the column "mark", "=" is a line that names the request, and "*" the line that
 decided its outcome. Only requests that failed or were late are logged: a request
-that succeeded in time leaves no line.`,
+that succeeded in time leaves no line.
+
+With --summary, count the statements that were late or not done instead, of all
+requests: when, on which group and database, how they ended and for which cause, and
+for how long they waited in their proxy. A caller that comes back is counted again.`,
 		Example: `burdockwood explain 5c0e7a21d94b36f8 --log proxy-1.log --log control-1.log
-cat *.log | burdockwood explain 5c0e7a21d94b36f8 --json time,process,message,details`,
-		Arguments:    "REQUEST-ID",
-		MinArguments: 1,
+cat *.log | burdockwood explain 5c0e7a21d94b36f8 --json time,process,message,details
+cat *.log | burdockwood explain --summary --window 10s`,
+		Arguments:    "[REQUEST-ID]",
+		MinArguments: 0,
 		MaxArguments: 1,
 		Options:      options,
 		Run: func(_ context.Context, invocation command.Invocation) error {
+			if options.Summary == (len(invocation.Arguments) > 0) || options.Window <= 0 {
+				return exit.New(exit.Usage, errWhat, "give a request ID, or --summary and a --window above 0")
+			}
+			if options.Summary {
+				return summaryRun(f.Streams, options)
+			}
 			return explainRun(f.Streams, options, invocation.Arguments[0])
 		},
 	}
@@ -88,6 +117,14 @@
 	return err
 }
 
+func summaryRun(streams *iostreams.Streams, options *explainOptions) error {
+	lines, err := readAll(streams.In, options.Logs)
+	if err != nil {
+		return err
+	}
+	return output.Write(streams, lossColumns, trace.Summarize(lines, options.Window), options.JSON)
+}
+
 func readAll(in io.Reader, paths []string) ([]trace.Line, error) {
 	if len(paths) == 0 {
 		return trace.Read(in)
--- a/internal/ops/trace/trace.go
+++ b/internal/ops/trace/trace.go
@@ -8,6 +8,8 @@
 //	timeline, err := trace.Explain("5c0e7a21d94b36f8", lines)
 //	for _, entry := range timeline.Entries { ... }
 //
+//	for _, loss := range trace.Summarize(lines, 2*time.Second) { ... }
+//
 // A line is a JSON object, possibly after a prefix added by a log collector.
 // Lines that aren't JSON are skipped.
 package trace
@@ -169,8 +171,7 @@
 // requestStart returns when the request of a line started: the time of the line
 // less the total duration that it reports.
 func requestStart(line Line) time.Time {
-	total, _ := line.Fields[keyTotal].(float64)
-	return line.Time.Add(-time.Duration(total * float64(time.Millisecond)))
+	return line.Time.Add(-millisecondsField(line.Fields, keyTotal))
 }
 
 // collect adds the entries and marks the one that logs the outcome as decisive: of
--- a/internal/ops/trace/trace_test.go
+++ b/internal/ops/trace/trace_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 )
 
 const logs = `
@@ -50,3 +52,26 @@
 		t.Errorf("got %v, want %v", err, ErrUnknownRequest)
 	}
 }
+
+func TestSummarize(t *testing.T) {
+	const logs = `
+{"time":"2026-04-03T22:35:30.1Z","msg":"statement not done","process":"proxy-1","request-id":"a1","database":"d","group":"g","outcome":"busy","cause":"queue","primary-only":true,"waited-ms":20,"total-ms":30}
+{"time":"2026-04-03T22:35:31.9Z","msg":"statement not done","process":"proxy-2","request-id":"a2","database":"d","group":"g","outcome":"busy","cause":"queue","primary-only":true,"waited-ms":5,"total-ms":10}
+{"time":"2026-04-03T22:35:31Z","msg":"statement late","process":"proxy-1","request-id":"a3","database":"d","group":"g","outcome":"ok","cause":"slow","total-ms":400}
+{"time":"2026-04-03T22:35:31Z","msg":"primary known","process":"proxy-1","group":"g"}
+{"time":"2026-04-03T22:35:32Z","msg":"statement not done","process":"proxy-1","request-id":"a4","database":"d","group":"g","outcome":"busy"}
+`
+	lines, err := Read(strings.NewReader(logs))
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := func(second int) time.Time { return time.Date(2026, 4, 3, 22, 35, second, 0, time.UTC) }
+	want := []Loss{
+		{Window: at(30), Group: "g", Database: "d", Primary: true, Outcome: "busy", Cause: "queue", Count: 2, Waited: 25 * time.Millisecond, Total: 40 * time.Millisecond},
+		{Window: at(30), Group: "g", Database: "d", Outcome: "late", Cause: "slow", Count: 1, Total: 400 * time.Millisecond},
+		{Window: at(32), Group: "g", Database: "d", Outcome: "busy", Cause: "unknown", Count: 1},
+	}
+	if got := Summarize(lines, 2*time.Second); !slices.Equal(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
--- /dev/null
+++ b/internal/traffic/session/cause.go
@@ -0,0 +1,92 @@
+package session
+
+import (
+	"errors"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/traffic/backend"
+	"github.com/burdockwood/burdockwood/internal/traffic/lease"
+	"github.com/burdockwood/burdockwood/internal/traffic/statement"
+	"github.com/burdockwood/burdockwood/internal/traffic/upstream"
+)
+
+// cause is why a statement was late or not done, for the log. Operators count by it, so
+// there are few, and their names don't change.
+type cause string
+
+const (
+	causeNoLease         cause = "no-lease"
+	causePrimaryChanging cause = "primary-changing"
+	causeNoPrimary       cause = "no-primary"
+	causeLeaseEnded      cause = "lease-ended"
+	// causeQueue is a refusal because the statement wouldn't have run in time.
+	causeQueue        cause = "queue"
+	causeNoConnection cause = "no-connection"
+	causeCallerGone   cause = "caller-gone"
+	// causeRejected is a server that had no room.
+	causeRejected       cause = "server-rejected"
+	causeFailed         cause = "server-failed"
+	causeSilent         cause = "server-silent"
+	causeBehind         cause = "replica-behind"
+	causeReadOnly       cause = "read-only"
+	causeConnectionLost cause = "connection-lost"
+	// causeWaiting and causeSlow are those of statements that succeeded at the first
+	// attempt, but late: most of the time passed in this proxy, or after it.
+	causeWaiting cause = "waiting"
+	causeSlow    cause = "slow"
+)
+
+// causes are the causes of errors, the first that matches.
+var causes = []struct {
+	err   error
+	cause cause
+}{
+	{lease.ErrNoLease, causeNoLease},
+	{lease.ErrPrimaryChanging, causePrimaryChanging},
+	{lease.ErrNoPrimary, causeNoPrimary},
+	{upstream.ErrAcquireTimeout, causeNoConnection},
+	{upstream.ErrCallerGone, causeCallerGone},
+	{backend.ErrConnectionLimit, causeNoConnection},
+	{backend.ErrTimeout, causeSilent},
+}
+
+// causeOf returns the cause of an error of an attempt.
+func causeOf(err error) cause {
+	var refused *upstream.RefusedError
+	if errors.As(err, &refused) {
+		return causeQueue
+	}
+	for _, c := range causes {
+		if errors.Is(err, c.err) {
+			return c.cause
+		}
+	}
+	return causeConnectionLost
+}
+
+// causeOfCode returns the cause of an answer that says that a statement hasn't run.
+func causeOfCode(code statement.Code) cause {
+	switch code {
+	case statement.Behind:
+		return causeBehind
+	case statement.ReadOnly:
+		return causeReadOnly
+	default:
+		return causeRejected
+	}
+}
+
+// recordCause records why the last attempt failed, and its details.
+func (e *execution) recordCause(c cause, details string) { e.cause, e.lastFailure = c, details }
+
+// finalCause returns the cause to log for a statement that took total.
+func (e *execution) finalCause(total time.Duration) cause {
+	switch {
+	case e.cause != "":
+		return e.cause
+	case e.waitTime > total/2:
+		return causeWaiting
+	default:
+		return causeSlow
+	}
+}
--- a/internal/traffic/session/execution.go
+++ b/internal/traffic/session/execution.go
@@ -78,8 +78,10 @@
 		callerContext context.Context
 		// excluded are the servers that reads aren't retried on.
 		excluded map[cluster.ServerName]bool
-		// lastFailure is why the last attempt failed.
+		// lastFailure is why the last attempt failed, cause the same in one word;
+		// empty: none failed.
 		lastFailure string
+		cause       cause
 		// failedAttempts lists the attempts that failed and were retried: the
 		// server, the outcome and the time since the statement was received.
 		failedAttempts []string
--- a/internal/traffic/session/outcome.go
+++ b/internal/traffic/session/outcome.go
@@ -38,7 +38,7 @@
 // handleAcquireFailure handles a failure to get a connection. Its results are those of
 // attempt, as for the other methods of this file that return a bool.
 func (e *execution) handleAcquireFailure(t target, err error) (statement.Answer, bool) {
-	e.lastFailure = err.Error()
+	e.recordCause(causeOf(err), err.Error())
 	name := t.pool.Server().Name
 	e.excluded[name] = true
 	var refused *upstream.RefusedError
@@ -67,7 +67,7 @@
 
 // handleFailureBeforeSend handles a failure before the statement was sent.
 func (e *execution) handleFailureBeforeSend(t target, err error) (statement.Answer, bool) {
-	e.lastFailure = err.Error()
+	e.recordCause(causeOf(err), err.Error())
 	e.excluded[t.pool.Server().Name] = true
 	return statement.Answer{Code: statement.Busy}, true
 }
@@ -76,7 +76,7 @@
 // a transaction may have run, so it isn't retried. A transaction whose first
 // statement this is was rolled back with its connection, so it is retried.
 func (e *execution) handleLostAnswer(t target, err error) (statement.Answer, bool) {
-	e.lastFailure = err.Error()
+	e.recordCause(causeOf(err), err.Error())
 	e.excluded[t.pool.Server().Name] = true
 	if errors.Is(err, backend.ErrNotSent) {
 		return statement.Answer{Code: statement.Busy}, true
@@ -97,7 +97,7 @@
 // handleExpiredPermit handles an answer after which the permit isn't valid any more: the
 // server may not have been the primary when the statement ran.
 func (e *execution) handleExpiredPermit(answer statement.Answer) (statement.Answer, bool) {
-	e.lastFailure = "the primary was replaced, or the lease ended, before the answer came"
+	e.recordCause(causeLeaseEnded, "the primary was replaced, or the lease ended, before the answer came")
 	if e.writes && e.tx == nil && !answer.Code.NotRun() {
 		return statement.Answer{Code: statement.Unknown, Detail: e.lastFailure}, false
 	}
@@ -138,7 +138,7 @@
 // handleNotRun handles an answer that says that the statement hasn't run.
 func (e *execution) handleNotRun(t target, answer statement.Answer) (statement.Answer, bool) {
 	if answer.RetryAfter > 0 {
-		e.lastFailure = answer.Detail
+		e.recordCause(causeQueue, answer.Detail)
 		return e.handleRefusal(t, answer.RetryAfter)
 	}
 	e.recordNotRun(t, answer)
@@ -157,7 +157,7 @@
 
 // recordFailed records that a read failed on a server, and excludes the server.
 func (e *execution) recordFailed(t target, answer statement.Answer) {
-	e.lastFailure = answer.Code.String() + " " + answer.Detail
+	e.recordCause(causeFailed, answer.Code.String()+" "+answer.Detail)
 	e.excluded[t.pool.Server().Name] = true
 	if e.primaryOnly {
 		e.backOff(busyBackoff)
@@ -167,7 +167,7 @@
 // recordNotRun records why a server didn't run the statement. It excludes a server
 // that lags or is read-only, and backs off unless the server lags.
 func (e *execution) recordNotRun(t target, answer statement.Answer) {
-	e.lastFailure = answer.Code.String() + " " + answer.Detail
+	e.recordCause(causeOfCode(answer.Code), answer.Code.String()+" "+answer.Detail)
 	server := t.pool.Server()
 	switch answer.Code {
 	case statement.Behind:
@@ -205,7 +205,7 @@
 			"server-connections", load.Connections, "server-lately-ms", load.RecentLatency.Milliseconds(), "server-usual-ms", load.BaseLatency.Milliseconds())
 	}
 	logger.Info(message, "request-id", e.stmt.ID, "database", e.session.database,
-		"group", e.route.Group, "verb", e.stmt.Verb.String(), "outcome", answer.Code.String(), "reason", answer.Detail,
+		"group", e.route.Group, "verb", e.stmt.Verb.String(), "outcome", answer.Code.String(), "cause", e.finalCause(total), "reason", answer.Detail,
 		"last-attempt", e.lastFailure, "attempts", e.attempts, "failed-attempts", strings.Join(e.failedAttempts, ", "), "primary-only", e.primaryOnly, "waited-ms", e.waitTime.Milliseconds(), "total-ms", total.Milliseconds(),
 		"term", e.session.manager.options.Lease.Term(e.route.Group),
 		"lease-left-ms", e.session.manager.options.Lease.Remaining(now).Milliseconds())
--- a/internal/traffic/session/target.go
+++ b/internal/traffic/session/target.go
@@ -91,6 +91,7 @@
 			err = lease.ErrNoPrimary
 		}
 		if !errors.Is(err, lease.ErrPrimaryChanging) || !e.waitForPrimary(usable) {
+			e.cause = causeOf(err)
 			after := retryAfterChange
 			if errors.Is(err, lease.ErrNoLease) {
 				e.session.refusedWithoutLease = true
--- a/internal/traffic/session/transaction.go
+++ b/internal/traffic/session/transaction.go
@@ -93,7 +93,7 @@
 	}
 	if answer.State == statement.Idle {
 		conn.Release()
-		e.lastFailure = "the server ended the transaction: " + answer.Detail
+		e.recordCause(causeConnectionLost, "the server ended the transaction: "+answer.Detail)
 		return statement.Answer{Code: statement.Aborted, Detail: e.lastFailure}, false
 	}
 	tx := e.tx
@@ -113,7 +113,7 @@
 		e.attempts++
 		answer, err := s.sendInTransaction(e)
 		if err != nil {
-			e.lastFailure = err.Error()
+			e.recordCause(causeOf(err), err.Error())
 			s.failTransaction()
 			return s.reject(statement.Aborted, "the transaction was undone: "+err.Error())
 		}
