Pools: how long idle connections of a share are kept follows from the time to open one

Hypothesis: where a connection takes 27 ms of a slot to open, closing it after 3 s costs more than it saves. Change: a connection of the share is kept for 400 times of opening one, 5 s at 12 ms and 11 s at 27 ms.

--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -39,11 +39,11 @@
 	// idle, as a multiple of the time to open one. Other proxies may be waiting
 	// for it.
 	idleTimeoutFactor = 10
-	// shareIdleTimeout is how long a connection of the proxy's share may be idle
-	// before it is closed, except the last one. A server keeps the connections of
-	// a VM that lost power for some seconds, and those that weren't needed would
-	// leave the VM that starts again without any.
-	shareIdleTimeout = 3 * time.Second
+	// shareIdleFactor is the same for a connection of the proxy's share, except the
+	// last one. A server keeps the connections of a VM that lost power for some
+	// seconds, and those that weren't needed would leave the VM that starts again
+	// without any.
+	shareIdleFactor = 400
 	// unresponsiveAfter is the time without any response to an outstanding
 	// request after which a server is unresponsive. It is longer than a usual
 	// statement takes, queueing included.
@@ -390,8 +390,8 @@
 }
 
 // trimIdle closes connections beyond the proxy's share that have been idle for more
-// than idleTimeoutFactor times the time to open one, and those of its share that have
-// been idle for more than shareIdleTimeout, but not the last one. A proxy without a lease
+// than idleTimeoutFactor times the time to open one, and those of its share, but not the
+// last one, that have been idle for shareIdleFactor times that. A proxy without a lease
 // has no share: it can serve few callers, and other proxies take its part.
 func (p *Pool) trimIdle(holdsLease bool, now time.Time) {
 	p.mu.Lock()
@@ -413,7 +413,7 @@
 	case count > p.plan.Share || !holdsLease:
 		return idleTimeoutFactor * p.expectedConnectTime()
 	case count > 1:
-		return shareIdleTimeout
+		return shareIdleFactor * p.expectedConnectTime()
 	default:
 		return math.MaxInt64
 	}
--- a/internal/traffic/upstream/upstream_test.go
+++ b/internal/traffic/upstream/upstream_test.go
@@ -250,6 +250,7 @@
 		for _, conn := range conns {
 			conn.Release()
 		}
+		pool.connectTime = 10 * time.Millisecond
 		pool.trimIdle(test.holdsLease, time.Now().Add(test.idle))
 		if f.open != test.want {
 			t.Errorf("%s: got %d connections kept, want %d", test.name, f.open, test.want)
