Queues: a transaction counts with all of its statements, and longer work must start sooner

Hypothesis: a transaction of five statements takes five times the slots of a single one, and has the same aim; planned as one statement it starts too late and is late all the same. Change: single statements and transactions of a database are two kinds, whose service time is that of all statements from getting a connection to returning it. Work that takes longer than the average is in time only if the difference is left, too.

--- a/internal/traffic/session/execution.go
+++ b/internal/traffic/session/execution.go
@@ -161,7 +161,7 @@
 	conn, err := t.pool.Acquire(upstream.AcquireOptions{
 		Fingerprint: e.session.fingerprint, Priority: e.route.Priority,
 		SoftDeadline: e.softDeadline, Deadline: e.acquireDeadline(t), CallerContext: e.callerContext,
-		Digest: e.stmt.Digest(), HoldFor: e.holdTime(), Kind: e.session.kind,
+		Digest: e.stmt.Digest(), HoldFor: e.holdTime(), Kind: e.kind(),
 	})
 	e.waitTime += time.Since(began)
 	if err != nil {
@@ -174,7 +174,7 @@
 		return e.handleFailureBeforeSend(t, err)
 	}
 	request.MinPosition, request.Priority, request.SoftDeadline = t.minPosition, e.route.Priority, e.softDeadline
-	request.CallerContext, request.HoldFor, request.Kind = e.callerContext, e.holdTime(), e.session.kind
+	request.CallerContext, request.HoldFor, request.Kind = e.callerContext, e.holdTime(), e.kind()
 	if conn.ForwardsStatements() {
 		request.ResponseTimeout = max(time.Until(limit), time.Millisecond)
 		limit = e.deadline
@@ -218,6 +218,14 @@
 	return e.route.StatementTimeout * holdNumerator / holdDenominator
 }
 
+// kind returns the kind of work that the statement is or begins.
+func (e *execution) kind() uint64 {
+	if e.tx != nil {
+		return e.session.transactionKind
+	}
+	return e.session.statementKind
+}
+
 // attemptDeadline returns the deadline for the answer. For a read, it leaves time for
 // a retry if the answer is lost. A write isn't retried after it was sent, so it gets
 // all the remaining time.
--- a/internal/traffic/session/manager.go
+++ b/internal/traffic/session/manager.go
@@ -144,7 +144,7 @@
 // is when the caller connected; its first statement may have waited since then.
 func (m *Manager) Serve(caller Caller, database string, connectedAt time.Time) error {
 	s := &session{
-		manager: m, caller: caller, database: database, kind: xxhash.Sum64String(database), connectedAt: connectedAt, readyAt: time.Now(),
+		manager: m, caller: caller, database: database, statementKind: xxhash.Sum64String(database), transactionKind: xxhash.Sum64String("transaction " + database), connectedAt: connectedAt, readyAt: time.Now(),
 		settings: map[string]string{}, prepared: map[string]preparedStatement{},
 	}
 	m.mu.Lock()
--- a/internal/traffic/session/session.go
+++ b/internal/traffic/session/session.go
@@ -29,9 +29,9 @@
 		manager  *Manager
 		caller   Caller
 		database string
-		// kind identifies the statements of the database; see
-		// upstream.AcquireOptions.
-		kind uint64
+		// statementKind and transactionKind identify the single statements and the
+		// transactions of the database; see upstream.AcquireOptions.
+		statementKind, transactionKind uint64
 		// settings are the session's settings that were acknowledged to the
 		// caller, and fingerprint is their fingerprint. prepared are its
 		// prepared statements by name.
--- a/internal/traffic/statement/statement.go
+++ b/internal/traffic/statement/statement.go
@@ -144,7 +144,8 @@
 		// HoldFor is how long the statement may be queued once it can't be done by
 		// SoftDeadline any more; zero: until the deadline.
 		HoldFor time.Duration
-		// Kind identifies statements that take about as long; zero: unknown.
+		// Kind identifies work that takes about as long, a transaction with all of
+		// its statements; zero: unknown.
 		Kind uint64
 		// CallerContext ends when the caller has given up. A forwarded statement
 		// that is still queued then is withdrawn. It is nil if that isn't
--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -38,8 +38,10 @@
 	// first request. It is guarded by the pool's mutex.
 	awaitingFirstRequest bool
 	// kind is the kind of the work that the connection was acquired for; zero:
-	// unknown.
-	kind uint64
+	// unknown. served is the time of its statements so far, which the pool's mutex
+	// guards.
+	kind   uint64
+	served time.Duration
 	// forwardsStatements is true if statements are forwarded to a proxy that owns
 	// connections to the server.
 	forwardsStatements bool
@@ -85,7 +87,7 @@
 			pool.recordOutcome(!succeeded, now)
 		}
 		if succeeded && pool.manager.stallDetector.lastStallEnd(now).Before(start) {
-			pool.manager.serviceTimes.Record(c.kind, now.Sub(start), pool.currentLatency(now))
+			c.served += now.Sub(start)
 			pool.recordLatency(now.Sub(start), now)
 		}
 		if answer.Code == statement.Busy && !c.forwardsStatements {
--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -163,7 +163,8 @@
 		// HoldFor is how long the work may wait once it can't be done by
 		// SoftDeadline any more; zero: until Deadline.
 		HoldFor time.Duration
-		// Kind identifies work that takes about as long; zero: unknown.
+		// Kind identifies work that takes about as long, a transaction with all of
+		// its statements; zero: unknown.
 		Kind uint64
 	}
 
@@ -314,6 +315,10 @@
 	p.mu.Lock()
 	delete(p.inUse, conn)
 	p.markStarted(conn)
+	if conn.served > 0 {
+		p.manager.serviceTimes.Record(conn.kind, conn.served, p.currentLatency(p.manager.options.Now()))
+		conn.served = 0
+	}
 	discard := p.removed || conn.forwardsStatements == p.plan.OwnsConnections
 	if !discard {
 		conn.idleSince = time.Now()
--- a/internal/traffic/upstream/upstream_test.go
+++ b/internal/traffic/upstream/upstream_test.go
@@ -27,6 +27,9 @@
 	slotCount int
 	// code is the code of all answers.
 	code statement.Code
+	// delay is the time that each statement takes; signature signs all answers.
+	delay     time.Duration
+	signature string
 	// requests are the requests that were sent on all connections.
 	requests []statement.Request
 }
@@ -59,10 +62,11 @@
 }
 
 func (c *fakeConn) Do(r statement.Request, _ time.Time) (statement.Answer, error) {
+	time.Sleep(c.f.delay)
 	c.f.mu.Lock()
 	defer c.f.mu.Unlock()
 	c.f.requests = append(c.f.requests, r)
-	return statement.Answer{Code: c.f.code}, c.err
+	return statement.Answer{Code: c.f.code, Signature: []byte(c.f.signature)}, c.err
 }
 
 func (c *fakeConn) InitialPosition() cluster.LogPosition { return cluster.LogPosition{} }
@@ -460,3 +464,31 @@
 		}
 	}
 }
+
+// TestTransactionIsOnePieceOfWork checks that a kind's service time is that of all
+// statements on a connection from its acquisition to its release.
+func TestTransactionIsOnePieceOfWork(t *testing.T) {
+	const single, transaction, statementTime = 1, 2, 5 * time.Millisecond
+	f := &fakeServers{limit: 16, delay: statementTime, signature: "signed"}
+	m, pool := newManager(f, 1)
+	for range 20 {
+		for kind, statements := range map[uint64]int{single: 1, transaction: 5} {
+			o := options(time.Second)
+			o.Kind, o.Digest = kind, kind
+			conn, err := pool.Acquire(o)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for range statements {
+				if _, err := conn.Do(statement.Request{}, time.Now().Add(time.Second)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			conn.Release()
+		}
+	}
+	one, all := m.serviceTimes.Expected(single, statementTime), m.serviceTimes.Expected(transaction, statementTime)
+	if all < one+2*statementTime {
+		t.Errorf("got %v for a transaction of five statements and %v for a single one, want at least %v more", all, one, 2*statementTime)
+	}
+}
