Forwarding: an owner is suspected by the usual time of calls, and its reads move after two pings

Change: an owner is pinged after four times the usual time of a call, 80 ms at least; reads that wait for it move after two lost pings.

--- a/internal/traffic/forward/liveness.go
+++ b/internal/traffic/forward/liveness.go
@@ -12,18 +12,29 @@
 	"github.com/burdockwood/burdockwood/internal/model/pause"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 	"github.com/burdockwood/burdockwood/internal/rpc/transport"
+	"github.com/burdockwood/burdockwood/internal/traffic/admission"
 	"github.com/burdockwood/burdockwood/internal/traffic/ownership"
 )
 
 const (
-	// suspectAfter is how long a call may go without any response of the owner until
-	// the owner is pinged: longer than most statements take.
-	suspectAfter = 80 * time.Millisecond
+	// suspectFactor is how often the average time of a call must have passed without
+	// any response of the owner until it is pinged. minSuspectAfter and
+	// maxSuspectAfter bound that time.
+	suspectFactor   = 4
+	minSuspectAfter = 80 * time.Millisecond
+	maxSuspectAfter = 500 * time.Millisecond
+	// callTimeWeight is the weight of a new measurement in the average time of a call.
+	callTimeWeight = 0.1
 	// pingTimeout is how long an owner may take to answer a ping, which it doesn't
 	// queue.
 	pingTimeout = 150 * time.Millisecond
-	// pingInterval is the pause between two pings of an owner that doesn't answer.
-	pingInterval = 250 * time.Millisecond
+	// secondPingDelay is the pause before the second ping of an owner that didn't
+	// answer the first one, pingInterval that before each later one.
+	secondPingDelay = 50 * time.Millisecond
+	pingInterval    = 250 * time.Millisecond
+	// pingsToCancel is the number of unanswered pings in a row after which the reads
+	// that wait for an owner are cancelled. One may be lost, or the owner busy.
+	pingsToCancel = 2
 	// maxPings bounds the pings of one owner in a row: the control plane no longer
 	// lists a proxy that was away for as long.
 	maxPings = 20
@@ -42,6 +53,8 @@
 	// use.
 	liveness struct {
 		owners map[cluster.ProxyName]*ownerState
+		// callTime is the moving average of the time of calls.
+		callTime time.Duration
 		// lastCall is the last number that was given to a call.
 		lastCall uint64
 	}
@@ -77,9 +90,16 @@
 	return state == nil || now.After(state.avoidUntil)
 }
 
-// recordResponse records that an owner answered.
-func (l *liveness) recordResponse(name cluster.ProxyName, now time.Time) {
+// recordResponse records that an owner answered a call that took a time.
+func (l *liveness) recordResponse(name cluster.ProxyName, took time.Duration, now time.Time) {
 	l.owner(name).lastResponse = now
+	l.callTime = admission.WeightedAverage(l.callTime, took, callTimeWeight)
+}
+
+// suspectAfter returns how long a call may go without any response of the owner until the
+// owner is pinged.
+func (l *liveness) suspectAfter() time.Duration {
+	return min(max(suspectFactor*l.callTime, minSuspectAfter), maxSuspectAfter)
 }
 
 // recordFailure records a failed call, and reports whether the owner is avoided from now
@@ -123,22 +143,25 @@
 	return true
 }
 
-// endPing records the result of a ping, and reports whether the owner is to be pinged
-// again. An owner that answers is used again at once; one that doesn't is avoided until
-// the result of the next ping, and its reads are cancelled.
-func (l *liveness) endPing(name cluster.ProxyName, answered, last bool, now time.Time) (again bool) {
+// endPing records the result of a ping, the one with the given number in a row, and
+// returns the delay of the next one, or false if there is none. An owner that answers
+// is used again at once; one that doesn't is avoided until the result of the next ping.
+func (l *liveness) endPing(name cluster.ProxyName, ping int, answered bool, now time.Time) (delay time.Duration, again bool) {
 	state := l.owner(name)
-	state.pinging = !answered && !last
+	state.pinging = !answered && ping < maxPings
 	if answered {
 		state.lastResponse, state.avoidUntil = now, time.Time{}
-		return false
+		return 0, false
 	}
 	l.avoid(name, pingInterval+2*pingTimeout, now)
+	if ping < pingsToCancel {
+		return secondPingDelay, true
+	}
 	for call, cancel := range state.reads {
 		cancel(errOwnerSilent)
 		delete(state.reads, call)
 	}
-	return !last
+	return pingInterval, state.pinging
 }
 
 // pingSilent pings an owner until it answers, if it hasn't answered since sentAt.
@@ -152,7 +175,7 @@
 	for ping := 1; ; ping++ {
 		err := c.ping(owner)
 		c.mu.Lock()
-		again := c.liveness.endPing(owner.Name, err == nil, ping == maxPings, time.Now())
+		delay, again := c.liveness.endPing(owner.Name, ping, err == nil, time.Now())
 		c.mu.Unlock()
 		if ping == 1 && err != nil {
 			c.logger.Info("owner of connections is silent; it is avoided until it answers", "proxy", owner.Name,
@@ -164,7 +187,7 @@
 		if !again {
 			return
 		}
-		pause.For(context.Background(), pingInterval)
+		pause.For(context.Background(), delay)
 	}
 }
 
--- a/internal/traffic/forward/owners.go
+++ b/internal/traffic/forward/owners.go
@@ -108,7 +108,7 @@
 func (c *OwnerClient) recordResponse(name cluster.ProxyName, took, elapsed time.Duration, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.liveness.recordResponse(name, now)
+	c.liveness.recordResponse(name, took, now)
 	if elapsed > 0 && elapsed <= took {
 		c.transit += time.Duration(transitWeight * float64(took-elapsed-c.transit))
 	}
@@ -238,6 +238,9 @@
 // with errOwnerSilent. endWatch must be called after the call.
 func (c *connection) watchOwner(ctx context.Context, request statement.Request, sentAt time.Time) (watched context.Context, endWatch func()) {
 	owner := c.owner
+	c.client.mu.Lock()
+	suspectAfter := c.client.liveness.suspectAfter()
+	c.client.mu.Unlock()
 	timer := time.AfterFunc(suspectAfter, func() { c.client.pingSilent(owner, sentAt) })
 	if !c.isRepeatable(request) {
 		return ctx, func() { timer.Stop() }
