--- a/internal/traffic/admission/schedule.go
+++ b/internal/traffic/admission/schedule.go
@@ -6,8 +6,7 @@
 )
 
 // schedule decides which items will be done by their soft deadline if the first one is
-// done at completion and the items follow each other at the given mean interval; one
-// that takes longer than the average is done later by the difference. It
+// done at completion and the items follow each other at the given mean interval. It
 // goes through the items by priority, and within a priority by soft deadline. Whenever
 // an item would be late, the longest item of its priority so far gives way, which
 // leaves as few late ones as possible (the algorithm of Moore and Hodgson): one long
@@ -22,13 +21,12 @@
 		if i > 0 && item.Priority != q.items[i-1].Priority {
 			q.scheduled = q.scheduled[:0]
 		}
-		excess := q.excess(item.Service)
-		if first+int64(excess) > item.softDeadline {
+		if first > item.softDeadline {
 			continue
 		}
 		item.inTime = true
 		q.scheduled = append(q.scheduled, i)
-		isLate := next+int64(excess) > item.softDeadline
+		isLate := next > item.softDeadline
 		next += int64(item.occupancy)
 		if isLate {
 			next -= int64(q.dropLongest().occupancy)
@@ -51,14 +49,6 @@
 	return item
 }
 
-// excess returns how much longer than the average item one with a service time takes.
-func (q *Queue[T]) excess(service time.Duration) time.Duration {
-	if q.meanService == 0 {
-		return 0
-	}
-	return max(0, service-q.meanService)
-}
-
 // occupancy returns for how long an item keeps the next one waiting.
 func (q *Queue[T]) occupancy(service, interval time.Duration) time.Duration {
 	if service == 0 || q.meanService == 0 {
