--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -445,7 +445,3 @@
 func (f brokerFunc) Execute(_ context.Context, r *fleetpb.ExecuteRequest) (*fleetpb.ExecuteResponse, error) {
 	return f(r), nil
 }
-
-func (f brokerFunc) Ping(context.Context, *fleetpb.PingRequest) (*fleetpb.PingResponse, error) {
-	return &fleetpb.PingResponse{}, nil
-}
--- a/internal/traffic/forward/owners.go
+++ b/internal/traffic/forward/owners.go
@@ -56,7 +56,11 @@
 		httpClient *http.Client
 		logger     logr.Logger
 		mu         sync.Mutex
-		liveness   liveness
+		// avoidUntil holds, for each owner that couldn't be reached or didn't
+		// answer, the end of the time in which other owners are preferred.
+		avoidUntil map[cluster.ProxyName]time.Time
+		// lastResponse is when each owner last answered.
+		lastResponse map[cluster.ProxyName]time.Time
 		// transit is the moving average of the time that a call and its response
 		// are on the network.
 		transit time.Duration
@@ -86,7 +90,7 @@
 
 // NewOwnerClient returns a client that calls owners through an HTTP client.
 func NewOwnerClient(client *http.Client, logger logr.Logger) *OwnerClient {
-	return &OwnerClient{httpClient: client, logger: logger, liveness: newLiveness()}
+	return &OwnerClient{httpClient: client, logger: logger, avoidUntil: map[cluster.ProxyName]time.Time{}, lastResponse: map[cluster.ProxyName]time.Time{}}
 }
 
 // Connect returns a connection that forwards statements for a server to its
@@ -100,7 +104,7 @@
 func (c *OwnerClient) pickOwner(owners []ownership.Peer, digest uint64, now time.Time) ownership.Peer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return ownership.ChooseOwner(owners, digest, func(peer ownership.Peer) bool { return c.liveness.isUsable(peer.Name, now) })
+	return ownership.ChooseOwner(owners, digest, func(peer ownership.Peer) bool { return now.After(c.avoidUntil[peer.Name]) })
 }
 
 // recordResponse records that an owner responded. took is the time of the call, and
@@ -108,7 +112,7 @@
 func (c *OwnerClient) recordResponse(name cluster.ProxyName, took, elapsed time.Duration, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.liveness.recordResponse(name, took, now)
+	c.lastResponse[name] = now
 	if elapsed > 0 && elapsed <= took {
 		c.transit += time.Duration(transitWeight * float64(took-elapsed-c.transit))
 	}
@@ -128,14 +132,18 @@
 func (c *OwnerClient) recordFailure(name cluster.ProxyName, unreachable bool, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.liveness.recordFailure(name, unreachable, now)
+	if !unreachable && now.Sub(c.lastResponse[name]) < recentResponse {
+		return false
+	}
+	c.avoidUntil[name] = now.Add(ownerBackoff)
+	return true
 }
 
 // avoid makes other owners preferred for a time.
 func (c *OwnerClient) avoid(name cluster.ProxyName, backoff time.Duration, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.liveness.avoid(name, backoff, now)
+	c.avoidUntil[name] = now.Add(backoff)
 }
 
 // Do stores session settings, prepared statements and the begin of a transaction here,
@@ -194,17 +202,12 @@
 	if request.CallerContext != nil {
 		defer context.AfterFunc(request.CallerContext, cancel)()
 	}
-	ctx, endWatch := c.watchOwner(ctx, request, now)
-	defer endWatch()
 	client := fleetpb.NewBrokerProtobufClient(transport.URL(c.owner.Address), c.client.httpClient)
 	response, err := client.Execute(ctx, c.newRequest(request, remaining))
 	if err != nil && request.CallerContext != nil && request.CallerContext.Err() != nil {
 		c.handle = 0
 		return statement.Answer{}, false, eris.Wrap(backend.ErrConnectionLost, "the caller closed its connection")
 	}
-	if err != nil && errors.Is(context.Cause(ctx), errOwnerSilent) {
-		return statement.Answer{}, true, eris.Wrap(backend.ErrConnectionLost, errOwnerSilent.Error())
-	}
 	if err != nil {
 		err = c.callError(err)
 		return statement.Answer{}, !inTransaction && errors.Is(err, backend.ErrNotSent), err
@@ -233,40 +236,6 @@
 	}, false, nil
 }
 
-// watchOwner has the owner pinged if it doesn't answer a call sent at sentAt. If it
-// doesn't answer pings either, the returned context of a read outside a transaction ends
-// with errOwnerSilent. endWatch must be called after the call.
-func (c *connection) watchOwner(ctx context.Context, request statement.Request, sentAt time.Time) (watched context.Context, endWatch func()) {
-	owner := c.owner
-	c.client.mu.Lock()
-	suspectAfter := c.client.liveness.suspectAfter()
-	c.client.mu.Unlock()
-	timer := time.AfterFunc(suspectAfter, func() { c.client.pingSilent(owner, sentAt) })
-	if !c.isRepeatable(request) {
-		return ctx, func() { timer.Stop() }
-	}
-	watched, cancel := context.WithCancelCause(ctx)
-	c.client.mu.Lock()
-	call := c.client.liveness.addRead(owner.Name, cancel)
-	c.client.mu.Unlock()
-	return watched, func() {
-		timer.Stop()
-		c.client.mu.Lock()
-		c.client.liveness.removeRead(owner.Name, call)
-		c.client.mu.Unlock()
-		cancel(nil)
-	}
-}
-
-// isRepeatable reports whether a statement may be sent to another owner although it may
-// have run: a read outside a transaction.
-func (c *connection) isRepeatable(request statement.Request) bool {
-	if c.handle != 0 || c.deferredBegin != nil {
-		return false
-	}
-	return request.Verb == statement.Read || request.Verb == statement.Execute && !c.prepared[request.Name].Writes
-}
-
 // newRequest returns the RPC request. remaining is the time until the deadline. In the
 // RPC, the aim is the soft deadline, answer_ms the response timeout, a shape the query of
 // a prepared statement, and values are session settings.
--- a/internal/traffic/forward/service.go
+++ b/internal/traffic/forward/service.go
@@ -116,11 +116,6 @@
 	return response, err
 }
 
-// Ping answers at once; see fleetpb.Broker.
-func (s *Service) Ping(context.Context, *fleetpb.PingRequest) (*fleetpb.PingResponse, error) {
-	return &fleetpb.PingResponse{}, nil
-}
-
 // execute is Execute without the measurement of its time.
 func (s *Service) execute(ctx context.Context, r *fleetpb.ExecuteRequest) (*fleetpb.ExecuteResponse, error) {
 	deadline := time.Now().Add(milliseconds(r.GetDeadlineMs()))
