--- a/internal/traffic/admission/limit.go
+++ b/internal/traffic/admission/limit.go
@@ -21,22 +21,23 @@
 //
 // A server executes as many statements at once as it has slots, queues some more in
 // the order of arrival, and rejects the rest. Work that waits in the proxies instead is
-// ordered by priority and soft deadline. So the owners of a server's connections
+// ordered by what can still be in time. So the owners of a server's connections
 // together send it about as much as keeps its slots busy:
 //
 //   - Without signs of overload, an owner may send its part of a full server queue. A
 //     burst of hundreds of callers reaches the server through all of its owners within
 //     milliseconds, before any latency shows it.
-//   - A server that takes much longer than usual, whose usual time isn't known yet (all
-//     owners may have just started), or that has just rejected a statement gets each
-//     owner's fair share. Rejections show overload before latencies do, because
+//   - A server that takes much longer than usual (somewhat longer while work waits
+//     here), whose usual time isn't known yet (all owners may have just started), or that
+//     has just rejected a statement gets each owner's fair share. Rejections show overload before latencies do, because
 //     rejected statements have none.
 //
 // Work beyond what a server can do waits in a Queue. A lagging replica, a lost server
-// or a burst may bring more for seconds. Then work that can be in time goes first, what
-// comes back after a refusal goes behind it (see Retries), and late work waits only as
-// long as it may still run: a statement that is held until its caller gives up takes a
-// place for nothing, and its caller learns too late that it should come back.
+// or a burst may bring more for seconds. Then as much work as possible is done in time
+// (long work gives way to several short ones, see ServiceTimes), what comes back after a
+// refusal goes behind it (see Retries), and late work waits only as long as it may still
+// run: a statement that is held until its caller gives up takes a place for nothing, and
+// its caller learns too late that it should come back.
 package admission
 
 import "time"
@@ -85,7 +86,8 @@
 // Overloaded reports whether the server has, or may have, more statements than
 // slots.
 func (l Load) Overloaded(now time.Time) bool {
-	if rejected := !l.LastRejection.IsZero() && now.Sub(l.LastRejection) < rejectionMemory; rejected || l.Timed < MinTimed {
+	rejected := !l.LastRejection.IsZero() && now.Sub(l.LastRejection) < rejectionMemory
+	if rejected || l.Timed < MinTimed {
 		return true
 	}
 	factor := float64(overloadFactor)
--- a/internal/traffic/admission/queue.go
+++ b/internal/traffic/admission/queue.go
@@ -104,9 +104,7 @@
 
 // insert inserts an item in the order of items and returns its index.
 func (q *Queue[T]) insert(item queued[T]) int {
-	at, _ := slices.BinarySearchFunc(q.items, item, func(a, b queued[T]) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.softDeadline, b.softDeadline), cmp.Compare(a.Arrival, b.Arrival))
-	})
+	at, _ := slices.BinarySearchFunc(q.items, item, func(a, b queued[T]) int { return a.compare(&b) })
 	q.items = slices.Insert(q.items, at, item)
 	return at
 }
@@ -171,18 +169,7 @@
 	at := q.insert(newQueued(item))
 	q.schedule(now.Add(pace.Service), interval)
 	inTime := q.items[at].inTime
-	d := Decision{Wait: true, Expected: q.items[at].occupancy}
-	lateAhead := 0
-	for i := range q.items {
-		if i == at || !q.items[i].precedes(&q.items[at]) {
-			continue
-		}
-		d.Ahead++
-		d.Expected += q.items[i].occupancy
-		if !q.items[i].inTime {
-			lateAhead++
-		}
-	}
+	d, lateAhead := q.predict(at)
 	if !inQueue {
 		q.items = slices.Delete(q.items, at, at+1)
 	}
@@ -201,6 +188,23 @@
 	return d
 }
 
+// predict returns the decision that the item at an index may wait, with the wait that
+// follows from the schedule, and the number of late items that go before it.
+func (q *Queue[T]) predict(at int) (d Decision, lateAhead int) {
+	d = Decision{Wait: true, Expected: q.items[at].occupancy}
+	for i := range q.items {
+		if i == at || !q.items[i].precedes(&q.items[at]) {
+			continue
+		}
+		d.Ahead++
+		d.Expected += q.items[i].occupancy
+		if !q.items[i].inTime {
+			lateAhead++
+		}
+	}
+	return d, lateAhead
+}
+
 // interval returns the time to expect between two items that leave the queue. If none
 // has left for longer than usual, it is that time.
 func (q *Queue[T]) interval(pace Pace, now time.Time) time.Duration {
@@ -218,14 +222,18 @@
 	return queued[T]{Item: item, softDeadline: item.SoftDeadline.UnixNano()}
 }
 
-// precedes reports whether a, an item that comes before or after b in the queue, runs
-// before b.
+// compare orders items by priority, then by soft deadline, then by arrival.
+func (a *queued[T]) compare(b *queued[T]) int {
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.softDeadline, b.softDeadline), cmp.Compare(a.Arrival, b.Arrival))
+}
+
+// precedes reports whether a runs before b, as schedule has decided.
 func (a *queued[T]) precedes(b *queued[T]) bool {
 	if a.inTime != b.inTime {
 		return a.inTime
 	}
 	if a.inTime {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.softDeadline, b.softDeadline), cmp.Compare(a.Arrival, b.Arrival)) < 0
+		return a.compare(b) < 0
 	}
 	return a.precedesLate(b)
 }
--- a/internal/traffic/upstream/acquire.go
+++ b/internal/traffic/upstream/acquire.go
@@ -174,7 +174,10 @@
 		p.lastArrival++
 		*arrival = p.lastArrival
 	}
-	item := admission.Item[*waiter]{Value: w, Priority: options.Priority, SoftDeadline: options.SoftDeadline, Arrival: *arrival, Service: p.manager.serviceTimes.Expected(options.Kind, p.baseLatency)}
+	item := admission.Item[*waiter]{
+		Value: w, Priority: options.Priority, SoftDeadline: options.SoftDeadline, Arrival: *arrival,
+		Service: p.manager.serviceTimes.Expected(options.Kind, p.baseLatency),
+	}
 	if options.HoldFor > 0 {
 		item.HoldUntil = arrivedAt.Add(options.HoldFor)
 	}
