Read again: one folder with a faulty disk in the tests of control nodes; a loss is its own key

Cause: the test with hanging disks wrote the folder, the file and the count of syncs of the test with a failing disk once more; the summary of losses had each of its key's fields twice and copied them. Change: faultyFS calls a function before each sync, which hangs or fails; Summarize uses a Loss without its sums as the key. Nothing else changes; the tests keep their assertions.

--- a/internal/control/node/node_test.go
+++ b/internal/control/node/node_test.go
@@ -152,55 +152,30 @@
 	checkCommands(t, s, 2)
 }
 
-// failingFS is a data folder whose disk fails after a number of syncs.
-type failingFS struct {
+// faultyFS is a data folder whose disk has a fault.
+type faultyFS struct {
 	*wal.Folder
-	// remainingSyncs is the number of syncs that still succeed; negative once one
-	// has failed.
-	remainingSyncs atomic.Int64
+	// beforeSync is called before each sync with its number, from 1. The sync fails
+	// if it returns an error.
+	beforeSync func(number int64) error
+	syncs      atomic.Int64
 }
 
-type failingFile struct {
+type faultyFile struct {
 	wal.File
-	fs *failingFS
+	fs *faultyFS
 }
 
 var errDisk = errors.New("the disk has failed")
 
-func (f *failingFS) Create(name string) (wal.File, error) {
+func (f *faultyFS) Create(name string) (wal.File, error) {
 	file, err := f.Folder.Create(name)
-	return &failingFile{File: file, fs: f}, err
+	return &faultyFile{File: file, fs: f}, err
 }
 
-func (f *failingFile) Sync() error {
-	if f.fs.remainingSyncs.Add(-1) < 0 {
-		return errDisk
-	}
-	return f.File.Sync()
-}
-
-// hangingFS is a data folder whose disk hangs once, for hang at the sync with the number
-// hangAt.
-type hangingFS struct {
-	*wal.Folder
-	syncs  atomic.Int64
-	hangAt int64
-	hang   time.Duration
-}
-
-type hangingFile struct {
-	wal.File
-	fs *hangingFS
-}
-
-func (f *hangingFS) Create(name string) (wal.File, error) {
-	file, err := f.Folder.Create(name)
-	return &hangingFile{File: file, fs: f}, err
-}
-
-func (f *hangingFile) Sync() error {
-	if f.fs.syncs.Add(1) == f.fs.hangAt {
-		time.Sleep(f.fs.hang)
+func (f *faultyFile) Sync() error {
+	if err := f.fs.beforeSync(f.fs.syncs.Add(1)); err != nil {
+		return err
 	}
 	return f.File.Sync()
 }
@@ -220,7 +195,12 @@
 				t.Error(err)
 			}
 		})
-		o.FS, o.SnapshotEntries = &hangingFS{Folder: folder, hangAt: hangAt, hang: hang}, 30
+		o.FS, o.SnapshotEntries = &faultyFS{Folder: folder, beforeSync: func(number int64) error {
+			if number == hangAt {
+				time.Sleep(hang)
+			}
+			return nil
+		}}, 30
 	})
 	s.startAll()
 	for i := range commands {
@@ -235,7 +215,7 @@
 
 func TestFailedSyncStopsNode(t *testing.T) {
 	const syncs = 60
-	var failing *failingFS
+	var failing *faultyFS
 	s := newTestCluster(t, 3, func(o *node.Options) {
 		if o.Name != "control-1" {
 			return
@@ -244,8 +224,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		failing = &failingFS{Folder: folder}
-		failing.remainingSyncs.Store(syncs)
+		failing = &faultyFS{Folder: folder, beforeSync: func(number int64) error {
+			if number > syncs {
+				return errDisk
+			}
+			return nil
+		}}
 		o.FS = failing
 	})
 	s.startAll()
@@ -253,7 +237,7 @@
 	s.waitFor("failed sync", func() bool {
 		s.propose(strconv.Itoa(total))
 		total++
-		return failing.remainingSyncs.Load() < 0
+		return failing.syncs.Load() > syncs
 	})
 	p := s.running["control-1"]
 	delete(s.running, "control-1")
--- a/internal/ops/trace/summary.go
+++ b/internal/ops/trace/summary.go
@@ -38,28 +38,21 @@
 		// time until they were answered.
 		Waited, Total time.Duration
 	}
-
-	// lossKey identifies the statements that one Loss counts.
-	lossKey struct {
-		window                          time.Time
-		group, database, outcome, cause string
-		primary                         bool
-	}
 )
 
 // Summarize counts the statements that were late or not done, by window, group, database,
 // outcome and cause, in the order of time, the most frequent of a window first. A caller
 // that comes back is counted again.
 func Summarize(lines []Line, window time.Duration) []Loss {
-	losses := map[lossKey]*Loss{}
+	losses := map[Loss]*Loss{} // by what Loss counts, without the sums
 	for _, line := range lines {
-		key, counts := newLossKey(line, window)
+		key, counts := newLoss(line, window)
 		if !counts {
 			continue
 		}
 		loss := losses[key]
 		if loss == nil {
-			loss = &Loss{Window: key.window, Group: key.group, Database: key.database, Primary: key.primary, Outcome: key.outcome, Cause: key.cause}
+			loss = &key
 			losses[key] = loss
 		}
 		loss.Count++
@@ -77,22 +70,22 @@
 	return list
 }
 
-// newLossKey returns what a line's statement is counted under, and false if the line
-// isn't about a statement that was late or not done.
-func newLossKey(line Line, window time.Duration) (lossKey, bool) {
-	key := lossKey{
-		window: line.Time.Truncate(window), group: stringField(line.Fields, keyGroup), database: stringField(line.Fields, keyDatabase),
-		outcome: stringField(line.Fields, keyOutcome), cause: cmp.Or(stringField(line.Fields, keyCause), causeUnknown),
+// newLoss returns what a line's statement is counted under, without counting it, and
+// false if the line isn't about a statement that was late or not done.
+func newLoss(line Line, window time.Duration) (Loss, bool) {
+	loss := Loss{
+		Window: line.Time.Truncate(window), Group: stringField(line.Fields, keyGroup), Database: stringField(line.Fields, keyDatabase),
+		Outcome: stringField(line.Fields, keyOutcome), Cause: cmp.Or(stringField(line.Fields, keyCause), causeUnknown),
 	}
-	key.primary, _ = line.Fields[keyPrimary].(bool)
+	loss.Primary, _ = line.Fields[keyPrimary].(bool)
 	switch line.Message {
 	case messageNotDone:
-		return key, true
+		return loss, true
 	case messageLate:
-		key.outcome = outcomeLate
-		return key, true
+		loss.Outcome = outcomeLate
+		return loss, true
 	default:
-		return lossKey{}, false
+		return Loss{}, false
 	}
 }
 
