--- a/internal/traffic/backend/backend.go
+++ b/internal/traffic/backend/backend.go
@@ -17,6 +17,7 @@
 
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
 )
 
@@ -57,8 +58,10 @@
 		Close() error
 	}
 
-	// Dial opens a connection to a server and checks that it is the named one.
+	// Dial opens a connection to a server on behalf of a customer (empty: of none)
+	// and checks that it is the named server. The connection runs statements of that
+	// customer alone.
 	// Errors: ErrConnectionRefused, ErrTimeout, ErrWrongServer,
 	// ErrConnectionLimit, ErrConnectionLost.
-	Dial func(server registry.Server, timeout time.Duration) (Conn, error)
+	Dial func(server registry.Server, on customer.Name, timeout time.Duration) (Conn, error)
 )
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 	"github.com/burdockwood/burdockwood/internal/traffic/ownership"
@@ -88,7 +89,7 @@
 // and its HTTP server.
 func startOwner(t *testing.T, server *fakeServer, share int) (*Service, backend.Conn, *httptest.Server) {
 	m := upstream.New(upstream.Options{
-		Dial: func(registry.Server, time.Duration) (backend.Conn, error) { return &fakeConn{server: server}, nil },
+		Dial: func(registry.Server, customer.Name, time.Duration) (backend.Conn, error) { return &fakeConn{server: server}, nil },
 		Now:  time.Now, Logger: logr.Discard(),
 	})
 	m.SetServers([]registry.Server{{Name: "s", Group: "g", Slots: 2}}, func(registry.Server) ownership.ConnectionPlan {
--- a/internal/traffic/routing/routing.go
+++ b/internal/traffic/routing/routing.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 )
 
 const (
@@ -48,6 +49,9 @@
 		LatencyTarget time.Duration
 		// Priority orders queued statements; 0 is the highest.
 		Priority int
+		// Anonymous is true if callers need no key although the configuration
+		// holds customers.
+		Anonymous bool
 	}
 
 	// Group holds what the operators' configuration declares of a group.
@@ -71,6 +75,9 @@
 	Config struct {
 		Version uint64
 		Limits  Limits
+		// Customers are the customers that callers' keys belong to; nil: there are
+		// none, and callers need no key.
+		Customers *customer.Directory
 		routes  map[string]Route
 		groups  map[cluster.GroupName]Group
 	}
--- a/internal/traffic/session/session_test.go
+++ b/internal/traffic/session/session_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 	"github.com/burdockwood/burdockwood/internal/traffic/freshness"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
@@ -174,7 +175,7 @@
 		f.servers[name] = &fakeServer{scriptedResponses: map[string][]scriptedResponse{}, position: 10}
 	}
 	m := upstream.New(upstream.Options{
-		Dial: func(s registry.Server, _ time.Duration) (backend.Conn, error) {
+		Dial: func(s registry.Server, _ customer.Name, _ time.Duration) (backend.Conn, error) {
 			return &fakeConn{server: f.servers[s.Name]}, nil
 		},
 		Now: time.Now, Logger: logr.Discard(),
--- a/internal/traffic/statement/statement.go
+++ b/internal/traffic/statement/statement.go
@@ -23,6 +23,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 )
 
 const (
@@ -87,6 +88,9 @@
 	// BadStatement means that the statement is malformed or isn't allowed in
 	// the session's state.
 	BadStatement
+	// UnknownKey means that no customer holds the caller's key, or not any more;
+	// the statement didn't run.
+	UnknownKey
 )
 
 const (
@@ -147,6 +151,12 @@
 		// Kind identifies work that takes about as long, a transaction with all of
 		// its statements; zero: unknown.
 		Kind uint64
+		// Customer is the customer that the caller's key belongs to, and Key the
+		// key's digest; zero: the caller needs no key. ConfigVersion is the
+		// version of the configuration that says so.
+		Customer      customer.Name
+		Key           customer.Digest
+		ConfigVersion uint64
 		// CallerContext ends when the caller has given up. A forwarded statement
 		// that is still queued then is withdrawn. It is nil if that isn't
 		// watched. It is a field because a Request is passed through pools and
@@ -189,7 +199,7 @@
 func (c Code) String() string {
 	return [...]string{
 		"ok", "busy", "aborted", "behind", "read-only", "wrong-server", "connection-limit", "not-prepared",
-		"failed", "timed-out", "unknown", "no-database", "bad-statement",
+		"failed", "timed-out", "unknown", "no-database", "bad-statement", "unknown-key",
 	}[c]
 }
 
--- a/internal/traffic/upstream/acquire.go
+++ b/internal/traffic/upstream/acquire.go
@@ -93,7 +93,7 @@
 	}
 	p.dialing++
 	p.mu.Unlock()
-	conn, err = p.dial(options.Deadline)
+	conn, err = p.dial(options.Customer, options.Deadline)
 	return conn, true, err
 }
 
--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -13,6 +13,7 @@
 
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/traffic/admission"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 	"github.com/burdockwood/burdockwood/internal/traffic/balancer"
@@ -146,6 +147,9 @@
 
 	// AcquireOptions describe the work that a connection is acquired for.
 	AcquireOptions struct {
+		// Customer is the customer that the work belongs to; empty: to none. Its
+		// work runs on connections of its own.
+		Customer customer.Name
 		// Fingerprint is the fingerprint of the session settings that the work
 		// needs. An idle connection that has them is preferred.
 		Fingerprint string
@@ -246,9 +250,9 @@
 	return !p.plan.OwnsConnections
 }
 
-// dial opens a connection, which p.dialing already counts. Errors: those of
-// backend.Dial.
-func (p *Pool) dial(deadline time.Time) (*Conn, error) {
+// dial opens a connection on behalf of a customer, which p.dialing already counts.
+// Errors: those of backend.Dial.
+func (p *Pool) dial(on customer.Name, deadline time.Time) (*Conn, error) {
 	began := time.Now()
 	server := p.Server()
 	if conn := p.connectForwarded(server); conn != nil {
@@ -258,7 +262,7 @@
 	if p.manager.options.BeforeConnect != nil {
 		onConnected = p.manager.options.BeforeConnect(server)
 	}
-	raw, err := p.manager.options.Dial(server, min(dialTimeout, time.Until(deadline)))
+	raw, err := p.manager.options.Dial(server, on, min(dialTimeout, time.Until(deadline)))
 	if err != nil {
 		onConnected(cluster.LogPosition{})
 	} else {
--- a/internal/traffic/upstream/probe.go
+++ b/internal/traffic/upstream/probe.go
@@ -56,7 +56,7 @@
 	if idle != nil {
 		idle.close()
 	}
-	conn, err := p.dial(time.Now().Add(dialTimeout))
+	conn, err := p.dial("", time.Now().Add(dialTimeout))
 	if err != nil {
 		return // dial has recorded the failure
 	}
--- a/internal/traffic/upstream/run_test.go
+++ b/internal/traffic/upstream/run_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 	"github.com/burdockwood/burdockwood/internal/traffic/ownership"
 )
@@ -20,7 +21,7 @@
 func TestUnreachableServersDontDelayChecks(t *testing.T) {
 	answer := make(chan struct{})
 	m := New(Options{
-		Dial: func(registry.Server, time.Duration) (backend.Conn, error) {
+		Dial: func(registry.Server, customer.Name, time.Duration) (backend.Conn, error) {
 			<-answer
 			return nil, backend.ErrTimeout
 		},
--- a/internal/traffic/upstream/upstream_test.go
+++ b/internal/traffic/upstream/upstream_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/traffic/admission"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 	"github.com/burdockwood/burdockwood/internal/traffic/ownership"
@@ -48,7 +49,7 @@
 	return f.slotCount
 }
 
-func (f *fakeServers) dial(registry.Server, time.Duration) (backend.Conn, error) {
+func (f *fakeServers) dial(registry.Server, customer.Name, time.Duration) (backend.Conn, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.dialErr != nil {
