--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -89,8 +89,10 @@
 // and its HTTP server.
 func startOwner(t *testing.T, server *fakeServer, share int) (*Service, backend.Conn, *httptest.Server) {
 	m := upstream.New(upstream.Options{
-		Dial: func(registry.Server, customer.Name, time.Duration) (backend.Conn, error) { return &fakeConn{server: server}, nil },
-		Now:  time.Now, Logger: logr.Discard(),
+		Dial: func(registry.Server, customer.Name, time.Duration) (backend.Conn, error) {
+			return &fakeConn{server: server}, nil
+		},
+		Now: time.Now, Logger: logr.Discard(),
 	})
 	m.SetServers([]registry.Server{{Name: "s", Group: "g", Slots: 2}}, func(registry.Server) ownership.ConnectionPlan {
 		return ownership.ConnectionPlan{OwnsConnections: true, Share: share, OwnerCount: 1}
--- a/internal/traffic/routing/routing.go
+++ b/internal/traffic/routing/routing.go
@@ -78,8 +78,8 @@
 		// Customers are the customers that callers' keys belong to; nil: there are
 		// none, and callers need no key.
 		Customers *customer.Directory
-		routes  map[string]Route
-		groups  map[cluster.GroupName]Group
+		routes    map[string]Route
+		groups    map[cluster.GroupName]Group
 	}
 )
 
