Forwarding: a statement that was held up until its deadline doesn't run

Change: both proxies know the leader's clock within a round trip; the deadline is sent on that clock, and the owner takes what is left of it. Without a common leader it counts from arrival, as before.

--- a/internal/traffic/controlclient/apply.go
+++ b/internal/traffic/controlclient/apply.go
@@ -7,8 +7,11 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
+	"github.com/burdockwood/burdockwood/internal/fleet/leaderclock"
 	"github.com/burdockwood/burdockwood/internal/fleet/protoconv"
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/fleet/samples"
@@ -36,6 +39,11 @@
 func (c *Client) applySamples(response *fleetpb.RenewResponse, sentAt, now time.Time) {
 	c.leaderClock, c.leaderClockAt = time.Duration(response.GetClockUs())*time.Microsecond, now
 	c.samplesSentAt = sentAt
+	if c.options.LeaderClock != nil {
+		c.options.LeaderClock.Record(leaderclock.Response{
+			Leader: leadershipOf(response.GetRevision()), Clock: c.leaderClock, Held: time.Duration(response.GetHeldMs()) * time.Millisecond,
+		}, sentAt, now)
+	}
 	madeAfter := sentAt.Add(time.Duration(response.GetHeldMs()) * time.Millisecond)
 	for _, pb := range response.GetSamples() {
 		s, age := protoconv.SampleFromProto(pb)
@@ -43,6 +51,16 @@
 	}
 }
 
+// leadershipOf returns the leadership that a revision belongs to; zero: unknown.
+func leadershipOf(revision string) uint64 {
+	text, _, _ := strings.Cut(revision, ".")
+	leadership, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return leadership
+}
+
 // applyRenewal applies the response to a renewal that was sent at sentAt.
 func (c *Client) applyRenewal(response *fleetpb.RenewResponse, sentAt time.Time) {
 	now := c.options.Now()
--- a/internal/traffic/controlclient/client.go
+++ b/internal/traffic/controlclient/client.go
@@ -28,6 +28,7 @@
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 
+	"github.com/burdockwood/burdockwood/internal/fleet/leaderclock"
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/model/pause"
@@ -82,8 +83,10 @@
 		// DecodeConfig decodes the operators' configuration document.
 		DecodeConfig func(document []byte) (*routing.Config, error)
 		Sessions     *session.Manager
-		Lease        *lease.Holder
-		Pools        *upstream.Manager
+		// LeaderClock is told the leader's clock; nil: nobody needs it.
+		LeaderClock *leaderclock.Clock
+		Lease       *lease.Holder
+		Pools       *upstream.Manager
 		// Now reads a clock that includes the time for which the VM is
 		// suspended.
 		Now    func() time.Time
@@ -133,7 +136,8 @@
 		// loggedPrimaries are the primaries that were logged last.
 		loggedPrimaries map[cluster.GroupName]lease.GroupPrimary
 		// leaderClock is the leader's clock in the last response, which arrived
-		// no later than leaderClockAt.
+		// no later than leaderClockAt. Options.LeaderClock has it for forwarded
+		// statements.
 		leaderClock   time.Duration
 		leaderClockAt time.Time
 		// samplesSentAt is when the last renewal that succeeded was sent.
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/burdockwood/burdockwood/internal/fleet/leaderclock"
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/model/customer"
@@ -97,11 +98,11 @@
 	m.SetServers([]registry.Server{{Name: "s", Group: "g", Slots: 2}}, func(registry.Server) ownership.ConnectionPlan {
 		return ownership.ConnectionPlan{OwnsConnections: true, Share: share, OwnerCount: 1}
 	})
-	service := New(Options{Pools: m, Logger: logr.Discard()})
+	service := New(Options{Pools: m, LeaderClock: &leaderclock.Clock{}, Logger: logr.Discard()})
 	host := httptest.NewServer(fleetpb.NewBrokerServer(service))
 	t.Cleanup(host.Close)
 	address := netip.MustParseAddrPort(strings.TrimPrefix(host.URL, "http://"))
-	owners := NewOwnerClient(&http.Client{}, logr.Discard())
+	owners := NewOwnerClient(&http.Client{}, &leaderclock.Clock{}, logr.Discard())
 	return service, owners.Connect("s", []ownership.Peer{{Name: "owner", Address: address}}), host
 }
 
@@ -358,7 +359,7 @@
 		{"no owner", []ownership.Peer{peer("stopped", stopped), peer("other", other)}, backend.ErrNotSent},
 	}
 	for _, test := range tests {
-		conn := NewOwnerClient(&http.Client{}, logr.Discard()).Connect("s", test.owners)
+		conn := NewOwnerClient(&http.Client{}, &leaderclock.Clock{}, logr.Discard()).Connect("s", test.owners)
 		answer, err := do(t, conn, request(statement.Write, "WRITE 1 x"))
 		if !errors.Is(err, test.want) || err == nil && answer.Code != statement.OK {
 			t.Errorf("%s: got %v, %v, want error %v", test.name, answer.Code, err, test.want)
@@ -380,7 +381,7 @@
 	if _, err := do(t, first, request(statement.Read, "READ 1")); err != nil {
 		t.Fatal(err)
 	}
-	second := NewOwnerClient(&http.Client{}, logr.Discard()).Connect("s", []ownership.Peer{{Name: "owner", Address: netip.MustParseAddrPort(strings.TrimPrefix(host.URL, "http://"))}})
+	second := NewOwnerClient(&http.Client{}, &leaderclock.Clock{}, logr.Discard()).Connect("s", []ownership.Peer{{Name: "owner", Address: netip.MustParseAddrPort(strings.TrimPrefix(host.URL, "http://"))}})
 	caller, leave := context.WithCancel(t.Context())
 	abandoned := request(statement.Write, "WRITE 1 x")
 	abandoned.CallerContext = caller
@@ -433,7 +434,7 @@
 		return &fleetpb.ExecuteResponse{State: uint32(statement.InTransaction)}
 	})))
 	t.Cleanup(host.Close)
-	conn := NewOwnerClient(&http.Client{}, logr.Discard()).Connect("s", []ownership.Peer{{Name: "owner", Address: netip.MustParseAddrPort(strings.TrimPrefix(host.URL, "http://"))}})
+	conn := NewOwnerClient(&http.Client{}, &leaderclock.Clock{}, logr.Discard()).Connect("s", []ownership.Peer{{Name: "owner", Address: netip.MustParseAddrPort(strings.TrimPrefix(host.URL, "http://"))}})
 	if _, err := do(t, conn, request(statement.Begin, "")); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/traffic/forward/owners.go
+++ b/internal/traffic/forward/owners.go
@@ -12,6 +12,8 @@
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 
+	"github.com/burdockwood/burdockwood/internal/fleet/leaderclock"
+	"github.com/burdockwood/burdockwood/internal/model/boottime"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 	"github.com/burdockwood/burdockwood/internal/rpc/transport"
@@ -55,7 +57,9 @@
 	OwnerClient struct {
 		httpClient *http.Client
 		logger     logr.Logger
-		mu         sync.Mutex
+		// clock is the leader's clock, on which deadlines are sent.
+		clock *leaderclock.Clock
+		mu    sync.Mutex
 		// avoidUntil holds, for each owner that couldn't be reached or didn't
 		// answer, the end of the time in which other owners are preferred.
 		avoidUntil map[cluster.ProxyName]time.Time
@@ -88,9 +92,10 @@
 
 var _ backend.Conn = (*connection)(nil)
 
-// NewOwnerClient returns a client that calls owners through an HTTP client.
-func NewOwnerClient(client *http.Client, logger logr.Logger) *OwnerClient {
-	return &OwnerClient{httpClient: client, logger: logger, avoidUntil: map[cluster.ProxyName]time.Time{}, lastResponse: map[cluster.ProxyName]time.Time{}}
+// NewOwnerClient returns a client that calls owners through an HTTP client, with
+// deadlines on the leader's clock.
+func NewOwnerClient(client *http.Client, clock *leaderclock.Clock, logger logr.Logger) *OwnerClient {
+	return &OwnerClient{httpClient: client, clock: clock, logger: logger, avoidUntil: map[cluster.ProxyName]time.Time{}, lastResponse: map[cluster.ProxyName]time.Time{}}
 }
 
 // Connect returns a connection that forwards statements for a server to its
@@ -247,6 +252,10 @@
 		HoldMs: uint32(request.HoldFor.Milliseconds()), Kind: request.Kind,
 		Priority: uint32(request.Priority), AnswerMs: uint32(request.ResponseTimeout.Milliseconds()),
 	}
+	now := boottime.Now()
+	if due, known := c.client.clock.At(now.Add(remaining), now); known {
+		r.ClockLeader, r.DeadlineClockUs = due.Leader, uint64(due.Clock.Microseconds())
+	}
 	if c.deferredBegin != nil {
 		r.Begin = uint32(c.deferredBegin.Verb)
 		r.BeginAfterTerm, r.BeginAfterPosition = uint64(c.deferredBegin.MinPosition.Term), uint64(c.deferredBegin.MinPosition.Position)
--- a/internal/traffic/forward/service.go
+++ b/internal/traffic/forward/service.go
@@ -5,11 +5,11 @@
 //
 // # Usage
 //
-//	service := forward.New(forward.Options{Pools: m, Logger: logger})
+//	service := forward.New(forward.Options{Pools: m, LeaderClock: leaderClock, Logger: logger})
 //	mux.Handle(fleetpb.BrokerPathPrefix, fleetpb.NewBrokerServer(service))
 //	err := service.Run(ctx)
 //
-//	client := forward.NewOwnerClient(httpClient, logger)
+//	client := forward.NewOwnerClient(httpClient, leaderClock, logger)
 //	conn := client.Connect(server, owners) // a backend.Conn
 //
 // The proxy that serves the caller keeps the session's settings and prepared
@@ -29,6 +29,8 @@
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 
+	"github.com/burdockwood/burdockwood/internal/fleet/leaderclock"
+	"github.com/burdockwood/burdockwood/internal/model/boottime"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/model/pause"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
@@ -49,8 +51,11 @@
 type (
 	// Options configure a service.
 	Options struct {
-		Pools  *upstream.Manager
-		Logger logr.Logger
+		Pools *upstream.Manager
+		// LeaderClock is the clock of the deadlines in requests; nil: they count
+		// from the request's arrival.
+		LeaderClock *leaderclock.Clock
+		Logger      logr.Logger
 	}
 
 	// Service implements fleetpb.Broker. It is safe for concurrent use.
@@ -76,6 +81,9 @@
 
 // New returns a service.
 func New(options Options) *Service {
+	if options.LeaderClock == nil {
+		options.LeaderClock = &leaderclock.Clock{}
+	}
 	return &Service{options: options, transactions: map[uint64]*openTransaction{}}
 }
 
@@ -118,7 +126,10 @@
 
 // execute is Execute without the measurement of its time.
 func (s *Service) execute(ctx context.Context, r *fleetpb.ExecuteRequest) (*fleetpb.ExecuteResponse, error) {
-	deadline := time.Now().Add(milliseconds(r.GetDeadlineMs()))
+	deadline := s.deadline(r)
+	if !time.Now().Before(deadline) {
+		return faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, errTooLate), nil
+	}
 	settings := settingsFromProto(r.GetValues())
 	fingerprint := statement.Fingerprint(settings)
 	if r.GetHandle() != 0 {
@@ -158,6 +169,17 @@
 	return s.runStatement(ctx, conn, r, deadline), nil
 }
 
+// deadline returns the deadline of a request that has just arrived. A request that was
+// held up on its way has less time left than it had when it was sent, or none.
+func (s *Service) deadline(r *fleetpb.ExecuteRequest) time.Time {
+	left := milliseconds(r.GetDeadlineMs())
+	due := leaderclock.Time{Leader: r.GetClockLeader(), Clock: time.Duration(r.GetDeadlineClockUs()) * time.Microsecond}
+	if until, known := s.options.LeaderClock.Until(due, boottime.Now()); known {
+		left = min(left, until)
+	}
+	return time.Now().Add(left)
+}
+
 // responseDeadline returns the deadline for the server's answer to a statement that
 // is about to be sent. The request's answer_ms counts from now. If it limited the
 // wait for a connection too, a statement could time out in the queue, and would lose
@@ -178,6 +200,7 @@
 	// identifies no open transaction of this proxy ("here").
 	errNoTransaction = eris.New("the transaction isn't open here any more")
 	errNotOwner      = eris.New("this proxy doesn't own connections to the server")
+	errTooLate       = eris.New("the request arrived after its deadline")
 )
 
 // acquireFault returns the response for a failed acquisition of a connection.
