Callers' keys are read, and servers are told the customer

Cause: the second word of START was dropped, and every statement ran as burdockwood. A pooled connection runs the statements of one customer.

--- a/internal/control/wal/wal_test.go
+++ b/internal/control/wal/wal_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io/fs"
 	"math/rand/v2"
 	"net/netip"
+	"path/filepath"
 	"reflect"
 	"slices"
 	"testing"
@@ -308,6 +310,41 @@
 	}
 }
 
+// TestOnlyTheOwnerReadsTheFiles checks the modes of the files, which hold callers' keys.
+func TestOnlyTheOwnerReadsTheFiles(t *testing.T) {
+	path := t.TempDir() + "/data"
+	folder, err := OpenFolder(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer folder.Close()
+	l, recovered, err := Open(folder, nodeName)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	m := model{id: recovered.ID}
+	random := rand.New(rand.NewPCG(1, 0))
+	for range 50 {
+		if err := m.step(l, random); err != nil {
+			t.Fatal(err)
+		}
+	}
+	err = filepath.WalkDir(path, func(name string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		info, err := entry.Info()
+		if err == nil && info.Mode().Perm()&0o077 != 0 {
+			t.Errorf("%s: got mode %v, want none for others than the owner", name, info.Mode())
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
 func BenchmarkRecovery(b *testing.B) {
 	for _, count := range []int{1_000, 10_000, 100_000} {
 		b.Run(fmt.Sprintf("entries-%d", count), func(b *testing.B) {
--- a/internal/fleet/fleetrpc/document.go
+++ b/internal/fleet/fleetrpc/document.go
@@ -21,8 +21,11 @@
 // compressed, and as patches of earlier versions. Every proxy fetches every version, so
 // each form is made once. It is safe for concurrent use.
 type encodedDocument struct {
-	mu     sync.Mutex
-	newest state.Document
+	// proxyForm turns the body of a document into what proxies are sent; nil: they are
+	// sent the body itself.
+	proxyForm func(body []byte) ([]byte, error)
+	mu        sync.Mutex
+	newest    state.Document
 	// earlier are the versions that were the newest before, the latest last.
 	earlier    []state.Document
 	compressed []byte
@@ -36,20 +39,28 @@
 func (e *encodedDocument) get(d state.Document, held uint64) (encoded []byte, from uint64, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.setNewest(d)
+	if err := e.setNewest(d); err != nil {
+		return nil, 0, err
+	}
 	if encoded, err = e.patchOf(held); encoded != nil || err != nil {
 		return encoded, held, err
 	}
 	if e.compressed == nil {
-		e.compressed, err = compress(d.Body)
+		e.compressed, err = compress(e.newest.Body)
 	}
 	return e.compressed, 0, err
 }
 
 // setNewest makes d the newest version. e.mu is held.
-func (e *encodedDocument) setNewest(d state.Document) {
+func (e *encodedDocument) setNewest(d state.Document) error {
 	if d.Version == e.newest.Version {
-		return
+		return nil
+	}
+	if e.proxyForm != nil {
+		var err error
+		if d.Body, err = e.proxyForm(d.Body); err != nil {
+			return eris.Wrapf(err, "version %d in the proxies' form", d.Version)
+		}
 	}
 	if e.newest.Version > 0 {
 		e.earlier = append(e.earlier, e.newest)
@@ -58,6 +69,7 @@
 		e.earlier = slices.Delete(e.earlier, 0, 1)
 	}
 	e.newest, e.compressed, e.patches = d, nil, map[uint64][]byte{}
+	return nil
 }
 
 // patchOf returns the newest version as a patch of another one, or nil if that isn't
--- a/internal/fleet/fleetrpc/fleetrpc.go
+++ b/internal/fleet/fleetrpc/fleetrpc.go
@@ -74,6 +74,11 @@
 		// AppliedDocument returns the newest configuration document that
 		// this node has applied.
 		AppliedDocument func() state.Document
+		// ProxyDocument turns the body of a configuration document into what
+		// proxies are sent, which holds no keys; nil: they are sent the body
+		// itself. Equal bodies have equal results, and similar ones similar
+		// results, so that patches are small.
+		ProxyDocument func(body []byte) ([]byte, error)
 	}
 
 	// Service implements fleetpb.Fleet. It is safe for concurrent use.
@@ -86,7 +91,9 @@
 var _ fleetpb.Fleet = (*Service)(nil)
 
 // New returns a service with the given options.
-func New(options Options) *Service { return &Service{options: options} }
+func New(options Options) *Service {
+	return &Service{options: options, encoded: encodedDocument{proxyForm: options.ProxyDocument}}
+}
 
 // Renew renews a proxy's lease; see fleetpb.Fleet. If this node doesn't lead, the
 // response grants no lease and names the leader if this node knows it.
--- a/internal/traffic/forward/owners.go
+++ b/internal/traffic/forward/owners.go
@@ -247,6 +247,9 @@
 		HoldMs: uint32(request.HoldFor.Milliseconds()), Kind: request.Kind,
 		Priority: uint32(request.Priority), AnswerMs: uint32(request.ResponseTimeout.Milliseconds()),
 	}
+	if request.Customer != "" {
+		r.Customer, r.Key, r.ConfigVersion = string(request.Customer), request.Key[:], request.ConfigVersion
+	}
 	if c.deferredBegin != nil {
 		r.Begin = uint32(c.deferredBegin.Verb)
 		r.BeginAfterTerm, r.BeginAfterPosition = uint64(c.deferredBegin.MinPosition.Term), uint64(c.deferredBegin.MinPosition.Position)
--- a/internal/traffic/forward/service.go
+++ b/internal/traffic/forward/service.go
@@ -30,6 +30,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/model/pause"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
@@ -139,7 +140,7 @@
 		return response, nil
 	}
 	conn, err := pool.Acquire(upstream.AcquireOptions{
-		Fingerprint: fingerprint, Priority: int(r.GetPriority()),
+		Customer: customer.Name(r.GetCustomer()), Fingerprint: fingerprint, Priority: int(r.GetPriority()),
 		SoftDeadline: time.Now().Add(milliseconds(r.GetAimMs())), Deadline: deadline, CallerContext: ctx,
 		Digest:  statement.Statement{Verb: statement.Verb(r.GetVerb()), Query: r.GetShape(), Text: r.GetText()}.Digest(),
 		HoldFor: milliseconds(r.GetHoldMs()), Kind: r.GetKind(),
@@ -255,6 +256,7 @@
 	request := statement.Request{
 		Statement:   statement.Statement{ID: r.GetId(), Verb: statement.Verb(r.GetVerb()), Text: r.GetText()},
 		MinPosition: newPosition(r.GetAfterTerm(), r.GetAfterPosition()),
+		Customer:    customer.Name(r.GetCustomer()), Key: keyFromProto(r.GetKey()), ConfigVersion: r.GetConfigVersion(),
 	}
 	if request.Verb != statement.Execute {
 		return request, nil
@@ -326,6 +328,16 @@
 	return cluster.LogPosition{Term: cluster.Term(term), Position: cluster.Position(position)}
 }
 
+// keyFromProto returns the digest of a key, or the zero digest, which no customer holds, if
+// it has another length.
+func keyFromProto(key []byte) customer.Digest {
+	var digest customer.Digest
+	if len(key) == len(digest) {
+		copy(digest[:], key)
+	}
+	return digest
+}
+
 func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func settingsFromProto(list []*fleetpb.SessionValue) map[string]string {
--- a/internal/traffic/session/cause.go
+++ b/internal/traffic/session/cause.go
@@ -30,6 +30,8 @@
 	causeBehind         cause = "replica-behind"
 	causeReadOnly       cause = "read-only"
 	causeConnectionLost cause = "connection-lost"
+	// causeUnknownKey is a key that was withdrawn while the statement waited.
+	causeUnknownKey cause = "unknown-key"
 	// causeWaiting and causeSlow are those of statements that succeeded at the first
 	// attempt, but late: most of the time passed in this proxy, or after it.
 	causeWaiting cause = "waiting"
--- a/internal/traffic/session/execution.go
+++ b/internal/traffic/session/execution.go
@@ -159,7 +159,7 @@
 	}()
 	began := time.Now()
 	conn, err := t.pool.Acquire(upstream.AcquireOptions{
-		Fingerprint: e.session.fingerprint, Priority: e.route.Priority,
+		Customer: e.session.identity.customer, Fingerprint: e.session.fingerprint, Priority: e.route.Priority,
 		SoftDeadline: e.softDeadline, Deadline: e.acquireDeadline(t), CallerContext: e.callerContext,
 		Digest: e.stmt.Digest(), HoldFor: e.holdTime(), Kind: e.kind(),
 	})
@@ -246,13 +246,15 @@
 	if err := conn.ApplySettings(s.settings, s.fingerprint, deadline); err != nil {
 		return statement.Request{}, err
 	}
+	request := statement.Request{Statement: next}
+	s.identity.assign(&request)
 	if next.Verb != statement.Execute {
-		return statement.Request{Statement: next}, nil
+		return request, nil
 	}
 	name, err := conn.Prepare(next.Query, next.Writes, deadline)
 	if err != nil {
 		return statement.Request{}, err
 	}
-	next.Name = name
-	return statement.Request{Statement: next}, nil
+	request.Name = name
+	return request, nil
 }
--- a/internal/traffic/session/manager.go
+++ b/internal/traffic/session/manager.go
@@ -10,7 +10,7 @@
 //
 //	m := session.NewManager(session.Options{Lease: holder, Pools: pools, Now: clock, Logger: logger})
 //	m.SetConfig(config)
-//	err := m.Serve(caller, "payroll", connectedAt) // until the caller disconnects
+//	err := m.Serve(caller, "payroll", customer.DigestOf(key), connectedAt) // until the caller disconnects
 //
 // # Outcomes
 //
@@ -33,6 +33,7 @@
 
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/ops/metrics"
 	"github.com/burdockwood/burdockwood/internal/traffic/freshness"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
@@ -118,32 +119,40 @@
 }
 
 // SetConfig puts a configuration in force unless the one in force has the same or a
-// newer version.
+// newer version. Idle sessions whose key is withdrawn end.
 func (m *Manager) SetConfig(next *routing.Config) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if old := m.config.Load(); old == nil || next.Version > old.Version {
-		m.config.Store(next)
+	if old := m.config.Load(); old != nil && next.Version <= old.Version {
+		return
+	}
+	m.config.Store(next)
+	if next.Customers == nil {
+		return
+	}
+	for s := range m.sessions {
+		if _, code := identify(next, s.database, s.key); code == statement.UnknownKey {
+			s.caller.Interrupt()
+		}
 	}
 }
 
 // Config returns the configuration in force, or nil if there is none yet.
 func (m *Manager) Config() *routing.Config { return m.config.Load() }
 
-// HasDatabase reports whether a route is declared for the database.
-func (m *Manager) HasDatabase(database string) bool {
-	current := m.config.Load()
-	if current == nil {
-		return false
-	}
-	_, ok := current.Route(database)
-	return ok
+// CheckStart reports whether a session for a database may start with a key: OK,
+// NoDatabase or UnknownKey.
+func (m *Manager) CheckStart(database string, key customer.Digest) statement.Code {
+	_, code := identify(m.config.Load(), database, key)
+	return code
 }
 
-// Serve serves a caller until it disconnects or its session is closed. connectedAt
-// is when the caller connected; its first statement may have waited since then.
-func (m *Manager) Serve(caller Caller, database string, connectedAt time.Time) error {
+// Serve serves a caller until it disconnects or its session is closed. key is the digest
+// of the caller's key; zero: it has none. connectedAt is when the caller connected; its
+// first statement may have waited since then.
+func (m *Manager) Serve(caller Caller, database string, key customer.Digest, connectedAt time.Time) error {
 	s := &session{
+		key:     key,
 		manager: m, caller: caller, database: database, statementKind: xxhash.Sum64String(database), transactionKind: xxhash.Sum64String("transaction " + database), connectedAt: connectedAt, readyAt: time.Now(),
 		settings: map[string]string{}, prepared: map[string]preparedStatement{},
 	}
--- a/internal/traffic/session/session.go
+++ b/internal/traffic/session/session.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
 	"github.com/burdockwood/burdockwood/internal/traffic/routing"
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
@@ -29,6 +30,10 @@
 		manager  *Manager
 		caller   Caller
 		database string
+		// key is the digest of the caller's key; zero: it has none. identity is what
+		// the configuration in force at the last statement says of it.
+		key      customer.Digest
+		identity identity
 		// statementKind and transactionKind identify the single statements and the
 		// transactions of the database; see upstream.AcquireOptions.
 		statementKind, transactionKind uint64
@@ -101,12 +106,15 @@
 		answer := s.execute(next)
 		if answer.Code != statement.OK && !s.outcomeLogged {
 			s.manager.options.Logger.Info("statement rejected by the proxy", "request-id", next.ID, "database", s.database,
-				"verb", next.Verb.String(), "outcome", answer.Code.String(), "reason", answer.Detail)
+				"customer", s.identity.customer, "verb", next.Verb.String(), "outcome", answer.Code.String(), "reason", answer.Detail)
 			s.manager.countOutcome(s.database, answer.Code, 0, 0, 0)
 		}
 		if err := s.caller.Answer(answer); err != nil {
 			return err
 		}
+		if answer.Code == statement.UnknownKey {
+			return errKeyWithdrawn
+		}
 	}
 }
 
@@ -135,6 +143,9 @@
 	if !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, ErrInterrupted) {
 		return true, err
 	}
+	if errors.Is(err, ErrInterrupted) && !s.checkIdentity() && s.tx == nil {
+		return true, errKeyWithdrawn
+	}
 	if errors.Is(err, ErrInterrupted) {
 		return s.tx != nil && s.manager.aborting.Load(), nil
 	}
@@ -156,6 +167,9 @@
 
 // execute executes a statement and returns its answer.
 func (s *session) execute(next statement.Statement) statement.Answer {
+	if !s.checkIdentity() {
+		return s.reject(statement.UnknownKey, errKeyWithdrawn.Error())
+	}
 	switch next.Verb {
 	case statement.Begin, statement.BeginRead:
 		return s.beginTransaction(next)
--- a/internal/traffic/session/session_test.go
+++ b/internal/traffic/session/session_test.go
@@ -217,7 +217,7 @@
 	for i, text := range texts {
 		caller.statements = append(caller.statements, parse(i, text))
 	}
-	if err := f.manager.Serve(caller, database, time.Now()); err != nil && !strings.Contains(err.Error(), "closed") {
+	if err := f.manager.Serve(caller, database, customer.Digest{}, time.Now()); err != nil && !strings.Contains(err.Error(), "closed") {
 		f.t.Fatal(err)
 	}
 	states := [...]string{"I", "T", "E"}
@@ -538,7 +538,7 @@
 		for i, text := range test.texts {
 			caller.statements = append(caller.statements, parse(i, text))
 		}
-		if err := f.manager.Serve(caller, "primary", time.Now()); err != nil && !strings.Contains(err.Error(), "closed") {
+		if err := f.manager.Serve(caller, "primary", customer.Digest{}, time.Now()); err != nil && !strings.Contains(err.Error(), "closed") {
 			t.Fatal(err)
 		}
 		if got := caller.idleTimeout > 0 && caller.idleTimeout <= noLeaseIdleTimeout; got != test.want {
@@ -564,7 +564,7 @@
 	}
 	gone := &fakeCaller{statements: []statement.Statement{parse(1, "WRITE 1 x")}}
 	gone.gone.Store(true)
-	if err := f.manager.Serve(gone, "primary", time.Now()); err == nil {
+	if err := f.manager.Serve(gone, "primary", customer.Digest{}, time.Now()); err == nil {
 		t.Error("got no error from a session whose caller is gone")
 	}
 	if len(gone.answers) != 1 || gone.answers[0].Code != statement.Busy || !strings.Contains(gone.answers[0].Detail, upstream.ErrCallerGone.Error()) {
--- a/internal/traffic/statement/statement.go
+++ b/internal/traffic/statement/statement.go
@@ -188,7 +188,7 @@
 // NotRun reports whether the code means that the statement had no effect.
 func (c Code) NotRun() bool {
 	switch c {
-	case Busy, Aborted, Behind, ReadOnly, WrongServer, ConnectionLimit, NotPrepared:
+	case Busy, Aborted, Behind, ReadOnly, WrongServer, ConnectionLimit, NotPrepared, UnknownKey:
 		return true
 	default:
 		return false
--- a/internal/traffic/upstream/acquire.go
+++ b/internal/traffic/upstream/acquire.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/traffic/admission"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 )
@@ -76,7 +77,7 @@
 			p.mu.Unlock()
 			return nil, false, nil
 		}
-		conn = p.popIdle(options.Fingerprint)
+		conn = p.popIdle(options.Customer, options.Fingerprint)
 		if conn == nil {
 			break
 		}
@@ -87,25 +88,49 @@
 		conn.Discard()
 		conn = nil
 	}
-	if !p.canDial(time.Now()) {
+	replaced := p.makeRoom(time.Now())
+	if replaced == nil && !p.canDial(time.Now()) {
 		p.mu.Unlock()
 		return nil, false, nil
 	}
 	p.dialing++
 	p.mu.Unlock()
+	if replaced != nil {
+		replaced.close()
+	}
 	conn, err = p.dial(options.Customer, options.Deadline)
 	return conn, true, err
 }
 
-// popIdle removes and returns an idle connection, or nil if there is none. It prefers
-// one whose session settings have the fingerprint, then one without session settings,
-// then the one used last. p.mu is held.
-func (p *Pool) popIdle(fingerprint string) *Conn {
-	if len(p.idle) == 0 {
+// makeRoom removes and returns the connection that has been idle for longest if another
+// one may be opened only in its place; else nil. The idle connections belong to other
+// customers than the work. p.mu is held.
+func (p *Pool) makeRoom(now time.Time) *Conn {
+	if len(p.idle) == 0 || p.canDial(now) {
 		return nil
 	}
-	best := len(p.idle) - 1
+	oldest := p.idle[0]
+	p.idle = p.idle[1:]
+	if p.canDial(now) {
+		return oldest
+	}
+	p.idle = slices.Insert(p.idle, 0, oldest)
+	return nil
+}
+
+// popIdle removes and returns an idle connection of a customer, or nil if there is none.
+// Connections that forward statements belong to no customer and serve all. popIdle prefers
+// one whose session settings have the fingerprint, then one without session settings,
+// then the one used last. p.mu is held.
+func (p *Pool) popIdle(on customer.Name, fingerprint string) *Conn {
+	best := -1
 	for i := len(p.idle) - 1; i >= 0; i-- {
+		if p.idle[i].customer != on && !p.idle[i].forwardsStatements {
+			continue
+		}
+		if best < 0 {
+			best = i
+		}
 		if p.idle[i].fingerprint == fingerprint {
 			best = i
 			break
@@ -114,6 +139,9 @@
 			best = i
 		}
 	}
+	if best < 0 {
+		return nil
+	}
 	conn := p.idle[best]
 	p.idle = slices.Delete(p.idle, best, best+1)
 	p.markInUse(conn)
@@ -168,7 +196,7 @@
 // several waits. Errors: RefusedError, ErrAcquireTimeout,
 // ErrCallerGone.
 func (p *Pool) wait(options AcquireOptions, arrivedAt time.Time, arrival *uint64) (*Conn, error) {
-	w, now := &waiter{granted: make(chan *Conn, 1)}, time.Now()
+	w, now := &waiter{customer: options.Customer, granted: make(chan *Conn, 1)}, time.Now()
 	p.mu.Lock()
 	if *arrival == 0 {
 		p.lastArrival++
--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
 )
@@ -23,6 +24,9 @@
 type Conn struct {
 	pool *Pool
 	raw  backend.Conn
+	// customer is the customer whose statements alone the connection runs; empty: no
+	// customer's, or, if it forwards statements, any customer's.
+	customer customer.Name
 	// settings are the session settings that the server holds for the
 	// connection, fingerprint their fingerprint.
 	settings    map[string]string
@@ -61,6 +65,9 @@
 // discarded after an error. Errors: those of backend.Conn.
 func (c *Conn) Do(request statement.Request, deadline time.Time) (statement.Answer, error) {
 	pool := c.pool
+	if request.Customer != c.customer && !c.forwardsStatements && !isControl(request.Verb) {
+		return statement.Answer{}, eris.Wrapf(backend.ErrNotSent, "the connection belongs to customer %q, the statement to %q", c.customer, request.Customer)
+	}
 	start := pool.manager.options.Now()
 	pool.mu.Lock()
 	c.sentAt = start
@@ -112,6 +119,12 @@
 	return answer, err
 }
 
+// isControl reports whether a statement only begins or rolls back a transaction. These
+// are sent by the proxy itself, for no customer.
+func isControl(verb statement.Verb) bool {
+	return verb == statement.Begin || verb == statement.BeginRead || verb == statement.Rollback
+}
+
 // ApplySettings makes the session settings of the connection exactly the given ones.
 // fingerprint is their statement.Fingerprint. No round trip is needed if the server
 // has them already. The connection must be
--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -183,7 +183,8 @@
 	// waiter is a call of Acquire that waits. It receives a connection, or nil
 	// to try again.
 	waiter struct {
-		granted chan *Conn
+		customer customer.Name
+		granted  chan *Conn
 	}
 )
 
@@ -278,7 +279,7 @@
 	}
 	p.recordResponse(now)
 	p.connectTime = smooth(p.connectTime, time.Since(began))
-	conn := &Conn{pool: p, raw: raw, prepared: map[string]string{}}
+	conn := &Conn{pool: p, raw: raw, customer: on, prepared: map[string]string{}}
 	p.markInUse(conn)
 	return conn, nil
 }
@@ -352,7 +353,7 @@
 		if !ok {
 			return
 		}
-		conn := p.popIdle("")
+		conn := p.popIdle(w.customer, "")
 		w.granted <- conn
 		if conn == nil {
 			return
