--- a/internal/traffic/forward/owners.go
+++ b/internal/traffic/forward/owners.go
@@ -256,6 +256,9 @@
 	if due, known := c.client.clock.At(now.Add(remaining), now); known {
 		r.ClockLeader, r.DeadlineClockUs = due.Leader, uint64(due.Clock.Microseconds())
 	}
+	if request.Customer != "" {
+		r.Customer, r.Key, r.ConfigVersion = string(request.Customer), request.Key[:], request.ConfigVersion
+	}
 	if c.deferredBegin != nil {
 		r.Begin = uint32(c.deferredBegin.Verb)
 		r.BeginAfterTerm, r.BeginAfterPosition = uint64(c.deferredBegin.MinPosition.Term), uint64(c.deferredBegin.MinPosition.Position)
