Connections by customer: pools, owners by server and customer, a queue that knows open connections

Cause: a connection belongs to the customer that it was opened for, and 77 customers share 43 or 55 places of a server, so one pool for all gives out what others can't use. Change: a pool gives out only a customer's own idle connections, closes the one that is needed least often to open another, and the queue lets work whose connection is open go first while the rest stays in time. Each customer's statements go to the owners that all proxies compute alike from owners and limits. Only work with a customer is affected.

--- a/internal/traffic/admission/queue.go
+++ b/internal/traffic/admission/queue.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 )
 
 const (
@@ -34,6 +36,10 @@
 		// Service is the time for which the server executes the item; zero:
 		// unknown, as long as the average item.
 		Service time.Duration
+		// Customer is the customer that the item belongs to; empty: to none. Opening
+		// is the time to open a connection for it; zero: none is needed.
+		Customer customer.Name
+		Opening  time.Duration
 	}
 
 	// Queue holds the work that waits for a server, in the order in which it is to
@@ -125,24 +131,35 @@
 		var none T
 		return none, false
 	}
-	interval := serviceTime
-	if q.pace > 0 {
-		interval = q.pace
-	}
-	q.schedule(now.Add(serviceTime), interval)
+	q.schedule(serviceTime, q.popInterval(serviceTime), now)
 	first := slices.IndexFunc(q.items, func(i queued[T]) bool { return i.inTime })
 	if first < 0 {
 		first = q.firstLate()
-		q.lastLatePop = now
 	}
+	return q.take(first, now), true
+}
+
+// popInterval returns the time between two items that leave the queue.
+func (q *Queue[T]) popInterval(serviceTime time.Duration) time.Duration {
+	if q.pace > 0 {
+		return q.pace
+	}
+	return serviceTime
+}
+
+// take removes the item at an index and returns its value.
+func (q *Queue[T]) take(first int, now time.Time) T {
 	item := q.items[first]
+	if !item.inTime {
+		q.lastLatePop = now
+	}
 	q.items = slices.Delete(q.items, first, first+1)
 	q.pace = WeightedAverage(q.pace, now.Sub(q.lastPop), paceWeight)
 	if item.Service > 0 {
 		q.meanService = WeightedAverage(q.meanService, item.Service, paceWeight)
 	}
 	q.lastPop = now
-	return item.Value, true
+	return item.Value
 }
 
 // firstLate returns the index of the first item if none can be in time.
@@ -167,7 +184,7 @@
 	q.Remove(item.Value)
 	inQueue := len(q.items) < count
 	at := q.insert(newQueued(item))
-	q.schedule(now.Add(pace.Service), interval)
+	q.schedule(pace.Service, interval, now)
 	inTime := q.items[at].inTime
 	d, lateAhead := q.predict(at)
 	if !inQueue {
--- a/internal/traffic/admission/schedule.go
+++ b/internal/traffic/admission/schedule.go
@@ -5,28 +5,31 @@
 	"time"
 )
 
-// schedule decides which items will be done by their soft deadline if the first one is
-// done at completion and the items follow each other at the given mean interval. It
+// schedule decides which items will be done by their soft deadline if the first one takes
+// the time service from now and the items follow each other at the given mean interval. It
 // goes through the items by priority, and within a priority by soft deadline. Whenever
 // an item would be late, the longest item of its priority so far gives way, which
 // leaves as few late ones as possible (the algorithm of Moore and Hodgson): one long
 // statement makes room for several short ones.
-func (q *Queue[T]) schedule(completion time.Time, interval time.Duration) {
-	first := completion.UnixNano()
+func (q *Queue[T]) schedule(service, interval time.Duration, now time.Time) {
+	first := now.Add(service).UnixNano()
 	next := first
 	q.scheduled = q.scheduled[:0]
 	for i := range q.items {
 		item := &q.items[i]
 		item.occupancy, item.inTime = q.occupancy(item.Service, interval), false
+		if item.Opening > 0 {
+			item.occupancy += openingOccupancy(item.Opening, service, interval)
+		}
 		if i > 0 && item.Priority != q.items[i-1].Priority {
 			q.scheduled = q.scheduled[:0]
 		}
-		if first > item.softDeadline {
+		if first+int64(item.Opening) > item.softDeadline {
 			continue
 		}
 		item.inTime = true
 		q.scheduled = append(q.scheduled, i)
-		isLate := next > item.softDeadline
+		isLate := next+int64(item.Opening) > item.softDeadline
 		next += int64(item.occupancy)
 		if isLate {
 			next -= int64(q.dropLongest().occupancy)
@@ -56,3 +59,12 @@
 	}
 	return time.Duration(float64(interval) * float64(service) / float64(q.meanService))
 }
+
+// openingOccupancy returns for how long the opening of a connection keeps the next item
+// waiting: the server does as much at once as while it executes statements.
+func openingOccupancy(opening, service, interval time.Duration) time.Duration {
+	if service <= 0 || interval >= service {
+		return opening
+	}
+	return time.Duration(float64(opening) * float64(interval) / float64(service))
+}
--- a/internal/traffic/controlclient/apply.go
+++ b/internal/traffic/controlclient/apply.go
@@ -13,6 +13,7 @@
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/fleet/samples"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 	"github.com/burdockwood/burdockwood/internal/traffic/freshness"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
@@ -143,8 +144,29 @@
 
 // connectionPlan returns how this proxy reaches a server. c.serversMu is held.
 func (c *Client) connectionPlan(server registry.Server) ownership.ConnectionPlan {
-	s := ownership.Server{Name: server.Name, DataCentre: server.DataCentre, MaxConnections: c.maxConnections(server.Group), Slots: server.Slots}
-	return ownership.PlanConnections(s, c.proxyCount, c.peerSet, c.self())
+	customers := c.customerSet()
+	s := ownership.Server{
+		Name: server.Name, DataCentre: server.DataCentre, MaxConnections: c.maxConnections(server.Group), Slots: server.Slots,
+		Customers: customers.Len(),
+	}
+	plan := ownership.PlanConnections(s, c.proxyCount, c.peerSet, c.self())
+	if customers.Len() > 0 && len(plan.Owners) > 0 {
+		plan.Assignment = ownership.Assign(c.assignments[server.Name], plan.Owners, customers)
+		c.assignments[server.Name] = plan.Assignment
+	}
+	return plan
+}
+
+// customerSet returns the customers of the configuration in force. c.serversMu is held.
+func (c *Client) customerSet() *ownership.CustomerSet {
+	var current []customer.Customer
+	if config := c.options.Sessions.Config(); config != nil && config.Customers != nil {
+		current = config.Customers.All()
+	}
+	if !c.customers.Holds(current) {
+		c.customers, c.assignments = ownership.NewCustomerSet(current), map[cluster.ServerName]*ownership.Assignment{}
+	}
+	return c.customers
 }
 
 // self returns this proxy as a peer.
--- a/internal/traffic/controlclient/client.go
+++ b/internal/traffic/controlclient/client.go
@@ -103,7 +103,8 @@
 		members    []netip.AddrPort
 		leader     netip.AddrPort
 		nextMember int
-		// serversMu guards registry, proxyCount, peers and peerSet.
+		// serversMu guards registry, proxyCount, peers, peerSet, customers and
+		// assignments.
 		serversMu sync.Mutex
 		// The fields below are used by the goroutine of renewLoop only, unless
 		// they are atomic or guarded as said above.
@@ -127,6 +128,10 @@
 		peers         map[cluster.ProxyName]ownership.Peer
 		// peerSet holds peers in the form that plans are computed from.
 		peerSet ownership.PeerSet
+		// customers are those of the configuration in force, assignments what
+		// follows from them for the owners of each server.
+		customers   *ownership.CustomerSet
+		assignments map[cluster.ServerName]*ownership.Assignment
 		// draining is true if this proxy accepts no new statements of other
 		// proxies.
 		draining atomic.Bool
--- a/internal/traffic/forward/owners.go
+++ b/internal/traffic/forward/owners.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 	"github.com/burdockwood/burdockwood/internal/rpc/transport"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
@@ -72,6 +73,8 @@
 		client *OwnerClient
 		server cluster.ServerName
 		owners []ownership.Peer
+		// assignment holds which owners run a customer's statements; nil: any.
+		assignment *ownership.Assignment
 		// owner is the owner that was called last. It holds the transaction
 		// that handle identifies; a zero handle means that it holds none.
 		owner  ownership.Peer
@@ -96,15 +99,28 @@
 // Connect returns a connection that forwards statements for a server to its
 // owners. It makes no call until a statement has to be sent.
 func (c *OwnerClient) Connect(server cluster.ServerName, owners []ownership.Peer) backend.Conn {
-	return &connection{client: c, server: server, owners: owners, settings: map[string]string{}, prepared: map[string]statement.Statement{}}
+	return c.ConnectAssigned(server, owners, nil)
 }
 
-// pickOwner returns the owner for a statement with the given digest; owners in their
-// back-off come last.
-func (c *OwnerClient) pickOwner(owners []ownership.Peer, digest uint64, now time.Time) ownership.Peer {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return ownership.ChooseOwner(owners, digest, func(peer ownership.Peer) bool { return now.After(c.avoidUntil[peer.Name]) })
+// ConnectAssigned is Connect where the statements of each customer go to the owners of
+// an assignment; nil: to any owner.
+func (c *OwnerClient) ConnectAssigned(server cluster.ServerName, owners []ownership.Peer, assignment *ownership.Assignment) backend.Conn {
+	return &connection{
+		client: c, server: server, owners: owners, assignment: assignment,
+		settings: map[string]string{}, prepared: map[string]statement.Statement{},
+	}
+}
+
+// pickOwner returns the owner for a customer's statement with the given digest; owners in
+// their back-off come last.
+func (c *connection) pickOwner(name customer.Name, digest uint64, now time.Time) ownership.Peer {
+	c.client.mu.Lock()
+	defer c.client.mu.Unlock()
+	usable := func(peer ownership.Peer) bool { return now.After(c.client.avoidUntil[peer.Name]) }
+	if name == "" || c.assignment == nil {
+		return ownership.ChooseOwner(c.owners, digest, usable)
+	}
+	return c.assignment.Choose(name, digest, usable)
 }
 
 // recordResponse records that an owner responded. took is the time of the call, and
@@ -195,7 +211,7 @@
 	}
 	inTransaction := c.handle != 0
 	if !inTransaction {
-		c.owner = c.client.pickOwner(c.owners, request.Digest(), now)
+		c.owner = c.pickOwner(request.Customer, request.Digest(), now)
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(callGrace))
 	defer cancel()
--- a/internal/traffic/forward/service.go
+++ b/internal/traffic/forward/service.go
@@ -30,6 +30,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/model/pause"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
@@ -139,6 +140,7 @@
 		return response, nil
 	}
 	conn, err := pool.Acquire(upstream.AcquireOptions{
+		Customer: customer.Name(r.GetCustomer()), Forwarded: true,
 		Fingerprint: fingerprint, Priority: int(r.GetPriority()),
 		SoftDeadline: time.Now().Add(milliseconds(r.GetAimMs())), Deadline: deadline, CallerContext: ctx,
 		Digest:  statement.Statement{Verb: statement.Verb(r.GetVerb()), Query: r.GetShape(), Text: r.GetText()}.Digest(),
--- a/internal/traffic/ownership/ownership.go
+++ b/internal/traffic/ownership/ownership.go
@@ -24,6 +24,14 @@
 // Owners are chosen by rendezvous hashing: a proxy that is added or removed changes
 // only the connections that it owns itself.
 //
+// # Customers
+//
+// Where connections belong to customers, all proxies have connections only if each has
+// one for every customer. Otherwise the statements of a customer go to the owners that
+// Assign names for it: one, or several for a customer that sends more than an owner's
+// part. They meet where the customer's connections are, whichever proxy they come
+// through, an owner that isn't one of the customer's included.
+//
 // # Load pattern
 //
 // With hundreds of proxies before servers of a few slots, a burst reaches a server
@@ -43,6 +51,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 )
 
 const (
@@ -81,6 +90,9 @@
 		// Slots is the number of statements that the server executes at once;
 		// zero: unknown.
 		Slots int
+		// Customers is the number of customers that connections belong to; zero:
+		// they belong to nobody.
+		Customers int
 	}
 
 	// PeerSet holds peers with the hashes of their names, which many plans use.
@@ -111,8 +123,15 @@
 		OwnerCount int
 		// Owners are the proxies to forward statements to, in this proxy's
 		// order of preference. The order differs from proxy to proxy, to
-		// spread the load.
+		// spread the load. If connections belong to customers, an owner has them
+		// as well.
 		Owners []Peer
+		// ByCustomer is true if a connection belongs to one customer.
+		ByCustomer bool
+		// Assignment holds which of the owners run each customer's statements;
+		// nil: any of them may. Self is this proxy.
+		Assignment *Assignment
+		Self       cluster.ProxyName
 	}
 )
 
@@ -134,18 +153,29 @@
 func PlanConnections(server Server, proxies int, peers PeerSet, self Peer) ConnectionPlan {
 	usable := max(1, server.MaxConnections-reservedForControl)
 	proxies = max(1, proxies)
-	if usable >= proxies && !isCrowded(server, proxies) || peers.Len() == 0 {
+	byCustomer := server.Customers > 0
+	if usable >= proxies*max(1, server.Customers) && !isCrowded(server, proxies) || peers.Len() == 0 {
 		share := max(1, usable/proxies)
-		return ConnectionPlan{OwnsConnections: true, Share: share, Unassigned: max(0, usable-share*proxies), OwnerCount: proxies}
+		return ConnectionPlan{OwnsConnections: true, Share: share, Unassigned: max(0, usable-share*proxies), OwnerCount: proxies, ByCustomer: byCustomer, Self: self.Name}
 	}
 	count := ownerCount(server, usable, peers.Len())
 	owners := peers.highest(count, xxhash.Sum64String(string(server.Name)), server.DataCentre)
 	share := usable / count
 	if slices.ContainsFunc(owners, func(p Peer) bool { return p.Name == self.Name }) {
-		return ConnectionPlan{OwnsConnections: true, Share: share, Unassigned: usable - share*count, OwnerCount: count}
+		plan := ConnectionPlan{OwnsConnections: true, Share: share, Unassigned: usable - share*count, OwnerCount: count, ByCustomer: byCustomer, Self: self.Name}
+		if byCustomer {
+			plan.Owners = owners
+		}
+		return plan
 	}
 	key := mix(xxhash.Sum64String(string(server.Name)), xxhash.Sum64String(string(self.Name)))
-	return ConnectionPlan{Owners: NewPeerSet(owners).highest(count, key, self.DataCentre)}
+	return ConnectionPlan{Owners: NewPeerSet(owners).highest(count, key, self.DataCentre), ByCustomer: byCustomer, Self: self.Name}
+}
+
+// RunsHere reports whether this proxy runs a customer's statements on its own
+// connections. The zero customer stands for work that belongs to none.
+func (p ConnectionPlan) RunsHere(name customer.Name) bool {
+	return p.OwnsConnections && (name == "" || p.Assignment == nil || p.Assignment.IsOwner(name, p.Self))
 }
 
 // isCrowded reports whether the proxies are so many that one statement of each is more
--- a/internal/traffic/session/target.go
+++ b/internal/traffic/session/target.go
@@ -135,7 +135,7 @@
 		if server.Draining || e.excluded[server.Name] {
 			continue
 		}
-		c := pool.Candidate(isMissing, now)
+		c := pool.Candidate("", isMissing, now)
 		c.IsPrimary = server.Name == primary
 		if c.Unresponsive && !c.IsPrimary {
 			continue
--- a/internal/traffic/upstream/acquire.go
+++ b/internal/traffic/upstream/acquire.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/traffic/admission"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 )
@@ -16,6 +17,9 @@
 // RefusedError, ErrServerRemoved, ErrAcquireTimeout, ErrCallerGone and those of
 // backend.Dial.
 func (p *Pool) Acquire(options AcquireOptions) (*Conn, error) {
+	if conn := p.connectToOthers(&options); conn != nil {
+		return conn, nil
+	}
 	arrivedAt := time.Now()
 	if options.Digest == 0 {
 		return p.acquire(options, arrivedAt)
@@ -49,10 +53,19 @@
 		if ready || err != nil {
 			return conn, err
 		}
-		conn, err = p.wait(options, arrivedAt, &arrival)
+		var g grant
+		g, err = p.wait(options, arrivedAt, &arrival)
 		if err != nil {
 			return nil, err
 		}
+		if g.opens {
+			conn, err = p.open(g.replaced, options)
+			if errors.Is(err, backend.ErrConnectionLimit) && time.Now().Before(options.Deadline) {
+				continue
+			}
+			return conn, err
+		}
+		conn = g.conn
 		if conn != nil && conn.raw.Usable() {
 			return conn, nil
 		}
@@ -72,11 +85,11 @@
 			p.mu.Unlock()
 			return nil, true, ErrServerRemoved
 		}
-		if !p.hasCapacity() || p.waiters.Len() > 0 && !waited {
+		if !p.hasCapacity() || p.waiters.Len() > 0 && (!waited || p.queuesByCustomer(options.Customer)) {
 			p.mu.Unlock()
 			return nil, false, nil
 		}
-		conn = p.popIdle(options.Fingerprint)
+		conn = p.popIdle(options.Customer, options.Fingerprint)
 		if conn == nil {
 			break
 		}
@@ -87,25 +100,36 @@
 		conn.Discard()
 		conn = nil
 	}
-	if !p.canDial(time.Now()) {
-		p.mu.Unlock()
+	replaced, ok := p.reserveOpening(time.Now())
+	p.mu.Unlock()
+	if !ok {
 		return nil, false, nil
 	}
-	p.dialing++
-	p.mu.Unlock()
-	conn, err = p.dial(options.Customer, options.Deadline)
+	conn, err = p.open(replaced, options)
 	return conn, true, err
 }
 
-// popIdle removes and returns an idle connection, or nil if there is none. It prefers
-// one whose session settings have the fingerprint, then one without session settings,
-// then the one used last. p.mu is held.
-func (p *Pool) popIdle(fingerprint string) *Conn {
-	if len(p.idle) == 0 {
-		return nil
+// open opens a connection, which the pool counts already, after it has closed the one
+// that it replaces; nil: none.
+func (p *Pool) open(replaced *Conn, options AcquireOptions) (*Conn, error) {
+	if replaced != nil {
+		replaced.close()
 	}
-	best := len(p.idle) - 1
+	return p.dial(options.Customer, options.Deadline)
+}
+
+// popIdle removes and returns an idle connection for work of a customer, or nil if there
+// is none. It prefers one whose session settings have the fingerprint, then one without session settings,
+// then the one used last. p.mu is held.
+func (p *Pool) popIdle(name customer.Name, fingerprint string) *Conn {
+	best := -1
 	for i := len(p.idle) - 1; i >= 0; i-- {
+		if !p.idle[i].serves(name) {
+			continue
+		}
+		if best < 0 {
+			best = i
+		}
 		if p.idle[i].fingerprint == fingerprint {
 			best = i
 			break
@@ -114,6 +138,9 @@
 			best = i
 		}
 	}
+	if best < 0 {
+		return nil
+	}
 	conn := p.idle[best]
 	p.idle = slices.Delete(p.idle, best, best+1)
 	p.markInUse(conn)
@@ -123,6 +150,9 @@
 // markInUse records that a connection is in use and that its first request hasn't
 // been sent. p.mu is held.
 func (p *Pool) markInUse(conn *Conn) {
+	if p.plan.ByCustomer && !conn.forwardsStatements {
+		p.demand.Record(conn.customer, p.busyOf(conn.customer), time.Now())
+	}
 	p.inUse[conn] = struct{}{}
 	conn.awaitingFirstRequest = true
 	p.awaitingFirstRequest++
@@ -147,6 +177,13 @@
 	return p.running+p.awaitingFirstRequest+p.dialing < p.load().MaxRunning(time.Now())
 }
 
+// queuesByCustomer reports whether the queue decides for work of a customer alone when
+// it gets a connection: an idle one or the right to open one. Other work that was woken
+// tries itself. p.mu is held.
+func (p *Pool) queuesByCustomer(name customer.Name) bool {
+	return name != "" && p.plan.OwnsConnections
+}
+
 // load returns what is known of the server's load. p.mu is held.
 func (p *Pool) load() admission.Load {
 	return admission.Load{
@@ -161,14 +198,14 @@
 	return admission.Pace{Service: latency * latencyMarginPercent / 100, Interval: latency / time.Duration(p.load().MaxRunning(now))}
 }
 
-// wait waits until a connection is granted and returns it, or returns nil if Acquire
-// should call tryAcquire again. It returns after connectionLimitBackoff at the latest,
+// wait waits until a connection or the right to open one is granted and returns that, or
+// returns the zero grant if Acquire should call tryAcquire again. It returns after connectionLimitBackoff at the latest,
 // because waiters aren't woken at the end of that back-off. arrival is the sequence
 // number of this call of Acquire; wait assigns it if it is zero, and it is kept over
 // several waits. Errors: RefusedError, ErrAcquireTimeout,
 // ErrCallerGone.
-func (p *Pool) wait(options AcquireOptions, arrivedAt time.Time, arrival *uint64) (*Conn, error) {
-	w, now := &waiter{granted: make(chan *Conn, 1)}, time.Now()
+func (p *Pool) wait(options AcquireOptions, arrivedAt time.Time, arrival *uint64) (grant, error) {
+	w, now := &waiter{customer: options.Customer, granted: make(chan grant, 1)}, time.Now()
 	p.mu.Lock()
 	if *arrival == 0 {
 		p.lastArrival++
@@ -178,14 +215,23 @@
 		Value: w, Priority: options.Priority, SoftDeadline: options.SoftDeadline, Arrival: *arrival,
 		Service: p.manager.serviceTimes.Expected(options.Kind, p.baseLatency),
 	}
+	if p.queuesByCustomer(options.Customer) {
+		item.Customer, p.customersWaited = options.Customer, true
+		if p.countOf(options.Customer) == 0 {
+			item.Opening = p.expectedConnectTime()
+		}
+	}
 	if options.HoldFor > 0 {
 		item.HoldUntil = arrivedAt.Add(options.HoldFor)
 	}
 	if d := p.waiters.Decide(item, p.pace(now), now); !d.Wait {
 		p.mu.Unlock()
-		return nil, &RefusedError{RetryAfter: d.RetryAfter, Expected: d.Expected, Ahead: d.Ahead}
+		return grant{}, &RefusedError{RetryAfter: d.RetryAfter, Expected: d.Expected, Ahead: d.Ahead}
 	}
 	p.waiters.Add(item, now)
+	if item.Customer != "" {
+		p.wakeWaiters()
+	}
 	p.mu.Unlock()
 	timer := time.NewTimer(max(0, min(time.Until(options.Deadline), connectionLimitBackoff)))
 	defer timer.Stop()
@@ -194,8 +240,8 @@
 		callerGone = options.CallerContext.Done()
 	}
 	select {
-	case conn := <-w.granted:
-		return conn, nil
+	case g := <-w.granted:
+		return g, nil
 	case <-callerGone:
 	case <-timer.C:
 	}
@@ -203,15 +249,15 @@
 	p.waiters.Remove(w)
 	p.mu.Unlock()
 	select {
-	case conn := <-w.granted:
-		return conn, nil
+	case g := <-w.granted:
+		return g, nil
 	default:
 	}
 	if options.CallerContext != nil && options.CallerContext.Err() != nil {
-		return nil, ErrCallerGone
+		return grant{}, ErrCallerGone
 	}
 	if time.Now().Before(options.Deadline) {
-		return nil, nil
+		return grant{}, nil
 	}
-	return nil, ErrAcquireTimeout
+	return grant{}, ErrAcquireTimeout
 }
--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
 )
@@ -23,6 +24,9 @@
 type Conn struct {
 	pool *Pool
 	raw  backend.Conn
+	// customer is the customer whose work the connection runs; empty: work without
+	// one, or all work if it forwards statements.
+	customer customer.Name
 	// settings are the session settings that the server holds for the
 	// connection, fingerprint their fingerprint.
 	settings    map[string]string
@@ -45,6 +49,9 @@
 	// forwardsStatements is true if statements are forwarded to a proxy that owns
 	// connections to the server.
 	forwardsStatements bool
+	// unpooled is true for a forwarded connection of a proxy that owns connections to
+	// the server itself. Nothing of it counts in the pool, which describes the server.
+	unpooled bool
 	// sessionStateUnknown is true if the session state at the server may differ
 	// from settings and prepared.
 	sessionStateUnknown bool
@@ -57,9 +64,17 @@
 // connections to the server. They may be queued there.
 func (c *Conn) ForwardsStatements() bool { return c.forwardsStatements }
 
+// serves reports whether the connection may run work of a customer; empty: of none.
+func (c *Conn) serves(name customer.Name) bool {
+	return c.forwardsStatements || c.customer == name
+}
+
 // Do sends a request and returns the server's answer. The connection must be
 // discarded after an error. Errors: those of backend.Conn.
 func (c *Conn) Do(request statement.Request, deadline time.Time) (statement.Answer, error) {
+	if c.unpooled {
+		return c.raw.Do(request, deadline)
+	}
 	pool := c.pool
 	start := pool.manager.options.Now()
 	pool.mu.Lock()
--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -18,6 +18,7 @@
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 	"github.com/burdockwood/burdockwood/internal/traffic/balancer"
 	"github.com/burdockwood/burdockwood/internal/traffic/ownership"
+	"github.com/burdockwood/burdockwood/internal/traffic/retention"
 )
 
 const (
@@ -28,6 +29,10 @@
 	// server rejected one because of its limit. Meanwhile, another proxy may
 	// close idle ones.
 	connectionLimitBackoff = 50 * time.Millisecond
+	// extraBackoff is the same for connections beyond the proxy's share where they
+	// belong to customers, so that all owners want more at any time. Meanwhile, this
+	// proxy replaces its own.
+	extraBackoff = 2 * time.Second
 	// maxForwardedConns bounds the forwarded connections of one proxy to one
 	// server, and so its forwarded statements and transactions. It is more than
 	// a proxy usually needs.
@@ -143,6 +148,13 @@
 		positionUpdated time.Time
 		// lastArrival is the last sequence number that was given to a waiter.
 		lastArrival uint64
+		// customersWaited is true once work of a customer has waited.
+		customersWaited bool
+		// demand is how often customers needed connections lately.
+		demand *retention.Demand
+		// noExtraUntil is until when no connection beyond the share is opened
+		// after the server rejected one.
+		noExtraUntil time.Time
 	}
 
 	// AcquireOptions describe the work that a connection is acquired for.
@@ -150,6 +162,9 @@
 		// Customer is the customer that the work belongs to; empty: to none. Its
 		// work runs on connections of its own.
 		Customer customer.Name
+		// Forwarded is true if another proxy forwarded the work. It runs on this
+		// proxy's own connections.
+		Forwarded bool
 		// Fingerprint is the fingerprint of the session settings that the work
 		// needs. An idle connection that has them is preferred.
 		Fingerprint string
@@ -180,10 +195,20 @@
 		Ahead                int
 	}
 
-	// waiter is a call of Acquire that waits. It receives a connection, or nil
-	// to try again.
+	// waiter is a call of Acquire that waits.
 	waiter struct {
-		granted chan *Conn
+		customer customer.Name
+		granted  chan grant
+	}
+
+	// grant is what a waiter receives: a connection, the right to open one, or
+	// neither to try again.
+	grant struct {
+		conn *Conn
+		// opens is true if the waiter is to open a connection, which the pool
+		// counts already. replaced is closed before; nil: none is.
+		opens    bool
+		replaced *Conn
 	}
 )
 
@@ -194,10 +219,10 @@
 	return p.server
 }
 
-// Candidate returns the server as a candidate for a read at the time now.
+// Candidate returns the server as a candidate for a read of a customer at the time now.
 // isMissing reports whether a server probably still lacks the log position that the
 // read must see, given the end of the server's log at an earlier time.
-func (p *Pool) Candidate(isMissing func(position cluster.LogPosition, at time.Time) bool, now time.Time) balancer.Candidate {
+func (p *Pool) Candidate(on customer.Name, isMissing func(position cluster.LogPosition, at time.Time) bool, now time.Time) balancer.Candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := balancer.Candidate{
@@ -207,12 +232,17 @@
 		FailureRate:  p.currentFailureRate(now),
 		Lagging:      now.Before(p.laggingUntil) && isMissing(p.position, p.positionUpdated),
 	}
-	if len(p.idle) == 0 {
+	if !p.hasIdle(on) {
 		c.ConnectTime = p.expectedConnectTime()
 	}
 	return c
 }
 
+// hasIdle reports whether an idle connection may run work of the customer. p.mu is held.
+func (p *Pool) hasIdle(name customer.Name) bool {
+	return slices.ContainsFunc(p.idle, func(c *Conn) bool { return c.serves(name) })
+}
+
 // expectedConnectTime returns the average time to open a connection. p.mu is held.
 func (p *Pool) expectedConnectTime() time.Duration {
 	if p.connectTime == 0 {
@@ -239,9 +269,67 @@
 	if now.Before(p.noDialUntil) || p.dialing >= maxDialing {
 		return false
 	}
+	if now.Before(p.noExtraUntil) {
+		return p.connectionCount() < p.plan.Share
+	}
 	return p.connectionCount() < p.plan.Share+p.plan.Unassigned
 }
 
+// canReplace reports whether an idle connection may be closed now to open one for
+// another customer. p.mu is held.
+func (p *Pool) canReplace(now time.Time) bool {
+	return p.plan.OwnsConnections && len(p.idle) > 0 && !now.Before(p.noDialUntil) && p.dialing < maxDialing
+}
+
+// reserveOpening counts a connection that is about to be opened, and returns the idle one
+// that is to be closed before, if there is no room for both. ok is false if none can be
+// opened now. p.mu is held.
+func (p *Pool) reserveOpening(now time.Time) (replaced *Conn, ok bool) {
+	if !p.canDial(now) {
+		if !p.canReplace(now) {
+			return nil, false
+		}
+		replaced = p.popCheapest(now)
+	}
+	p.dialing++
+	return replaced, true
+}
+
+// popCheapest removes and returns the idle connection that costs least to lose. p.mu is
+// held.
+func (p *Pool) popCheapest(now time.Time) *Conn {
+	held := make([]retention.Held, len(p.idle))
+	for i, conn := range p.idle {
+		held[i] = retention.Held{Customer: conn.customer, Count: p.countOf(conn.customer)}
+	}
+	at := p.demand.Cheapest(held, now)
+	conn := p.idle[at]
+	p.idle = slices.Delete(p.idle, at, at+1)
+	return conn
+}
+
+// countOf returns the number of connections of a customer. p.mu is held.
+func (p *Pool) countOf(name customer.Name) int {
+	count := p.busyOf(name)
+	for _, conn := range p.idle {
+		if conn.customer == name {
+			count++
+		}
+	}
+	return count
+}
+
+// busyOf returns the number of connections of a customer that are in use. p.mu is held.
+func (p *Pool) busyOf(name customer.Name) int {
+	count := 0
+	for conn := range p.inUse {
+		if conn.customer == name {
+			count++
+		}
+	}
+	return count
+}
+
 // ForwardsStatements reports whether this proxy forwards statements for the server to
 // other proxies.
 func (p *Pool) ForwardsStatements() bool {
@@ -272,13 +360,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dialing--
+	if on != "" {
+		defer p.wakeWaiters() // another one may be opened
+	}
 	if err != nil {
 		p.recordDialFailure(err, now, began)
 		return nil, err
 	}
 	p.recordResponse(now)
 	p.connectTime = smooth(p.connectTime, time.Since(began))
-	conn := &Conn{pool: p, raw: raw, prepared: map[string]string{}}
+	conn := &Conn{pool: p, raw: raw, customer: on, prepared: map[string]string{}}
 	p.markInUse(conn)
 	return conn, nil
 }
@@ -292,16 +383,42 @@
 		return nil
 	}
 	p.dialing--
-	conn := &Conn{pool: p, raw: p.manager.options.ConnectViaOwners(server.Name, p.plan.Owners), prepared: map[string]string{}, forwardsStatements: true}
+	conn := p.newForwarded(server)
 	p.markInUse(conn)
 	return conn
 }
 
+// newForwarded returns a new forwarded connection. p.mu is held.
+func (p *Pool) newForwarded(server registry.Server) *Conn {
+	raw := p.manager.options.ConnectViaOwners(server.Name, p.plan.Owners, p.plan.Assignment)
+	return &Conn{pool: p, raw: raw, prepared: map[string]string{}, forwardsStatements: true}
+}
+
+// connectToOthers returns a forwarded connection, which isn't pooled, if this proxy owns
+// connections to the server but other owners run the customer's statements; otherwise
+// nil.
+func (p *Pool) connectToOthers(options *AcquireOptions) *Conn {
+	if options.Customer == "" || options.Forwarded || p.manager.options.ConnectViaOwners == nil {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.removed || !p.plan.OwnsConnections || p.plan.RunsHere(options.Customer) {
+		return nil
+	}
+	conn := p.newForwarded(p.server)
+	conn.unpooled = true
+	return conn
+}
+
 // recordDialFailure records what a failed attempt to connect shows about the
 // server. A server at its connection limit responds. p.mu is held.
 func (p *Pool) recordDialFailure(err error, now, began time.Time) {
 	p.manager.options.Logger.V(1).Info("no connection", "server", p.server.Name, "error", err.Error())
 	switch {
+	case errors.Is(err, backend.ErrConnectionLimit) && p.plan.ByCustomer && p.connectionCount() >= p.plan.Share:
+		p.noExtraUntil = time.Now().Add(extraBackoff)
+		p.recordResponse(now)
 	case errors.Is(err, backend.ErrConnectionLimit):
 		p.noDialUntil = time.Now().Add(connectionLimitBackoff)
 		p.recordResponse(now)
@@ -316,6 +433,10 @@
 // was shut down, or if statements for the server are now forwarded and weren't when
 // the connection was acquired, or the reverse.
 func (p *Pool) returnConn(conn *Conn) {
+	if conn.unpooled {
+		conn.close()
+		return
+	}
 	p.mu.Lock()
 	delete(p.inUse, conn)
 	p.markStarted(conn)
@@ -337,6 +458,9 @@
 
 // removeConn removes a closed connection and lets a waiter open another one.
 func (p *Pool) removeConn(conn *Conn) {
+	if conn.unpooled {
+		return
+	}
 	p.mu.Lock()
 	delete(p.inUse, conn)
 	p.markStarted(conn)
@@ -344,28 +468,54 @@
 	p.mu.Unlock()
 }
 
-// wakeWaiters grants idle connections to waiters as long as there is capacity. If no
-// connection is idle, it wakes one waiter, which may open one. p.mu is held.
+// wakeWaiters grants idle connections to waiters as long as there is capacity, and the
+// right to open connections to waiters of customers that have none idle. If no connection
+// is idle for a waiter without a customer, it wakes that one, which may open one. p.mu is
+// held.
 func (p *Pool) wakeWaiters() {
 	for p.hasCapacity() {
-		w, ok := p.waiters.Pop(p.recentLatency*latencyMarginPercent/100, time.Now())
+		w, ok := p.popWaiter(time.Now())
 		if !ok {
 			return
 		}
-		conn := p.popIdle("")
-		w.granted <- conn
-		if conn == nil {
+		g := grant{conn: p.popIdle(w.customer, "")}
+		if g.conn == nil && p.queuesByCustomer(w.customer) {
+			g.replaced, g.opens = p.reserveOpening(time.Now())
+		}
+		w.granted <- g
+		if g.conn == nil && !g.opens {
 			return
 		}
 	}
 }
 
+// popWaiter removes and returns the waiter that is to run next. p.mu is held.
+func (p *Pool) popWaiter(now time.Time) (*waiter, bool) {
+	serviceTime := p.recentLatency * latencyMarginPercent / 100
+	if !p.customersWaited || !p.plan.OwnsConnections {
+		return p.waiters.Pop(serviceTime, now)
+	}
+	withoutIdle := admission.Blocked
+	if p.canDial(now) || p.canReplace(now) {
+		withoutIdle = admission.NeedsOpening
+	}
+	return p.waiters.PopFor(func(name customer.Name) admission.Connection {
+		if p.hasIdle(name) {
+			return admission.IsOpen
+		}
+		return withoutIdle
+	}, serviceTime, now)
+}
+
 // setServer applies the server's description and the plan. It closes the idle
 // connections if the server restarted or moved, or if the plan has other owners.
 func (p *Pool) setServer(server registry.Server, plan ownership.ConnectionPlan) {
 	p.mu.Lock()
 	restarted := !server.StartedAt.Equal(p.server.StartedAt) || server.Address != p.server.Address
-	planChanged := plan.OwnsConnections != p.plan.OwnsConnections || !slices.Equal(plan.Owners, p.plan.Owners)
+	planChanged := plan.OwnsConnections != p.plan.OwnsConnections
+	if !plan.OwnsConnections {
+		planChanged = planChanged || !slices.Equal(plan.Owners, p.plan.Owners) || plan.Assignment != p.plan.Assignment
+	}
 	p.server, p.plan = server, plan
 	var stale []*Conn
 	if restarted || planChanged {
@@ -390,7 +540,7 @@
 		if !ok {
 			break
 		}
-		w.granted <- nil
+		w.granted <- grant{}
 	}
 	p.mu.Unlock()
 	for _, conn := range idle {
@@ -419,9 +569,9 @@
 // idle. p.mu is held.
 func (p *Pool) idleTimeout(holdsLease bool) time.Duration {
 	switch count := p.connectionCount(); {
-	case count > p.plan.Share || !holdsLease:
+	case !holdsLease || count > p.plan.Share && !p.plan.ByCustomer:
 		return idleTimeoutFactor * p.expectedConnectTime()
-	case count > 1:
+	case count > p.plan.Share || count > 1 && !p.plan.ByCustomer:
 		return shareIdleFactor * p.expectedConnectTime()
 	default:
 		return math.MaxInt64
--- a/internal/traffic/upstream/probe.go
+++ b/internal/traffic/upstream/probe.go
@@ -52,6 +52,7 @@
 		p.idle = p.idle[1:]
 	}
 	p.dialing++
+	byCustomer := p.plan.ByCustomer
 	p.mu.Unlock()
 	if idle != nil {
 		idle.close()
@@ -60,5 +61,9 @@
 	if err != nil {
 		return // dial has recorded the failure
 	}
+	if byCustomer {
+		conn.Discard() // it would take a customer's place
+		return
+	}
 	conn.Release()
 }
--- a/internal/traffic/upstream/upstream.go
+++ b/internal/traffic/upstream/upstream.go
@@ -39,6 +39,7 @@
 	"github.com/burdockwood/burdockwood/internal/traffic/admission"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 	"github.com/burdockwood/burdockwood/internal/traffic/ownership"
+	"github.com/burdockwood/burdockwood/internal/traffic/retention"
 )
 
 const (
@@ -61,8 +62,9 @@
 		// server sent, or with the zero LogPosition if the attempt failed.
 		BeforeConnect func(server registry.Server) func(cluster.LogPosition)
 		// ConnectViaOwners returns a connection that forwards statements to the
-		// proxies that own the server's connections.
-		ConnectViaOwners func(server cluster.ServerName, owners []ownership.Peer) backend.Conn
+		// proxies that own the server's connections, those of each customer to
+		// the owners of the assignment; nil: to any owner.
+		ConnectViaOwners func(server cluster.ServerName, owners []ownership.Peer, assignment *ownership.Assignment) backend.Conn
 		DataCentre       cluster.DataCentre
 		// HoldsLease reports whether this proxy may use primaries; nil: always.
 		HoldsLease func(now time.Time) bool
@@ -123,7 +125,7 @@
 	for _, server := range servers {
 		p := old[server.Name]
 		if p == nil {
-			p = &Pool{manager: m, inUse: map[*Conn]struct{}{}, retries: admission.NewRetries()}
+			p = &Pool{manager: m, inUse: map[*Conn]struct{}{}, retries: admission.NewRetries(), demand: retention.New()}
 		}
 		p.setServer(server, connectionPlan(server))
 		if old[server.Name] == nil {
@@ -259,8 +261,15 @@
 	}
 }
 
-// openInAdvance opens a connection and adds it to the pool as idle.
+// openInAdvance opens a connection and adds it to the pool as idle. It does nothing if
+// connections belong to customers: the one that needs it first isn't known.
 func (p *Pool) openInAdvance() {
+	p.mu.Lock()
+	byCustomer := p.plan.ByCustomer
+	p.mu.Unlock()
+	if byCustomer {
+		return
+	}
 	now := time.Now()
 	conn, err := p.Acquire(AcquireOptions{SoftDeadline: now, Deadline: now.Add(dialTimeout)})
 	if err != nil {
