--- a/internal/traffic/forward/service.go
+++ b/internal/traffic/forward/service.go
@@ -151,7 +151,8 @@
 		return response, nil
 	}
 	conn, err := pool.Acquire(upstream.AcquireOptions{
-		Customer: customer.Name(r.GetCustomer()), Fingerprint: fingerprint, Priority: int(r.GetPriority()),
+		Customer: customer.Name(r.GetCustomer()), Forwarded: true,
+		Fingerprint: fingerprint, Priority: int(r.GetPriority()),
 		SoftDeadline: time.Now().Add(milliseconds(r.GetAimMs())), Deadline: deadline, CallerContext: ctx,
 		Digest:  statement.Statement{Verb: statement.Verb(r.GetVerb()), Query: r.GetShape(), Text: r.GetText()}.Digest(),
 		HoldFor: milliseconds(r.GetHoldMs()), Kind: r.GetKind(),
