Limits over all proxies: ledger, tokens at proxies, exchange

Change: the leader keeps a bucket of tokens for each customer (fleet/allowance) and moves them to proxies (traffic/quota) by the call Exchange; sessions take a token for each operation. Sessions know no customer yet, so nothing is limited so far.

--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -37,6 +37,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockwood/burdockwood/internal/control/consensus"
+	"github.com/burdockwood/burdockwood/internal/fleet/allowance"
 	"github.com/burdockwood/burdockwood/internal/fleet/changelog"
 	"github.com/burdockwood/burdockwood/internal/fleet/failover"
 	"github.com/burdockwood/burdockwood/internal/fleet/leases"
@@ -45,6 +46,7 @@
 	"github.com/burdockwood/burdockwood/internal/fleet/state"
 	"github.com/burdockwood/burdockwood/internal/model/broadcast"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/ops/metrics"
 )
 
@@ -146,6 +148,12 @@
 		// group. If Group is nil, all groups are known and replicate
 		// asynchronously.
 		Group func(cluster.GroupName) (syncReplication, known bool)
+		// Customers returns the customers of the newest document, nil if it holds
+		// none; see Exchange. If Customers is nil, no customer has a limit.
+		Customers func() *customer.Directory
+		// Limits are what operators allow above customers' limits. ValidFor and
+		// Margin are set by New.
+		Limits allowance.Settings
 	}
 
 	// Coordinator serves the requests of proxies, backend servers and
@@ -188,6 +196,8 @@
 		primaryLog *changelog.Log[cluster.GroupName]
 		// samples are the newest log positions that proxies have sent.
 		samples *samples.Table
+		// limits holds the customers' limits.
+		limits *limits
 		// discovered is true once the end of the discovery was sent to the
 		// proxies.
 		discovered bool
@@ -220,6 +230,7 @@
 	if options.LongPoll == 0 {
 		options.LongPoll = DefaultLongPoll
 	}
+	options.Limits.ValidFor, options.Limits.Margin = options.LeaseDuration, limitsClockMargin
 	if options.Group == nil {
 		options.Group = func(cluster.GroupName) (syncReplication, known bool) { return false, true }
 	}
@@ -268,6 +279,7 @@
 		peerLog:        changelog.New[cluster.ProxyName](maxRemembered),
 		primaryLog:     changelog.New[cluster.GroupName](maxRemembered),
 		samples:        samples.New(),
+		limits:         c.newLimits(proxies, now),
 		view:           view,
 		ended:          make(chan struct{}),
 	}
--- a/internal/fleet/fleetrpc/fleetrpc.go
+++ b/internal/fleet/fleetrpc/fleetrpc.go
@@ -332,8 +332,3 @@
 	}
 	return fleetpb.NewFleetProtobufClient(transport.URL(leader.Address), s.options.Client)
 }
-
-// Exchange isn't served yet.
-func (s *Service) Exchange(context.Context, *fleetpb.ExchangeRequest) (*fleetpb.ExchangeResponse, error) {
-	return nil, twirp.NewError(twirp.Unimplemented, "this control node keeps no customers' limits")
-}
--- a/internal/model/customer/customer.go
+++ b/internal/model/customer/customer.go
@@ -142,7 +142,12 @@
 }
 
 // All returns the customers by name. The slice must not be changed.
-func (d *Directory) All() []Customer { return d.customers }
+func (d *Directory) All() []Customer {
+	if d == nil {
+		return nil
+	}
+	return d.customers
+}
 
 // IsLimited reports whether the customer has a limit.
 func (c *Customer) IsLimited() bool { return c.Limit.Rate > 0 || c.Limit.Burst > 0 }
--- a/internal/traffic/controlclient/client.go
+++ b/internal/traffic/controlclient/client.go
@@ -32,11 +32,13 @@
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/model/pause"
 	"github.com/burdockwood/burdockwood/internal/ops/logging"
+	"github.com/burdockwood/burdockwood/internal/ops/metrics"
 	"github.com/burdockwood/burdockwood/internal/ops/rungroup"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 	"github.com/burdockwood/burdockwood/internal/rpc/transport"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
 	"github.com/burdockwood/burdockwood/internal/traffic/ownership"
+	"github.com/burdockwood/burdockwood/internal/traffic/quota"
 	"github.com/burdockwood/burdockwood/internal/traffic/routing"
 	"github.com/burdockwood/burdockwood/internal/traffic/session"
 	"github.com/burdockwood/burdockwood/internal/traffic/upstream"
@@ -88,6 +90,10 @@
 		// suspended.
 		Now    func() time.Time
 		Logger logr.Logger
+		// Quota holds the tokens under customers' limits; nil: no customer has one.
+		Quota *quota.Holder
+		// Registry holds the metrics; nil: there are none.
+		Registry metrics.Registry
 	}
 
 	// Client is a client of the control plane. It is safe for concurrent use.
@@ -142,6 +148,7 @@
 		everGranted atomic.Bool
 		// disconnected is true if the last renewal failed.
 		disconnected bool
+		exchanges    exchangeState
 	}
 )
 
@@ -150,15 +157,15 @@
 	return &Client{
 		options: options, incarnation: rand.Uint64() | 1,
 		seeds: slices.Clone(options.Seeds), members: slices.Clone(options.Seeds),
-		fetchRequests: make(chan struct{}, 1),
-		registry:      registry.New(), peers: map[cluster.ProxyName]ownership.Peer{}, loggedPrimaries: map[cluster.GroupName]lease.GroupPrimary{}, nextMember: rand.IntN(max(1, len(options.Seeds))),
+		fetchRequests: make(chan struct{}, 1), exchanges: exchangeState{newLeader: make(chan struct{}, 1)},
+		registry: registry.New(), peers: map[cluster.ProxyName]ownership.Peer{}, loggedPrimaries: map[cluster.GroupName]lease.GroupPrimary{}, nextMember: rand.IntN(max(1, len(options.Seeds))),
 	}
 }
 
-// Run renews the lease, reports to the control plane and fetches configurations
-// until ctx ends.
+// Run renews the lease, reports to the control plane, fetches configurations and
+// exchanges tokens under customers' limits until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
-	return rungroup.Run(ctx, c.renewLoop, c.reportLoop, c.drainLoop, c.fetchLoop)
+	return rungroup.Run(ctx, c.renewLoop, c.reportLoop, c.drainLoop, c.fetchLoop, c.exchangeLoop)
 }
 
 // Ready reports whether the proxy can serve callers, and if not, the reason.
@@ -264,6 +271,7 @@
 		return errNotLeader
 	}
 	c.setMembers(response.GetMembers(), target)
+	c.noteLeader(response.GetRevision())
 	c.applyRenewal(response, sent)
 	return nil
 }
--- /dev/null
+++ b/internal/traffic/controlclient/exchange.go
@@ -0,0 +1,183 @@
+package controlclient
+
+// This file holds the exchange of the operations that this proxy may admit under
+// customers' limits (see package quota).
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockwood/burdockwood/internal/fleet/protoconv"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
+	"github.com/burdockwood/burdockwood/internal/model/pause"
+	"github.com/burdockwood/burdockwood/internal/ops/metrics"
+)
+
+const (
+	// exchangeInterval is the interval of exchanges while no operation waits for one.
+	exchangeInterval = 300 * time.Millisecond
+	// exchangeTimeout bounds one exchange. It is many times its usual time, and leaves
+	// time for another one before tokens expire.
+	exchangeTimeout = 300 * time.Millisecond
+	// exchangeRetryDelay is the longest delay after a failed exchange.
+	exchangeRetryDelay = 50 * time.Millisecond
+)
+
+var (
+	errNoLeader         = eris.New("no leader of control is known")
+	errExchangeRejected = eris.New("the control node didn't serve the exchange")
+)
+
+// exchangeState is what exchangeLoop keeps. Only its goroutine uses it, except for
+// newLeader.
+type exchangeState struct {
+	// newLeader receives a value when a leader has been elected.
+	newLeader chan struct{}
+	// customers are those of the configuration that limited was computed for.
+	customers *customer.Directory
+	limited   bool
+	failing   bool
+}
+
+// noteLeader wakes exchangeLoop if a renewal's revision is that of another leader than the
+// one before, so that the leader soon knows what all proxies hold. Only the goroutine of
+// renewLoop calls it, before it stores the revision.
+func (c *Client) noteLeader(revision string) {
+	before, _, _ := strings.Cut(c.revision, ".")
+	if leader, _, _ := strings.Cut(revision, "."); leader == before {
+		return
+	}
+	select {
+	case c.exchanges.newLeader <- struct{}{}:
+	default:
+	}
+}
+
+// exchangeLoop exchanges tokens with the leader until ctx ends: at once when an operation
+// waits or a leader was elected, else at intervals while any customer is in use. Without
+// customers that have a limit it calls nothing.
+func (c *Client) exchangeLoop(ctx context.Context) error {
+	holder := c.options.Quota
+	if holder == nil {
+		<-ctx.Done()
+		return nil
+	}
+	isNew, announced := false, false
+	for {
+		if !announced && !c.awaitExchange(ctx, &isNew) {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		announced = false
+		if !c.hasLimits() || !isNew && !holder.IsActive() {
+			continue
+		}
+		epoch := holder.Epoch()
+		err := c.exchange(ctx)
+		c.recordExchange(err)
+		if err != nil {
+			pause.For(ctx, exchangeRetryDelay/2+rand.N(exchangeRetryDelay/2))
+			continue
+		}
+		// The leader takes a report into account once it names the leader's epoch.
+		isNew, announced = false, holder.Epoch() != epoch
+	}
+}
+
+// awaitExchange waits until the next exchange is due, and returns false when ctx ends. It
+// sets isNew if a leader was elected.
+func (c *Client) awaitExchange(ctx context.Context, isNew *bool) bool {
+	holder := c.options.Quota
+	var due <-chan time.Time
+	if *isNew || holder.IsActive() {
+		interval := exchangeInterval - rand.N(exchangeInterval/8)
+		timer := time.NewTimer(holder.NextTry(interval, c.options.Now()))
+		defer timer.Stop()
+		due = timer.C
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-holder.Wanted():
+	case <-c.exchanges.newLeader:
+		*isNew = true
+	case <-due:
+	}
+	return true
+}
+
+// hasLimits reports whether any customer of the configuration in force has a limit.
+func (c *Client) hasLimits() bool {
+	current := c.options.Sessions.Config()
+	if current == nil {
+		return false
+	}
+	if s := &c.exchanges; current.Customers != s.customers {
+		s.customers, s.limited = current.Customers, false
+		for i := range s.customers.All() {
+			s.limited = s.limited || s.customers.All()[i].IsLimited()
+		}
+	}
+	return c.exchanges.limited
+}
+
+// exchange exchanges tokens with the leader once. Errors: errNoLeader,
+// errExchangeRejected and those of the call.
+func (c *Client) exchange(ctx context.Context) error {
+	c.mu.Lock()
+	leader := c.leader
+	c.mu.Unlock()
+	holder := c.options.Quota
+	sent := c.options.Now()
+	request := holder.Begin(sent)
+	if !leader.IsValid() {
+		holder.Fail()
+		return errNoLeader
+	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	response, err := c.fleetClient(leader).Exchange(ctx, protoconv.ExchangeToProto(request))
+	if err != nil {
+		holder.Fail()
+		return err
+	}
+	if !response.GetGranted() {
+		holder.Fail()
+		return errExchangeRejected
+	}
+	now := c.options.Now()
+	validFor := time.Duration(response.GetValidMs()) * time.Millisecond
+	holder.Apply(protoconv.AllotmentsFromProto(response.GetAllotments()), response.GetEpoch(), validFor, sent, now)
+	if c.options.Registry != nil {
+		metrics.Histogram(c.options.Registry, "limit-exchange").Update(now.Sub(sent).Microseconds())
+	}
+	return nil
+}
+
+// recordExchange logs when exchanges begin to fail or to succeed, and which customers began
+// or ceased to be refused.
+func (c *Client) recordExchange(err error) {
+	now, holder, logger := c.options.Now(), c.options.Quota, c.options.Logger
+	if c.exchanges.failing != (err != nil) {
+		c.exchanges.failing = err != nil
+		reason := ""
+		if err != nil {
+			reason = err.Error()
+		}
+		logger.Info("exchange of customers' limits", "up", err == nil, "error", reason)
+	}
+	for _, t := range holder.Transitions(now) {
+		message := "customer is refused: its limit is used up"
+		if !t.Began {
+			message = "customer isn't refused any more"
+		}
+		logger.Info(message, "customer", t.Customer, "refused", t.Refused, "since-ms", t.Since.Milliseconds(), "demand-per-s", t.Demand,
+			"tokens", t.Available, "waiting", t.Waiting, "answer-age-ms", t.AnswerAge.Milliseconds())
+	}
+}
--- /dev/null
+++ b/internal/traffic/quota/quota.go
@@ -0,0 +1,468 @@
+// Package quota decides on a proxy whether an operation of a customer is within the
+// customer's limit. The proxy holds tokens that control's ledger moved to it (see
+// internal/fleet/allowance), and each operation spends one. It does no input or output.
+//
+// # Usage
+//
+//	d := h.Take(c, now)
+//	for d.Verdict == quota.Wait {
+//		... // until h.Changed() is closed or the operation's time is over
+//		d = h.Resume(c, arrived, giveUpAt, now)
+//	}
+//	h.Return(d.Token, now) // if the operation reached no server
+//
+//	request := h.Begin(now) // by the loop that exchanges
+//	h.Apply(allotments, epoch, validFor, sentAt, now) // or h.Fail()
+//
+// # Load pattern
+//
+// Most operations of large customers find a token, because the proxy holds about a second
+// of its demand. Those of small customers often don't and wait for one exchange, about a
+// round trip to control. Where a customer sends several times its limit, the leader names
+// a time; until then its operations are refused without asking, and the next exchange
+// reports them as missed, so that tokens go where they are used at once.
+package quota
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/fleet/allowance"
+	"github.com/burdockwood/burdockwood/internal/model/broadcast"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
+)
+
+const (
+	// Admitted operations may run.
+	Admitted Verdict = iota
+	// Wait means that the operation waits for an exchange.
+	Wait
+	// Refused operations are beyond the limit, or control couldn't be asked in time.
+	Refused
+)
+
+const (
+	// demandMemory is the time over which the demand is averaged.
+	demandMemory = 2 * time.Second
+	// minDemand is the demand, in operations a second, below which a proxy holds no
+	// token in advance: it has had no operation for some seconds.
+	minDemand = 0.05
+	// missedTime bounds the missed operations that are reported to those of this time.
+	missedTime = 100 * time.Millisecond
+	// defaultRetryAfter is the advice to callers while control doesn't answer: the time
+	// of an election.
+	defaultRetryAfter = time.Second
+	// maxSpread bounds by how much the advice to callers is spread.
+	maxSpread = time.Second
+	// calmTime is the time without a refusal after which a customer counts as within its
+	// limit again, and maxTransitions bounds what Transitions returns at once.
+	calmTime       = 5 * time.Second
+	maxTransitions = 8
+)
+
+type (
+	// Verdict is what happens to an operation.
+	Verdict uint8
+
+	// Decision is the answer to Take and Resume.
+	Decision struct {
+		Verdict Verdict
+		// Token is set if the verdict is Admitted.
+		Token Token
+		// RetryAfter is set if the verdict is Refused.
+		RetryAfter time.Duration
+		// Asked is true if the leader has answered since the operation arrived, or has
+		// named a time that isn't over; a refusal is then the limit's.
+		Asked bool
+	}
+
+	// Token is what an operation spent. The zero Token is that of a customer without a
+	// limit.
+	Token struct {
+		account *account
+		// era is the account's when the token was spent, sequence that of the last
+		// request sent before.
+		era      uint32
+		sequence uint64
+	}
+
+	// Holder holds the tokens of a proxy. It is safe for concurrent use.
+	Holder struct {
+		mu          sync.Mutex
+		proxy       cluster.ProxyName
+		incarnation cluster.Incarnation
+		sequence    uint64
+		epoch       uint64
+		// inFlight lists the accounts of the request that isn't answered yet.
+		inFlight []inFlight
+		// validUntil is when all tokens expire.
+		validUntil time.Time
+		answeredAt time.Time
+		failing    bool
+		accounts   map[customer.Name]*account
+		// waiting is the number of operations that wait.
+		waiting int
+		changed broadcast.Signal
+		wanted  chan struct{}
+	}
+
+	inFlight struct {
+		account *account
+		kept    int
+	}
+
+	// account is what the holder knows of one customer.
+	account struct {
+		name customer.Name
+		// available are the tokens that operations may spend.
+		available int
+		target    int
+		spent     uint64
+		waiting   int
+		missed    int
+		returned  int
+		// generation is that of the last allotment. era changes with it and with the
+		// leader.
+		generation uint64
+		era        uint32
+		demand     float64
+		demandAt   time.Time
+		// answeredAt is when the leader last answered.
+		answeredAt time.Time
+		// refusedUntil is the time that the leader named; refusals is the number of
+		// operations refused since.
+		refusedUntil time.Time
+		refusals     int
+		// refused is the number of operations refused since startedAt; the last at
+		// lastRefusal. logged is true once the start was returned by Transitions.
+		refused                int
+		startedAt, lastRefusal time.Time
+		logged                 bool
+		// listed is true if the leader may record that the proxy holds tokens.
+		listed bool
+	}
+
+	// State is the state of one customer's tokens, for metrics and the log.
+	State struct {
+		Customer           customer.Name
+		Available, Waiting int
+		Demand             float64
+		// AnswerAge is the time since the leader last answered for the customer.
+		AnswerAge time.Duration
+	}
+
+	// Transition is a customer that began or ceased to be refused.
+	Transition struct {
+		State
+		// Began is false if no operation was refused for calmTime.
+		Began bool
+		// Refused operations since Since ago.
+		Refused int
+		Since   time.Duration
+	}
+)
+
+// New returns a holder without tokens.
+func New(proxy cluster.ProxyName, incarnation cluster.Incarnation) *Holder {
+	return &Holder{proxy: proxy, incarnation: incarnation, accounts: map[customer.Name]*account{}, wanted: make(chan struct{}, 1)}
+}
+
+// Take decides on an operation that has just arrived. After Wait, the operation has to be
+// resumed until the verdict is another one.
+func (h *Holder) Take(c *customer.Customer, now time.Time) Decision {
+	if c == nil || !c.IsLimited() {
+		return Decision{}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a := h.accounts[c.Name]
+	if a == nil {
+		a = &account{name: c.Name, demandAt: now}
+		h.accounts[c.Name] = a
+	}
+	a.addDemand(now)
+	if a.available > 0 && now.Before(h.validUntil) {
+		return h.spend(a)
+	}
+	if now.Before(a.refusedUntil) {
+		return a.refuse(c, now)
+	}
+	a.waiting++
+	h.waiting++
+	h.requestExchange()
+	return Decision{Verdict: Wait}
+}
+
+// Resume decides again on an operation that waits. It waits no longer than until giveUpAt.
+func (h *Holder) Resume(c *customer.Customer, arrived, giveUpAt, now time.Time) Decision {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a := h.accounts[c.Name]
+	if a.available > 0 && now.Before(h.validUntil) {
+		h.endWait(a)
+		return h.spend(a)
+	}
+	if a.refusedUntil.After(giveUpAt) {
+		h.endWait(a)
+		return a.refuse(c, now)
+	}
+	if now.Before(giveUpAt) {
+		return Decision{Verdict: Wait}
+	}
+	h.endWait(a)
+	d := a.refuse(c, now)
+	d.Asked = a.answeredAt.After(arrived)
+	if !d.Asked {
+		d.RetryAfter = defaultRetryAfter
+	}
+	return d
+}
+
+func (h *Holder) endWait(a *account) {
+	a.waiting--
+	h.waiting--
+}
+
+// spend spends a token.
+func (h *Holder) spend(a *account) Decision {
+	a.available--
+	a.spent++
+	return Decision{Verdict: Admitted, Token: Token{account: a, era: a.era, sequence: h.sequence}}
+}
+
+// refuse refuses an operation, and spreads the times at which refused ones come back.
+func (a *account) refuse(c *customer.Customer, now time.Time) Decision {
+	a.missed++
+	if a.refused == 0 {
+		a.startedAt = now
+	}
+	a.refused++
+	a.lastRefusal = now
+	d := Decision{Verdict: Refused, Asked: true}
+	perToken := time.Second / time.Duration(max(1, c.Limit.Rate))
+	d.RetryAfter = max(perToken, a.refusedUntil.Sub(now)) + min(maxSpread, time.Duration(a.refusals)*perToken)
+	a.refusals++
+	return d
+}
+
+// Return gives back the token of an operation that certainly reached no server.
+func (h *Holder) Return(t Token, now time.Time) {
+	if t.account == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a := t.account
+	switch {
+	case t.sequence == h.sequence && now.Before(h.validUntil):
+		// No request has reported it as spent.
+		a.available++
+		a.spent--
+	case t.era == a.era && h.accounts[a.name] == a:
+		a.returned++
+	}
+}
+
+// addDemand records the arrival of an operation.
+func (a *account) addDemand(now time.Time) {
+	a.demand = a.demandNow(now) + 1/demandMemory.Seconds()
+	a.demandAt = now
+}
+
+// demandNow returns the demand in operations a second.
+func (a *account) demandNow(now time.Time) float64 {
+	return a.demand * math.Exp(-max(0, now.Sub(a.demandAt).Seconds())/demandMemory.Seconds())
+}
+
+func (h *Holder) requestExchange() {
+	select {
+	case h.wanted <- struct{}{}:
+	default:
+	}
+}
+
+// Wanted receives a value when an operation begins to wait for an exchange.
+func (h *Holder) Wanted() <-chan struct{} { return h.wanted }
+
+// Changed returns a channel that is closed by the next answer of control.
+func (h *Holder) Changed() <-chan struct{} { return h.changed.Next() }
+
+// IsActive reports whether there is anything to exchange.
+func (h *Holder) IsActive() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.accounts) > 0
+}
+
+// NextTry returns how long the next exchange may be delayed: until the time that the leader
+// named, if operations wait for it, but at most idle.
+func (h *Holder) NextTry(idle time.Duration, now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.waiting == 0 {
+		return idle
+	}
+	for _, a := range h.accounts {
+		if a.waiting > 0 {
+			idle = min(idle, max(0, a.refusedUntil.Sub(now)))
+		}
+	}
+	return idle
+}
+
+// IsFailing reports whether the last exchange failed.
+func (h *Holder) IsFailing() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failing
+}
+
+// Epoch returns the epoch of the leader that answered last.
+func (h *Holder) Epoch() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.epoch
+}
+
+// Age returns the time since control answered last.
+func (h *Holder) Age(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return now.Sub(h.answeredAt)
+}
+
+// Begin returns the next request. Apply or Fail has to be called before the next Begin.
+func (h *Holder) Begin(now time.Time) allowance.Request {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sequence++
+	r := allowance.Request{Proxy: h.proxy, Incarnation: h.incarnation, Sequence: h.sequence, Epoch: h.epoch, Holdings: make([]allowance.Holding, 0, len(h.accounts))}
+	h.inFlight = make([]inFlight, 0, len(h.accounts))
+	expired := !now.Before(h.validUntil)
+	for name, a := range h.accounts {
+		if expired {
+			a.available = 0
+		}
+		demand := a.demandNow(now)
+		if demand < minDemand {
+			demand = 0
+		}
+		if a.isIdle() && demand == 0 {
+			delete(h.accounts, name)
+			continue
+		}
+		kept := min(a.available, a.target, int(math.Ceil(demand)))
+		r.Holdings = append(r.Holdings, allowance.Holding{
+			Customer: name, Held: a.available, Offered: a.available - kept, Spent: a.spent, Waiting: a.waiting,
+			Missed: min(a.missed, int(math.Ceil(demand*missedTime.Seconds()))),
+			Demand: demand, Returned: a.returned, Generation: a.generation,
+		})
+		a.available, a.missed, a.returned, a.listed = kept, 0, 0, true
+		h.inFlight = append(h.inFlight, inFlight{a, kept})
+	}
+	return r
+}
+
+// isIdle reports whether the account neither holds nor wants anything, and the leader
+// knows.
+func (a *account) isIdle() bool {
+	return a.available == 0 && a.waiting == 0 && a.missed == 0 && a.returned == 0 && a.refused == 0 && !a.listed
+}
+
+// Apply records the answer to the last request, which was sent at sentAt. The tokens are
+// valid until validFor after that.
+func (h *Holder) Apply(allotments []allowance.Allotment, epoch uint64, validFor time.Duration, sentAt, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if epoch != h.epoch {
+		h.epoch = epoch
+		for _, a := range h.accounts {
+			a.changeEra()
+		}
+	}
+	if len(allotments) != len(h.inFlight) {
+		h.fail()
+		return
+	}
+	for i, f := range h.inFlight {
+		a, answer := f.account, allotments[i]
+		a.available += max(0, answer.Held-f.kept)
+		a.target, a.listed = answer.Target, answer.Held > 0
+		if a.generation != answer.Generation {
+			a.generation = answer.Generation
+			a.changeEra()
+		}
+		a.answeredAt, a.refusedUntil, a.refusals = now, time.Time{}, 0
+		if answer.RetryAfter > 0 {
+			a.refusedUntil = now.Add(answer.RetryAfter)
+		}
+	}
+	h.inFlight, h.failing, h.answeredAt = nil, false, now
+	if until := sentAt.Add(validFor); until.After(h.validUntil) {
+		h.validUntil = until
+	}
+	h.changed.Notify()
+}
+
+// changeEra makes the tokens spent so far unreturnable.
+func (a *account) changeEra() {
+	a.era++
+	a.returned = 0
+}
+
+// Fail records that the last request wasn't answered. What it offered may have been taken
+// back.
+func (h *Holder) Fail() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.fail()
+}
+
+func (h *Holder) fail() {
+	h.inFlight, h.failing = nil, true
+	h.changed.Notify()
+}
+
+// States returns the state of all customers that are in use, by name.
+func (h *Holder) States(now time.Time) []State {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	list := make([]State, 0, len(h.accounts))
+	for _, a := range h.accounts {
+		list = append(list, h.state(a, now))
+	}
+	slices.SortFunc(list, func(a, b State) int { return strings.Compare(string(a.Customer), string(b.Customer)) })
+	return list
+}
+
+func (h *Holder) state(a *account, now time.Time) State {
+	s := State{Customer: a.name, Waiting: a.waiting, Demand: a.demandNow(now), AnswerAge: now.Sub(a.answeredAt)}
+	if now.Before(h.validUntil) {
+		s.Available = a.available
+	}
+	return s
+}
+
+// Transitions returns the customers that began or ceased to be refused since the last
+// call, or some of them if there are many.
+func (h *Holder) Transitions(now time.Time) []Transition {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var list []Transition
+	for _, a := range h.accounts {
+		began, ended := a.refused > 0 && !a.logged, a.logged && now.Sub(a.lastRefusal) >= calmTime
+		if len(list) == maxTransitions || !began && !ended {
+			continue
+		}
+		list = append(list, Transition{State: h.state(a, now), Began: began, Refused: a.refused, Since: now.Sub(a.startedAt)})
+		a.logged = began
+		if ended {
+			a.refused = 0
+		}
+	}
+	return list
+}
--- a/internal/traffic/session/cause.go
+++ b/internal/traffic/session/cause.go
@@ -30,6 +30,10 @@
 	causeBehind         cause = "replica-behind"
 	causeReadOnly       cause = "read-only"
 	causeConnectionLost cause = "connection-lost"
+	// causeLimit is a refusal because the customer is over its limit, causeLimitUnknown
+	// one because control didn't answer.
+	causeLimit        cause = "limit"
+	causeLimitUnknown cause = "limit-unknown"
 	// causeWaiting and causeSlow are those of statements that succeeded at the first
 	// attempt, but late: most of the time passed in this proxy, or after it.
 	causeWaiting cause = "waiting"
--- a/internal/traffic/session/execution.go
+++ b/internal/traffic/session/execution.go
@@ -7,6 +7,7 @@
 
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
+	"github.com/burdockwood/burdockwood/internal/traffic/quota"
 	"github.com/burdockwood/burdockwood/internal/traffic/routing"
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
 	"github.com/burdockwood/burdockwood/internal/traffic/upstream"
@@ -87,6 +88,10 @@
 		failedAttempts []string
 		// lastPool is the pool of the server that was tried last; nil: none.
 		lastPool *upstream.Pool
+		// token was taken for the operation; reachedServer is true once a statement
+		// of it may have reached a server.
+		token         quota.Token
+		reachedServer bool
 	}
 
 	// target is the server for one attempt.
@@ -129,6 +134,10 @@
 	callerContext, endWatch := e.session.watchCaller()
 	defer endWatch()
 	e.callerContext = callerContext
+	if refusal := e.admit(e.session.limitedCustomer()); refusal != nil {
+		return *refusal
+	}
+	defer e.returnToken()
 	for {
 		e.attempts++
 		t, refusal := e.chooseTarget()
@@ -180,13 +189,16 @@
 		limit = e.deadline
 	}
 	if e.tx != nil {
-		if answer, err := e.beginOnServer(conn, t, limit); err != nil || answer.Code != statement.OK {
+		answer, err := e.beginOnServer(conn, t, limit)
+		e.recordReached(answer, err)
+		if err != nil || answer.Code != statement.OK {
 			return e.handleBeginFailure(conn, t, answer, err)
 		}
 		request.MinPosition = cluster.LogPosition{}
 	}
 	sent := manager.options.Now()
 	answer, err = conn.Do(request, limit)
+	e.recordReached(answer, err)
 	if err != nil {
 		conn.Discard()
 		return e.handleLostAnswer(t, err)
--- /dev/null
+++ b/internal/traffic/session/limit.go
@@ -0,0 +1,151 @@
+package session
+
+// This file holds the check of customers' limits (see package quota).
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/burdockwood/burdockwood/internal/model/customer"
+	"github.com/burdockwood/burdockwood/internal/ops/metrics"
+	"github.com/burdockwood/burdockwood/internal/traffic/backend"
+	"github.com/burdockwood/burdockwood/internal/traffic/quota"
+	"github.com/burdockwood/burdockwood/internal/traffic/statement"
+)
+
+const (
+	// limitWaitDivisor divides a route's latency target to bound how long an operation
+	// waits for a token; downWaitDivisor does while control doesn't answer.
+	limitWaitDivisor, downWaitDivisor = 2, 8
+	// maxLimitWait bounds that wait on routes with a long target.
+	maxLimitWait = 300 * time.Millisecond
+)
+
+type (
+	// limitMetrics count the operations of up to metrics.DefaultMaxTenants customers,
+	// and those of all others together.
+	limitMetrics struct {
+		registry metrics.Registry
+		mu       sync.RWMutex
+		counters map[customer.Name]*limitCounters
+	}
+
+	limitCounters struct {
+		admitted, waited, refused gometrics.Counter
+	}
+)
+
+func newLimitMetrics(registry metrics.Registry) *limitMetrics {
+	return &limitMetrics{registry: registry, counters: map[customer.Name]*limitCounters{}}
+}
+
+// get returns the counters of a customer.
+func (m *limitMetrics) get(name customer.Name) *limitCounters {
+	m.mu.RLock()
+	found := m.counters[name]
+	m.mu.RUnlock()
+	if found != nil {
+		return found
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.counters) >= metrics.DefaultMaxTenants {
+		name = metrics.OtherTenant
+	}
+	if found = m.counters[name]; found == nil {
+		counter := func(outcome string) gometrics.Counter {
+			return metrics.Counter(m.registry, "limit-operations", "customer", string(name), "outcome", outcome)
+		}
+		found = &limitCounters{admitted: counter("admitted"), waited: counter("waited"), refused: counter("refused")}
+		m.counters[name] = found
+	}
+	return found
+}
+
+// updateHeld updates the gauge of the tokens that this proxy holds of all customers.
+func (m *limitMetrics) updateHeld(holder *quota.Holder, now time.Time) {
+	if holder == nil {
+		return
+	}
+	held := 0
+	for _, s := range holder.States(now) {
+		held += s.Available
+	}
+	metrics.Gauge(m.registry, "limit-tokens").Update(int64(held))
+}
+
+// limitedCustomer returns the customer whose limit the session's operations count
+// against; nil: none.
+func (s *session) limitedCustomer() *customer.Customer { return nil }
+
+// admit takes a token of the customer's limit for the operation that the statement begins.
+// It returns the refusal if the limit is used up, and nil if the operation may run. The
+// proxy's own attempts and the later statements of a transaction take no further one.
+func (e *execution) admit(c *customer.Customer) *statement.Answer {
+	holder := e.session.manager.options.Quota
+	if holder == nil || c == nil || !c.IsLimited() {
+		return nil
+	}
+	manager := e.session.manager
+	counters := manager.limitMetrics.get(c.Name)
+	arrived := manager.options.Now()
+	d := holder.Take(c, arrived)
+	if d.Verdict == quota.Wait {
+		counters.waited.Inc(1)
+		d = e.awaitToken(holder, c, arrived)
+	}
+	if d.Verdict == quota.Admitted {
+		counters.admitted.Inc(1)
+		e.token = d.Token
+		return nil
+	}
+	counters.refused.Inc(1)
+	e.cause = causeLimit
+	reason := fmt.Sprintf("customer %q is over its limit of %d operations a second and bursts of %d", c.Name, c.Limit.Rate, c.Limit.Burst)
+	if !d.Asked {
+		e.cause = causeLimitUnknown
+		reason = fmt.Sprintf("control didn't say in time whether customer %q is within its limit", c.Name)
+	}
+	refusal := e.retryLater(statement.Busy, reason, d.RetryAfter)
+	return &refusal
+}
+
+// awaitToken waits for a token, for a part of the route's latency target.
+func (e *execution) awaitToken(holder *quota.Holder, c *customer.Customer, arrived time.Time) quota.Decision {
+	now := e.session.manager.options.Now
+	for {
+		changed := holder.Changed()
+		wait := min(e.route.LatencyTarget/limitWaitDivisor, maxLimitWait)
+		if holder.IsFailing() {
+			wait = min(e.route.LatencyTarget/downWaitDivisor, maxLimitWait)
+		}
+		giveUpAt := arrived.Add(wait)
+		if e.callerContext.Err() != nil {
+			giveUpAt = arrived
+		}
+		d := holder.Resume(c, arrived, giveUpAt, now())
+		if d.Verdict != quota.Wait {
+			return d
+		}
+		e.wait(changed, max(time.Millisecond, giveUpAt.Sub(now())))
+	}
+}
+
+// recordReached records whether a request may have reached a server. An owner of the
+// server's connections that had no room for it, or didn't send it, says so; the begin of a
+// transaction may have reached the server before.
+func (e *execution) recordReached(answer statement.Answer, err error) {
+	notSent := e.tx == nil && errors.Is(err, backend.ErrNotSent) || err == nil && answer.Code.NotRun() && answer.RetryAfter > 0
+	e.reachedServer = e.reachedServer || !notSent
+}
+
+// returnToken gives the operation's token back if it reached no server.
+func (e *execution) returnToken() {
+	if !e.reachedServer && e.token != (quota.Token{}) {
+		e.session.manager.options.Quota.Return(e.token, e.session.manager.options.Now())
+	}
+}
--- a/internal/traffic/session/manager.go
+++ b/internal/traffic/session/manager.go
@@ -36,6 +36,7 @@
 	"github.com/burdockwood/burdockwood/internal/ops/metrics"
 	"github.com/burdockwood/burdockwood/internal/traffic/freshness"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
+	"github.com/burdockwood/burdockwood/internal/traffic/quota"
 	"github.com/burdockwood/burdockwood/internal/traffic/routing"
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
 	"github.com/burdockwood/burdockwood/internal/traffic/upstream"
@@ -75,6 +76,8 @@
 		// MaxDrainAge is how long a draining primary gets new statements;
 		// zero: as long as it is the primary.
 		MaxDrainAge time.Duration
+		// Quota holds the tokens under customers' limits; nil: no customer has one.
+		Quota *quota.Holder
 	}
 
 	// Manager holds the sessions of a proxy and what they share. It is safe for
@@ -83,8 +86,9 @@
 		options Options
 		config  atomic.Pointer[routing.Config]
 		// tenants are the latency histograms of each database.
-		tenants *metrics.TenantHistograms
-		mu      sync.Mutex
+		tenants      *metrics.TenantHistograms
+		limitMetrics *limitMetrics
+		mu           sync.Mutex
 		// trackers hold, for each group, samples of the log position of its
 		// primary. They determine which position a read must see.
 		trackers map[cluster.GroupName]*freshness.Tracker
@@ -105,8 +109,9 @@
 	}
 	return &Manager{
 		options: options, trackers: map[cluster.GroupName]*freshness.Tracker{},
-		tenants:  metrics.NewTenantHistograms(options.Registry, metrics.DefaultMaxTenants),
-		sessions: map[*session]struct{}{},
+		tenants:      metrics.NewTenantHistograms(options.Registry, metrics.DefaultMaxTenants),
+		limitMetrics: newLimitMetrics(options.Registry),
+		sessions:     map[*session]struct{}{},
 	}
 }
 
@@ -276,6 +281,7 @@
 			set("sample-age-ms", now.Sub(latest.SentAt).Milliseconds(), "group", string(group))
 		}
 	}
+	m.limitMetrics.updateHeld(m.options.Quota, now)
 	m.options.Pools.UpdateMetrics(registry)
 }
 
