Customers: a configuration that drops all of them has none

Cause: the leader gave the customers of the newest configuration to its ledger; if a configuration held none any more, it read a directory that doesn't exist and ended. Result: All of a nil Directory is empty; a row of the directory's test shows it.

--- a/internal/model/customer/customer_test.go
+++ b/internal/model/customer/customer_test.go
@@ -46,6 +46,9 @@
 	if got, ok := d.ByName("b"); !ok || got.Name != "b" {
 		t.Errorf("ByName: got %v, want customer b", got)
 	}
+	if got := (*customer.Directory)(nil).All(); got != nil {
+		t.Errorf("All without customers: got %v, want none", got)
+	}
 	if got, err := customer.ParseDigest(key.String()); err != nil || got != key {
 		t.Errorf("ParseDigest of a digest's text: got %v, %v, want the digest", got, err)
 	}
