A withdrawn key runs nothing later than the withdrawal time

Cause: a proxy that is cut off, was suspended or has just started goes on with the keys that it knew; a statement may wait in a queue or a transaction while its key is withdrawn. Change: a right to use keys (traffic/keyright), extended by each renewal whose version is in force, checked when a session takes a statement and right before one is written, at the proxy and at the owner; sessions of a withdrawn key end; a proxy without the right isn't ready.

--- a/internal/traffic/controlclient/apply.go
+++ b/internal/traffic/controlclient/apply.go
@@ -46,6 +46,7 @@
 // applyRenewal applies the response to a renewal that was sent at sentAt.
 func (c *Client) applyRenewal(response *fleetpb.RenewResponse, sentAt time.Time) {
 	now := c.options.Now()
+	c.options.KeyRight.Confirm(response.GetDocumentVersion(), sentAt)
 	c.requestConfig(response.GetDocumentVersion())
 	c.applySamples(response, sentAt, now)
 	primaries := map[cluster.GroupName]lease.GroupPrimary{}
--- a/internal/traffic/controlclient/client.go
+++ b/internal/traffic/controlclient/client.go
@@ -35,6 +35,7 @@
 	"github.com/burdockwood/burdockwood/internal/ops/rungroup"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 	"github.com/burdockwood/burdockwood/internal/rpc/transport"
+	"github.com/burdockwood/burdockwood/internal/traffic/keyright"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
 	"github.com/burdockwood/burdockwood/internal/traffic/ownership"
 	"github.com/burdockwood/burdockwood/internal/traffic/routing"
@@ -83,7 +84,9 @@
 		DecodeConfig func(document []byte) (*routing.Config, error)
 		Sessions     *session.Manager
 		Lease        *lease.Holder
-		Pools        *upstream.Manager
+		// KeyRight is the right to run statements under callers' keys.
+		KeyRight *keyright.Right
+		Pools    *upstream.Manager
 		// Now reads a clock that includes the time for which the VM is
 		// suspended.
 		Now    func() time.Time
@@ -169,6 +172,9 @@
 	if !c.everGranted.Load() || c.options.Lease.Remaining(now) < minReadyLease {
 		return false, "the lease ends or has ended: control can't be reached"
 	}
+	if c.options.Sessions.Config().Customers != nil && !c.options.KeyRight.Valid(now) {
+		return false, "the right to use callers' keys has ended: control can't be reached"
+	}
 	return true, ""
 }
 
--- a/internal/traffic/controlclient/fetch.go
+++ b/internal/traffic/controlclient/fetch.go
@@ -105,6 +105,7 @@
 		return nil
 	}
 	c.options.Sessions.SetConfig(next)
+	c.options.KeyRight.InForce(next.Version)
 	c.appliedVersion.Store(response.GetVersion())
 	c.serversMu.Lock()
 	c.updatePools()
--- a/internal/traffic/forward/owners.go
+++ b/internal/traffic/forward/owners.go
@@ -291,6 +291,8 @@
 	switch r.GetFault() {
 	case fleetpb.ExecuteResponse_FAULT_NO_ROOM:
 		return statement.Answer{Code: statement.Busy, Detail: r.GetDetail(), RetryAfter: milliseconds(r.GetRetryAfterMs())}, nil
+	case fleetpb.ExecuteResponse_FAULT_KEY:
+		return statement.Answer{Code: statement.UnknownKey, Detail: r.GetDetail()}, nil
 	case fleetpb.ExecuteResponse_FAULT_NOT_SENT:
 		return statement.Answer{}, eris.Wrap(backend.ErrNotSent, r.GetDetail())
 	case fleetpb.ExecuteResponse_FAULT_SILENT:
--- a/internal/traffic/forward/service.go
+++ b/internal/traffic/forward/service.go
@@ -34,6 +34,7 @@
 	"github.com/burdockwood/burdockwood/internal/model/pause"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
+	"github.com/burdockwood/burdockwood/internal/traffic/keyright"
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
 	"github.com/burdockwood/burdockwood/internal/traffic/upstream"
 )
@@ -139,6 +140,9 @@
 		response.NotOwner = true
 		return response, nil
 	}
+	if err := s.options.Pools.Permit(keyed(r, statement.Request{})); err != nil {
+		return s.notPermitted(r, err), nil
+	}
 	conn, err := pool.Acquire(upstream.AcquireOptions{
 		Customer: customer.Name(r.GetCustomer()), Fingerprint: fingerprint, Priority: int(r.GetPriority()),
 		SoftDeadline: time.Now().Add(milliseconds(r.GetAimMs())), Deadline: deadline, CallerContext: ctx,
@@ -227,6 +231,14 @@
 		return faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, err)
 	}
 	answer, err := conn.Do(request, deadline)
+	if _, refused := errors.AsType[*upstream.NotPermittedError](err); refused {
+		if r.GetHandle() == 0 && r.GetBegin() == 0 {
+			conn.Release()
+		} else {
+			conn.Discard()
+		}
+		return s.notPermitted(r, err)
+	}
 	if err != nil {
 		conn.Discard()
 		return faultResponse(executeFault(err), err)
@@ -253,11 +265,10 @@
 // prepareRequest returns the request for the server. For Execute, it prepares the
 // query on the connection if needed.
 func prepareRequest(conn *upstream.Conn, r *fleetpb.ExecuteRequest, deadline time.Time) (statement.Request, error) {
-	request := statement.Request{
+	request := keyed(r, statement.Request{
 		Statement:   statement.Statement{ID: r.GetId(), Verb: statement.Verb(r.GetVerb()), Text: r.GetText()},
 		MinPosition: newPosition(r.GetAfterTerm(), r.GetAfterPosition()),
-		Customer:    customer.Name(r.GetCustomer()), Key: keyFromProto(r.GetKey()), ConfigVersion: r.GetConfigVersion(),
-	}
+	})
 	if request.Verb != statement.Execute {
 		return request, nil
 	}
@@ -328,6 +339,25 @@
 	return cluster.LogPosition{Term: cluster.Term(term), Position: cluster.Position(position)}
 }
 
+// keyed returns the request with the customer, the key and the version of r.
+func keyed(r *fleetpb.ExecuteRequest, request statement.Request) statement.Request {
+	request.Customer, request.Key, request.ConfigVersion = customer.Name(r.GetCustomer()), keyFromProto(r.GetKey()), r.GetConfigVersion()
+	return request
+}
+
+// notPermitted returns the response for a statement that wasn't sent because of its key.
+// Unless the key is unknown here, another owner may be able to send it.
+func (s *Service) notPermitted(r *fleetpb.ExecuteRequest, err error) *fleetpb.ExecuteResponse {
+	s.options.Logger.Info("forwarded statement refused", "request-id", r.GetId(), "customer", r.GetCustomer(),
+		"config-version", r.GetConfigVersion(), "reason", err.Error())
+	if errors.Is(err, keyright.ErrUnknownKey) {
+		return faultResponse(fleetpb.ExecuteResponse_FAULT_KEY, err)
+	}
+	response := faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, err)
+	response.NotOwner = r.GetHandle() == 0
+	return response
+}
+
 // keyFromProto returns the digest of a key, or the zero digest, which no customer holds, if
 // it has another length.
 func keyFromProto(key []byte) customer.Digest {
--- a/internal/traffic/session/cause.go
+++ b/internal/traffic/session/cause.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
+	"github.com/burdockwood/burdockwood/internal/traffic/keyright"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
 	"github.com/burdockwood/burdockwood/internal/traffic/upstream"
@@ -32,6 +33,7 @@
 	causeConnectionLost cause = "connection-lost"
 	// causeUnknownKey is a key that was withdrawn while the statement waited.
 	causeUnknownKey cause = "unknown-key"
+	causeNoKeyRight cause = "no-right-to-use-keys"
 	// causeWaiting and causeSlow are those of statements that succeeded at the first
 	// attempt, but late: most of the time passed in this proxy, or after it.
 	causeWaiting cause = "waiting"
@@ -46,6 +48,8 @@
 	{lease.ErrNoLease, causeNoLease},
 	{lease.ErrPrimaryChanging, causePrimaryChanging},
 	{lease.ErrNoPrimary, causeNoPrimary},
+	{keyright.ErrNoRight, causeNoKeyRight},
+	{keyright.ErrUnknownKey, causeUnknownKey},
 	{upstream.ErrAcquireTimeout, causeNoConnection},
 	{upstream.ErrCallerGone, causeCallerGone},
 	{backend.ErrConnectionLimit, causeNoConnection},
--- a/internal/traffic/session/execution.go
+++ b/internal/traffic/session/execution.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -187,6 +188,9 @@
 	}
 	sent := manager.options.Now()
 	answer, err = conn.Do(request, limit)
+	if _, refused := errors.AsType[*upstream.NotPermittedError](err); refused {
+		return e.handleNotPermitted(conn, err)
+	}
 	if err != nil {
 		conn.Discard()
 		return e.handleLostAnswer(t, err)
--- a/internal/traffic/session/identity.go
+++ b/internal/traffic/session/identity.go
@@ -4,11 +4,16 @@
 // the caller's key is withdrawn.
 
 import (
+	"errors"
+	"fmt"
+
 	"github.com/rotisserie/eris"
 
 	"github.com/burdockwood/burdockwood/internal/model/customer"
+	"github.com/burdockwood/burdockwood/internal/traffic/keyright"
 	"github.com/burdockwood/burdockwood/internal/traffic/routing"
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
+	"github.com/burdockwood/burdockwood/internal/traffic/upstream"
 )
 
 // errKeyWithdrawn ends the session of a caller whose key no customer holds any more.
@@ -73,3 +78,52 @@
 	}
 	request.Customer, request.Key, request.ConfigVersion = i.customer, i.key, i.config.Version
 }
+
+// checkRight returns the answer to a statement that a server would have to run although
+// this proxy has no right to use the caller's key; nil: it may run. An open transaction
+// is rolled back.
+func (s *session) checkRight(verb statement.Verb) *statement.Answer {
+	switch verb {
+	case statement.Read, statement.Write, statement.Execute, statement.Commit:
+	default:
+		return nil
+	}
+	if s.identity.customer == "" || s.tx != nil && s.tx.failed || s.manager.options.KeyRight.Valid(s.manager.options.Now()) {
+		return nil
+	}
+	answer := s.answerWithoutRight()
+	if s.tx != nil {
+		s.failTransaction()
+		answer.Code = statement.Aborted
+	}
+	if verb == statement.Commit {
+		s.tx = nil
+	}
+	answer.State, answer.Position = s.txState(), s.lastWritePosition
+	return &answer
+}
+
+// answerWithoutRight returns the answer to a statement that hasn't run because this proxy
+// has no right to use keys. The caller may be served by another proxy.
+func (s *session) answerWithoutRight() statement.Answer {
+	s.refusedWithoutLease = true
+	return statement.Answer{
+		Code:   statement.Busy,
+		Detail: fmt.Sprintf("%s; retry after %d ms", keyright.ErrNoRight, retryAfterNoLease.Milliseconds()),
+	}
+}
+
+// handleNotPermitted handles a statement that wasn't sent because of its key. Its results
+// are those of attempt.
+func (e *execution) handleNotPermitted(conn *upstream.Conn, err error) (statement.Answer, bool) {
+	if e.tx == nil {
+		conn.Release()
+	} else {
+		conn.Discard()
+	}
+	e.recordCause(causeOf(err), err.Error())
+	if errors.Is(err, keyright.ErrUnknownKey) {
+		return statement.Answer{Code: statement.UnknownKey, Detail: err.Error()}, false
+	}
+	return e.session.answerWithoutRight(), false
+}
--- a/internal/traffic/session/manager.go
+++ b/internal/traffic/session/manager.go
@@ -36,6 +36,7 @@
 	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/ops/metrics"
 	"github.com/burdockwood/burdockwood/internal/traffic/freshness"
+	"github.com/burdockwood/burdockwood/internal/traffic/keyright"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
 	"github.com/burdockwood/burdockwood/internal/traffic/routing"
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
@@ -67,6 +68,8 @@
 	Options struct {
 		Lease *lease.Holder
 		Pools *upstream.Manager
+		// KeyRight is the right to run statements under callers' keys.
+		KeyRight *keyright.Right
 		// Now reads a clock that includes the time for which the VM is
 		// suspended.
 		Now    func() time.Time
--- a/internal/traffic/session/outcome.go
+++ b/internal/traffic/session/outcome.go
@@ -79,6 +79,10 @@
 	e.recordCause(causeOf(err), err.Error())
 	e.excluded[t.pool.Server().Name] = true
 	if errors.Is(err, backend.ErrNotSent) {
+		if e.session.identity.customer != "" {
+			// The owners may lack the configuration with the key for a moment.
+			e.backOff(busyBackoff * time.Duration(e.attempts))
+		}
 		return statement.Answer{Code: statement.Busy}, true
 	}
 	timedOut := errors.Is(err, backend.ErrTimeout)
--- a/internal/traffic/session/session.go
+++ b/internal/traffic/session/session.go
@@ -60,7 +60,8 @@
 		// been recorded in the metrics and, where needed, logged.
 		outcomeLogged bool
 		// refusedWithoutLease is true once a statement was rejected because
-		// this proxy has no lease. Another proxy may serve the caller.
+		// this proxy has no lease, or no right to use keys. Another proxy may
+		// serve the caller.
 		refusedWithoutLease bool
 	}
 
@@ -170,6 +171,9 @@
 	if !s.checkIdentity() {
 		return s.reject(statement.UnknownKey, errKeyWithdrawn.Error())
 	}
+	if refusal := s.checkRight(next.Verb); refusal != nil {
+		return *refusal
+	}
 	switch next.Verb {
 	case statement.Begin, statement.BeginRead:
 		return s.beginTransaction(next)
--- a/internal/traffic/session/transaction.go
+++ b/internal/traffic/session/transaction.go
@@ -7,6 +7,7 @@
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 	"github.com/burdockwood/burdockwood/internal/traffic/freshness"
+	"github.com/burdockwood/burdockwood/internal/traffic/keyright"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
 	"github.com/burdockwood/burdockwood/internal/traffic/routing"
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
@@ -115,7 +116,11 @@
 		if err != nil {
 			e.recordCause(causeOf(err), err.Error())
 			s.failTransaction()
-			return s.reject(statement.Aborted, "the transaction was undone: "+err.Error())
+			code := statement.Aborted
+			if errors.Is(err, keyright.ErrUnknownKey) {
+				code = statement.UnknownKey
+			}
+			return s.reject(code, "the transaction was undone: "+err.Error())
 		}
 		if tx.onPrimary && !s.manager.options.Lease.Valid(tx.permit, s.manager.options.Now()) {
 			s.failTransaction()
@@ -246,6 +251,8 @@
 	wrote := tx.hasWritten
 	s.failTransaction()
 	switch {
+	case errors.Is(err, keyright.ErrUnknownKey):
+		return statement.Answer{Code: statement.UnknownKey, Detail: err.Error()}
 	case !wrote || errors.Is(err, backend.ErrNotSent):
 		return statement.Answer{Code: statement.Aborted, Detail: err.Error()}
 	case errors.Is(err, backend.ErrTimeout):
--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -62,7 +62,8 @@
 func (c *Conn) ForwardsStatements() bool { return c.forwardsStatements }
 
 // Do sends a request and returns the server's answer. The connection must be
-// discarded after an error. Errors: those of backend.Conn.
+// discarded after an error, except NotPermittedError outside a transaction. Errors:
+// NotPermittedError, and those of backend.Conn.
 func (c *Conn) Do(request statement.Request, deadline time.Time) (statement.Answer, error) {
 	pool := c.pool
 	if request.Customer != c.customer && !c.forwardsStatements && !isControl(request.Verb) {
@@ -74,13 +75,16 @@
 	pool.markStarted(c)
 	pool.running++
 	pool.mu.Unlock()
-	answer, err := c.raw.Do(request, deadline)
+	answer, err := c.sendIfPermitted(request, deadline)
 	now := pool.manager.options.Now()
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	c.sentAt = time.Time{}
 	pool.running--
 	defer pool.wakeWaiters()
+	if _, refused := errors.AsType[*NotPermittedError](err); refused {
+		return answer, err
+	}
 	switch {
 	case err == nil:
 		pool.recordResponse(now)
@@ -119,6 +123,14 @@
 	return answer, err
 }
 
+// sendIfPermitted sends a request if it may be sent under its key. Errors: those of Do.
+func (c *Conn) sendIfPermitted(request statement.Request, deadline time.Time) (statement.Answer, error) {
+	if err := c.pool.manager.Permit(request); err != nil {
+		return statement.Answer{}, err
+	}
+	return c.raw.Do(request, deadline)
+}
+
 // isControl reports whether a statement only begins or rolls back a transaction. These
 // are sent by the proxy itself, for no customer.
 func isControl(verb statement.Verb) bool {
--- a/internal/traffic/upstream/upstream.go
+++ b/internal/traffic/upstream/upstream.go
@@ -39,6 +39,7 @@
 	"github.com/burdockwood/burdockwood/internal/traffic/admission"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 	"github.com/burdockwood/burdockwood/internal/traffic/ownership"
+	"github.com/burdockwood/burdockwood/internal/traffic/statement"
 )
 
 const (
@@ -66,12 +67,23 @@
 		DataCentre       cluster.DataCentre
 		// HoldsLease reports whether this proxy may use primaries; nil: always.
 		HoldsLease func(now time.Time) bool
+		// MaySend reports why a statement must not be sent under its key now; nil:
+		// it may be. It is called as the last thing before a statement is sent. A
+		// nil MaySend permits all.
+		MaySend func(request statement.Request, now time.Time) error
 		// Now reads a clock that includes the time for which the VM is
 		// suspended.
 		Now    func() time.Time
 		Logger logr.Logger
 	}
 
+	// NotPermittedError is returned for a statement that wasn't sent because of its
+	// key. Nothing ran, and the connection can still be used.
+	NotPermittedError struct {
+		// Reason is the error of Options.MaySend.
+		Reason error
+	}
+
 	// Observation is what the proxy reports to the control plane about a server.
 	Observation struct {
 		Server cluster.ServerName
@@ -111,6 +123,24 @@
 	return m
 }
 
+// Permit reports whether a statement may be sent under its key now. Errors:
+// NotPermittedError.
+func (m *Manager) Permit(request statement.Request) error {
+	if m.options.MaySend == nil || request.Customer == "" {
+		return nil
+	}
+	if err := m.options.MaySend(request, m.options.Now()); err != nil {
+		return &NotPermittedError{Reason: err}
+	}
+	return nil
+}
+
+// Error says why the statement wasn't sent.
+func (e *NotPermittedError) Error() string { return "the statement wasn't sent: " + e.Reason.Error() }
+
+// Unwrap returns the reason, and that the statement wasn't sent.
+func (e *NotPermittedError) Unwrap() []error { return []error{e.Reason, backend.ErrNotSent} }
+
 // SetServers replaces the servers that may be used. The pools of servers that
 // aren't listed any more are shut down. connectionPlan returns how many connections
 // this proxy may open to a server, or which proxies it forwards statements to.
