--- a/internal/traffic/controlclient/apply.go
+++ b/internal/traffic/controlclient/apply.go
@@ -65,6 +65,7 @@
 // applyRenewal applies the response to a renewal that was sent at sentAt.
 func (c *Client) applyRenewal(response *fleetpb.RenewResponse, sentAt time.Time) {
 	now := c.options.Now()
+	c.options.KeyRight.Confirm(response.GetDocumentVersion(), sentAt)
 	c.requestConfig(response.GetDocumentVersion())
 	c.applySamples(response, sentAt, now)
 	primaries := map[cluster.GroupName]lease.GroupPrimary{}
--- a/internal/traffic/session/cause.go
+++ b/internal/traffic/session/cause.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
+	"github.com/burdockwood/burdockwood/internal/traffic/keyright"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
 	"github.com/burdockwood/burdockwood/internal/traffic/upstream"
@@ -36,6 +37,7 @@
 	// one because control didn't answer.
 	causeLimit        cause = "limit"
 	causeLimitUnknown cause = "limit-unknown"
+	causeNoKeyRight   cause = "no-right-to-use-keys"
 	// causeWaiting and causeSlow are those of statements that succeeded at the first
 	// attempt, but late: most of the time passed in this proxy, or after it.
 	causeWaiting cause = "waiting"
@@ -50,6 +52,8 @@
 	{lease.ErrNoLease, causeNoLease},
 	{lease.ErrPrimaryChanging, causePrimaryChanging},
 	{lease.ErrNoPrimary, causeNoPrimary},
+	{keyright.ErrNoRight, causeNoKeyRight},
+	{keyright.ErrUnknownKey, causeUnknownKey},
 	{upstream.ErrAcquireTimeout, causeNoConnection},
 	{upstream.ErrCallerGone, causeCallerGone},
 	{backend.ErrConnectionLimit, causeNoConnection},
