--- a/internal/traffic/session/execution.go
+++ b/internal/traffic/session/execution.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
 	"github.com/burdockwood/burdockwood/internal/traffic/quota"
 	"github.com/burdockwood/burdockwood/internal/traffic/routing"
@@ -88,8 +89,10 @@
 		failedAttempts []string
 		// lastPool is the pool of the server that was tried last; nil: none.
 		lastPool *upstream.Pool
-		// token was taken for the operation; reachedServer is true once a statement
+		// customer is the one whose limit applies; nil: none. token was taken for the
+		// operation; reachedServer is true once a statement
 		// of it may have reached a server.
+		customer      *customer.Customer
 		token         quota.Token
 		reachedServer bool
 	}
@@ -116,6 +119,7 @@
 		session: s, route: route, stmt: next, writes: writes, bootStart: s.manager.options.Now(), start: start,
 		primaryOnly:  writes || route.Consistency == routing.Strong,
 		softDeadline: waitingSince.Add(route.LatencyTarget - min(answerTransit, route.LatencyTarget/4)),
+		customer:     s.limitedCustomer(),
 		deadline:     start.Add(route.StatementTimeout), excluded: map[cluster.ServerName]bool{},
 	}
 }
@@ -134,7 +138,7 @@
 	callerContext, endWatch := e.session.watchCaller()
 	defer endWatch()
 	e.callerContext = callerContext
-	if refusal := e.admit(e.session.limitedCustomer()); refusal != nil {
+	if refusal := e.admit(); refusal != nil {
 		return *refusal
 	}
 	defer e.returnToken()
--- a/internal/traffic/session/limit.go
+++ b/internal/traffic/session/limit.go
@@ -85,8 +85,8 @@
 // admit takes a token of the customer's limit for the operation that the statement begins.
 // It returns the refusal if the limit is used up, and nil if the operation may run. The
 // proxy's own attempts and the later statements of a transaction take no further one.
-func (e *execution) admit(c *customer.Customer) *statement.Answer {
-	holder := e.session.manager.options.Quota
+func (e *execution) admit() *statement.Answer {
+	c, holder := e.customer, e.session.manager.options.Quota
 	if holder == nil || c == nil || !c.IsLimited() {
 		return nil
 	}
