Ledger: tokens that leave a proxy's holding left no room until then; tables

Cause: a table showed that a bucket was refilled, after a silent proxy's tokens had expired, for the time for which they had kept it full, and that returned tokens counted although the bucket had been full between.

--- a/internal/fleet/allowance/allowance.go
+++ b/internal/fleet/allowance/allowance.go
@@ -264,7 +264,7 @@
 	}
 	for name, h := range m.holdings {
 		if h.sequence != r.Sequence {
-			h.bucket.remove(h)
+			h.bucket.remove(h, recovering, now)
 			delete(m.holdings, name)
 		}
 	}
@@ -296,7 +296,7 @@
 			return
 		}
 		for _, h := range m.holdings {
-			h.bucket.remove(h)
+			h.bucket.remove(h, l.isRecovering(now), now)
 		}
 		delete(l.members, m.key)
 		l.order.Remove(front)
--- a/internal/fleet/allowance/bucket.go
+++ b/internal/fleet/allowance/bucket.go
@@ -20,7 +20,8 @@
 	holders       int
 	// advance and asked are the sums over all holdings.
 	advance, asked int
-	// isFull is true if the bucket was full when it was last refilled.
+	// isFull is true if the bucket was full when it was last refilled, and nothing was
+	// spent since.
 	isFull     bool
 	generation uint64
 	// nextDue is when the first token is due that no refused operation was told of.
@@ -77,8 +78,10 @@
 	b.level = min(b.level, max(0, b.capacity-float64(b.held)))
 }
 
-// remove forgets a holding. Its tokens count as spent.
-func (b *bucket) remove(h *holding) {
+// remove forgets a holding. Its tokens count as spent now, and left no room until now.
+func (b *bucket) remove(h *holding, recovering bool, now time.Time) {
+	b.refill(recovering, now)
+	b.isFull = b.isFull && h.held == 0
 	b.holders--
 	b.held -= h.held
 	b.carried -= h.carried
@@ -93,6 +96,7 @@
 		spent = int(min(r.Spent-h.spent, uint64(h.held)))
 	}
 	b.setHeld(h, h.held-spent)
+	b.isFull = b.isFull && spent == 0
 	h.spent = r.Spent
 	if r.Generation == b.generation {
 		b.level += max(0, min(float64(r.Returned), b.capacity-float64(b.held)-b.level))
