Declare customers: keys become digests, limits, priorities, weights

Cause: operators could declare groups and selectors, not customers. Change: a section 'customers' in the declarations, parsed, checked, diffed and exported. Keys are turned into digests by the parser; control refuses a text that holds keys. Problems and diffs never contain a key. apply.Wait is exported. The heartbeat sends the text as a whole, so a change of one customer costs all of it there.

--- a/internal/cli/apply/apply.go
+++ b/internal/cli/apply/apply.go
@@ -4,6 +4,8 @@
 // # Usage
 //
 //	cmd := apply.NewCmdApply(f)
+//
+//	err := apply.Wait(ctx, f, options.Client, version, 30*time.Second)
 package apply
 
 import (
@@ -37,8 +39,9 @@
 	return &command.Command{
 		Name:  "apply",
 		Short: "Put declarations from files in force",
-		Long: `Put declarations from files in force. The files must declare all groups and
-selectors: those that they don't declare are removed. A change builds on one
+		Long: `Put declarations from files in force. The files must declare all groups,
+selectors and customers: those that they don't declare are removed. Customers' keys
+are turned into digests before anything is sent. A change builds on one
 version. If another change to that version was accepted first, control refuses
 this one and names the other (exit code 4). If the response is lost, run the same
 command again: without --change-id, the change's identifier is a hash of its
@@ -110,6 +113,14 @@
 	return waitIfRequested(ctx, f, options, version)
 }
 
+// waitIfRequested waits, if --wait is set, until every live proxy has the version.
+func waitIfRequested(ctx context.Context, f *factory.Factory, options *applyOptions, version uint64) error {
+	if !options.Wait {
+		return nil
+	}
+	return Wait(ctx, f, options.Client, version, options.WaitTime)
+}
+
 func dryRun(f *factory.Factory, current declarations.Versioned, differences []declaration.Difference) error {
 	if err := declarations.WriteDiff(f.Streams.Out, differences); err != nil {
 		return err
@@ -118,8 +129,8 @@
 	return err
 }
 
-// confirmRemovals asks the operator to confirm if the change removes groups or
-// selectors.
+// confirmRemovals asks the operator to confirm if the change removes groups,
+// selectors or customers.
 func confirmRemovals(f *factory.Factory, options *applyOptions, differences []declaration.Difference) error {
 	removed := 0
 	for _, d := range differences {
@@ -130,5 +141,5 @@
 	if removed == 0 {
 		return nil
 	}
-	return f.Confirm(options.Confirmation, fmt.Sprintf("Remove %d groups or selectors that the files don't declare?", removed))
+	return f.Confirm(options.Confirmation, fmt.Sprintf("Remove %d groups, selectors or customers that the files don't declare?", removed))
 }
--- a/internal/cli/apply/wait.go
+++ b/internal/cli/apply/wait.go
@@ -11,6 +11,7 @@
 
 	"github.com/burdockwood/burdockwood/internal/cli/exit"
 	"github.com/burdockwood/burdockwood/internal/cli/factory"
+	"github.com/burdockwood/burdockwood/internal/config/settings"
 	"github.com/burdockwood/burdockwood/internal/model/pause"
 	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
 )
@@ -34,19 +35,15 @@
 	withoutContact []string
 }
 
-// waitIfRequested waits, if --wait is set, until every live proxy has the
-// version. When --wait-time ends, it returns an error with the code
-// exit.WaitTimeout.
-func waitIfRequested(ctx context.Context, f *factory.Factory, options *applyOptions, version uint64) error {
-	if !options.Wait {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, options.WaitTime)
+// Wait waits until every live proxy has the version, for at most limit. When that ends,
+// it returns an error with the code exit.WaitTimeout.
+func Wait(ctx context.Context, f *factory.Factory, client settings.Client, version uint64, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	start := f.Now()
 	lastLine := ""
 	for {
-		status, err := factory.FetchStatus(ctx, f, options.Client)
+		status, err := factory.FetchStatus(ctx, f, client)
 		if err != nil && ctx.Err() == nil {
 			return err
 		}
--- a/internal/config/declaration/check.go
+++ b/internal/config/declaration/check.go
@@ -18,6 +18,7 @@
 	p.checkGroups()
 	p.checkSelectors()
 	p.checkReachable()
+	p.checkCustomers()
 }
 
 func (p *parser) checkGroups() {
--- a/internal/config/declaration/declaration.go
+++ b/internal/config/declaration/declaration.go
@@ -1,6 +1,7 @@
 // Package declaration parses and validates what operators declare: labelled
-// groups of backend servers, and the selectors that decide which callers and
-// which kinds of requests may reach which groups.
+// groups of backend servers, the selectors that decide which callers and
+// which kinds of requests may reach which groups, and customers with their keys
+// and limits.
 //
 // # Usage
 //
@@ -27,6 +28,15 @@
 //	    tenant: payroll
 //	    weight: 4
 //	    deadline: 2s
+//	customers:
+//	  - name: harbour-hotel
+//	    keys: [2rrytapjsujqurtyiikd]
+//	    limit: {rate: 200, burst: 400}
+//	    priority: 1
+//	    weight: 2
+//
+// Keys are turned into digests at once: neither the declarations nor a problem
+// contain one, and Marshal writes key-digests, which Parse accepts in their place.
 //
 // Of the selectors that match a request, the one with the highest priority
 // applies; of several with that priority, the first by name. An empty condition
@@ -64,13 +74,15 @@
 	// Kind is the kind of a request.
 	Kind string
 
-	// Declarations holds the groups and selectors of one version.
+	// Declarations holds the groups, selectors and customers of one version.
 	Declarations struct {
 		Format    string     `yaml:"format"`
 		Groups    []Group    `yaml:"groups"`
 		Selectors []Selector `yaml:"selectors"`
+		Customers Customers  `yaml:"customers,omitempty"`
 
-		index *Index
+		index        *Index
+		hasPlainKeys bool
 	}
 
 	// Group declares a group of backend servers.
--- a/internal/config/declaration/declaration_test.go
+++ b/internal/config/declaration/declaration_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/burdockwood/burdockwood/internal/config/declaration"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 )
 
 const validDeclarations = `format: burdockwood-1
@@ -37,6 +38,17 @@
     max-age: 500ms
 `
 
+const validCustomers = `format: burdockwood-1
+customers:
+  - name: harbour-hotel
+    keys: [2rrytapjsujqurtyiikd, "20241204"]
+    limit: {rate: 200, burst: 400}
+    priority: 1
+    weight: 2
+  - name: quarry
+    key-digests: [AAECAwQFBgcICQoLDA0ODw]
+`
+
 func TestParseValidDeclarations(t *testing.T) {
 	declarations, problems := declaration.Parse(validDeclarations)
 	if len(problems) > 0 {
@@ -192,6 +204,8 @@
 	for _, seed := range []string{validDeclarations, "", "a: &x [*x]", "format: [", "? [a]\n: b", "groups: [{name: a, <<: {b: c}}]", "---\n---\n", "selectors: [{callers: {addresses: [::ffff:1.2.3.4/96]}}]", "#"} {
 		f.Add(seed)
 	}
+	f.Add(validCustomers)
+	f.Add("customers: [{name: a, keys: [secretsecret, *x], limit: {rate: 1.5}}]")
 	f.Fuzz(func(t *testing.T, text string) {
 		declarations, problems := declaration.Parse(text)
 		if len(problems) > 0 {
@@ -204,6 +218,9 @@
 		if _, problems := declaration.Parse(marshalled); len(problems) > 0 {
 			t.Errorf("marshalled declarations: got problems %v, want none, text:\n%s", problems, marshalled)
 		}
+		if _, err := customer.New(declarations.Customers); err != nil {
+			t.Errorf("customers: got %v, want none refused", err)
+		}
 	})
 }
 
--- a/internal/config/declaration/diff.go
+++ b/internal/config/declaration/diff.go
@@ -5,6 +5,8 @@
 	"strings"
 
 	"go.yaml.in/yaml/v3"
+
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 )
 
 const (
@@ -15,31 +17,37 @@
 
 	itemGroup    = "group"
 	itemSelector = "selector"
+	itemCustomer = "customer"
 )
 
 type (
-	// Action is what happened to a group or selector from one version of the
+	// Action is what happened to a group, selector or customer from one version of the
 	// declarations to another.
 	Action string
 
-	// Difference is a group or selector that differs between two versions of
+	// Difference is a group, selector or customer that differs between two versions of
 	// the declarations.
 	Difference struct {
-		// Item is "group" or "selector".
+		// Item is "group", "selector" or "customer".
 		Item   string
 		Name   string
 		Action Action
 		// Lines are the item's YAML lines in diff format, each prefixed with
-		// "+", "-" or " ".
+		// "+", "-" or " ". Of a customer, they name the keys that were added or
+		// removed by short digests.
 		Lines []string
 	}
 
-	// item is a group or selector with its YAML text. With an empty text it
-	// identifies the item, as a map key.
+	// item is a group, selector or customer with its YAML text.
 	item struct {
+		itemID
+		text     string
+		customer *customer.Customer
+	}
+
+	itemID struct {
 		kind string
 		name string
-		text string
 	}
 )
 
@@ -47,43 +55,54 @@
 // order of next, then the removed items.
 func (d *Declarations) Diff(next *Declarations) []Difference {
 	var differences []Difference
-	old := make(map[item]string)
+	old := make(map[itemID]item)
 	for _, i := range d.items() {
-		old[item{kind: i.kind, name: i.name}] = i.text
+		old[i.itemID] = i
 	}
 	for _, i := range next.items() {
-		id := item{kind: i.kind, name: i.name}
-		before, existed := old[id]
-		delete(old, id)
-		if existed && before == i.text {
+		before, existed := old[i.itemID]
+		delete(old, i.itemID)
+		if existed && before.text == i.text {
 			continue
 		}
 		action := Added
 		if existed {
 			action = Changed
 		}
-		differences = append(differences, Difference{Item: i.kind, Name: i.name, Action: action, Lines: diffLines(before, i.text)})
+		differences = append(differences, Difference{Item: i.kind, Name: i.name, Action: action, Lines: itemLines(before, i)})
 	}
 	for _, i := range d.items() {
-		if _, isRemoved := old[item{kind: i.kind, name: i.name}]; isRemoved {
-			differences = append(differences, Difference{Item: i.kind, Name: i.name, Action: Removed, Lines: diffLines(i.text, "")})
+		if _, isRemoved := old[i.itemID]; isRemoved {
+			differences = append(differences, Difference{Item: i.kind, Name: i.name, Action: Removed, Lines: itemLines(i, item{})})
 		}
 	}
 	return differences
 }
 
+// itemLines returns the lines of a difference; either item may be empty.
+func itemLines(before, after item) []string {
+	if before.customer != nil || after.customer != nil {
+		return customerLines(before.customer, after.customer)
+	}
+	return diffLines(before.text, after.text)
+}
+
 func (d *Declarations) items() []item {
 	var items []item
 	for _, g := range d.Groups {
-		items = append(items, item{kind: itemGroup, name: string(g.Name), text: yamlText(g)})
+		items = append(items, item{itemID: itemID{kind: itemGroup, name: string(g.Name)}, text: yamlText(g)})
 	}
 	for _, s := range d.Selectors {
-		items = append(items, item{kind: itemSelector, name: s.Name, text: yamlText(s)})
+		items = append(items, item{itemID: itemID{kind: itemSelector, name: s.Name}, text: yamlText(s)})
+	}
+	for i := range d.Customers {
+		c := &d.Customers[i]
+		items = append(items, item{itemID: itemID{kind: itemCustomer, name: string(c.Name)}, text: yamlText(newCustomerYAML(*c)), customer: c})
 	}
 	return items
 }
 
-// yamlText returns the YAML of a group or selector. Marshalling these types can't
+// yamlText returns the YAML of a group, selector or customer. Marshalling these types can't
 // fail.
 func yamlText(value any) string {
 	text, err := yaml.Marshal(value)
--- a/internal/config/declaration/examples_test.go
+++ b/internal/config/declaration/examples_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/burdockwood/burdockwood/internal/config/declaration"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 )
 
 func TestExampleDeclarations(t *testing.T) {
@@ -45,3 +46,14 @@
 		})
 	}
 }
+
+func TestExampleCustomers(t *testing.T) {
+	declarations, problems := declaration.ParseDir(os.DirFS("../../../examples/customers"))
+	if len(problems) > 0 {
+		t.Fatalf("problems: got %v, want none", problems)
+	}
+	got, ok := declarations.Customer("harbour-hotel")
+	if !ok || len(got.Keys) != 2 || got.Keys[0] != customer.DigestOf("harbour-hotel-example-key-1") {
+		t.Errorf("got %+v, want harbour-hotel with the digests of two keys", got)
+	}
+}
--- a/internal/config/declaration/parse.go
+++ b/internal/config/declaration/parse.go
@@ -36,6 +36,9 @@
 var (
 	namePattern      = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]{0,61}[A-Za-z0-9])?$`)
 	yamlErrorPattern = regexp.MustCompile(`^yaml: (?:line (\d+): )?(.*)$`)
+	// anchorPattern matches what the YAML library quotes from the text, which may be
+	// a key.
+	anchorPattern = regexp.MustCompile(`anchor '[^']*'`)
 )
 
 type (
@@ -43,14 +46,17 @@
 	parser struct {
 		decoder
 		declarations Declarations
-		// groupPositions and selectorPositions are parallel to the groups and
-		// selectors of declarations.
+		// groupPositions, selectorPositions and customerPositions are parallel to
+		// the groups, selectors and customers of declarations.
 		groupPositions    []position
 		selectorPositions []position
-		totalBytes        int
+		customerPositions []position
+		// keyPositions holds the keys of all customers.
+		keyPositions []keyPosition
+		totalBytes   int
 	}
 
-	// position is where a group or selector stands in the files.
+	// position is where a group, selector or customer stands in the files.
 	position struct {
 		file  string
 		path  string
@@ -150,10 +156,10 @@
 }
 
 func (p *parser) addSyntaxProblem(err error) {
-	problem := Problem{File: p.file, Text: err.Error(), Fix: "mend the YAML syntax"}
+	problem := Problem{File: p.file, Text: "not YAML", Fix: "mend the YAML syntax"}
 	if parts := yamlErrorPattern.FindStringSubmatch(err.Error()); parts != nil {
 		problem.Line, _ = strconv.Atoi(parts[1])
-		problem.Text = "not YAML: " + parts[2]
+		problem.Text = "not YAML: " + anchorPattern.ReplaceAllString(parts[2], "anchor")
 	}
 	p.problems = append(p.problems, problem)
 }
@@ -164,6 +170,7 @@
 		{"format", func(path string, n *yaml.Node) { format = p.parseFormat(path, n) }},
 		{"groups", func(path string, n *yaml.Node) { p.decodeSequence(path, n, p.parseGroup) }},
 		{"selectors", func(path string, n *yaml.Node) { p.decodeSequence(path, n, p.parseSelector) }},
+		{"customers", func(path string, n *yaml.Node) { p.decodeSequence(path, n, p.parseCustomer) }},
 	})
 	if _, ok := found["format"]; !ok && node.Kind == yaml.MappingNode {
 		p.addProblem(node, "format", "is missing", "write format: "+Format)
--- a/internal/control/daemon/declarations.go
+++ b/internal/control/daemon/declarations.go
@@ -23,7 +23,10 @@
 // checkDeclarations returns why a text can't be accepted as declarations, or
 // nil if it can.
 func checkDeclarations(text string) error {
-	_, problems := declaration.Parse(text)
+	parsed, problems := declaration.Parse(text)
+	if len(problems) == 0 && parsed.HasPlainKeys() {
+		return eris.Wrap(errDeclarations, "they hold customers' keys: send their digests, as burdockwood apply does")
+	}
 	if len(problems) == 0 {
 		return nil
 	}
