--- a/internal/cli/explain/explain.go
+++ b/internal/cli/explain/explain.go
@@ -37,7 +37,7 @@
 // explainOptions are the flags of the command.
 type explainOptions struct {
 	output.Options
-	Summary bool          `long:"summary" description:"count what was late or not done, by time, group, database, outcome and cause, instead of one request"`
+	Summary bool          `long:"summary" description:"count what was late or not done, by time, group, database, outcome, cause and customer, instead of one request"`
 	Window  time.Duration `long:"window" value-name:"DURATION" default:"2s" description:"length of the windows that --summary counts in"`
 	Logs    []string      `long:"log" value-name:"FILE" description:"log of a process; may be repeated; without any, standard input is read"`
 }
@@ -60,6 +60,7 @@
 	{Name: "count", Value: func(l trace.Loss) any { return l.Count }},
 	{Name: "waited-ms", Value: func(l trace.Loss) any { return l.Waited.Milliseconds() }},
 	{Name: "total-ms", Value: func(l trace.Loss) any { return l.Total.Milliseconds() }},
+	{Name: "customer", Value: func(l trace.Loss) any { return l.Customer }},
 }
 
 // NewCmdExplain returns the command "explain".
@@ -74,11 +75,14 @@
 
 In the column "mark", "=" is a line that names the request, and "*" the line that
 decided its outcome. Only requests that failed or were late are logged: a request
-that succeeded in time leaves no line.
+that succeeded in time leaves no line. Of a request that was refused for its customer's
+sake, a line in the end says why: an unknown or a withdrawn key, a limit, or the
+customer's own work before it.
 
 With --summary, count the statements that were late or not done instead, of all
-requests: when, on which group and database, how they ended and for which cause, and
-for how long they waited in their proxy. A caller that comes back is counted again.`,
+requests: when, on which group and database, how they ended and for which cause, for how
+long they waited in their proxy, and of which customer they were. Customers past the 64
+with the most losses are counted as "other". A caller that comes back is counted again.`,
 		Example: `burdockwood explain 5c0e7a21d94b36f8 --log proxy-1.log --log control-1.log
 cat *.log | burdockwood explain 5c0e7a21d94b36f8 --json time,process,message,details
 cat *.log | burdockwood explain --summary --window 10s`,
@@ -177,5 +181,8 @@
 	if t.Reason != "" {
 		text += ": " + t.Reason
 	}
+	if t.Refusal != "" {
+		text += "\nwhy: " + t.Refusal
+	}
 	return text
 }
--- a/internal/ops/trace/summary.go
+++ b/internal/ops/trace/summary.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -15,6 +16,11 @@
 	messageLate    = "statement late"
 	outcomeLate    = "late"
 	causeUnknown   = "unknown"
+
+	// maxCustomers is the number of customers that are counted on their own: those
+	// with the most losses. The others are counted together under otherCustomer.
+	maxCustomers  = 64
+	otherCustomer = "other"
 )
 
 type (
@@ -33,7 +39,9 @@
 		Outcome string
 		// Cause is what the last attempt failed for.
 		Cause string
-		Count int
+		// Customer is the customer of the statements; empty: none.
+		Customer string
+		Count    int
 		// Waited is the time that the statements waited in their proxies, Total the
 		// time until they were answered.
 		Waited, Total time.Duration
@@ -41,15 +49,20 @@
 )
 
 // Summarize counts the statements that were late or not done, by window, group, database,
-// outcome and cause, in the order of time, the most frequent of a window first. A caller
-// that comes back is counted again.
+// outcome, cause and customer, in the order of time, the most frequent of a window first.
+// A caller that comes back is counted again. Customers past those with the most losses are
+// counted as "other".
 func Summarize(lines []Line, window time.Duration) []Loss {
 	losses := map[Loss]*Loss{} // by what Loss counts, without the sums
+	counted := countedCustomers(lines)
 	for _, line := range lines {
 		key, counts := newLoss(line, window)
 		if !counts {
 			continue
 		}
+		if key.Customer != "" && !counted[key.Customer] {
+			key.Customer = otherCustomer
+		}
 		loss := losses[key]
 		if loss == nil {
 			loss = &key
@@ -65,17 +78,36 @@
 	}
 	slices.SortFunc(list, func(a, b Loss) int {
 		return cmp.Or(a.Window.Compare(b.Window), cmp.Compare(b.Count, a.Count), cmp.Compare(a.Group, b.Group),
-			cmp.Compare(a.Database, b.Database), cmp.Compare(a.Outcome, b.Outcome), cmp.Compare(a.Cause, b.Cause))
+			cmp.Compare(a.Database, b.Database), cmp.Compare(a.Outcome, b.Outcome), cmp.Compare(a.Cause, b.Cause), cmp.Compare(a.Customer, b.Customer))
 	})
 	return list
 }
 
+// countedCustomers returns the customers with the most losses.
+func countedCustomers(lines []Line) map[string]bool {
+	losses := map[string]int{}
+	for _, line := range lines {
+		if loss, counts := newLoss(line, time.Hour); counts && loss.Customer != "" {
+			losses[loss.Customer]++
+		}
+	}
+	names := slices.SortedFunc(maps.Keys(losses), func(a, b string) int {
+		return cmp.Or(cmp.Compare(losses[b], losses[a]), cmp.Compare(a, b))
+	})
+	counted := map[string]bool{}
+	for _, name := range names[:min(len(names), maxCustomers)] {
+		counted[name] = true
+	}
+	return counted
+}
+
 // newLoss returns what a line's statement is counted under, without counting it, and
 // false if the line isn't about a statement that was late or not done.
 func newLoss(line Line, window time.Duration) (Loss, bool) {
 	loss := Loss{
 		Window: line.Time.Truncate(window), Group: stringField(line.Fields, keyGroup), Database: stringField(line.Fields, keyDatabase),
 		Outcome: stringField(line.Fields, keyOutcome), Cause: cmp.Or(stringField(line.Fields, keyCause), causeUnknown),
+		Customer: stringField(line.Fields, keyCustomer),
 	}
 	loss.Primary, _ = line.Fields[keyPrimary].(bool)
 	switch line.Message {
--- a/internal/ops/trace/trace.go
+++ b/internal/ops/trace/trace.go
@@ -94,7 +94,12 @@
 		Group     string
 		Outcome   string
 		Reason    string
-		Entries   []Entry
+		// Customer is the customer of the request; empty: none.
+		Customer string
+		// Refusal says in words why a customer's request was refused; empty if it
+		// wasn't for its customer's key, limit or other work.
+		Refusal string
+		Entries []Entry
 	}
 )
 
@@ -164,6 +169,7 @@
 	}
 	timeline.Process, timeline.Database = last.Process, stringField(last.Fields, keyDatabase)
 	timeline.Group, timeline.Outcome, timeline.Reason = stringField(last.Fields, keyGroup), stringField(last.Fields, keyOutcome), stringField(last.Fields, keyReason)
+	timeline.Customer, timeline.Refusal = stringField(last.Fields, keyCustomer), explainRefusal(last, lines)
 	timeline.collect(lines, requestStart(first), last)
 	return timeline, nil
 }
--- a/internal/ops/trace/trace_test.go
+++ b/internal/ops/trace/trace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -75,3 +76,52 @@
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 }
+
+func TestExplainRefusals(t *testing.T) {
+	const logs = `
+{"time":"2026-04-03T22:35:29Z","msg":"key withdrawn","process":"proxy-2","customer":"quarry","key-digest":"AAECAwQF","version":7}
+{"time":"2026-04-03T22:35:30Z","msg":"statement not done","process":"proxy-1","request-id":"limit","group":"g","outcome":"busy","cause":"limit","customer":"hotel","rate":200,"burst":400,"over-by":12,"retry-after-ms":60}
+{"time":"2026-04-03T22:35:30Z","msg":"statement not done","process":"proxy-1","request-id":"key","group":"g","outcome":"unknown-key","cause":"unknown-key","key-digest":"BBBBBBBB","version":8}
+{"time":"2026-04-03T22:35:30Z","msg":"statement not done","process":"proxy-1","request-id":"withdrawn","group":"g","outcome":"unknown-key","cause":"unknown-key","key-digest":"AAECAwQF","version":8}
+{"time":"2026-04-03T22:35:30Z","msg":"statement not done","process":"proxy-1","request-id":"open-session","group":"g","outcome":"unknown-key","cause":"unknown-key","customer":"hotel","withdrawn-in":9,"version":9}
+{"time":"2026-04-03T22:35:30Z","msg":"statement not done","process":"proxy-1","request-id":"right","group":"g","outcome":"busy","cause":"key-right","right-ended-ms-ago":300}
+{"time":"2026-04-03T22:35:30Z","msg":"statement not done","process":"proxy-1","request-id":"own","group":"g","outcome":"busy","cause":"own-work","customer":"hotel","own-waiting":90}
+{"time":"2026-04-03T22:35:30Z","msg":"statement not done","process":"proxy-1","request-id":"queue","group":"g","outcome":"busy","cause":"queue","customer":"hotel"}
+`
+	lines, err := Read(strings.NewReader(logs))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct{ request, want string }{
+		{"limit", "customer hotel is over its limit of 200 a second and bursts of 400, by 12 operations; the next one may come after 60 ms"},
+		{"key", "no customer holds the caller's key in configuration version 8, which was in force at proxy-1"},
+		{"withdrawn", "the key was withdrawn from customer quarry in configuration version 7: no customer holds it in configuration version 8, which was in force at proxy-1"},
+		{"open-session", "the key was withdrawn from customer hotel in configuration version 9: no customer holds it in configuration version 9, which was in force at proxy-1"},
+		{"right", "the proxy couldn't confirm that its keys are in force: its right to use them ended 300 ms before; nothing ran, another proxy may answer"},
+		{"own", "it waited behind other work of customer hotel, of which 90 statements were waiting"},
+		{"queue", ""},
+	}
+	for _, test := range tests {
+		timeline, err := Explain(test.request, lines)
+		if err != nil || timeline.Refusal != test.want {
+			t.Errorf("%s: got %q, %v, want %q", test.request, timeline.Refusal, err, test.want)
+		}
+	}
+}
+
+func TestSummarizeBoundsCustomers(t *testing.T) {
+	var lines []Line
+	add := func(name string, count int) {
+		for range count {
+			lines = append(lines, Line{Time: time.Unix(1000, 0), Message: messageNotDone, Fields: map[string]any{keyCustomer: name, keyCause: causeLimit}})
+		}
+	}
+	for i := range 2 * maxCustomers {
+		add(fmt.Sprintf("small-%03d", i), 1)
+	}
+	add("large", 500)
+	got := Summarize(lines, time.Second)
+	if len(got) != maxCustomers+1 || got[0].Customer != "large" || got[0].Count != 500 || got[1].Customer != otherCustomer || got[1].Count != maxCustomers+1 {
+		t.Errorf("got %d losses, the first two %+v, want %d, of large and of all others together", len(got), got[:2], maxCustomers+1)
+	}
+}
