--- a/internal/cli/doctor/check_test.go
+++ b/internal/cli/doctor/check_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/burdockwood/burdockwood/internal/config/declaration"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
+	"github.com/burdockwood/burdockwood/internal/ops/metrics"
 	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
 )
 
@@ -79,3 +81,32 @@
 		}
 	}
 }
+
+func TestCheckCustomers(t *testing.T) {
+	declared := &declaration.Declarations{}
+	for _, name := range []customer.Name{"hotel", "quarry", "idle"} {
+		declared.Customers = append(declared.Customers, customer.Customer{Name: name, Keys: []customer.Digest{customer.DigestOf(string(name))}})
+	}
+	counts := map[string]map[string]int64{
+		"hotel":  {metrics.OutcomeAdmitted: 900, metrics.OutcomeRefusedLimit: 80, metrics.OutcomeRefusedRight: 20},
+		"quarry": {metrics.OutcomeAdmitted: 960, metrics.OutcomeRefusedLimit: 40},
+		"":       {metrics.OutcomeRefusedKey: 200},
+		"small":  {metrics.OutcomeRefusedLimit: 9},
+	}
+	var got []string
+	for _, f := range append(checkRefusals(counts), checkUnusedKeys(declared, counts)...) {
+		got = append(got, f.level+" "+f.check+" "+f.text)
+	}
+	want := []string{
+		"warning unknown keys 200 of 200 operations were refused, most for key",
+		"warning customer hotel 100 of 1000 operations were refused, most for limit",
+		"warning keys nobody has used the keys of idle since these proxies started",
+	}
+	if strings.Join(got, "\n") != strings.Join(want, "\n") {
+		t.Errorf("got:\n%s\nwant:\n%s", strings.Join(got, "\n"), strings.Join(want, "\n"))
+	}
+	counts[metrics.OtherTenant] = map[string]int64{metrics.OutcomeAdmitted: 1}
+	if got := checkUnusedKeys(declared, counts); len(got) > 0 {
+		t.Errorf("while customers are counted together: got %v, want no finding", got)
+	}
+}
--- a/internal/cli/doctor/doctor.go
+++ b/internal/cli/doctor/doctor.go
@@ -22,6 +22,7 @@
 	"github.com/burdockwood/burdockwood/internal/cli/exit"
 	"github.com/burdockwood/burdockwood/internal/cli/factory"
 	"github.com/burdockwood/burdockwood/internal/cli/output"
+	"github.com/burdockwood/burdockwood/internal/cli/scrape"
 	"github.com/burdockwood/burdockwood/internal/config/settings"
 	"github.com/burdockwood/burdockwood/internal/rpc/transport"
 )
@@ -49,7 +50,8 @@
 
 	doctorOptions struct {
 		output.Options
-		Data string `long:"data" value-name:"DIR" description:"check this data folder of a control node too"`
+		Admins []string `long:"admin" value-name:"IP:PORT" description:"admin address of a proxy, to check the refusals and keys of customers too; may be repeated"`
+		Data   string   `long:"data" value-name:"DIR" description:"check this data folder of a control node too"`
 		settings.Client
 	}
 )
@@ -70,8 +72,10 @@
 		Long: `Check the system for problems and suggest fixes. The checks cover the
 reachability and clocks of the control nodes, their number, the versions on
 proxies, groups without enough servers, the sums of connections to each server,
-and disk space. The exit code is 1 if a check found an error.`,
+disk space and, with --admin, customers of which many operations are refused or
+whose keys nobody uses. The exit code is 1 if a check found an error.`,
 		Example: `burdockwood doctor
+burdockwood doctor --admin 10.0.0.5:9100 --admin 10.0.0.6:9100
 burdockwood doctor --data /var/lib/burdockwood --json level,check,text,fix`,
 		Options: options,
 		Run: func(ctx context.Context, _ command.Invocation) error {
@@ -80,9 +84,14 @@
 	}
 }
 
+// Check returns all problems of the flags.
+func (o *doctorOptions) Check() settings.Problems {
+	return append(o.Client.Check(), scrape.CheckAddresses(o.Admins)...)
+}
+
 func doctorRun(ctx context.Context, f *factory.Factory, options *doctorOptions) error {
 	findings := probeNodes(ctx, f, options.Client)
-	findings = append(findings, checkSystem(ctx, f, options.Client)...)
+	findings = append(findings, checkSystem(ctx, f, options)...)
 	if options.Data != "" {
 		findings = append(findings, checkDisk(options.Data)...)
 	}
@@ -101,17 +110,19 @@
 	return nil
 }
 
-// checkSystem checks the status and the declarations of the leading control node.
-func checkSystem(ctx context.Context, f *factory.Factory, options settings.Client) []finding {
-	status, err := factory.FetchStatus(ctx, f, options)
+// checkSystem checks the status and the declarations of the leading control node, and the
+// customers' operations at the proxies whose admin addresses are given.
+func checkSystem(ctx context.Context, f *factory.Factory, options *doctorOptions) []finding {
+	status, err := factory.FetchStatus(ctx, f, options.Client)
 	if err != nil {
 		return []finding{{level: levelError, check: "leader", text: err.Error(), fix: "start the control nodes so that a majority runs"}}
 	}
-	current, err := declarations.Fetch(ctx, f, options, 0)
+	current, err := declarations.Fetch(ctx, f, options.Client, 0)
 	if err != nil {
 		return []finding{{level: levelError, check: "declarations", text: err.Error()}}
 	}
-	return checkStatus(status, current.Declarations)
+	findings := checkStatus(status, current.Declarations)
+	return append(findings, checkCustomers(ctx, options.Admins, current.Declarations)...)
 }
 
 func probeNodes(ctx context.Context, f *factory.Factory, options settings.Client) []finding {
--- a/internal/config/declaration/diff.go
+++ b/internal/config/declaration/diff.go
@@ -1,6 +1,7 @@
 package declaration
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 
@@ -38,7 +39,8 @@
 		Lines []string
 	}
 
-	// item is a group, selector or customer with its YAML text.
+	// item is a group, selector or customer with a text that tells whether it changed:
+	// its YAML or, for a customer, all its fields.
 	item struct {
 		itemID
 		text     string
@@ -97,7 +99,7 @@
 	}
 	for i := range d.Customers {
 		c := &d.Customers[i]
-		items = append(items, item{itemID: itemID{kind: itemCustomer, name: string(c.Name)}, text: yamlText(newCustomerYAML(*c)), customer: c})
+		items = append(items, item{itemID: itemID{kind: itemCustomer, name: string(c.Name)}, text: fmt.Sprint(*c), customer: c})
 	}
 	return items
 }
