--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -74,7 +74,7 @@
 // NotPermittedError, and those of backend.Conn.
 func (c *Conn) Do(request statement.Request, deadline time.Time) (statement.Answer, error) {
 	if c.unpooled {
-		return c.raw.Do(request, deadline)
+		return c.sendIfPermitted(request, deadline)
 	}
 	pool := c.pool
 	if request.Customer != c.customer && !c.forwardsStatements && !isControl(request.Verb) {
