Coordinator: one scheduler for all groups, batched changes of primaries, paced revisions

Change: servers indexed by group; a scheduler looks at groups with events and at a fifth of the others a tick; changes of primaries that are due at once share an entry; a series of changes shares revisions; servers that left are in the replicated state; draining and Leave are answered once saved.

--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -8,7 +8,7 @@
 //	c, err := coordinator.New(coordinator.Options{Name: name, ConsensusLog: node, ...})
 //	go c.Run(ctx) // active while this control node leads
 //	grant, err := c.Renew(ctx, renewal)
-//	err = c.Announce(server, false)
+//	err = c.Announce(ctx, server, false)
 //
 // The methods that serve requests return ErrNotLeader on a control node that
 // doesn't lead. The leader keeps in memory what proxies and servers report
@@ -169,11 +169,21 @@
 		observations map[cluster.ServerName]map[cluster.ProxyName]failover.Observation
 		probes       map[cluster.GroupName]failover.ProbeResult
 		settledTerms map[cluster.GroupName]settledTerm
-		// unsavedServers are the servers whose changes aren't in the
-		// replicated state yet.
-		unsavedServers map[cluster.ServerName]struct{}
+		// unsaved are the servers whose changes aren't in the replicated state
+		// yet.
+		unsaved unsavedServers
+		// dirty are the groups that the scheduler has to look at.
+		dirty map[cluster.GroupName]struct{}
+		// releasing are the groups whose change of primary waits for proxies
+		// to release the old term, that is, to report that they no longer use
+		// its primary.
+		releasing map[cluster.GroupName]struct{}
+		// writer commits changes of primaries.
+		writer *primaryWriter
 		// revision increases with each change that is sent to the proxies.
-		revision uint64
+		// revisions decides when.
+		revision  uint64
+		revisions revisionPacer
 		// leaseCount is the number of valid leases that the proxies were last
 		// notified of.
 		leaseCount int
@@ -195,7 +205,8 @@
 		view *state.State
 		// revised wakes waiting renewals at a new revision.
 		revised broadcast.Signal
-		// changed wakes group controllers and saveServers.
+		// changed wakes the scheduler, group controllers that wait for a
+		// promotion, and saveServers.
 		changed broadcast.Signal
 		// ended is closed when this node loses the leadership.
 		ended chan struct{}
@@ -257,21 +268,28 @@
 	proxies := slices.Sorted(maps.Keys(view.Proxies))
 	l := &leadership{
 		epoch: epoch, startedAt: now, registry: registry.New(),
-		leases:         leases.New(proxies, now, c.options.LeaseDuration),
-		observations:   map[cluster.ServerName]map[cluster.ProxyName]failover.Observation{},
-		probes:         map[cluster.GroupName]failover.ProbeResult{},
-		settledTerms:   map[cluster.GroupName]settledTerm{},
-		unsavedServers: map[cluster.ServerName]struct{}{},
-		peers:          map[cluster.ProxyName]Peer{},
-		changedPeers:   map[cluster.ProxyName]struct{}{},
-		serverLog:      changelog.New[cluster.ServerName](maxRemembered),
-		peerLog:        changelog.New[cluster.ProxyName](maxRemembered),
-		primaryLog:     changelog.New[cluster.GroupName](maxRemembered),
-		samples:        samples.New(),
-		view:           view,
-		ended:          make(chan struct{}),
-	}
-	l.restoreServers(view.Servers, now)
+		leases:       leases.New(proxies, now, c.options.LeaseDuration),
+		observations: map[cluster.ServerName]map[cluster.ProxyName]failover.Observation{},
+		probes:       map[cluster.GroupName]failover.ProbeResult{},
+		settledTerms: map[cluster.GroupName]settledTerm{},
+		unsaved:      newUnsavedServers(),
+		dirty:        map[cluster.GroupName]struct{}{},
+		releasing:    map[cluster.GroupName]struct{}{},
+		writer:       newPrimaryWriter(),
+		revisions:    newRevisionPacer(),
+		peers:        map[cluster.ProxyName]Peer{},
+		changedPeers: map[cluster.ProxyName]struct{}{},
+		serverLog:    changelog.New[cluster.ServerName](maxRemembered),
+		peerLog:      changelog.New[cluster.ProxyName](maxRemembered),
+		primaryLog:   changelog.New[cluster.GroupName](maxRemembered),
+		samples:      samples.New(),
+		view:         view,
+		ended:        make(chan struct{}),
+	}
+	l.restoreServers(view, now)
+	for group, p := range view.Primaries {
+		l.notePhase(group, p)
+	}
 	c.mu.Lock()
 	c.current = l
 	c.mu.Unlock()
@@ -288,7 +306,8 @@
 	})
 	group.Go(func() error { return c.watchState(groupCtx, l) })
 	group.Go(func() error { return c.saveServers(groupCtx, l) })
-	group.Go(func() error { return c.runGroups(groupCtx, l, group) })
+	group.Go(func() error { return c.writePrimaries(groupCtx, l) })
+	group.Go(func() error { return c.scheduleGroups(groupCtx, l, group) })
 	if err := group.Wait(); err != nil && ctx.Err() == nil {
 		c.options.Logger.Error(err, "leadership ended with an error", "epoch", epoch)
 	}
@@ -307,15 +326,21 @@
 func (c *Coordinator) watchState(ctx context.Context, l *leadership) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	publish := time.NewTimer(0)
+	defer publish.Stop()
 	for {
 		changed := c.options.Machine.Changed()
 		c.mu.Lock()
-		l.applyView(c.options.Machine.View())
+		l.applyView(c.options.Machine.View(), c.options.Now())
 		c.mu.Unlock()
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-changed:
+		case <-l.revisions.due:
+			publish.Reset(c.untilNextRevision(l))
+		case <-publish.C:
+			c.publishRevision(l)
 		case <-ticker.C:
 			c.removeExpired(ctx, l)
 		}
@@ -325,24 +350,53 @@
 // applyView starts a new revision if the document or a primary differs from that of
 // the last view. Servers are sent as they are announced, and of the proxies only
 // those with leases are sent, so their changes in the replicated state aren't.
-func (l *leadership) applyView(next *state.State) {
+func (l *leadership) applyView(next *state.State, now time.Time) {
+	if next == l.view {
+		return
+	}
 	var changed []cluster.GroupName
 	for group, p := range next.Primaries {
 		if l.view.Primaries[group] != p {
 			changed = append(changed, group)
+			l.notePhase(group, p)
 		}
 	}
+	// A group that isn't declared becomes known by a document.
+	if next.Document.Version != l.view.Document.Version {
+		l.markAllDirty()
+	}
 	if len(changed) > 0 || next.Document.Version != l.view.Document.Version {
-		l.advanceRevision()
+		revision := l.advanceRevision(now)
 		for _, group := range changed {
-			l.primaryLog.Put(group, l.revision)
+			l.primaryLog.Put(group, revision)
 		}
-	} else if next != l.view {
+	} else {
 		l.changed.Notify()
 	}
 	l.view = next
 }
 
+// notePhase records whether the change of a group's primary waits for proxies, and has
+// the scheduler look at the group.
+func (l *leadership) notePhase(group cluster.GroupName, p state.GroupPrimary) {
+	l.dirty[group] = struct{}{}
+	if p.Phase == state.Releasing {
+		l.releasing[group] = struct{}{}
+	} else {
+		delete(l.releasing, group)
+	}
+}
+
+// markAllDirty has the scheduler look at all groups.
+func (l *leadership) markAllDirty() {
+	for _, group := range l.registry.Groups() {
+		l.dirty[group] = struct{}{}
+	}
+	for group := range l.view.Primaries {
+		l.dirty[group] = struct{}{}
+	}
+}
+
 // removeExpired removes servers without a recent announcement and proxies whose
 // lease expired long ago. It notifies the proxies of what has changed.
 func (c *Coordinator) removeExpired(ctx context.Context, l *leadership) {
@@ -350,8 +404,12 @@
 	c.mu.Lock()
 	expired := l.registry.Expire(announcementTimeout, now)
 	for _, name := range expired {
-		l.unsavedServers[name] = struct{}{}
+		l.unsaved.add(name)
+	}
+	if len(expired) > 0 {
+		l.markAllDirty()
 	}
+	l.forgetDeparted()
 	for name := range l.peers {
 		if !l.leases.HasLease(name, now) {
 			delete(l.peers, name)
@@ -361,17 +419,19 @@
 	endsDiscovery := !l.discovered && l.discoveryDone(now)
 	if leaseCount := l.leases.Count(now); leaseCount != l.leaseCount || len(expired) > 0 || len(l.changedPeers) > 0 || endsDiscovery {
 		l.leaseCount = leaseCount
-		l.advanceRevision()
-		l.recordPeerChanges()
+		revision := l.advanceRevision(now)
+		l.recordPeerChanges(revision)
 		for _, name := range expired {
-			l.serverLog.Remove(name, l.revision)
+			l.serverLog.Remove(name, revision)
+		}
+		if endsDiscovery {
+			// Proxies have kept servers and peers that weren't listed; the
+			// whole lists tell them which of those are gone.
+			l.discovered = true
+			l.serverLog.Invalidate(revision)
+			l.peerLog.Invalidate(revision)
+			l.markAllDirty()
 		}
-	}
-	if endsDiscovery {
-		// Proxies have kept servers that weren't listed; the whole list tells
-		// them which of those are gone.
-		l.discovered = true
-		l.serverLog.Invalidate(l.revision)
 	}
 	removed := l.leases.RemoveExpired(proxyRetention, now)
 	c.mu.Unlock()
@@ -386,26 +446,18 @@
 	}
 }
 
-// recordPeerChanges records the changed peers at the current revision.
-func (l *leadership) recordPeerChanges() {
+// recordPeerChanges records the changed peers at a revision.
+func (l *leadership) recordPeerChanges(revision uint64) {
 	for name := range l.changedPeers {
 		if _, present := l.peers[name]; present {
-			l.peerLog.Put(name, l.revision)
+			l.peerLog.Put(name, revision)
 		} else {
-			l.peerLog.Remove(name, l.revision)
+			l.peerLog.Remove(name, revision)
 		}
 	}
 	clear(l.changedPeers)
 }
 
-// advanceRevision starts a new revision, which answers all waiting renewals. The
-// caller records the changed entries at the new revision.
-func (l *leadership) advanceRevision() {
-	l.revision++
-	l.revised.Notify()
-	l.changed.Notify()
-}
-
 // revisionID returns an identifier of the current revision that is unique across
 // leaders.
 func (l *leadership) revisionID() string {
@@ -449,7 +501,7 @@
 	defer c.mu.Unlock()
 	if c.current != nil {
 		set("proxies-with-lease", int64(c.current.leases.Count(c.options.Now())))
-		set("servers-known", int64(len(c.current.registry.List())))
+		set("servers-known", int64(c.current.registry.Len()))
 	}
 }
 
--- a/internal/fleet/coordinator/coordinator_test.go
+++ b/internal/fleet/coordinator/coordinator_test.go
@@ -136,7 +136,7 @@
 // announce announces a server with a higher sequence than all announcements before.
 func (f *fixture) announce(name cluster.ServerName, role cluster.Role, draining bool) {
 	f.sequence++
-	err := f.coordinator.Announce(registry.Server{Name: name, Group: testGroup, Slots: 2, Role: role, Draining: draining, Sequence: f.sequence}, false)
+	err := f.coordinator.Announce(f.t.Context(), registry.Server{Name: name, Group: testGroup, Slots: 2, Role: role, Draining: draining, Sequence: f.sequence}, false)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -276,12 +276,12 @@
 	f := newFixture(t)
 	f.announceAll()
 	f.waitUntil("the servers are saved", func() bool { return len(f.machine.View().Servers) == 3 })
-	l := &leadership{registry: registry.New()}
-	l.restoreServers(f.machine.View().Servers, time.Now())
+	l := &leadership{registry: registry.New(), dirty: map[cluster.GroupName]struct{}{}}
+	l.restoreServers(f.machine.View(), time.Now())
 	if got, _ := l.registry.Get("p"); got.Role != cluster.RolePrimary || got.Group != testGroup {
 		t.Errorf("got server %+v restored, want it as announced", got)
 	}
-	if err := f.coordinator.Announce(registry.Server{Name: "r2"}, true); err != nil {
+	if err := f.coordinator.Announce(f.t.Context(), registry.Server{Name: "r2"}, true); err != nil {
 		t.Fatal(err)
 	}
 	f.waitUntil("the deregistered server is removed from the state", func() bool { return len(f.machine.View().Servers) == 2 })
--- a/internal/fleet/coordinator/difference_test.go
+++ b/internal/fleet/coordinator/difference_test.go
@@ -97,7 +97,7 @@
 		l := f.coordinator.current
 		before, next := l.revision, *l.view
 		test.change(&next)
-		l.applyView(&next)
+		l.applyView(&next, time.Now())
 		got := l.revision > before
 		difference, _ := l.primaryLog.Since(before)
 		f.coordinator.mu.Unlock()
--- a/internal/fleet/coordinator/group.go
+++ b/internal/fleet/coordinator/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -77,6 +78,8 @@
 	// ineligibleUntil maps servers whose promotion failed to the time until
 	// which they aren't chosen as targets.
 	ineligibleUntil map[cluster.ServerName]time.Time
+	// wake receives a value when something changed for the group.
+	wake chan struct{}
 	// releaseStart is when the controller began to wait until the old term is
 	// released. It is zero if no change is pending.
 	releaseStart time.Time
@@ -88,96 +91,79 @@
 	background *errgroup.Group
 }
 
-// runGroups runs a groupController for each group that has servers or a primary,
-// until ctx ends.
-func (c *Coordinator) runGroups(ctx context.Context, l *leadership, background *errgroup.Group) error {
-	running := map[cluster.GroupName]bool{}
-	for {
-		c.mu.Lock()
-		changed, groups := l.changed.Next(), l.registry.Groups()
-		c.mu.Unlock()
-		for group := range c.options.Machine.View().Primaries {
-			groups = append(groups, group)
-		}
-		for _, group := range groups {
-			if running[group] {
-				continue
-			}
-			running[group] = true
-			g := &groupController{
-				coordinator: c, leadership: l, group: group, background: background,
-				logger:          c.options.Logger.WithValues("group", group, "epoch", l.epoch),
-				ineligibleUntil: map[cluster.ServerName]time.Time{},
-			}
-			background.Go(func() error { return g.run(ctx) })
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-changed:
-		}
+// newGroupController returns a controller of a group, for the scheduler to run.
+func newGroupController(c *Coordinator, l *leadership, group cluster.GroupName, background *errgroup.Group, ineligible map[cluster.ServerName]time.Time) *groupController {
+	return &groupController{
+		coordinator: c, leadership: l, group: group, background: background,
+		logger:          c.options.Logger.WithValues("group", group, "epoch", l.epoch),
+		ineligibleUntil: ineligible, wake: make(chan struct{}, 1),
 	}
 }
 
-// run calls reconcile after each change and whenever it is due, until ctx ends.
-func (g *groupController) run(ctx context.Context) error {
+// notify has the controller look at the group again.
+func (g *groupController) notify() {
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run calls reconcile after each event and whenever it is due, until nothing is left to
+// do or ctx ends.
+func (g *groupController) run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for ctx.Err() == nil {
-		g.coordinator.mu.Lock()
-		changed := g.leadership.changed.Next()
-		g.coordinator.mu.Unlock()
-		delay := g.reconcile(ctx)
+		delay, done := g.reconcile(ctx)
+		if done {
+			return
+		}
 		timer.Reset(delay)
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
-		case <-changed:
+		case <-g.wake:
 		}
 	}
-	return nil
 }
 
 // reconcile performs the next step for the group. It returns the time after which
-// it has to be called again if nothing changes before.
-func (g *groupController) reconcile(ctx context.Context) time.Duration {
+// it has to be called again if nothing changes before. done is true if nothing is left
+// to do for now.
+func (g *groupController) reconcile(ctx context.Context) (delay time.Duration, done bool) {
 	if _, known := g.coordinator.options.Group(g.group); !known {
-		return tickInterval
+		return 0, true
 	}
 	p := g.coordinator.options.Machine.View().Primaries[g.group]
 	switch p.Phase {
 	case state.Releasing:
-		return g.awaitRelease(ctx, p)
+		return g.awaitRelease(ctx, p), false
 	case state.Promoting:
-		return g.promoteTarget(ctx, p)
+		return g.promoteTarget(ctx, p), false
 	default:
 		return g.decide(ctx, p)
 	}
 }
 
-// groupState returns this leader's information about the group.
-func (g *groupController) groupState(p state.GroupPrimary, now time.Time) failover.GroupState {
-	g.coordinator.mu.Lock()
-	defer g.coordinator.mu.Unlock()
-	settled := g.leadership.settledTerms[g.group]
+// groupState returns this leader's information about a group.
+func (c *Coordinator) groupState(l *leadership, group cluster.GroupName, p state.GroupPrimary, now time.Time) failover.GroupState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	settled := l.settledTerms[group]
 	if settled.term != p.Term {
 		settled = settledTerm{term: p.Term, since: now}
-		g.leadership.settledTerms[g.group] = settled
-	}
-	observations := map[cluster.ProxyName]failover.Observation{}
-	for proxy, observation := range g.leadership.observations[p.Primary] {
-		observations[proxy] = observation
+		l.settledTerms[group] = settled
 	}
 	return failover.GroupState{
-		PrimaryState: p, SettledSince: settled.since, DiscoveryDone: g.leadership.discoveryDone(now), Observations: observations,
-		Servers: g.leadership.registry.Group(g.group), Probe: g.leadership.probes[g.group],
+		PrimaryState: p, SettledSince: settled.since, DiscoveryDone: l.discoveryDone(now), Observations: maps.Clone(l.observations[p.Primary]),
+		Servers: l.registry.Group(group), Probe: l.probes[group],
 	}
 }
 
 // decide starts a change of primary if one is needed.
-func (g *groupController) decide(ctx context.Context, p state.GroupPrimary) time.Duration {
+func (g *groupController) decide(ctx context.Context, p state.GroupPrimary) (delay time.Duration, done bool) {
 	now := g.coordinator.options.Now()
-	decision := failover.Decide(g.groupState(p, now), now)
+	decision := failover.Decide(g.coordinator.groupState(g.leadership, g.group, p, now), now)
 	switch decision.Action {
 	case failover.AdoptPrimary:
 		g.commit(ctx, p, state.GroupPrimary{Term: p.Term + 1, Primary: decision.Server}, decision.Reason)
@@ -185,22 +171,35 @@
 		g.reason = decision.Reason
 		next := state.GroupPrimary{Term: p.Term + 1, Phase: state.Releasing, Primary: p.Primary, Planned: decision.Planned, LogTerm: p.LogTerm}
 		g.commit(ctx, p, next, decision.Reason)
-		return 0
+		return 0, false
 	case failover.ProbePrimary:
 		g.probePrimary(ctx, p, decision.Reason)
-		return 0
+		return 0, false
 	}
-	return tickInterval
+	return 0, true
 }
 
 // commit replaces the record of the group's primary in the replicated state by
 // next if the record still equals current. It reports whether the state was changed.
 func (g *groupController) commit(ctx context.Context, current, next state.GroupPrimary, reason string) bool {
-	command := state.Command{Primary: &state.PrimaryChange{Group: g.group, From: current, To: next}}
-	result, err := g.coordinator.propose(ctx, command)
-	g.logger.Info("primacy", "term", next.Term, "phase", next.Phase.String(), "primary", next.Primary, "target", next.Target,
-		"planned", next.Planned, "reason", reason, "applied", result.Applied, "error", logging.ErrorText(err))
-	return err == nil && result.Applied
+	outcome := make(chan bool, 1)
+	change := state.PrimaryChange{Group: g.group, From: current, To: next}
+	g.leadership.writer.add(change, func(_ context.Context, applied bool, err error) {
+		logPrimacy(g.logger, next, reason, applied, err)
+		outcome <- applied
+	})
+	select {
+	case applied := <-outcome:
+		return applied
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// logPrimacy logs the outcome of a change of a group's primary.
+func logPrimacy(logger logr.Logger, next state.GroupPrimary, reason string, applied bool, err error) {
+	logger.Info("primacy", "term", next.Term, "phase", next.Phase.String(), "primary", next.Primary, "target", next.Target,
+		"planned", next.Planned, "reason", reason, "applied", applied, "error", logging.ErrorText(err))
 }
 
 // probePrimary queries the primary's status and stores the result for the next
@@ -244,10 +243,10 @@
 		g.releaseStart = now
 	}
 	g.coordinator.mu.Lock()
-	holders := g.leadership.leases.Holders(g.group, p.Term, now)
+	held := g.leadership.leases.Held(g.group, p.Term, now)
 	servers := g.leadership.registry.Group(g.group)
 	g.coordinator.mu.Unlock()
-	if len(holders) > 0 {
+	if held {
 		return tickInterval / 4
 	}
 	if g.choiceStart.IsZero() {
--- a/internal/fleet/coordinator/requests.go
+++ b/internal/fleet/coordinator/requests.go
@@ -145,9 +145,6 @@
 }
 
 // recordRenewal renews or ends a proxy's lease and records what the proxy reports.
-// It wakes the waiting goroutines if the proxy leaves, or if the change of any
-// group's primary waits for proxies to release the old term, that is, to report
-// that they no longer use its primary.
 func (c *Coordinator) recordRenewal(l *leadership, r Renewal) {
 	now := c.options.Now()
 	c.mu.Lock()
@@ -155,15 +152,25 @@
 	l.updatePeer(r)
 	if r.Leaving {
 		l.leases.End(r.Proxy, r.Incarnation)
-		l.changed.Notify()
+		l.wakeReleasing()
 		return
 	}
 	l.leases.Renew(r.Proxy, r.Incarnation, r.MinUsableTerms, now)
 	l.recordObservations(r.Proxy, r.Observations, now)
 	l.recordSamples(r, now)
-	if c.hasReleasingGroup() {
-		l.changed.Notify()
+	l.wakeReleasing()
+}
+
+// wakeReleasing has the scheduler look at the groups whose change of primary waits for
+// proxies to release the old term.
+func (l *leadership) wakeReleasing() {
+	if len(l.releasing) == 0 {
+		return
+	}
+	for group := range l.releasing {
+		l.dirty[group] = struct{}{}
 	}
+	l.changed.Notify()
 }
 
 // updatePeer adds, updates or removes a proxy in the list of peers. The other
@@ -201,17 +208,6 @@
 	}
 }
 
-// hasReleasingGroup reports whether the change of any group's primary waits for
-// proxies to release the old term.
-func (c *Coordinator) hasReleasingGroup() bool {
-	for _, p := range c.options.Machine.View().Primaries {
-		if p.Phase == state.Releasing {
-			return true
-		}
-	}
-	return false
-}
-
 // recordObservations stores a proxy's newest observations of servers.
 func (l *leadership) recordObservations(proxy cluster.ProxyName, observations []Observation, now time.Time) {
 	for _, o := range observations {
@@ -220,6 +216,11 @@
 			byProxy = map[cluster.ProxyName]failover.Observation{}
 			l.observations[o.Server] = byProxy
 		}
+		if o.FailingFor > 0 {
+			if server, known := l.registry.Get(o.Server); known {
+				l.dirty[server.Group] = struct{}{}
+			}
+		}
 		byProxy[proxy] = failover.Observation{FailingFor: o.FailingFor, Refused: o.Refused, LastResponse: now.Add(-o.SinceResponse), ReportedAt: now}
 	}
 }
@@ -336,42 +337,11 @@
 	defer c.mu.Unlock()
 	l.recordObservations(r.Proxy, r.Observations, now)
 	l.leases.Release(r.Proxy, r.Incarnation, r.MinUsableTerms)
+	l.wakeReleasing()
 	l.changed.Notify()
 	return nil
 }
 
-// Announce records the announcement of a backend server. leaving is true if the
-// server shuts down. Errors: ErrNotLeader.
-func (c *Coordinator) Announce(server registry.Server, leaving bool) error {
-	l, err := c.currentLeadership()
-	if err != nil {
-		return err
-	}
-	now := c.options.Now()
-	c.mu.Lock()
-	changed := false
-	if leaving {
-		changed = l.registry.Deregister(server.Name, server.StartedAt, now)
-	} else {
-		changed = l.registry.Register(server, now)
-	}
-	if changed {
-		l.unsavedServers[server.Name] = struct{}{}
-		l.advanceRevision()
-		if leaving {
-			l.serverLog.Remove(server.Name, l.revision)
-		} else {
-			l.serverLog.Put(server.Name, l.revision)
-		}
-	}
-	c.mu.Unlock()
-	if changed {
-		c.options.Logger.Info("server changed", "server", server.Name, "group", server.Group, "address", server.Address.String(),
-			"role", server.Role.String(), "draining", server.Draining, "left", leaving, "sequence", server.Sequence)
-	}
-	return nil
-}
-
 // Submit stores a configuration document if it is newer than the stored one. It
 // returns the newest stored version. Errors: ErrNotLeader,
 // consensus.ErrUnknownOutcome.
--- /dev/null
+++ b/internal/fleet/coordinator/schedule.go
@@ -0,0 +1,164 @@
+package coordinator
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/burdockwood/burdockwood/internal/fleet/failover"
+	"github.com/burdockwood/burdockwood/internal/fleet/state"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+// sweepParts is the number of ticks in which the scheduler looks at every group once,
+// also without an event. What a group's primary fails to do, such as announcing itself,
+// shows only with time.
+const sweepParts = 5
+
+// scheduler decides which groups need work. A group that needs none costs a look at its
+// state in every sweep. One that does has a groupController that runs until nothing is
+// left to do.
+type scheduler struct {
+	coordinator *Coordinator
+	leadership  *leadership
+	// background runs the controllers.
+	background *errgroup.Group
+	// controllers are those that run. finished receives the ones that have ended.
+	controllers map[cluster.GroupName]*groupController
+	finished    chan cluster.GroupName
+	// ineligible keeps, for each group, the servers whose promotion failed; see
+	// groupController.ineligibleUntil.
+	ineligible map[cluster.GroupName]map[cluster.ServerName]time.Time
+	// adopting are the groups whose first primary is being committed.
+	adopting map[cluster.GroupName]bool
+	// part is the part of the next sweep.
+	part int
+}
+
+// scheduleGroups looks at groups after events and in sweeps, until ctx ends.
+func (c *Coordinator) scheduleGroups(ctx context.Context, l *leadership, background *errgroup.Group) error {
+	s := &scheduler{
+		coordinator: c, leadership: l, background: background,
+		controllers: map[cluster.GroupName]*groupController{}, finished: make(chan cluster.GroupName, 64),
+		ineligible: map[cluster.GroupName]map[cluster.ServerName]time.Time{},
+		adopting:   map[cluster.GroupName]bool{},
+	}
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		c.mu.Lock()
+		changed, groups := l.changed.Next(), slices.Sorted(maps.Keys(l.dirty))
+		clear(l.dirty)
+		c.mu.Unlock()
+		s.look(ctx, groups)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		case group := <-s.finished:
+			delete(s.controllers, group)
+			delete(s.adopting, group)
+			s.look(ctx, []cluster.GroupName{group})
+		case <-ticker.C:
+			s.look(ctx, s.nextPart())
+		}
+	}
+}
+
+// nextPart returns the groups of the next part of a sweep, and those that a proxy
+// reports to be failing.
+func (s *scheduler) nextPart() []cluster.GroupName {
+	l := s.leadership
+	s.coordinator.mu.Lock()
+	defer s.coordinator.mu.Unlock()
+	groups := l.registry.Groups()
+	for group := range l.view.Primaries {
+		groups = append(groups, group)
+	}
+	slices.Sort(groups)
+	groups = slices.Compact(groups)
+	part := make([]cluster.GroupName, 0, len(groups)/sweepParts+1)
+	for i, group := range groups {
+		if i%sweepParts == s.part || l.hasFailing(group) {
+			part = append(part, group)
+		}
+	}
+	s.part = (s.part + 1) % sweepParts
+	return part
+}
+
+// hasFailing reports whether the last report of any proxy says that the group's
+// primary fails.
+func (l *leadership) hasFailing(group cluster.GroupName) bool {
+	for _, o := range l.observations[l.view.Primaries[group].Primary] {
+		if o.FailingFor > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// look has those of the groups that need work worked on.
+func (s *scheduler) look(ctx context.Context, groups []cluster.GroupName) {
+	now := s.coordinator.options.Now()
+	view := s.coordinator.options.Machine.View()
+	for _, group := range groups {
+		if s.adopting[group] {
+			continue
+		}
+		if g := s.controllers[group]; g != nil {
+			g.notify()
+			continue
+		}
+		if _, known := s.coordinator.options.Group(group); !known {
+			continue
+		}
+		p := view.Primaries[group]
+		if p.Phase != state.Settled {
+			s.start(ctx, group)
+			continue
+		}
+		switch d := failover.Decide(s.coordinator.groupState(s.leadership, group, p, now), now); d.Action {
+		case failover.KeepPrimary:
+		case failover.AdoptPrimary:
+			s.adopt(group, p, d)
+		default:
+			s.start(ctx, group)
+		}
+	}
+}
+
+// start runs a controller for a group until it has nothing left to do.
+func (s *scheduler) start(ctx context.Context, group cluster.GroupName) {
+	if s.ineligible[group] == nil {
+		s.ineligible[group] = map[cluster.ServerName]time.Time{}
+	}
+	g := newGroupController(s.coordinator, s.leadership, group, s.background, s.ineligible[group])
+	s.controllers[group] = g
+	s.background.Go(func() error {
+		g.run(ctx)
+		s.finish(ctx, group)
+		return nil
+	})
+}
+
+// adopt has the first primary of a group committed, together with those of other groups.
+func (s *scheduler) adopt(group cluster.GroupName, p state.GroupPrimary, d failover.Decision) {
+	s.adopting[group] = true
+	change := state.PrimaryChange{Group: group, From: p, To: state.GroupPrimary{Term: p.Term + 1, Primary: d.Server}}
+	s.leadership.writer.add(change, func(ctx context.Context, applied bool, err error) {
+		logPrimacy(s.coordinator.options.Logger.V(1).WithValues("group", group), change.To, d.Reason, applied, err)
+		s.finish(ctx, group)
+	})
+}
+
+// finish reports to the scheduler that nothing is left to do for a group.
+func (s *scheduler) finish(ctx context.Context, group cluster.GroupName) {
+	select {
+	case s.finished <- group:
+	case <-ctx.Done():
+	}
+}
--- a/internal/fleet/coordinator/servers.go
+++ b/internal/fleet/coordinator/servers.go
@@ -6,7 +6,9 @@
 
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/fleet/state"
+	"github.com/burdockwood/burdockwood/internal/model/broadcast"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/pause"
 )
 
 // assumedDrainingTime is how long a new leader assumes that a restored server has
@@ -14,10 +16,38 @@
 // server may end at any moment.
 const assumedDrainingTime = time.Hour
 
-// restoreServers registers the servers that earlier leaders stored in the
-// replicated state.
-func (l *leadership) restoreServers(servers map[cluster.ServerName]state.Server, now time.Time) {
-	for name, s := range servers {
+// saveRetryDelay is the pause after changed servers couldn't be saved.
+const saveRetryDelay = 50 * time.Millisecond
+
+// unsavedServers are the servers whose changes aren't in the replicated state yet. Each
+// change has a number; callers wait until that is saved.
+type unsavedServers struct {
+	names map[cluster.ServerName]struct{}
+	// forgotten are servers that left and needn't be remembered any more.
+	forgotten []cluster.ServerName
+	// changes and saved number the last change and the last saved one.
+	changes, saved uint64
+	// progress wakes those that wait for a change to be saved.
+	progress broadcast.Signal
+}
+
+func newUnsavedServers() unsavedServers {
+	return unsavedServers{names: map[cluster.ServerName]struct{}{}}
+}
+
+// add adds a changed server.
+func (u *unsavedServers) add(name cluster.ServerName) {
+	u.names[name] = struct{}{}
+	u.changes++
+}
+
+// restoreServers registers the servers that earlier leaders stored in the replicated
+// state, and remembers those that left.
+func (l *leadership) restoreServers(view *state.State, now time.Time) {
+	for name, startedUnixMS := range view.Departed {
+		l.registry.Deregister(name, time.UnixMilli(startedUnixMS), now)
+	}
+	for name, s := range view.Servers {
 		server := registry.Server{
 			Name: name, Group: s.Group, Address: s.Address, DataCentre: s.DataCentre, Slots: s.Slots,
 			Draining: s.Draining, Role: cluster.RoleReplica, StartedAt: time.UnixMilli(s.StartedUnixMS), Sequence: s.Sequence,
@@ -29,6 +59,23 @@
 			server.DrainingSince = now.Add(-assumedDrainingTime)
 		}
 		l.registry.Register(server, now)
+		l.dirty[s.Group] = struct{}{}
+	}
+}
+
+// forgetDeparted removes from the replicated state the servers that left and that the
+// registry doesn't remember any more.
+func (l *leadership) forgetDeparted() {
+	if len(l.view.Departed) == 0 || len(l.unsaved.forgotten) > 0 {
+		return
+	}
+	for name := range l.view.Departed {
+		if _, remembered := l.registry.Departed(name); !remembered {
+			l.unsaved.forgotten = append(l.unsaved.forgotten, name)
+		}
+	}
+	if len(l.unsaved.forgotten) > 0 {
+		l.changed.Notify()
 	}
 }
 
@@ -38,7 +85,7 @@
 	for {
 		c.mu.Lock()
 		changed := l.changed.Next()
-		unsaved := l.takeUnsavedServers()
+		unsaved, through := l.takeUnsavedServers()
 		c.mu.Unlock()
 		if unsaved == nil {
 			select {
@@ -48,23 +95,36 @@
 			}
 			continue
 		}
-		if _, err := c.propose(ctx, state.Command{Servers: unsaved}); err != nil && ctx.Err() == nil {
-			c.options.Logger.Info("saving changed servers failed; the next leader gets them from their announcements", "error", err.Error())
+		_, err := c.propose(ctx, state.Command{Servers: unsaved})
+		c.mu.Lock()
+		if err == nil {
+			l.unsaved.saved = through
+			l.unsaved.progress.Notify()
+		} else {
+			l.returnUnsaved(unsaved)
+		}
+		c.mu.Unlock()
+		if err != nil && ctx.Err() == nil {
+			c.options.Logger.Info("saving changed servers failed; trying again", "error", err.Error())
+			pause.For(ctx, saveRetryDelay)
 		}
 	}
 }
 
-// takeUnsavedServers returns the changes of servers that aren't saved yet and
-// marks them as saved. It returns nil if there are none.
-func (l *leadership) takeUnsavedServers() *state.ServerChanges {
-	if len(l.unsavedServers) == 0 {
-		return nil
+// takeUnsavedServers returns the changes of servers that aren't saved yet, and the
+// number of the last one. It returns nil if there are none.
+func (l *leadership) takeUnsavedServers() (change *state.ServerChanges, through uint64) {
+	if len(l.unsaved.names)+len(l.unsaved.forgotten) == 0 {
+		return nil, 0
 	}
-	change := &state.ServerChanges{Put: map[cluster.ServerName]state.Server{}}
-	for name := range l.unsavedServers {
+	change = &state.ServerChanges{Put: map[cluster.ServerName]state.Server{}, Forget: l.unsaved.forgotten, Departed: map[cluster.ServerName]int64{}}
+	for name := range l.unsaved.names {
 		s, known := l.registry.Get(name)
 		if !known {
 			change.Drop = append(change.Drop, name)
+			if startedAt, departed := l.registry.Departed(name); departed {
+				change.Departed[name] = startedAt.UnixMilli()
+			}
 			continue
 		}
 		change.Put[name] = state.Server{
@@ -72,6 +132,37 @@
 			Primary: s.Role == cluster.RolePrimary, StartedUnixMS: s.StartedAt.UnixMilli(), Sequence: s.Sequence,
 		}
 	}
-	clear(l.unsavedServers)
-	return change
+	clear(l.unsaved.names)
+	l.unsaved.forgotten = nil
+	return change, l.unsaved.changes
+}
+
+// returnUnsaved marks servers as unsaved again after their change couldn't be saved.
+func (l *leadership) returnUnsaved(change *state.ServerChanges) {
+	for name := range change.Put {
+		l.unsaved.names[name] = struct{}{}
+	}
+	for _, name := range change.Drop {
+		l.unsaved.names[name] = struct{}{}
+	}
+}
+
+// awaitSaved waits until the change with the given number is in the replicated state.
+// Errors: ErrNotLeader, and the error of ctx.
+func (c *Coordinator) awaitSaved(ctx context.Context, l *leadership, change uint64) error {
+	for {
+		c.mu.Lock()
+		progress, saved := l.unsaved.progress.Next(), l.unsaved.saved
+		c.mu.Unlock()
+		if saved >= change {
+			return nil
+		}
+		select {
+		case <-progress:
+		case <-l.ended:
+			return ErrNotLeader
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
 }
--- a/internal/fleet/fleetrpc/fleetrpc.go
+++ b/internal/fleet/fleetrpc/fleetrpc.go
@@ -210,12 +210,12 @@
 }
 
 // Announce records the announcement of a backend server; see fleetpb.Fleet.
-func (s *Service) Announce(_ context.Context, request *fleetpb.AnnounceRequest) (*fleetpb.AnnounceResponse, error) {
+func (s *Service) Announce(ctx context.Context, request *fleetpb.AnnounceRequest) (*fleetpb.AnnounceResponse, error) {
 	server, err := protoconv.ServerFromProto(request.GetServer(), s.options.Now())
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("server", err.Error())
 	}
-	if err := s.options.Coordinator.Announce(server, request.GetLeaving()); err != nil {
+	if err := s.options.Coordinator.Announce(ctx, server, request.GetLeaving()); err != nil {
 		return nil, unavailableError(err)
 	}
 	leader, _ := s.options.ConsensusLog.Leader()
--- a/internal/fleet/leases/leases.go
+++ b/internal/fleet/leases/leases.go
@@ -23,7 +23,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -78,7 +77,7 @@
 	l.incarnation = incarnation
 	l.expiresAt = now.Add(t.duration)
 	l.ended = false
-	l.minUsableTerms = mergeTerms(l.minUsableTerms, minUsableTerms)
+	raiseTerms(l.minUsableTerms, minUsableTerms)
 }
 
 // Release records the terms that a proxy has released since its last renewal.
@@ -87,16 +86,16 @@
 	if l == nil || l.incarnation != incarnation {
 		return
 	}
-	l.minUsableTerms = mergeTerms(l.minUsableTerms, minUsableTerms)
+	raiseTerms(l.minUsableTerms, minUsableTerms)
 }
 
-// mergeTerms returns, for each group, the higher one of its two terms.
-func mergeTerms(a, b MinUsableTerms) MinUsableTerms {
-	merged := maps.Clone(a)
+// raiseTerms raises the terms in a to those in b where those are higher.
+func raiseTerms(a, b MinUsableTerms) {
 	for group, term := range b {
-		merged[group] = max(merged[group], term)
+		if term > a[group] {
+			a[group] = term
+		}
 	}
-	return merged
 }
 
 // End ends the lease of a proxy that has stopped using all primaries.
@@ -119,6 +118,17 @@
 	return names
 }
 
+// Held reports whether any proxy may still use a primary of group in a term below
+// term.
+func (t *Table) Held(group cluster.GroupName, term cluster.Term, now time.Time) bool {
+	for _, l := range t.leases {
+		if l.isValid(now) && l.minUsableTerms[group] < term {
+			return true
+		}
+	}
+	return false
+}
+
 // HasLease reports whether a proxy holds a valid lease.
 func (t *Table) HasLease(name cluster.ProxyName, now time.Time) bool {
 	l := t.leases[name]
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -21,6 +21,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -67,7 +68,9 @@
 	// Registry holds the registered servers. It isn't safe for concurrent
 	// use.
 	Registry struct {
-		servers    map[cluster.ServerName]Server
+		servers map[cluster.ServerName]Server
+		// groups holds the names of each group's servers.
+		groups     map[cluster.GroupName]map[cluster.ServerName]struct{}
 		tombstones map[cluster.ServerName]tombstone
 	}
 
@@ -82,6 +85,7 @@
 func New() *Registry {
 	return &Registry{
 		servers:    map[cluster.ServerName]Server{},
+		groups:     map[cluster.GroupName]map[cluster.ServerName]struct{}{},
 		tombstones: map[cluster.ServerName]tombstone{},
 	}
 }
@@ -100,10 +104,47 @@
 	}
 	s.LastAnnounced = now
 	s.DrainingSince = drainingSince(old, s, now)
+	if !known || old.Group != s.Group {
+		r.remove(s.Name)
+		if r.groups[s.Group] == nil {
+			r.groups[s.Group] = map[cluster.ServerName]struct{}{}
+		}
+		r.groups[s.Group][s.Name] = struct{}{}
+	}
 	r.servers[s.Name] = s
 	return !known || hasChanged(old, s)
 }
 
+// remove removes a server, if it is registered, and its entry in its group.
+func (r *Registry) remove(name cluster.ServerName) {
+	s, known := r.servers[name]
+	if !known {
+		return
+	}
+	delete(r.servers, name)
+	delete(r.groups[s.Group], name)
+	if len(r.groups[s.Group]) == 0 {
+		delete(r.groups, s.Group)
+	}
+}
+
+// Confirm records that a server sent, age before now, an announcement with the given
+// sequence number that says the same as what is registered (see Server.Digest). It
+// returns false if the server isn't registered or if something else is; then the whole
+// announcement is needed. A late confirmation changes nothing.
+func (r *Registry) Confirm(name cluster.ServerName, sequence, digest uint64, age time.Duration, now time.Time) bool {
+	s, known := r.servers[name]
+	if !known || s.Digest() != digest {
+		return false
+	}
+	s.Sequence = max(s.Sequence, sequence)
+	if heard := now.Add(-age); heard.After(s.LastAnnounced) {
+		s.LastAnnounced = heard
+	}
+	r.servers[name] = s
+	return true
+}
+
 // drainingSince returns when the server s began to drain: the time recorded in
 // old for the same process, else the time in s if it is set, else now. It returns
 // the zero time for a server that doesn't drain. A server that has begun to
@@ -147,20 +188,20 @@
 	if s.StartedAt.After(startedAt) {
 		startedAt = s.StartedAt
 	}
-	delete(r.servers, name)
+	r.remove(name)
 	r.tombstones[name] = tombstone{startedAt: startedAt, deregisteredAt: now}
 	return known
 }
 
 // Remove removes a server without remembering it, so that any announcement of it is
 // accepted again.
-func (r *Registry) Remove(name cluster.ServerName) { delete(r.servers, name) }
+func (r *Registry) Remove(name cluster.ServerName) { r.remove(name) }
 
 // Retain removes the servers that aren't in names.
 func (r *Registry) Retain(names map[cluster.ServerName]bool) {
 	for name := range r.servers {
 		if !names[name] {
-			delete(r.servers, name)
+			r.remove(name)
 		}
 	}
 }
@@ -172,7 +213,7 @@
 	var expired []cluster.ServerName
 	for name, s := range r.servers {
 		if now.Sub(s.LastAnnounced) > timeout {
-			delete(r.servers, name)
+			r.remove(name)
 			expired = append(expired, name)
 		}
 	}
@@ -200,17 +241,25 @@
 	return list
 }
 
+// Len returns the number of servers.
+func (r *Registry) Len() int { return len(r.servers) }
+
 // Group returns the servers of a group, sorted by name.
 func (r *Registry) Group(group cluster.GroupName) []Server {
-	return slices.DeleteFunc(r.List(), func(s Server) bool { return s.Group != group })
+	list := make([]Server, 0, len(r.groups[group]))
+	for name := range r.groups[group] {
+		list = append(list, r.servers[name])
+	}
+	slices.SortFunc(list, func(a, b Server) int { return cmp.Compare(a.Name, b.Name) })
+	return list
 }
 
 // Groups returns the names of the groups that have servers, sorted.
-func (r *Registry) Groups() []cluster.GroupName {
-	var names []cluster.GroupName
-	for _, s := range r.servers {
-		names = append(names, s.Group)
-	}
-	slices.Sort(names)
-	return slices.Compact(names)
+func (r *Registry) Groups() []cluster.GroupName { return slices.Sorted(maps.Keys(r.groups)) }
+
+// Departed returns when the last process of a deregistered server started, as far as
+// that is remembered.
+func (r *Registry) Departed(name cluster.ServerName) (startedAt time.Time, known bool) {
+	t, known := r.tombstones[name]
+	return t.startedAt, known
 }
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -102,6 +102,10 @@
 	ServerChanges struct {
 		Put  map[cluster.ServerName]Server `json:"put,omitempty"`
 		Drop []cluster.ServerName          `json:"drop,omitempty"`
+		// Departed are servers that left, with the start time of their last
+		// process in Unix milliseconds; Forget are those to remember no longer.
+		Departed map[cluster.ServerName]int64 `json:"departed,omitempty"`
+		Forget   []cluster.ServerName         `json:"forget,omitempty"`
 	}
 
 	// State is the whole replicated state. It is immutable once published.
@@ -110,12 +114,16 @@
 		Primaries map[cluster.GroupName]GroupPrimary `json:"primacies"`
 		Proxies   map[cluster.ProxyName]struct{}     `json:"proxies"`
 		Servers   map[cluster.ServerName]Server      `json:"servers"`
+		// Departed are the servers that left; see ServerChanges. A late
+		// announcement of such a process doesn't register it again.
+		Departed map[cluster.ServerName]int64 `json:"departed,omitempty"`
 	}
 
 	// Command is a change of the state. Exactly one of its fields is set.
 	Command struct {
 		Document      *Document           `json:"document,omitempty"`
 		Primary       *PrimaryChange      `json:"primacy,omitempty"`
+		Primaries     []PrimaryChange     `json:"primacies,omitempty"`
 		Servers       *ServerChanges      `json:"servers,omitempty"`
 		AddProxies    []cluster.ProxyName `json:"join,omitempty"`
 		RemoveProxies []cluster.ProxyName `json:"leave,omitempty"`
@@ -165,6 +173,7 @@
 		Primaries: map[cluster.GroupName]GroupPrimary{},
 		Proxies:   map[cluster.ProxyName]struct{}{},
 		Servers:   map[cluster.ServerName]Server{},
+		Departed:  map[cluster.ServerName]int64{},
 	}
 }
 
@@ -217,7 +226,9 @@
 	case c.Document != nil:
 		return s.storeDocument(*c.Document)
 	case c.Primary != nil:
-		return s.changePrimary(*c.Primary)
+		return s.changePrimaries([]PrimaryChange{*c.Primary})
+	case len(c.Primaries) > 0:
+		return s.changePrimaries(c.Primaries)
 	case c.Servers != nil:
 		return s.changeServers(*c.Servers)
 	case len(c.AddProxies) > 0:
@@ -236,13 +247,21 @@
 	return true
 }
 
-func (s *State) changePrimary(c PrimaryChange) bool {
-	if s.Primaries[c.Group] != c.From {
-		return false
+// changePrimaries applies those of the changes whose From still holds. It reports
+// whether there were any.
+func (s *State) changePrimaries(changes []PrimaryChange) bool {
+	next, changed := s.Primaries, false
+	for _, c := range changes {
+		if next[c.Group] != c.From {
+			continue
+		}
+		if !changed {
+			next, changed = maps.Clone(next), true
+		}
+		next[c.Group] = c.To
 	}
-	s.Primaries = maps.Clone(s.Primaries)
-	s.Primaries[c.Group] = c.To
-	return true
+	s.Primaries = next
+	return changed
 }
 
 func (s *State) changeServers(c ServerChanges) bool {
@@ -251,6 +270,15 @@
 	for _, name := range c.Drop {
 		delete(s.Servers, name)
 	}
+	if len(c.Departed)+len(c.Forget) > 0 {
+		departed := make(map[cluster.ServerName]int64, len(s.Departed)+len(c.Departed))
+		maps.Copy(departed, s.Departed)
+		maps.Copy(departed, c.Departed)
+		for _, name := range c.Forget {
+			delete(departed, name)
+		}
+		s.Departed = departed
+	}
 	return true
 }
 
