--- a/internal/fleet/fleetrpc/fleetrpc.go
+++ b/internal/fleet/fleetrpc/fleetrpc.go
@@ -10,12 +10,14 @@
 //
 //	s := fleetrpc.New(fleetrpc.Options{Coordinator: c, ConsensusLog: node, Client: client, ...})
 //	mux.Handle(fleetpb.FleetPathPrefix, fleetpb.NewFleetServer(s))
-//	leader, err := s.ForwardAnnouncement(ctx, server, false)
+//	err := s.Run(ctx) // passes announcements to the leader
+//	node, err := s.TakeAnnouncement(ctx, server, false)
 //	version, err := s.ForwardDocument(ctx, document)
 //	document, err := s.NewestDocument(ctx)
 //
-// ForwardAnnouncement, ForwardDocument and NewestDocument work on every control
-// node: they call the leader and retry until ctx ends. The RPC methods are never
+// TakeAnnouncement, ForwardDocument and NewestDocument work on every control node. The
+// latter two call the leader and retry until ctx ends. Announcements are passed to the
+// leader in batches, and only what is new in them is waited for; see package intake. The RPC methods are never
 // forwarded, so that no request is forwarded twice. Only the leader serves them,
 // except Fetch, which every control node serves from its own state.
 //
@@ -38,7 +40,6 @@
 	"github.com/burdockwood/burdockwood/internal/fleet/coordinator"
 	"github.com/burdockwood/burdockwood/internal/fleet/leases"
 	"github.com/burdockwood/burdockwood/internal/fleet/protoconv"
-	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/fleet/state"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
@@ -61,6 +62,8 @@
 type (
 	// Options are the options of a Service.
 	Options struct {
+		// Name is the name of this control node.
+		Name        cluster.NodeName
 		Coordinator *coordinator.Coordinator
 		// ConsensusLog is the replicated log of the control nodes; it names
 		// the leader and the members.
@@ -78,15 +81,18 @@
 
 	// Service implements fleetpb.Fleet. It is safe for concurrent use.
 	Service struct {
-		options Options
-		encoded encodedDocument
+		options       Options
+		encoded       encodedDocument
+		announcements announcements
 	}
 )
 
 var _ fleetpb.Fleet = (*Service)(nil)
 
 // New returns a service with the given options.
-func New(options Options) *Service { return &Service{options: options} }
+func New(options Options) *Service {
+	return &Service{options: options, announcements: newAnnouncements()}
+}
 
 // Renew renews a proxy's lease; see fleetpb.Fleet. If this node doesn't lead, the
 // response grants no lease and names the leader if this node knows it.
@@ -260,17 +266,6 @@
 // unavailableError returns err as a twirp error with the code Unavailable.
 func unavailableError(err error) error { return twirp.NewError(twirp.Unavailable, err.Error()) }
 
-// ForwardAnnouncement forwards the announcement of a backend server to the leader
-// and returns the leader's name. leaving is true if the server shuts down.
-// Errors: ErrNoLeader.
-func (s *Service) ForwardAnnouncement(ctx context.Context, server registry.Server, leaving bool) (cluster.NodeName, error) {
-	request := &fleetpb.AnnounceRequest{Server: protoconv.ServerToProto(server, s.options.Now()), Leaving: leaving}
-	response, err := callLeader(ctx, s, func(ctx context.Context, f fleetpb.Fleet) (*fleetpb.AnnounceResponse, error) {
-		return f.Announce(ctx, request)
-	})
-	return cluster.NodeName(response.GetLeader()), err
-}
-
 // ForwardDocument has the leader store a configuration document if it is newer
 // than the stored one. It returns the newest stored version. Errors: ErrNoLeader.
 func (s *Service) ForwardDocument(ctx context.Context, d state.Document) (uint64, error) {
