State in parts: digests instead of whole lists, pages, releases and samples that are needed

Cause: a proxy without a revision of this leader was sent all servers and primaries in one response (some 350 KB at 3,600 servers, 1.4 s of a link of 2 Mbit/s, within a renewal of 1.1 s), after each change of leader too; each renewal carried a term for every group and each response up to 128 samples, which the leader sorted anew.

--- a/internal/fleet/changelog/changelog.go
+++ b/internal/fleet/changelog/changelog.go
@@ -76,6 +76,9 @@
 	clear(l.removed)
 }
 
+// Complete reports whether all changes after a revision are known.
+func (l *Log[K]) Complete(revision uint64) bool { return revision >= l.completeSince }
+
 // Since returns what has changed after a revision. complete is false if that isn't
 // known, because the revision is too old.
 func (l *Log[K]) Since(revision uint64) (difference Difference[K], complete bool) {
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -201,6 +201,9 @@
 		// discovered is true once the end of the discovery was sent to the
 		// proxies.
 		discovered bool
+		// parts is the index of the state by parts that was made last; nil:
+		// none.
+		parts *partIndex
 		// view is the replicated state that the revision covers.
 		view *state.State
 		// revised wakes waiting renewals at a new revision.
@@ -410,6 +413,7 @@
 		l.markAllDirty()
 	}
 	l.forgetDeparted()
+	l.samples.Prune(now)
 	for name := range l.peers {
 		if !l.leases.HasLease(name, now) {
 			delete(l.peers, name)
--- a/internal/fleet/coordinator/requests.go
+++ b/internal/fleet/coordinator/requests.go
@@ -14,6 +14,9 @@
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 )
 
+// maxUnaskedSamples is the number of samples up to which a proxy is sent all of them.
+const maxUnaskedSamples = 64
+
 type (
 	// Observation is a proxy's report on a backend server, with times
 	// relative to the report.
@@ -51,6 +54,12 @@
 		// AcceptsPartial is true if the grant may contain only what has changed
 		// since Revision.
 		AcceptsPartial bool
+		// AcceptsParts is true if the grant may contain only some parts of the
+		// servers and primaries. Digests are those of what the proxy holds; they
+		// may be missing. NextPart is that of the last grant.
+		AcceptsParts bool
+		Digests      []uint64
+		NextPart     int
 		// Clock is Grant.Clock of the last grant plus the time since the proxy
 		// received that, or zero. It counts only if Revision is this leader's.
 		Clock time.Duration
@@ -94,6 +103,16 @@
 		// RemovedServers those that were removed.
 		PartialServers bool
 		RemovedServers []cluster.ServerName
+		// Parts are the parts of which Servers and Primaries contain everything.
+		// The proxy may still differ in the parts from NextPart on, if that
+		// isn't 0. DigestsWanted is true if the next renewal must carry
+		// Digests.
+		Parts         []int
+		NextPart      int
+		DigestsWanted bool
+		// ReleasedSum is the sum of the terms that the leader holds as the
+		// lowest that the proxy may use.
+		ReleasedSum uint64
 		// Discovering is true if running servers may be missing from
 		// Servers, because the leader was elected only recently.
 		Discovering bool
@@ -236,7 +255,7 @@
 		c.mu.Lock()
 		revised, outdated := l.revised.Next(), l.revisionID() != r.Revision
 		c.mu.Unlock()
-		if outdated || r.Leaving {
+		if outdated || r.Leaving || r.NextPart > 0 {
 			return nil
 		}
 		select {
@@ -260,22 +279,51 @@
 	grant := Grant{LeaseDuration: c.options.LeaseDuration, Revision: l.revisionID(), Proxies: l.leases.Count(now)}
 	grant.DocumentVersion = current.Document.Version
 	grant.Clock, grant.Held = now.Sub(l.startedAt), now.Sub(received)
-	for _, s := range l.samples.Recent(now) {
+	grant.ReleasedSum = l.leases.ReleasedSum(r.Proxy)
+	for _, s := range l.recentSamples(r, now) {
 		grant.Samples = append(grant.Samples, AgedSample{Sample: s, Age: now.Sub(s.TakenAt)})
 	}
-	grant.RevisionChanged = grant.Revision != r.Revision
+	grant.RevisionChanged = grant.Revision != r.Revision || r.NextPart > 0
 	if !grant.RevisionChanged {
 		return grant
 	}
 	grant.Discovering = !l.discovered
 	since, known := l.parseRevision(r.Revision)
 	known = known && r.AcceptsPartial
+	if r.AcceptsParts {
+		known = known && l.serverLog.Complete(since) && l.primaryLog.Complete(since)
+		grant.PartialServers, grant.Primaries = true, map[cluster.GroupName]state.GroupPrimary{}
+	}
+	if r.AcceptsParts && (!known || r.NextPart > 0) {
+		if known {
+			l.addPrimaries(&grant, current, since, known)
+			l.addServers(&grant, since, known)
+		}
+		l.addParts(&grant, r, current, known)
+		l.addPeers(&grant, since, known)
+		return grant
+	}
 	l.addPrimaries(&grant, current, since, known)
 	l.addServers(&grant, since, known)
 	l.addPeers(&grant, since, known)
 	return grant
 }
 
+// recentSamples returns the samples for a proxy: all if they are few, else those of the
+// groups whose servers it has used lately.
+func (l *leadership) recentSamples(r Renewal, now time.Time) []samples.Sample {
+	if l.samples.Len() <= maxUnaskedSamples {
+		return l.samples.Recent(now)
+	}
+	groups := map[cluster.GroupName]struct{}{}
+	for _, o := range r.Observations {
+		if server, registered := l.registry.Get(o.Server); registered {
+			groups[server.Group] = struct{}{}
+		}
+	}
+	return l.samples.Of(groups, now)
+}
+
 // addPrimaries adds to a grant the primaries that have changed since a revision, or
 // all if the proxy's revision isn't known.
 func (l *leadership) addPrimaries(grant *Grant, current *state.State, since uint64, known bool) {
--- a/internal/fleet/fleetrpc/fleetrpc.go
+++ b/internal/fleet/fleetrpc/fleetrpc.go
@@ -102,6 +102,7 @@
 		Revision:       request.GetRevision(),
 		MinUsableTerms: minUsableTermsFromProto(request.GetReleases()), Observations: observationsFromProto(request.GetEvidence()), Leaving: request.GetLeaving(),
 		Peer: peerFromProto(request), Draining: request.GetDraining(), AcceptsPartial: request.GetAcceptsPartial(),
+		AcceptsParts: request.GetAcceptsParts(), Digests: request.GetDigests(), NextPart: int(request.GetNextPart()),
 		Clock: time.Duration(request.GetClockUs()) * time.Microsecond, Samples: samplesFromProto(request.GetSamples()),
 	})
 	response := &fleetpb.RenewResponse{}
@@ -143,11 +144,9 @@
 	response.Warming = g.Discovering
 	response.Proxies = uint32(g.Proxies)
 	for group, p := range g.Primaries {
-		primary := &fleetpb.Primacy{Group: string(group), Term: uint64(p.Term), Planned: p.Planned}
-		if p.Phase == state.Settled {
-			primary.Primary = string(p.Primary)
-		}
-		response.Primacies = append(response.Primacies, primary)
+		response.Primacies = append(response.Primacies, &fleetpb.Primacy{
+			Group: string(group), Term: uint64(p.Term), Planned: p.Planned, Primary: string(p.Usable()),
+		})
 	}
 	for name, peer := range g.Peers {
 		response.Peers = append(response.Peers, &fleetpb.Peer{
@@ -157,6 +156,10 @@
 	for _, server := range g.Servers {
 		response.Servers = append(response.Servers, protoconv.ServerToProto(server, now))
 	}
+	for _, part := range g.Parts {
+		response.Parts = append(response.Parts, uint32(part))
+	}
+	response.NextPart, response.DigestsWanted, response.ReleasedSum = uint32(g.NextPart), g.DigestsWanted, g.ReleasedSum
 	response.PartialServers, response.PartialPeers = g.PartialServers, g.PartialPeers
 	for _, name := range g.RemovedServers {
 		response.RemovedServers = append(response.RemovedServers, string(name))
--- a/internal/fleet/leases/leases.go
+++ b/internal/fleet/leases/leases.go
@@ -47,6 +47,8 @@
 		incarnation    cluster.Incarnation
 		expiresAt      time.Time
 		minUsableTerms MinUsableTerms
+		// releasedSum is the sum of minUsableTerms.
+		releasedSum uint64
 		// ended is true if the proxy has shut down and uses no primary any
 		// more.
 		ended bool
@@ -77,7 +79,7 @@
 	l.incarnation = incarnation
 	l.expiresAt = now.Add(t.duration)
 	l.ended = false
-	raiseTerms(l.minUsableTerms, minUsableTerms)
+	l.raiseTerms(minUsableTerms)
 }
 
 // Release records the terms that a proxy has released since its last renewal.
@@ -86,18 +88,29 @@
 	if l == nil || l.incarnation != incarnation {
 		return
 	}
-	raiseTerms(l.minUsableTerms, minUsableTerms)
+	l.raiseTerms(minUsableTerms)
 }
 
-// raiseTerms raises the terms in a to those in b where those are higher.
-func raiseTerms(a, b MinUsableTerms) {
-	for group, term := range b {
-		if term > a[group] {
-			a[group] = term
+// raiseTerms raises the terms of the lease to the given ones where those are higher.
+func (l *proxyLease) raiseTerms(terms MinUsableTerms) {
+	for group, term := range terms {
+		if old := l.minUsableTerms[group]; term > old {
+			l.minUsableTerms[group] = term
+			l.releasedSum += uint64(term - old)
 		}
 	}
 }
 
+// ReleasedSum returns the sum of the lowest terms that a proxy may still use, as it has
+// reported them. The proxy compares it with its own, to learn whether this table has all
+// that it reported.
+func (t *Table) ReleasedSum(name cluster.ProxyName) uint64 {
+	if l := t.leases[name]; l != nil {
+		return l.releasedSum
+	}
+	return 0
+}
+
 // End ends the lease of a proxy that has stopped using all primaries.
 func (t *Table) End(name cluster.ProxyName, incarnation cluster.Incarnation) {
 	if l := t.leases[name]; l != nil && incarnation == l.incarnation {
--- a/internal/fleet/samples/samples.go
+++ b/internal/fleet/samples/samples.go
@@ -69,6 +69,29 @@
 	t.newest[s.Group] = s
 }
 
+// Len returns the number of groups with a sample.
+func (t *Table) Len() int { return len(t.newest) }
+
+// Prune removes the samples that are too old to be of use.
+func (t *Table) Prune(now time.Time) {
+	for group, s := range t.newest {
+		if now.Sub(s.TakenAt) > maxAge {
+			delete(t.newest, group)
+		}
+	}
+}
+
+// Of returns the samples of the given groups that are recent enough to be of use.
+func (t *Table) Of(groups map[cluster.GroupName]struct{}, now time.Time) []Sample {
+	var list []Sample
+	for group := range groups {
+		if s, known := t.newest[group]; known && now.Sub(s.TakenAt) <= maxAge && len(list) < maxSent {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
 // Recent returns the samples that are recent enough to be of use, the newest first.
 // Older ones are removed.
 func (t *Table) Recent(now time.Time) []Sample {
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -322,6 +322,15 @@
 	m.changed.Notify()
 }
 
+// Usable returns the server that proxies may use as the primary; empty: none, because a
+// change is pending.
+func (p GroupPrimary) Usable() cluster.ServerName {
+	if p.Phase != Settled {
+		return ""
+	}
+	return p.Primary
+}
+
 // String returns "settled", "releasing" or "promoting".
 func (p Phase) String() string {
 	switch p {
--- a/internal/traffic/controlclient/apply.go
+++ b/internal/traffic/controlclient/apply.go
@@ -73,10 +73,10 @@
 	}
 	logged := 0
 	for group, p := range primaries {
-		if c.loggedPrimaries[group] == p {
+		if c.primaries[group] == p {
 			continue
 		}
-		c.loggedPrimaries[group] = p
+		c.primaries[group] = p
 		if logged++; logged <= maxLoggedChanges {
 			c.options.Logger.Info("primary known", "group", group, "term", p.Term, "primary", p.Primary, "planned", p.Planned)
 		}
@@ -85,7 +85,10 @@
 		c.options.Logger.Info("primaries known", "groups", logged)
 	}
 	c.revision = response.GetRevision()
-	c.everGranted.Store(true)
+	c.sync.nextPart, c.sync.wanted = int(response.GetNextPart()), response.GetDigestsWanted()
+	if c.sync.nextPart == 0 && !c.sync.wanted {
+		c.everGranted.Store(true)
+	}
 }
 
 // closeReplaced closes the connections to primaries that are being replaced because
@@ -130,6 +133,9 @@
 		for _, name := range response.GetRemovedServers() {
 			c.registry.Remove(cluster.ServerName(name))
 		}
+		if len(response.GetParts()) > 0 && !response.GetWarming() {
+			c.removeUnlisted(response.GetParts(), names)
+		}
 	} else if !response.GetWarming() {
 		c.registry.Retain(names)
 	}
--- a/internal/traffic/controlclient/client.go
+++ b/internal/traffic/controlclient/client.go
@@ -130,15 +130,20 @@
 		// draining is true if this proxy accepts no new statements of other
 		// proxies.
 		draining atomic.Bool
-		// loggedPrimaries are the primaries that were logged last.
-		loggedPrimaries map[cluster.GroupName]lease.GroupPrimary
+		// primaries are those that the control plane named last.
+		primaries map[cluster.GroupName]lease.GroupPrimary
+		// sync is the progress of finding out what is new; see parts.go.
+		sync syncProgress
+		// releases are the released terms that the control plane knows of.
+		releases releaseLog
 		// leaderClock is the leader's clock in the last response, which arrived
 		// no later than leaderClockAt.
 		leaderClock   time.Duration
 		leaderClockAt time.Time
 		// samplesSentAt is when the last renewal that succeeded was sent.
 		samplesSentAt time.Time
-		// everGranted is true once the control plane has granted a lease.
+		// everGranted is true once the control plane has granted a lease and has
+		// sent all servers and primaries.
 		everGranted atomic.Bool
 		// disconnected is true if the last renewal failed.
 		disconnected bool
@@ -151,7 +156,7 @@
 		options: options, incarnation: rand.Uint64() | 1,
 		seeds: slices.Clone(options.Seeds), members: slices.Clone(options.Seeds),
 		fetchRequests: make(chan struct{}, 1),
-		registry:      registry.New(), peers: map[cluster.ProxyName]ownership.Peer{}, loggedPrimaries: map[cluster.GroupName]lease.GroupPrimary{}, nextMember: rand.IntN(max(1, len(options.Seeds))),
+		registry:      registry.New(), peers: map[cluster.ProxyName]ownership.Peer{}, primaries: map[cluster.GroupName]lease.GroupPrimary{}, nextMember: rand.IntN(max(1, len(options.Seeds))),
 	}
 }
 
@@ -250,12 +255,17 @@
 	if c.leaderClock > 0 {
 		clock = uint64((c.leaderClock + sent.Sub(c.leaderClockAt)).Microseconds())
 	}
-	response, err := c.fleetClient(target).Renew(ctx, &fleetpb.RenewRequest{
+	if c.sync.source != target {
+		c.releases.reset()
+	}
+	request := &fleetpb.RenewRequest{
 		Proxy: string(c.options.Proxy), Incarnation: c.incarnation, Revision: c.revision,
-		Releases: c.minUsableTerms(), Evidence: c.observations(),
+		Releases: c.releases.unsent(c.options.Lease.MinUsableTerms()), Evidence: c.observations(),
+		AcceptsParts: true, Digests: c.digests(target), NextPart: uint32(c.sync.nextPart),
 		Address: c.options.Address.String(), DataCentre: string(c.options.DataCentre), Draining: c.draining.Load(),
 		AcceptsPartial: true, ClockUs: clock, Samples: c.ownSamples(sent),
-	})
+	}
+	response, err := c.fleetClient(target).Renew(ctx, request)
 	if err != nil {
 		return err
 	}
@@ -263,7 +273,9 @@
 		c.setLeader(response.GetLeader(), target)
 		return errNotLeader
 	}
+	c.sync.source = target
 	c.setMembers(response.GetMembers(), target)
+	c.releases.acknowledged(request.GetReleases(), response.GetReleasedSum())
 	c.applyRenewal(response, sent)
 	return nil
 }
@@ -312,16 +324,6 @@
 	}
 }
 
-// minUsableTerms returns, for each group, the lowest term in which this proxy may still
-// use a primary; it has released the terms below.
-func (c *Client) minUsableTerms() []*fleetpb.Release {
-	var list []*fleetpb.Release
-	for group, term := range c.options.Lease.MinUsableTerms() {
-		list = append(list, &fleetpb.Release{Group: string(group), Term: uint64(term)})
-	}
-	return list
-}
-
 // observations returns what this proxy has observed of servers.
 func (c *Client) observations() []*fleetpb.Evidence {
 	var list []*fleetpb.Evidence
@@ -354,7 +356,7 @@
 		}
 		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 		_, err := c.fleetClient(leader).Report(callCtx, &fleetpb.ReportRequest{
-			Proxy: string(c.options.Proxy), Incarnation: c.incarnation, Releases: c.minUsableTerms(), Evidence: c.observations(),
+			Proxy: string(c.options.Proxy), Incarnation: c.incarnation, Releases: c.releases.unsent(c.options.Lease.MinUsableTerms()), Evidence: c.observations(),
 		})
 		cancel()
 		if err != nil {
