--- /dev/null
+++ b/internal/fleet/coordinator/scale_test.go
@@ -0,0 +1,175 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/fleet/parts"
+	"github.com/burdockwood/burdockwood/internal/fleet/registry"
+	"github.com/burdockwood/burdockwood/internal/fleet/state"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+const testGroups = 400
+
+// announceGroups announces three servers of each of testGroups groups, in batches of
+// five nodes.
+func (f *fixture) announceGroups() {
+	f.t.Helper()
+	batches := make([][]Announcement, 5)
+	for i := range 3 * testGroups {
+		s := registry.Server{
+			Name: cluster.ServerName(fmt.Sprint("s", i)), Group: cluster.GroupName(fmt.Sprint("g", i/3)),
+			Slots: 2, Role: cluster.RoleReplica, Sequence: 1, StartedAt: time.UnixMilli(50),
+		}
+		if i%3 == 0 {
+			s.Role = cluster.RolePrimary
+		}
+		batches[i%5] = append(batches[i%5], Announcement{Server: s})
+	}
+	for _, batch := range batches {
+		if _, err := f.coordinator.AnnounceBatch(f.t.Context(), batch, nil); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	f.waitUntil("all groups have a primary", func() bool { return len(f.machine.View().Primaries) == testGroups })
+	f.waitUntil("the servers are saved", func() bool { return len(f.machine.View().Servers) == 3*testGroups })
+}
+
+// TestFirstPrimariesShareEntries starts 400 groups at once. Their servers and primaries
+// are agreed in few entries of the log rather than one each.
+func TestFirstPrimariesShareEntries(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	before := f.coordinator.options.ConsensusLog.AppliedIndex()
+	f.announceGroups()
+	if got := f.coordinator.options.ConsensusLog.AppliedIndex() - before; got > 40 {
+		t.Errorf("got %d entries in the log for %d groups, want at most 40", got, testGroups)
+	}
+	renewed := f.coordinator.options.ConsensusLog.AppliedIndex()
+	var confirmations []Confirmation
+	f.coordinator.mu.Lock()
+	for _, s := range f.coordinator.current.registry.List() {
+		confirmations = append(confirmations, Confirmation{Name: s.Name, Sequence: 2, Digest: s.Digest()})
+	}
+	f.coordinator.mu.Unlock()
+	needed, err := f.coordinator.AnnounceBatch(t.Context(), nil, confirmations)
+	if err != nil || len(needed) > 0 {
+		t.Errorf("got %d servers needed in full, %v, want none", len(needed), err)
+	}
+	if got := f.coordinator.options.ConsensusLog.AppliedIndex() - renewed; got > 0 {
+		t.Errorf("got %d entries for announcements that say nothing new, want none", got)
+	}
+}
+
+// holder is what a proxy holds of servers and primaries.
+type holder struct {
+	servers   map[cluster.ServerName]registry.Server
+	primaries map[cluster.GroupName]state.GroupPrimary
+	renewal   Renewal
+}
+
+// apply applies a grant and prepares the next renewal.
+func (h *holder) apply(g Grant) {
+	for _, s := range g.Servers {
+		h.servers[s.Name] = s
+	}
+	for group, p := range g.Primaries {
+		h.primaries[group] = p
+	}
+	for _, name := range g.RemovedServers {
+		delete(h.servers, name)
+	}
+	var digests parts.Digests
+	for _, s := range h.servers {
+		digests.AddServer(s)
+	}
+	for group, p := range h.primaries {
+		digests.AddPrimary(group, p.Term, p.Usable(), p.Planned)
+	}
+	h.renewal.Revision, h.renewal.NextPart, h.renewal.Digests = g.Revision, g.NextPart, digests[:]
+}
+
+// TestGrantInParts has a proxy learn of 1,200 servers in pages, while one of them changes
+// and one leaves. A proxy that holds everything is sent nothing by another leader.
+func TestGrantInParts(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.announceGroups()
+	h := &holder{
+		servers: map[cluster.ServerName]registry.Server{}, primaries: map[cluster.GroupName]state.GroupPrimary{},
+		renewal: Renewal{Proxy: "proxy-1", Incarnation: 7, AcceptsPartial: true, AcceptsParts: true},
+	}
+	renew := func() Grant {
+		g, err := f.coordinator.Renew(t.Context(), h.renewal)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.apply(g)
+		return g
+	}
+	if g := renew(); !g.DigestsWanted || len(g.Servers) > 0 {
+		t.Errorf("got %d servers, digests wanted %v, without digests, want only digests wanted", len(g.Servers), g.DigestsWanted)
+	}
+	grants := 0
+	for g := renew(); g.NextPart > 0; g = renew() {
+		if len(g.Servers) > 2*maxServersPerGrant {
+			t.Fatalf("got %d servers in a grant, want about %d at most", len(g.Servers), maxServersPerGrant)
+		}
+		if grants++; grants == 1 {
+			f.announceServer(registry.Server{Name: "s1", Group: "g0", Slots: 2, Role: cluster.RoleReplica, Sequence: 2, StartedAt: time.UnixMilli(50), Draining: true}, false)
+			f.announceServer(registry.Server{Name: "s2", StartedAt: time.UnixMilli(50)}, true)
+		}
+	}
+	f.waitUntil("the proxy holds everything", func() bool {
+		renew()
+		_, left := h.servers["s2"]
+		return h.servers["s1"].Draining && !left && len(h.servers) == 3*testGroups-1 && len(h.primaries) == testGroups
+	})
+	h.renewal.Revision = "999.1"
+	if g := renew(); len(g.Servers)+len(g.Primaries)+len(g.Parts) > 0 || g.NextPart > 0 {
+		t.Errorf("got %d servers and %d primaries after a change of leader, want none", len(g.Servers), len(g.Primaries))
+	}
+}
+
+// announceServer announces a server, or its departure.
+func (f *fixture) announceServer(s registry.Server, leaving bool) {
+	f.t.Helper()
+	if err := f.coordinator.Announce(f.t.Context(), s, leaving); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// TestDepartedServerStaysAway restarts control after a server has left. A late
+// announcement of the process that left doesn't bring it back; a later process does.
+func TestDepartedServerStaysAway(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	started := time.UnixMilli(50)
+	s := registry.Server{Name: "r2", Group: testGroup, Slots: 2, Role: cluster.RoleReplica, Sequence: 3, StartedAt: started}
+	f.announceServer(s, false)
+	f.announceServer(s, true)
+	// The Leave is answered once it is in the replicated state.
+	if view := f.machine.View(); len(view.Servers) > 0 || view.Departed["r2"] != started.UnixMilli() {
+		t.Fatalf("got servers %v, departed %v after the Leave, want r2 departed", view.Servers, view.Departed)
+	}
+	snapshot, err := f.machine.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restarted := state.New()
+	if err := restarted.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	l := &leadership{registry: registry.New(), dirty: map[cluster.GroupName]struct{}{}}
+	l.restoreServers(restarted.View(), time.Now())
+	s.Sequence = 9
+	if l.registry.Register(s, time.Now()) {
+		t.Error("a late announcement registered the server that had left")
+	}
+	s.StartedAt, s.Sequence = started.Add(time.Second), 1
+	if !l.registry.Register(s, time.Now()) {
+		t.Error("the announcement of a later process was refused")
+	}
+}
