--- a/internal/fleet/changelog/changelog.go
+++ b/internal/fleet/changelog/changelog.go
@@ -26,11 +26,17 @@
 	"slices"
 )
 
+// minSuperseded is the number of superseded puts up to which they are always kept.
+const minSuperseded = 64
+
 type (
 	// Log records the last change of each key. It isn't safe for concurrent use.
 	Log[K cmp.Ordered] struct {
 		changed map[K]uint64
 		removed map[K]uint64
+		// order holds the puts by ascending revision. Those that a later put or
+		// remove of the key supersedes are dropped from time to time.
+		order []put[K]
 		// maxRemoved bounds removed.
 		maxRemoved int
 		// completeSince is the lowest revision since which all changes are
@@ -38,6 +44,11 @@
 		completeSince uint64
 	}
 
+	put[K cmp.Ordered] struct {
+		key      K
+		revision uint64
+	}
+
 	// Difference lists the keys that differ between two revisions, each list in
 	// ascending order.
 	Difference[K cmp.Ordered] struct {
@@ -58,6 +69,15 @@
 func (l *Log[K]) Put(key K, revision uint64) {
 	l.changed[key] = revision
 	delete(l.removed, key)
+	l.order = append(l.order, put[K]{key: key, revision: revision})
+	if len(l.order) > 2*len(l.changed)+minSuperseded {
+		l.order = slices.DeleteFunc(l.order, l.isSuperseded)
+	}
+}
+
+func (l *Log[K]) isSuperseded(p put[K]) bool {
+	revision, present := l.changed[p.key]
+	return !present || revision != p.revision
 }
 
 // Remove records that an entry was removed at a revision.
@@ -85,7 +105,7 @@
 	if revision < l.completeSince {
 		return Difference[K]{}, false
 	}
-	return Difference[K]{Changed: keysAfter(l.changed, revision), Removed: keysAfter(l.removed, revision)}, true
+	return Difference[K]{Changed: l.changedAfter(revision), Removed: keysAfter(l.removed, revision)}, true
 }
 
 // forgetOldestHalf forgets the older half of the removed keys.
@@ -95,6 +115,24 @@
 	maps.DeleteFunc(l.removed, func(_ K, revision uint64) bool { return revision <= l.completeSince })
 }
 
+// changedAfter returns the keys that were put after a revision and not removed since.
+func (l *Log[K]) changedAfter(revision uint64) []K {
+	first, _ := slices.BinarySearchFunc(l.order, revision, func(p put[K], after uint64) int {
+		if p.revision > after {
+			return 1
+		}
+		return -1
+	})
+	var keys []K
+	for _, p := range l.order[first:] {
+		if !l.isSuperseded(p) {
+			keys = append(keys, p.key)
+		}
+	}
+	slices.Sort(keys)
+	return slices.Compact(keys)
+}
+
 // keysAfter returns the keys with a higher revision than the given one.
 func keysAfter[K cmp.Ordered](revisions map[K]uint64, revision uint64) []K {
 	var keys []K
--- a/internal/fleet/coordinator/coordinator_test.go
+++ b/internal/fleet/coordinator/coordinator_test.go
@@ -42,7 +42,7 @@
 	}
 
 	fixture struct {
-		t           *testing.T
+		t           testing.TB
 		coordinator *Coordinator
 		machine     *state.Machine
 		platform    *fakePlatform
@@ -100,7 +100,7 @@
 	p.statuses[s] = cluster.ServerStatus{Role: role, Promised: term, Received: cluster.LogPosition{Term: term, Position: position}}
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t testing.TB) *fixture {
 	f := &fixture{
 		t: t, machine: state.New(),
 		platform: &fakePlatform{statuses: map[cluster.ServerName]cluster.ServerStatus{}, refusedTargets: map[cluster.ServerName]bool{}, promotesAtOnce: true},
--- a/internal/fleet/coordinator/scale_test.go
+++ b/internal/fleet/coordinator/scale_test.go
@@ -173,3 +173,49 @@
 		t.Error("the announcement of a later process was refused")
 	}
 }
+
+// BenchmarkRenew renews leases of proxies that hold the state of 400 groups, each with
+// observations of some servers, while nothing changes.
+func BenchmarkRenew(b *testing.B) {
+	f := newFixture(b)
+	f.coordinator.options.LongPoll = time.Nanosecond
+	f.announceGroups()
+	f.coordinator.mu.Lock()
+	revision := f.coordinator.current.revisionID()
+	f.coordinator.mu.Unlock()
+	r := Renewal{Incarnation: 7, Revision: revision, AcceptsPartial: true, AcceptsParts: true}
+	for i := range 20 {
+		r.Observations = append(r.Observations, Observation{Server: cluster.ServerName(fmt.Sprint("s", i)), SinceResponse: time.Millisecond})
+	}
+	i := 0
+	for b.Loop() {
+		i++
+		r.Proxy = cluster.ProxyName(fmt.Sprint("proxy-", i%100))
+		if _, err := f.coordinator.Renew(b.Context(), r); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkRest measures the work of a leader with 400 groups for one second in which
+// every server's announcements are confirmed.
+func BenchmarkRest(b *testing.B) {
+	f := newFixture(b)
+	f.announceGroups()
+	f.coordinator.mu.Lock()
+	var confirmations []Confirmation
+	for _, s := range f.coordinator.current.registry.List() {
+		confirmations = append(confirmations, Confirmation{Name: s.Name, Sequence: 2, Digest: s.Digest()})
+	}
+	f.coordinator.mu.Unlock()
+	s := &scheduler{coordinator: f.coordinator, leadership: f.coordinator.current}
+	for b.Loop() {
+		if _, err := f.coordinator.AnnounceBatch(b.Context(), nil, confirmations); err != nil {
+			b.Fatal(err)
+		}
+		for range sweepParts {
+			s.look(b.Context(), s.nextPart())
+			f.coordinator.removeExpired(b.Context(), f.coordinator.current)
+		}
+	}
+}
--- a/internal/fleet/coordinator/schedule.go
+++ b/internal/fleet/coordinator/schedule.go
@@ -18,6 +18,10 @@
 // shows only with time.
 const sweepParts = 5
 
+// failingTime is how long a group is looked at each tick after the last report of a
+// failure. It is longer than reports count.
+const failingTime = 3 * time.Second
+
 // scheduler decides which groups need work. A group that needs none costs a look at its
 // state in every sweep. One that does has a groupController that runs until nothing is
 // left to do.
@@ -69,36 +73,27 @@
 }
 
 // nextPart returns the groups of the next part of a sweep, and those that a proxy
-// reports to be failing.
+// reported to be failing lately.
 func (s *scheduler) nextPart() []cluster.GroupName {
 	l := s.leadership
+	now := s.coordinator.options.Now()
 	s.coordinator.mu.Lock()
 	defer s.coordinator.mu.Unlock()
-	groups := l.registry.Groups()
-	for group := range l.view.Primaries {
-		groups = append(groups, group)
-	}
-	slices.Sort(groups)
-	groups = slices.Compact(groups)
-	part := make([]cluster.GroupName, 0, len(groups)/sweepParts+1)
-	for i, group := range groups {
-		if i%sweepParts == s.part || l.hasFailing(group) {
-			part = append(part, group)
+	var groups []cluster.GroupName
+	for part, names := range l.partIndex(l.view).groups {
+		if part%sweepParts == s.part {
+			groups = append(groups, names...)
 		}
 	}
-	s.part = (s.part + 1) % sweepParts
-	return part
-}
-
-// hasFailing reports whether the last report of any proxy says that the group's
-// primary fails.
-func (l *leadership) hasFailing(group cluster.GroupName) bool {
-	for _, o := range l.observations[l.view.Primaries[group].Primary] {
-		if o.FailingFor > 0 {
-			return true
+	for group, at := range l.failing {
+		if now.Sub(at) > failingTime {
+			delete(l.failing, group)
+			continue
 		}
+		groups = append(groups, group)
 	}
-	return false
+	s.part = (s.part + 1) % sweepParts
+	return groups
 }
 
 // look has those of the groups that need work worked on.
