--- a/internal/traffic/controlclient/apply.go
+++ b/internal/traffic/controlclient/apply.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/burdockwood/burdockwood/internal/fleet/leaderclock"
@@ -23,6 +24,10 @@
 	"github.com/burdockwood/burdockwood/internal/traffic/ownership"
 )
 
+// maxLoggedChanges bounds the servers and primaries of one response that are logged one by
+// one.
+const maxLoggedChanges = 16
+
 // ownSamples returns the samples that this proxy took since the last renewal that
 // succeeded, with their ages at the time now.
 func (c *Client) ownSamples(now time.Time) []*fleetpb.Sample {
@@ -81,19 +86,30 @@
 	// yields a sample only if the server is known to be the primary.
 	if response.GetChanged() {
 		c.serversMu.Lock()
-		c.applyServers(response, now)
-		c.applyPeers(response)
-		c.updatePools()
+		serversChanged, peersChanged := c.applyServers(response, now), c.applyPeers(response)
+		if serversChanged || peersChanged {
+			c.updatePools()
+		}
 		c.serversMu.Unlock()
 	}
+	logged := 0
 	for group, p := range primaries {
-		if c.loggedPrimaries[group] != p {
-			c.loggedPrimaries[group] = p
+		if c.primaries[group] == p {
+			continue
+		}
+		c.primaries[group] = p
+		if logged++; logged <= maxLoggedChanges {
 			c.options.Logger.Info("primary known", "group", group, "term", p.Term, "primary", p.Primary, "planned", p.Planned)
 		}
 	}
+	if logged > maxLoggedChanges {
+		c.options.Logger.Info("primaries known", "groups", logged)
+	}
 	c.revision = response.GetRevision()
-	c.everGranted.Store(true)
+	c.sync.nextPart, c.sync.wanted = int(response.GetNextPart()), response.GetDigestsWanted()
+	if c.sync.nextPart == 0 && !c.sync.wanted {
+		c.everGranted.Store(true)
+	}
 }
 
 // closeReplaced closes the connections to primaries that are being replaced because
@@ -111,9 +127,10 @@
 // applyServers applies the servers of a response. After an election, the servers have
 // to announce themselves to the new leader. Until they have had the time for that (the
 // response's warming is true), known servers that the leader doesn't list are kept.
-// c.serversMu is held.
-func (c *Client) applyServers(response *fleetpb.RenewResponse, now time.Time) {
+// It reports whether anything changed. c.serversMu is held.
+func (c *Client) applyServers(response *fleetpb.RenewResponse, now time.Time) (changed bool) {
 	names := map[cluster.ServerName]bool{}
+	added := 0
 	for _, pb := range response.GetServers() {
 		server, err := protoconv.ServerFromProto(pb, now)
 		if err != nil {
@@ -121,30 +138,45 @@
 			continue
 		}
 		names[server.Name] = true
-		if c.registry.Register(server, now) {
+		if !c.registry.Register(server, now) {
+			continue
+		}
+		if added++; added <= maxLoggedChanges {
 			c.options.Logger.Info("server added or changed", "server", server.Name, "group", server.Group, "address", server.Address.String(),
 				"role", server.Role.String(), "draining", server.Draining)
 		}
 	}
+	if added > maxLoggedChanges {
+		c.options.Logger.Info("servers added or changed", "servers", added)
+	}
+	before := c.registry.Len()
 	if response.GetPartialServers() {
 		for _, name := range response.GetRemovedServers() {
 			c.registry.Remove(cluster.ServerName(name))
 		}
+		if len(response.GetParts()) > 0 && !response.GetWarming() {
+			c.removeUnlisted(response.GetParts(), names)
+		}
 	} else if !response.GetWarming() {
 		c.registry.Retain(names)
 	}
+	return added > 0 || c.registry.Len() != before
 }
 
 // applyPeers applies the number of proxies and the peers of a response. Peers with an
-// invalid address are left out, because they couldn't be reached. c.serversMu is held.
-func (c *Client) applyPeers(response *fleetpb.RenewResponse) {
+// invalid address are left out, because they couldn't be reached. A new leader learns of
+// the peers as they renew their leases; until it has had the time for that, known peers
+// that it doesn't list are kept. applyPeers reports whether anything changed. c.serversMu
+// is held.
+func (c *Client) applyPeers(response *fleetpb.RenewResponse) bool {
+	countChanged := c.proxyCount != int(response.GetProxies())
 	c.proxyCount = int(response.GetProxies())
 	changed := len(response.GetPeers())+len(response.GetRemovedPeers()) > 0
-	if !response.GetPartialPeers() {
+	if !response.GetPartialPeers() && !response.GetWarming() {
 		c.peers, changed = map[cluster.ProxyName]ownership.Peer{}, true
 	}
 	if !changed {
-		return
+		return countChanged
 	}
 	for _, name := range response.GetRemovedPeers() {
 		delete(c.peers, cluster.ProxyName(name))
@@ -159,35 +191,58 @@
 		c.peers[name] = ownership.Peer{Name: name, Address: address, DataCentre: cluster.DataCentre(pb.GetDataCentre())}
 	}
 	c.peerSet = ownership.NewPeerSet(slices.Collect(maps.Values(c.peers)))
+	return true
 }
 
-// connectionPlan returns how this proxy reaches a server. c.serversMu is held.
-func (c *Client) connectionPlan(server registry.Server) ownership.ConnectionPlan {
-	customers := c.customerSet()
-	s := ownership.Server{
-		Name: server.Name, DataCentre: server.DataCentre, MaxConnections: c.maxConnections(server.Group), Slots: server.Slots,
-		Customers: customers.Len(),
-	}
-	plan := ownership.PlanConnections(s, c.proxyCount, c.peerSet, c.self())
-	if customers.Len() > 0 && len(plan.Owners) > 0 {
-		plan.Assignment = ownership.Assign(c.assignments[server.Name], plan.Owners, customers)
-		c.assignments[server.Name] = plan.Assignment
+// connectionPlan returns a function that returns how this proxy reaches a server, as of
+// now. c.serversMu is held.
+func (c *Client) connectionPlan() func(registry.Server) ownership.ConnectionPlan {
+	count, peers, customers := c.proxyCount, c.peerSet, c.customerSet()
+	assignments := c.assignments
+	return func(server registry.Server) ownership.ConnectionPlan {
+		s := ownership.Server{
+			Name: server.Name, DataCentre: server.DataCentre, MaxConnections: c.maxConnections(server.Group), Slots: server.Slots,
+			Customers: customers.Len(),
+		}
+		plan := ownership.PlanConnections(s, count, peers, c.self())
+		if customers.Len() > 0 && len(plan.Owners) > 0 {
+			plan.Assignment = assignments.assign(server.Name, plan.Owners, customers)
+		}
+		return plan
 	}
-	return plan
 }
 
 // customerSet returns the customers of the configuration in force. c.serversMu is held.
 func (c *Client) customerSet() *ownership.CustomerSet {
 	var current []customer.Customer
-	if config := c.options.Sessions.Config(); config != nil && config.Customers != nil {
+	if config := c.options.Sessions.Config(); config != nil {
 		current = config.Customers.All()
 	}
 	if !c.customers.Holds(current) {
-		c.customers, c.assignments = ownership.NewCustomerSet(current), map[cluster.ServerName]*ownership.Assignment{}
+		c.customers, c.assignments = ownership.NewCustomerSet(current), &assignmentCache{}
 	}
 	return c.customers
 }
 
+// assignmentCache holds the last assignment of one set of customers to the owners of each
+// server's connections, so that plans of the same owners share it. It is safe for
+// concurrent use.
+type assignmentCache struct {
+	mu       sync.Mutex
+	byServer map[cluster.ServerName]*ownership.Assignment
+}
+
+// assign returns the assignment for a server with the given owners.
+func (a *assignmentCache) assign(server cluster.ServerName, owners []ownership.Peer, customers *ownership.CustomerSet) *ownership.Assignment {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.byServer == nil {
+		a.byServer = map[cluster.ServerName]*ownership.Assignment{}
+	}
+	a.byServer[server] = ownership.Assign(a.byServer[server], owners, customers)
+	return a.byServer[server]
+}
+
 // self returns this proxy as a peer.
 func (c *Client) self() ownership.Peer {
 	return ownership.Peer{Name: c.options.Proxy, Address: c.options.Address, DataCentre: c.options.DataCentre}
@@ -198,7 +253,7 @@
 // the plans would forward all statements to one proxy. c.serversMu is held.
 func (c *Client) updatePools() {
 	if c.options.Sessions.Config() != nil {
-		c.options.Pools.SetServers(c.registry.List(), c.connectionPlan)
+		c.options.Pools.SetServers(c.registry.List(), c.connectionPlan())
 	}
 }
 
