--- a/internal/traffic/controlclient/client_test.go
+++ b/internal/traffic/controlclient/client_test.go
@@ -18,8 +18,10 @@
 
 	"github.com/burdockwood/burdockwood/internal/fleet/patch"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 	"github.com/burdockwood/burdockwood/internal/traffic/freshness"
+	"github.com/burdockwood/burdockwood/internal/traffic/keyright"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
 	"github.com/burdockwood/burdockwood/internal/traffic/routing"
 	"github.com/burdockwood/burdockwood/internal/traffic/session"
@@ -322,3 +324,35 @@
 		}
 	}
 }
+
+// TestNotReadyWithoutTheRightToUseKeys checks a proxy that has a lease and customers.
+func TestNotReadyWithoutTheRightToUseKeys(t *testing.T) {
+	holder, pools := lease.New(), upstream.New(upstream.Options{Now: time.Now, Logger: logr.Discard()})
+	sessions := session.NewManager(session.Options{Lease: holder, Pools: pools, Now: time.Now, Logger: logr.Discard()})
+	right := keyright.New(5 * time.Second)
+	c := New(Options{Sessions: sessions, Lease: holder, KeyRight: right, Pools: pools, Now: time.Now, Logger: logr.Discard()})
+	now := time.Now()
+	c.everGranted.Store(true)
+	holder.Renew(now.Add(time.Minute), nil, now)
+	sessions.SetConfig(routing.New(1, nil, nil, routing.Limits{}))
+	if ready, reason := c.Ready(now); !ready {
+		t.Errorf("got not ready without customers: %s", reason)
+	}
+	config := routing.New(2, nil, nil, routing.Limits{})
+	var err error
+	if config.Customers, err = customer.New(nil); err != nil {
+		t.Fatal(err)
+	}
+	sessions.SetConfig(config)
+	if ready, _ := c.Ready(now); ready {
+		t.Error("got ready with customers and without the right to use keys")
+	}
+	right.Confirm(2, now)
+	right.InForce(2)
+	if ready, reason := c.Ready(now); !ready {
+		t.Errorf("got not ready with the right: %s", reason)
+	}
+	if ready, _ := c.Ready(now.Add(5 * time.Second)); ready {
+		t.Error("got ready after the right has ended")
+	}
+}
--- a/internal/traffic/keyright/keyright.go
+++ b/internal/traffic/keyright/keyright.go
@@ -171,12 +171,15 @@
 	if current == nil {
 		return ErrOlderConfig
 	}
+	isOlder := current.Version < request.ConfigVersion
 	if current.Customers != nil {
 		if c, ok := current.Customers.ByKey(request.Key); ok && c.Name == request.Customer {
 			return nil
 		}
+	} else if !isOlder {
+		return nil // callers need no key any more
 	}
-	if current.Version < request.ConfigVersion {
+	if isOlder {
 		return ErrOlderConfig
 	}
 	return ErrUnknownKey
--- a/internal/traffic/keyright/keyright_test.go
+++ b/internal/traffic/keyright/keyright_test.go
@@ -241,6 +241,8 @@
 		{"another customer's", forB, right, config(5, key), time.Second, ErrUnknownKey},
 		{"accepted by a newer version", statement.Request{Customer: "a", Key: key, ConfigVersion: 6}, right, config(5), time.Second, ErrOlderConfig},
 		{"accepted by a newer version, key in both", statement.Request{Customer: "a", Key: key, ConfigVersion: 6}, right, config(5, key), time.Second, nil},
+		{"callers need no key any more", request, right, routing.New(5, nil, nil, routing.Limits{}), time.Second, nil},
+		{"callers needed no key yet", statement.Request{Customer: "a", Key: key, ConfigVersion: 6}, right, routing.New(5, nil, nil, routing.Limits{}), time.Second, ErrOlderConfig},
 		{"no configuration", request, New(0), nil, 0, ErrOlderConfig},
 	}
 	for _, test := range tests {
--- a/internal/traffic/session/manager.go
+++ b/internal/traffic/session/manager.go
@@ -278,6 +278,9 @@
 		metrics.Gauge(registry, name, labels...).Update(value)
 	}
 	set("lease-left-ms", m.options.Lease.Remaining(now).Milliseconds())
+	if m.options.KeyRight != nil {
+		set("key-right-left-ms", m.options.KeyRight.Remaining(now).Milliseconds())
+	}
 	set("sessions", int64(m.Count()))
 	if current := m.Config(); current != nil {
 		set("configuration-version", int64(current.Version))
--- a/internal/traffic/session/session_test.go
+++ b/internal/traffic/session/session_test.go
@@ -16,6 +16,7 @@
 	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 	"github.com/burdockwood/burdockwood/internal/traffic/freshness"
+	"github.com/burdockwood/burdockwood/internal/traffic/keyright"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
 	"github.com/burdockwood/burdockwood/internal/traffic/ownership"
 	"github.com/burdockwood/burdockwood/internal/traffic/routing"
@@ -178,6 +179,9 @@
 		Dial: func(s registry.Server, _ customer.Name, _ time.Duration) (backend.Conn, error) {
 			return &fakeConn{server: f.servers[s.Name]}, nil
 		},
+		MaySend: func(r statement.Request, now time.Time) error {
+			return keyright.Check(r, f.manager.options.KeyRight, f.manager.Config, now)
+		},
 		Now: time.Now, Logger: logr.Discard(),
 	})
 	f.manager = NewManager(Options{Lease: f.lease, Pools: m, Now: time.Now, Logger: logr.Discard()})
