--- a/internal/traffic/controlclient/apply.go
+++ b/internal/traffic/controlclient/apply.go
@@ -7,12 +7,16 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
+	"github.com/burdockwood/burdockwood/internal/fleet/leaderclock"
 	"github.com/burdockwood/burdockwood/internal/fleet/protoconv"
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/fleet/samples"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 	"github.com/burdockwood/burdockwood/internal/traffic/freshness"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
@@ -36,6 +40,11 @@
 func (c *Client) applySamples(response *fleetpb.RenewResponse, sentAt, now time.Time) {
 	c.leaderClock, c.leaderClockAt = time.Duration(response.GetClockUs())*time.Microsecond, now
 	c.samplesSentAt = sentAt
+	if c.options.LeaderClock != nil {
+		c.options.LeaderClock.Record(leaderclock.Response{
+			Leader: leadershipOf(response.GetRevision()), Clock: c.leaderClock, Held: time.Duration(response.GetHeldMs()) * time.Millisecond,
+		}, sentAt, now)
+	}
 	madeAfter := sentAt.Add(time.Duration(response.GetHeldMs()) * time.Millisecond)
 	for _, pb := range response.GetSamples() {
 		s, age := protoconv.SampleFromProto(pb)
@@ -43,6 +52,16 @@
 	}
 }
 
+// leadershipOf returns the leadership that a revision belongs to; zero: unknown.
+func leadershipOf(revision string) uint64 {
+	text, _, _ := strings.Cut(revision, ".")
+	leadership, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return leadership
+}
+
 // applyRenewal applies the response to a renewal that was sent at sentAt.
 func (c *Client) applyRenewal(response *fleetpb.RenewResponse, sentAt time.Time) {
 	now := c.options.Now()
@@ -144,8 +163,29 @@
 
 // connectionPlan returns how this proxy reaches a server. c.serversMu is held.
 func (c *Client) connectionPlan(server registry.Server) ownership.ConnectionPlan {
-	s := ownership.Server{Name: server.Name, DataCentre: server.DataCentre, MaxConnections: c.maxConnections(server.Group), Slots: server.Slots}
-	return ownership.PlanConnections(s, c.proxyCount, c.peerSet, c.self())
+	customers := c.customerSet()
+	s := ownership.Server{
+		Name: server.Name, DataCentre: server.DataCentre, MaxConnections: c.maxConnections(server.Group), Slots: server.Slots,
+		Customers: customers.Len(),
+	}
+	plan := ownership.PlanConnections(s, c.proxyCount, c.peerSet, c.self())
+	if customers.Len() > 0 && len(plan.Owners) > 0 {
+		plan.Assignment = ownership.Assign(c.assignments[server.Name], plan.Owners, customers)
+		c.assignments[server.Name] = plan.Assignment
+	}
+	return plan
+}
+
+// customerSet returns the customers of the configuration in force. c.serversMu is held.
+func (c *Client) customerSet() *ownership.CustomerSet {
+	var current []customer.Customer
+	if config := c.options.Sessions.Config(); config != nil && config.Customers != nil {
+		current = config.Customers.All()
+	}
+	if !c.customers.Holds(current) {
+		c.customers, c.assignments = ownership.NewCustomerSet(current), map[cluster.ServerName]*ownership.Assignment{}
+	}
+	return c.customers
 }
 
 // self returns this proxy as a peer.
--- a/internal/traffic/session/cause.go
+++ b/internal/traffic/session/cause.go
@@ -33,7 +33,11 @@
 	causeConnectionLost cause = "connection-lost"
 	// causeUnknownKey is a key that was withdrawn while the statement waited.
 	causeUnknownKey cause = "unknown-key"
-	causeNoKeyRight cause = "no-right-to-use-keys"
+	// causeLimit is a refusal because the customer is over its limit, causeLimitUnknown
+	// one because control didn't answer.
+	causeLimit        cause = "limit"
+	causeLimitUnknown cause = "limit-unknown"
+	causeNoKeyRight   cause = "no-right-to-use-keys"
 	// causeWaiting and causeSlow are those of statements that succeeded at the first
 	// attempt, but late: most of the time passed in this proxy, or after it.
 	causeWaiting cause = "waiting"
--- a/internal/traffic/session/execution.go
+++ b/internal/traffic/session/execution.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
+	"github.com/burdockwood/burdockwood/internal/traffic/quota"
 	"github.com/burdockwood/burdockwood/internal/traffic/routing"
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
 	"github.com/burdockwood/burdockwood/internal/traffic/upstream"
@@ -88,6 +90,12 @@
 		failedAttempts []string
 		// lastPool is the pool of the server that was tried last; nil: none.
 		lastPool *upstream.Pool
+		// customer is the one whose limit applies; nil: none. token was taken for the
+		// operation; reachedServer is true once a statement
+		// of it may have reached a server.
+		customer      *customer.Customer
+		token         quota.Token
+		reachedServer bool
 	}
 
 	// target is the server for one attempt.
@@ -112,6 +120,7 @@
 		session: s, route: route, stmt: next, writes: writes, bootStart: s.manager.options.Now(), start: start,
 		primaryOnly:  writes || route.Consistency == routing.Strong,
 		softDeadline: waitingSince.Add(route.LatencyTarget - min(answerTransit, route.LatencyTarget/4)),
+		customer:     s.limitedCustomer(),
 		deadline:     start.Add(route.StatementTimeout), excluded: map[cluster.ServerName]bool{},
 	}
 }
@@ -130,6 +139,10 @@
 	callerContext, endWatch := e.session.watchCaller()
 	defer endWatch()
 	e.callerContext = callerContext
+	if refusal := e.admit(); refusal != nil {
+		return *refusal
+	}
+	defer e.returnToken()
 	for {
 		e.attempts++
 		t, refusal := e.chooseTarget()
@@ -181,7 +194,9 @@
 		limit = e.deadline
 	}
 	if e.tx != nil {
-		if answer, err := e.beginOnServer(conn, t, limit); err != nil || answer.Code != statement.OK {
+		answer, err := e.beginOnServer(conn, t, limit)
+		e.recordReached(answer, err)
+		if err != nil || answer.Code != statement.OK {
 			return e.handleBeginFailure(conn, t, answer, err)
 		}
 		request.MinPosition = cluster.LogPosition{}
@@ -191,6 +206,7 @@
 	if _, refused := errors.AsType[*upstream.NotPermittedError](err); refused {
 		return e.handleNotPermitted(conn, err)
 	}
+	e.recordReached(answer, err)
 	if err != nil {
 		conn.Discard()
 		return e.handleLostAnswer(t, err)
