--- a/internal/traffic/controlclient/client_test.go
+++ b/internal/traffic/controlclient/client_test.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/go-logr/logr"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockwood/burdockwood/internal/fleet/patch"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
@@ -84,24 +83,23 @@
 
 // start runs a client with the seeds. It returns the client, its sessions and its lease.
 func start(t *testing.T, seeds ...netip.AddrPort) (*Client, *session.Manager, *lease.Holder) {
+	return startWith(t, func(*Options) {}, seeds...)
+}
+
+// startWith is start with other options.
+func startWith(t *testing.T, change func(*Options), seeds ...netip.AddrPort) (*Client, *session.Manager, *lease.Holder) {
 	holder := lease.New()
 	m := upstream.New(upstream.Options{Now: time.Now, Logger: logr.Discard()})
 	sessions := session.NewManager(session.Options{Lease: holder, Pools: m, Now: time.Now, Logger: logr.Discard()})
-	c := New(Options{
+	options := Options{
 		Proxy: "proxy-1", Seeds: seeds, HTTPClient: &http.Client{}, Sessions: sessions, Lease: holder, Pools: m, Now: time.Now, Logger: logr.Discard(),
 		DecodeConfig: func(body []byte) (*routing.Config, error) {
 			return routing.New(uint64(len(body)), nil, nil, routing.Limits{}), nil
 		},
-	})
-	ctx, cancel := context.WithCancel(t.Context())
-	var group errgroup.Group
-	group.Go(func() error { return c.Run(ctx) })
-	t.Cleanup(func() {
-		cancel()
-		if err := group.Wait(); err != nil {
-			t.Error(err)
-		}
-	})
+	}
+	change(&options)
+	c := New(options)
+	runGroup(t, c.Run)
 	return c, sessions, holder
 }
 
