Customers in short YAML; control takes declarations up to 2 MiB

Cause: 10,000 customers took 1,278,948 bytes, and control took 1 MiB (seen with a real control node: 'the author or the text is too long').

--- a/internal/config/declaration/customers.go
+++ b/internal/config/declaration/customers.go
@@ -28,11 +28,12 @@
 	// their keys.
 	Customers []customer.Customer
 
-	// customerYAML is the YAML form of a customer.
+	// customerYAML is the YAML form of a customer. It is short, since there may be
+	// thousands.
 	customerYAML struct {
 		Name       customer.Name `yaml:"name"`
-		KeyDigests []string      `yaml:"key-digests,omitempty"`
-		Limit      *limitYAML    `yaml:"limit,omitempty"`
+		KeyDigests []string      `yaml:"key-digests,omitempty,flow"`
+		Limit      *limitYAML    `yaml:"limit,omitempty,flow"`
 		Priority   int           `yaml:"priority,omitempty"`
 		Weight     int           `yaml:"weight,omitempty"`
 	}
@@ -81,7 +82,10 @@
 func ShortDigest(digest customer.Digest) string { return digest.String()[:shortDigestLetters] }
 
 func newCustomerYAML(c customer.Customer) customerYAML {
-	y := customerYAML{Name: c.Name, Priority: c.Priority, Weight: c.Weight}
+	y := customerYAML{Name: c.Name, Priority: c.Priority}
+	if c.Weight != defaultWeight {
+		y.Weight = c.Weight
+	}
 	for _, key := range c.Keys {
 		y.KeyDigests = append(y.KeyDigests, key.String())
 	}
--- a/internal/control/controlrpc/operators.go
+++ b/internal/control/controlrpc/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -15,7 +16,7 @@
 const (
 	maxChangeIDBytes     = 128
 	maxAuthorBytes       = 128
-	maxDeclarationsBytes = 1 << 20
+	maxDeclarationsBytes = 2 << 20
 
 	// defaultHistoryLimit is the number of changes that History lists if the
 	// request states none.
@@ -30,8 +31,11 @@
 	if request.ChangeId == "" || len(request.ChangeId) > maxChangeIDBytes {
 		return nil, twirp.InvalidArgumentError("change_id", "want 1 to 128 bytes")
 	}
-	if len(request.Author) > maxAuthorBytes || len(request.Declarations) > maxDeclarationsBytes {
-		return nil, twirp.InvalidArgumentError("declarations", "the author or the text is too long")
+	if len(request.Author) > maxAuthorBytes {
+		return nil, twirp.InvalidArgumentError("author", fmt.Sprintf("want at most %d bytes", maxAuthorBytes))
+	}
+	if len(request.Declarations) > maxDeclarationsBytes {
+		return nil, twirp.InvalidArgumentError("declarations", fmt.Sprintf("they have %d bytes, want at most %d: declare less, or run a second system", len(request.Declarations), maxDeclarationsBytes))
 	}
 	if _, leads := s.options.ConsensusLog.IsLeader(); !leads {
 		return nil, s.notLeaderError()
