Send a change of declared customers as an edit

Cause: each change of the declarations went whole to each proxy. Change: the edit that control keeps to undo a version also gives what changed; where customers are declared, a proxy with the version before gets that, with a checksum. What doesn't fit is asked for whole. Without customers all goes as before. The edits of texts are a package of their own, with bounds checked.

--- a/internal/control/controlrpc/controlrpc_test.go
+++ b/internal/control/controlrpc/controlrpc_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
@@ -19,6 +20,7 @@
 	"github.com/burdockwood/burdockwood/internal/control/singlenode"
 	"github.com/burdockwood/burdockwood/internal/control/state"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/proxy/clusterview"
 	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
 )
 
@@ -125,10 +127,15 @@
 	f := &fixture{t: t, group: group, ctx: ctx, servers: map[netip.AddrPort]*fakeServer{}}
 	stateMachine := state.New()
 	log := singlenode.New(stateMachine, "control-1", netip.MustParseAddrPort("127.0.0.1:1"))
-	// In this test, declarations are the names of groups, separated by spaces.
+	// In this test, declarations are the names of groups, separated by spaces, and
+	// words that begin with "customer".
 	parse := func(text string) (coordinator.ParsedDeclarations, error) {
 		declared := coordinator.ParsedDeclarations{Groups: map[cluster.GroupName]coordinator.DeclaredGroup{}}
 		for _, name := range strings.Fields(text) {
+			if strings.HasPrefix(name, "customer") {
+				declared.HasCustomers = true
+				continue
+			}
 			declared.Groups[cluster.GroupName(name)] = coordinator.DeclaredGroup{Servers: 3}
 		}
 		return declared, nil
@@ -284,6 +291,45 @@
 	}
 }
 
+// TestChangeOfOneCustomerIsSentAsAnEdit changes one of 10,000 customers. A proxy must get
+// that customer's bytes, and a proxy that takes no edits or has an older version the whole.
+func TestChangeOfOneCustomerIsSentAsAnEdit(t *testing.T) {
+	f := newFixture(t)
+	text := func(rate int) string {
+		var b strings.Builder
+		for i := range 10000 {
+			fmt.Fprintf(&b, "customer-%d-of-rate-20\n", i)
+		}
+		return "g\n" + strings.Replace(b.String(), "customer-5000-of-rate-20", fmt.Sprintf("customer-5000-of-rate-%d", rate), 1)
+	}
+	store := clusterview.NewStore()
+	heartbeat := func(version uint64, takesEdits bool) *controlpb.HeartbeatResponse {
+		response, err := f.control.Heartbeat(f.ctx, &controlpb.HeartbeatRequest{Proxy: "p1", Address: "127.0.0.1:9", Incarnation: 1, Version: version, TakesEdits: takesEdits})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return response
+	}
+	for i, rate := range []int{20, 21, 400} {
+		request := &controlpb.ApplyRequest{Declarations: text(rate), ExpectVersion: uint64(i), ChangeId: fmt.Sprint(rate), Author: "a"}
+		if response, err := f.control.Apply(f.ctx, request); err != nil || !response.Accepted {
+			t.Fatalf("Apply: got %v, %v, want it accepted", response, err)
+		}
+		response := heartbeat(uint64(store.Load().Version), true)
+		if got := len(response.Declarations) + len(response.Edit.GetMiddle()); i > 0 && got > 10 {
+			t.Errorf("change to %d: got %d bytes, want at most 10", rate, got)
+		}
+		if !store.Apply(response, time.Now()) || store.Load().Declarations != text(rate) {
+			t.Errorf("change to %d: the proxy's declarations aren't those in force", rate)
+		}
+	}
+	for _, response := range []*controlpb.HeartbeatResponse{heartbeat(2, false), heartbeat(1, true)} {
+		if response.Edit != nil || response.Declarations != text(400) {
+			t.Error("without edits, or two versions behind: got no whole declarations")
+		}
+	}
+}
+
 // TestStatusOverHTTP calls the service through its HTTP handler.
 func TestStatusOverHTTP(t *testing.T) {
 	f := newFixture(t)
--- a/internal/control/controlrpc/heartbeat.go
+++ b/internal/control/controlrpc/heartbeat.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return nil, s.rpcError(err)
 	}
-	return responseToProto(response), nil
+	return responseToProto(response, heartbeat.Version), nil
 }
 
 // waitForUpdate waits until there is an update for the proxy or the timeout has
@@ -76,6 +76,7 @@
 		Epoch:       request.LeaderEpoch,
 		Draining:    request.Draining,
 		Leaving:     request.Leaving,
+		TakesEdits:  request.TakesEdits,
 	}
 	if len(request.Uses) > 0 {
 		heartbeat.Usage = map[coordinator.ServerKey]allocation.Usage{}
@@ -96,9 +97,9 @@
 	return heartbeat, nil
 }
 
-// responseToProto converts a response. Its shares are the grants of the message,
+// responseToProto converts a response to a proxy that has the version from. Its shares are the grants of the message,
 // and the part of a share that doesn't expire is the floor of a grant.
-func responseToProto(update coordinator.HeartbeatResponse) *controlpb.HeartbeatResponse {
+func responseToProto(update coordinator.HeartbeatResponse, from cluster.Version) *controlpb.HeartbeatResponse {
 	response := &controlpb.HeartbeatResponse{
 		Version:      uint64(update.Version),
 		Declarations: update.Declarations,
@@ -110,6 +111,11 @@
 		Drain:        update.Drain,
 		MarkKeys:     update.MarkKeys,
 	}
+	if update.Edit != nil {
+		response.Edit = &controlpb.DeclarationsEdit{
+			FromVersion: uint64(from), Head: uint32(update.Edit.Head), Tail: uint32(update.Edit.Tail), Middle: update.Edit.Middle, Checksum: update.Checksum,
+		}
+	}
 	for _, group := range update.Groups {
 		response.Groups = append(response.Groups, groupToProto(group))
 	}
--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -78,6 +78,9 @@
 	// ParsedDeclarations is the part of the declarations that the coordinator needs.
 	ParsedDeclarations struct {
 		Groups map[cluster.GroupName]DeclaredGroup
+		// HasCustomers is true if customers are declared, which may be thousands:
+		// proxies then get changes as edits.
+		HasCustomers bool
 	}
 
 	// DeclaredGroup is a declared group.
--- a/internal/control/coordinator/proxies.go
+++ b/internal/control/coordinator/proxies.go
@@ -48,6 +48,8 @@
 		// Leaving is true in the last heartbeat of a proxy, which has closed
 		// all its connections and shuts down.
 		Leaving bool
+		// TakesEdits is true if the proxy takes an edit of its declarations.
+		TakesEdits bool
 	}
 
 	// proxy is the soft state of one proxy.
--- a/internal/control/coordinator/response.go
+++ b/internal/control/coordinator/response.go
@@ -7,14 +7,18 @@
 
 	"github.com/burdockwood/burdockwood/internal/control/allocation"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/textedit"
 )
 
 // HeartbeatResponse holds all that changed for a proxy since the revision that
 // it has.
 type HeartbeatResponse struct {
 	Version cluster.Version
-	// Declarations are set if the proxy has an older version.
+	// Declarations or Edit are set if the proxy has an older version. Edit turns
+	// the declarations that it has into the newest, which have Checksum.
 	Declarations string
+	Edit         *textedit.Edit
+	Checksum     uint64
 	// Revision and Epoch are those of the leader's soft state at the time of
 	// the response. The proxy repeats them in its next heartbeat.
 	Revision uint64
@@ -67,7 +71,12 @@
 	}
 	response := HeartbeatResponse{Version: view.Version, Revision: c.revision, Epoch: c.epoch}
 	if heartbeat.Version < view.Version {
-		response.Declarations = view.Declarations
+		edit, checksum, ok := view.EditSince(heartbeat.Version)
+		if ok && heartbeat.TakesEdits && c.declarations.HasCustomers {
+			response.Edit, response.Checksum = edit, checksum
+		} else {
+			response.Declarations = view.Declarations
+		}
 	}
 	if heartbeat.Epoch != c.epoch {
 		heartbeat.Revision = 0
--- a/internal/control/daemon/declarations.go
+++ b/internal/control/daemon/declarations.go
@@ -48,6 +48,7 @@
 	if len(problems) > 0 {
 		return declarations, eris.Wrap(errDeclarations, problems[0].String())
 	}
+	declarations.HasCustomers = len(parsed.Customers) > 0
 	for _, group := range parsed.Groups {
 		next := coordinator.DeclaredGroup{Servers: group.Servers, Labels: map[cluster.ServerName]cluster.Labels{}}
 		if next.Servers == 0 {
--- a/internal/control/state/changes.go
+++ b/internal/control/state/changes.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/textedit"
 )
 
 // apply accepts declarations if the expected version is in force; otherwise its
@@ -44,7 +45,7 @@
 func (s *State) accept(command ApplyDeclarations, unixMS int64) {
 	changes := append([]Change(nil), s.Changes...)
 	if last := len(changes) - 1; last >= 0 {
-		changes[last].Undo = newEdit(command.Text, s.Declarations)
+		changes[last].Undo = textedit.New(command.Text, s.Declarations)
 	}
 	s.Version++
 	s.Declarations = command.Text
--- a/internal/control/state/edit.go
+++ b/internal/control/state/edit.go
@@ -1,38 +1,11 @@
 package state
 
 import (
-	"strings"
-
 	"github.com/cespare/xxhash/v2"
-)
-
-// Edit turns one text into another: it keeps the first Head and the last Tail
-// bytes and replaces what is between them by Middle.
-type Edit struct {
-	Head   int    `json:"head"`
-	Tail   int    `json:"tail"`
-	Middle string `json:"middle"`
-}
-
-// newEdit returns the edit that turns source into target. It copies Middle, so
-// that target itself can be freed.
-func newEdit(source, target string) *Edit {
-	shorter := min(len(source), len(target))
-	head := 0
-	for head < shorter && source[head] == target[head] {
-		head++
-	}
-	tail := 0
-	for tail < shorter-head && source[len(source)-1-tail] == target[len(target)-1-tail] {
-		tail++
-	}
-	return &Edit{Head: head, Tail: tail, Middle: strings.Clone(target[head : len(target)-tail])}
-}
 
-// apply returns the target of the edit for the source that newEdit was given.
-func (e *Edit) apply(source string) string {
-	return source[:e.Head] + e.Middle + source[len(source)-e.Tail:]
-}
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/textedit"
+)
 
 // TextAt returns the declarations of a version and whether their text is still
 // kept. It starts with the newest text and goes back one version at a time: the
@@ -45,7 +18,10 @@
 			if change.Undo == nil {
 				return "", false
 			}
-			text = change.Undo.apply(text)
+			var ok bool
+			if text, ok = change.Undo.Apply(text); !ok {
+				return "", false
+			}
 		}
 		if uint64(change.Version) == version {
 			return text, true
@@ -54,6 +30,21 @@
 	return "", false
 }
 
+// EditSince returns the edit that turns the declarations of a version into the newest, and
+// a checksum of these. It returns false unless the version is the one before the newest and
+// the edit is much shorter than the text.
+func (s *State) EditSince(version cluster.Version) (edit *textedit.Edit, checksum uint64, ok bool) {
+	last := len(s.Changes) - 1
+	if last < 1 || s.Changes[last-1].Version != version || s.Changes[last-1].Undo == nil {
+		return nil, 0, false
+	}
+	edit, ok = s.Changes[last-1].Undo.Undo(s.Declarations)
+	if !ok || len(edit.Middle) > len(s.Declarations)/2 {
+		return nil, 0, false
+	}
+	return edit, hashText(s.Declarations), true
+}
+
 // change returns the metadata of a version and whether it is still kept.
 func (s *State) change(version uint64) (Change, bool) {
 	for i := len(s.Changes) - 1; i >= 0; i-- {
--- a/internal/control/state/state.go
+++ b/internal/control/state/state.go
@@ -33,6 +33,7 @@
 	"net/netip"
 
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/textedit"
 )
 
 const (
@@ -92,7 +93,7 @@
 		AcceptedUnixMS int64           `json:"accepted-unix-ms"`
 		// Undo turns the next version's text into this version's. It is nil if
 		// the text is no longer kept or the version is the newest.
-		Undo *Edit `json:"undo,omitempty"`
+		Undo *textedit.Edit `json:"undo,omitempty"`
 	}
 
 	// ApplyResult is the first result of a change identifier.
--- a/internal/proxy/clusterview/clusterview.go
+++ b/internal/proxy/clusterview/clusterview.go
@@ -23,7 +23,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/textedit"
 	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
 )
 
@@ -34,6 +37,9 @@
 		// Version is the version of the declarations, Declarations their text.
 		Version      cluster.Version
 		Declarations string
+		// WantsWhole is true after an edit that didn't fit the declarations: the
+		// next ones must come as a whole.
+		WantsWhole bool
 		// Epoch is the epoch of the control leader that sent the snapshot,
 		// Revision the leader's count of changes in that epoch. Both are zero
 		// before the first response.
@@ -144,9 +150,8 @@
 	snapshot.Epoch = response.LeaderEpoch
 	snapshot.Revision = response.Revision
 	snapshot.Drain = response.Drain
-	if cluster.Version(response.Version) > old.Version && response.Declarations != "" {
-		snapshot.Version = cluster.Version(response.Version)
-		snapshot.Declarations = response.Declarations
+	if cluster.Version(response.Version) > old.Version {
+		snapshot.takeDeclarations(response)
 	}
 	if response.Full || len(response.Groups) > 0 {
 		snapshot.Groups = mergeGroups(old.Groups, response)
@@ -167,6 +172,23 @@
 	return &snapshot, true
 }
 
+// takeDeclarations takes the declarations of a response, whole or as an edit.
+func (s *Snapshot) takeDeclarations(response *controlpb.HeartbeatResponse) {
+	text := response.Declarations
+	if edit := response.Edit; edit != nil {
+		e := textedit.Edit{Head: int(edit.Head), Tail: int(edit.Tail), Middle: edit.Middle}
+		edited, ok := e.Apply(s.Declarations)
+		if !ok || cluster.Version(edit.FromVersion) != s.Version || xxhash.Sum64String(edited) != edit.Checksum {
+			s.WantsWhole = true
+			return
+		}
+		text = edited
+	}
+	if text != "" {
+		s.Version, s.Declarations, s.WantsWhole = cluster.Version(response.Version), text, false
+	}
+}
+
 // isStale reports whether a response is older than the snapshot.
 func isStale(old *Snapshot, response *controlpb.HeartbeatResponse) bool {
 	if cluster.Version(response.Version) < old.Version || response.LeaderEpoch < old.Epoch {
--- a/internal/proxy/clusterview/clusterview_test.go
+++ b/internal/proxy/clusterview/clusterview_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"pgregory.net/rapid"
 
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
@@ -39,6 +40,37 @@
 	})
 }
 
+// An edit that doesn't fit changes nothing, and the next declarations are taken whole.
+func TestEditThatDoesNotFitIsNotTaken(t *testing.T) {
+	checksum := xxhash.Sum64String("abXd")
+	tests := []struct {
+		name string
+		edit *controlpb.DeclarationsEdit
+		want string
+	}{
+		{"fits", &controlpb.DeclarationsEdit{FromVersion: 1, Head: 2, Tail: 1, Middle: "X", Checksum: checksum}, "abXd"},
+		{"of another version", &controlpb.DeclarationsEdit{FromVersion: 2, Head: 2, Tail: 1, Middle: "X", Checksum: checksum}, "abcd"},
+		{"of another text", &controlpb.DeclarationsEdit{FromVersion: 1, Head: 2, Tail: 1, Middle: "Y", Checksum: checksum}, "abcd"},
+		{"beyond the text", &controlpb.DeclarationsEdit{FromVersion: 1, Head: 1 << 31, Tail: 1 << 31, Middle: "X", Checksum: checksum}, "abcd"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			store := NewStore()
+			now := time.Unix(0, 0)
+			store.Apply(&controlpb.HeartbeatResponse{Version: 1, Declarations: "abcd"}, now)
+			store.Apply(&controlpb.HeartbeatResponse{Version: 3, Edit: test.edit}, now)
+			got, taken := store.Load(), test.want == "abXd"
+			if got.Declarations != test.want || (got.Version == 3) != taken || got.WantsWhole == taken {
+				t.Errorf("after the edit: got %+v, want %q", got, test.want)
+			}
+			store.Apply(&controlpb.HeartbeatResponse{Version: 4, Declarations: "new"}, now)
+			if got := store.Load(); got.Declarations != "new" || got.WantsWhole {
+				t.Errorf("whole: got %+v, want the new declarations", got)
+			}
+		})
+	}
+}
+
 // termOf returns the term of the group "a", or 0 if the snapshot lacks the group.
 func termOf(snapshot *Snapshot) cluster.Term {
 	if group := snapshot.Groups["a"]; group != nil {
--- a/internal/proxy/heartbeat/heartbeat.go
+++ b/internal/proxy/heartbeat/heartbeat.go
@@ -178,6 +178,9 @@
 		return
 	}
 	snapshot := c.options.Store.Load()
+	if snapshot.WantsWhole {
+		c.options.Log.Info("edit of the declarations doesn't fit, they are asked for as a whole", "version", uint64(snapshot.Version), "newest", response.Version)
+	}
 	c.options.Upstreams.Update(snapshot, now)
 	if c.options.OnUpdate != nil {
 		c.options.OnUpdate(snapshot)
@@ -199,6 +202,7 @@
 		Suspicions:  c.options.Upstreams.Suspicions(now),
 		WaitMs:      uint32(waitTime.Milliseconds()),
 		Draining:    c.options.IsDraining(),
+		TakesEdits:  !snapshot.WantsWhole,
 	}
 }
 
