Announcements: a name that can't be encoded doesn't hold up a batch

Cause: one server's name of bytes that are no text, or one entry that the leader can't decode, would fail the batch of all others again and again.

--- a/internal/fleet/fleetrpc/announcements.go
+++ b/internal/fleet/fleetrpc/announcements.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/twitchtv/twirp"
 
 	"github.com/burdockwood/burdockwood/internal/fleet/coordinator"
 	"github.com/burdockwood/burdockwood/internal/fleet/intake"
@@ -164,7 +163,9 @@
 	for _, a := range request.GetAnnouncements() {
 		server, err := protoconv.ServerFromProto(a.GetServer(), now)
 		if err != nil {
-			return nil, twirp.InvalidArgumentError("announcements", err.Error())
+			// The others in the batch mustn't wait for it.
+			s.options.Logger.Info("ignoring an announcement in a batch", "node", request.GetNode(), "error", err.Error())
+			continue
 		}
 		changes = append(changes, coordinator.Announcement{Server: server, Leaving: a.GetLeaving()})
 	}
