Consensus: queued messages count before an election deadline

Cause: a node short of processor time found its election deadline passed and campaigned while heartbeats of the leader waited in its queue; a load thus ended leaderships. Change: queued events are handled before a deadline; a node that notices the deadline late waits 30 ms for what is on its way. Peers' changes replan pools without listing the servers again. Result: TestQueuedMessagesCountBeforeDeadline, and the tests of the package, pass.

--- a/internal/control/node/loop.go
+++ b/internal/control/node/loop.go
@@ -19,6 +19,10 @@
 	// one sync.
 	maxEvents     = 512
 	maxEventBytes = 4 << 20
+	// lateTolerance is how late a deadline may be noticed, lateGrace how long the node
+	// then waits for messages. Both are fractions of the shortest election timeout.
+	lateTolerance = 50 * time.Millisecond
+	lateGrace     = 30 * time.Millisecond
 )
 
 type (
@@ -110,12 +114,14 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		timer.Reset(max(0, n.consensusCore.Deadline().Sub(n.now())))
+		deadline := n.consensusCore.Deadline()
+		timer.Reset(max(0, deadline.Sub(n.now())))
 		var batch []event
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-timer.C:
+			batch = n.collectLate(ctx, deadline)
 		case e := <-n.events:
 			batch = n.collectBatch(e)
 		case err := <-n.snapshotsWritten:
@@ -149,6 +155,30 @@
 	return batch
 }
 
+// collectLate returns the events that are queued when a deadline has passed, so that a
+// message of the leader counts before this node takes it for lost. A node that notices its
+// deadline late was itself short of processor time, or suspended, and may not have read
+// its connections either; it gives them lateGrace.
+func (n *Node) collectLate(ctx context.Context, deadline time.Time) []event {
+	if n.now().Sub(deadline) > lateTolerance {
+		grace := time.NewTimer(lateGrace)
+		defer grace.Stop()
+		select {
+		case e := <-n.events:
+			return n.collectBatch(e)
+		case <-grace.C:
+		case <-ctx.Done():
+		}
+		return nil
+	}
+	select {
+	case e := <-n.events:
+		return n.collectBatch(e)
+	default:
+		return nil
+	}
+}
+
 // handleBatch passes a batch of events to the core and processes its Ready.
 func (n *Node) handleBatch(batch []event) error {
 	now := n.now()
--- a/internal/traffic/controlclient/apply.go
+++ b/internal/traffic/controlclient/apply.go
@@ -66,8 +66,10 @@
 	if response.GetChanged() {
 		c.serversMu.Lock()
 		serversChanged, peersChanged := c.applyServers(response, now), c.applyPeers(response)
-		if serversChanged || peersChanged {
+		if serversChanged {
 			c.updatePools()
+		} else if peersChanged && c.options.Sessions.Config() != nil {
+			c.options.Pools.SetPlan(c.connectionPlan())
 		}
 		c.serversMu.Unlock()
 	}
--- a/internal/traffic/upstream/directory.go
+++ b/internal/traffic/upstream/directory.go
@@ -61,6 +61,17 @@
 	}
 }
 
+// SetPlan replaces the plan of the servers that SetServers has set.
+func (m *Manager) SetPlan(connectionPlan func(registry.Server) ownership.ConnectionPlan) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.directory.plan = connectionPlan
+	for _, p := range *m.pools.Load() {
+		server := p.Server()
+		p.setServer(server, connectionPlan(server))
+	}
+}
+
 // addGroup adds the pools of a group's servers to pools and groups: those in old, or
 // new ones. m.mu is held.
 func (m *Manager) addGroup(name cluster.GroupName, old, pools map[cluster.ServerName]*Pool, groups map[cluster.GroupName][]*Pool) {
