Metrics by customer under one set of names; one word for a proxy without a right to keys

Cause: two parts named the same counters and the same cause differently. Change: sessions count under the names that the commands read; tokens by customer.

--- a/internal/ops/metrics/customers.go
+++ b/internal/ops/metrics/customers.go
@@ -5,6 +5,8 @@
 const (
 	// CustomerOperations counts the operations of each LabelCustomer by LabelOutcome.
 	CustomerOperations = "customer-operations"
+	// CustomerOperationsWaited counts the operations that waited for control's answer.
+	CustomerOperationsWaited = "customer-operations-waited"
 	// CustomerTokensHeld is how many operations the proxy may still admit.
 	CustomerTokensHeld = "customer-tokens-held"
 	// CustomerConnections is the number of open connections to all servers together.
--- a/internal/traffic/session/cause.go
+++ b/internal/traffic/session/cause.go
@@ -37,7 +37,7 @@
 	// one because control didn't answer.
 	causeLimit        cause = "limit"
 	causeLimitUnknown cause = "limit-unknown"
-	causeNoKeyRight   cause = "no-right-to-use-keys"
+	causeNoKeyRight   cause = "key-right"
 	// causeWaiting and causeSlow are those of statements that succeeded at the first
 	// attempt, but late: most of the time passed in this proxy, or after it.
 	causeWaiting cause = "waiting"
--- a/internal/traffic/session/identity.go
+++ b/internal/traffic/session/identity.go
@@ -91,6 +91,7 @@
 	if s.identity.customer == "" || s.tx != nil && s.tx.failed || s.manager.options.KeyRight.Valid(s.manager.options.Now()) {
 		return nil
 	}
+	s.manager.customerMetrics.get(s.identity.customer).refusedRight.Inc(1)
 	answer := s.answerWithoutRight()
 	if s.tx != nil {
 		s.failTransaction()
--- a/internal/traffic/session/limit.go
+++ b/internal/traffic/session/limit.go
@@ -26,25 +26,28 @@
 )
 
 type (
-	// limitMetrics count the operations of up to metrics.DefaultMaxTenants customers,
+	// customerMetrics count the operations of up to metrics.DefaultMaxTenants customers,
 	// and those of all others together.
-	limitMetrics struct {
+	customerMetrics struct {
 		registry metrics.Registry
 		mu       sync.RWMutex
-		counters map[customer.Name]*limitCounters
+		counters map[customer.Name]*customerCounters
 	}
 
-	limitCounters struct {
-		admitted, waited, refused gometrics.Counter
+	customerCounters struct {
+		// label is the value of the customer's label.
+		label                                                    string
+		admitted, waited, refusedLimit, refusedKey, refusedRight gometrics.Counter
 	}
 )
 
-func newLimitMetrics(registry metrics.Registry) *limitMetrics {
-	return &limitMetrics{registry: registry, counters: map[customer.Name]*limitCounters{}}
+func newCustomerMetrics(registry metrics.Registry) *customerMetrics {
+	return &customerMetrics{registry: registry, counters: map[customer.Name]*customerCounters{}}
 }
 
-// get returns the counters of a customer.
-func (m *limitMetrics) get(name customer.Name) *limitCounters {
+// get returns the counters of a customer; the empty name stands for callers whose key no
+// customer holds.
+func (m *customerMetrics) get(name customer.Name) *customerCounters {
 	m.mu.RLock()
 	found := m.counters[name]
 	m.mu.RUnlock()
@@ -58,24 +61,29 @@
 	}
 	if found = m.counters[name]; found == nil {
 		counter := func(outcome string) gometrics.Counter {
-			return metrics.Counter(m.registry, "limit-operations", "customer", string(name), "outcome", outcome)
+			return metrics.Counter(m.registry, metrics.CustomerOperations, metrics.LabelCustomer, string(name), metrics.LabelOutcome, outcome)
+		}
+		found = &customerCounters{
+			label: string(name), admitted: counter(metrics.OutcomeAdmitted), waited: metrics.Counter(m.registry, metrics.CustomerOperationsWaited, metrics.LabelCustomer, string(name)),
+			refusedLimit: counter(metrics.OutcomeRefusedLimit), refusedKey: counter(metrics.OutcomeRefusedKey), refusedRight: counter(metrics.OutcomeRefusedRight),
 		}
-		found = &limitCounters{admitted: counter("admitted"), waited: counter("waited"), refused: counter("refused")}
 		m.counters[name] = found
 	}
 	return found
 }
 
-// updateHeld updates the gauge of the tokens that this proxy holds of all customers.
-func (m *limitMetrics) updateHeld(holder *quota.Holder, now time.Time) {
+// updateHeld updates the gauges of the tokens that this proxy holds.
+func (m *customerMetrics) updateHeld(holder *quota.Holder, now time.Time) {
 	if holder == nil {
 		return
 	}
-	held := 0
+	held := map[string]int64{}
 	for _, s := range holder.States(now) {
-		held += s.Available
+		held[m.get(s.Customer).label] += int64(s.Available)
+	}
+	for label, count := range held {
+		metrics.Gauge(m.registry, metrics.CustomerTokensHeld, metrics.LabelCustomer, label).Update(count)
 	}
-	metrics.Gauge(m.registry, "limit-tokens").Update(int64(held))
 }
 
 // limitedCustomer returns the customer whose limit the session's operations count
@@ -97,7 +105,7 @@
 		return nil
 	}
 	manager := e.session.manager
-	counters := manager.limitMetrics.get(c.Name)
+	counters := manager.customerMetrics.get(c.Name)
 	arrived := manager.options.Now()
 	d := holder.Take(c, arrived)
 	if d.Verdict == quota.Wait {
@@ -109,7 +117,7 @@
 		e.token = d.Token
 		return nil
 	}
-	counters.refused.Inc(1)
+	counters.refusedLimit.Inc(1)
 	e.cause = causeLimit
 	reason := fmt.Sprintf("customer %q is over its limit of %d operations a second and bursts of %d", c.Name, c.Limit.Rate, c.Limit.Burst)
 	if !d.Asked {
--- a/internal/traffic/session/manager.go
+++ b/internal/traffic/session/manager.go
@@ -90,9 +90,9 @@
 		options Options
 		config  atomic.Pointer[routing.Config]
 		// tenants are the latency histograms of each database.
-		tenants      *metrics.TenantHistograms
-		limitMetrics *limitMetrics
-		mu           sync.Mutex
+		tenants         *metrics.TenantHistograms
+		customerMetrics *customerMetrics
+		mu              sync.Mutex
 		// trackers hold, for each group, samples of the log position of its
 		// primary. They determine which position a read must see.
 		trackers map[cluster.GroupName]*freshness.Tracker
@@ -113,9 +113,9 @@
 	}
 	return &Manager{
 		options: options, trackers: map[cluster.GroupName]*freshness.Tracker{},
-		tenants:      metrics.NewTenantHistograms(options.Registry, metrics.DefaultMaxTenants),
-		limitMetrics: newLimitMetrics(options.Registry),
-		sessions:     map[*session]struct{}{},
+		tenants:         metrics.NewTenantHistograms(options.Registry, metrics.DefaultMaxTenants),
+		customerMetrics: newCustomerMetrics(options.Registry),
+		sessions:        map[*session]struct{}{},
 	}
 }
 
@@ -152,6 +152,9 @@
 // NoDatabase or UnknownKey.
 func (m *Manager) CheckStart(database string, key customer.Digest) statement.Code {
 	_, code := identify(m.config.Load(), database, key)
+	if code == statement.UnknownKey {
+		m.customerMetrics.get("").refusedKey.Inc(1)
+	}
 	return code
 }
 
@@ -296,7 +299,7 @@
 			set("sample-age-ms", now.Sub(latest.SentAt).Milliseconds(), "group", string(group))
 		}
 	}
-	m.limitMetrics.updateHeld(m.options.Quota, now)
+	m.customerMetrics.updateHeld(m.options.Quota, now)
 	m.options.Pools.UpdateMetrics(registry)
 }
 
