A new leader estimates buckets from what proxies spent lately; shares rounded fairly

Shares of few tokens, rounded down, left medium customers' proxies with none while no leader answered. Change: proxies report their last four seconds to a new leader, which computes the least that a bucket contains. A call to the leader before is given up. Shares are rounded with a fraction that differs by proxy; proxies hold 40% in advance, 85% altogether.

--- a/internal/fleet/allowance/allowance.go
+++ b/internal/fleet/allowance/allowance.go
@@ -26,7 +26,9 @@
 // what the rate gives. Until each proxy that may hold tokens of an earlier leader has
 // reported or its tokens have expired, a bucket and what this leader gave out of it is at
 // most the part of the capacity that leaders never give out (see maxHeld). A report counts
-// once it names this leader's epoch: it was certainly sent after the election.
+// once it names this leader's epoch: it was certainly sent after the election. If all have
+// reported, what they spent in the last seconds shows how much a bucket contains at least
+// (see bucket.estimate).
 //
 // # Load pattern
 //
@@ -40,6 +42,7 @@
 
 import (
 	"container/list"
+	"math"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -52,11 +55,16 @@
 	// advanceTime is the demand that a proxy holds in advance.
 	advanceTime = time.Second
 	// advanceShare is the part of a bucket that proxies hold in advance.
-	advanceShare = 0.5
+	advanceShare = 0.4
 	// heldShare is the part of the capacity that all proxies together may hold.
-	heldShare = 0.75
+	heldShare = 0.85
 	// maxRetryAfter bounds the advice to callers when a limit is used up.
 	maxRetryAfter = 2 * time.Second
+	// RecentStep is the resolution of Holding.Recent, and RecentSteps its length.
+	RecentStep  = 500 * time.Millisecond
+	RecentSteps = 8
+	// goldenRatio spreads its multiples' fractions evenly.
+	goldenRatio = math.Phi - 1
 	// unknownRetryAfter is the advice for a customer that the ledger doesn't know: its
 	// configuration may be older than the proxy's.
 	unknownRetryAfter = 300 * time.Millisecond
@@ -88,6 +96,9 @@
 		// Epoch is that of the last response; zero: none.
 		Epoch    uint64
 		Holdings []Holding
+		// Uptime is the time since the proxy's process began, in the first request that
+		// names an epoch, else zero.
+		Uptime time.Duration
 	}
 
 	// Holding is what a proxy holds and wants of one customer.
@@ -107,6 +118,9 @@
 		// count only if Generation is still the bucket's.
 		Returned   int
 		Generation uint64
+		// Recent are the operations admitted in the last RecentStep, in the last two and
+		// so on, if Request.Uptime is set.
+		Recent []uint32
 	}
 
 	// Allotment is the answer to a Holding.
@@ -129,10 +143,14 @@
 		startedAt time.Time
 		buckets   map[customer.Name]*bucket
 		members   map[memberKey]*member
+		// joined counts the members that there have been.
+		joined int
 		// order lists the members by their last exchange, the oldest first.
 		order *list.List
 		// unreported are the proxies that may hold tokens of an earlier leader.
 		unreported map[cluster.ProxyName]struct{}
+		// uptime is the shortest of those that have reported.
+		uptime time.Duration
 	}
 
 	memberKey struct {
@@ -145,14 +163,20 @@
 		key       memberKey
 		sequence  uint64
 		expiresAt time.Time
-		holdings  map[customer.Name]*holding
-		place     *list.Element
+		// reported is true once a request named the ledger's epoch.
+		reported bool
+		rounding float64
+		holdings map[customer.Name]*holding
+		place    *list.Element
 	}
 
 	// holding is what a member holds of a bucket, as of its last exchange.
 	holding struct {
 		bucket *bucket
 		held   int
+		// rounding is in [0, 1). It differs between proxies, so that their shares of few
+		// tokens, rounded down with it, add up to about what there is.
+		rounding float64
 		// carried is the part of held that an earlier leader gave.
 		carried int
 		spent   uint64
@@ -178,6 +202,7 @@
 	l := &Ledger{
 		settings: settings, epoch: epoch, startedAt: now, buckets: map[customer.Name]*bucket{},
 		members: map[memberKey]*member{}, order: list.New(), unreported: map[cluster.ProxyName]struct{}{},
+		uptime: RecentSteps * RecentStep,
 	}
 	for _, name := range proxies {
 		l.unreported[name] = struct{}{}
@@ -237,10 +262,13 @@
 	if err != nil {
 		return nil, err
 	}
-	if r.Epoch == l.epoch {
+	recovering := l.isRecovering(now)
+	isReport := recovering && r.Epoch == l.epoch && !m.reported
+	m.reported = m.reported || isReport
+	if isReport {
 		delete(l.unreported, r.Proxy)
+		l.uptime = min(l.uptime, r.Uptime)
 	}
-	recovering := l.isRecovering(now)
 	allotments := make([]Allotment, len(r.Holdings))
 	for i, reported := range r.Holdings {
 		b := l.buckets[reported.Customer]
@@ -251,7 +279,7 @@
 		}
 		h := m.holdings[reported.Customer]
 		if h == nil {
-			h = &holding{bucket: b, held: reported.Held, carried: reported.Held, spent: reported.Spent}
+			h = &holding{bucket: b, rounding: m.rounding, held: reported.Held, carried: reported.Held, spent: reported.Spent}
 			m.holdings[reported.Customer] = h
 			b.add(h)
 		}
@@ -260,6 +288,9 @@
 		if r.Epoch != l.epoch {
 			reported.Returned = 0 // another leader's tokens
 		}
+		if isReport {
+			b.recordRecent(reported.Recent)
+		}
 		allotments[i] = b.exchange(h, reported, now)
 	}
 	for name, h := range m.holdings {
@@ -268,6 +299,11 @@
 			delete(m.holdings, name)
 		}
 	}
+	if isReport && len(l.unreported) == 0 {
+		for _, b := range l.buckets {
+			b.estimate(l.uptime)
+		}
+	}
 	return allotments, nil
 }
 
@@ -276,7 +312,9 @@
 	key := memberKey{r.Proxy, r.Incarnation}
 	m := l.members[key]
 	if m == nil {
-		m = &member{key: key, holdings: map[customer.Name]*holding{}}
+		l.joined++
+		_, rounding := math.Modf(float64(l.joined) * goldenRatio)
+		m = &member{key: key, rounding: rounding, holdings: map[customer.Name]*holding{}}
 		m.place = l.order.PushBack(m)
 		l.members[key] = m
 	} else if r.Sequence <= m.sequence {
--- a/internal/fleet/allowance/bucket.go
+++ b/internal/fleet/allowance/bucket.go
@@ -24,6 +24,10 @@
 	// spent since.
 	isFull     bool
 	generation uint64
+	// recent are the operations that proxies admitted before they reported to a new
+	// leader, as in Holding.Recent, spent those since.
+	recent [RecentSteps]int
+	spent  int
 	// nextDue is when the first token is due that no refused operation was told of.
 	nextDue time.Time
 	// removed is true if the configuration doesn't list the customer any more.
@@ -82,6 +86,7 @@
 func (b *bucket) remove(h *holding, recovering bool, now time.Time) {
 	b.refill(recovering, now)
 	b.isFull = b.isFull && h.held == 0
+	b.spent += h.held
 	b.holders--
 	b.held -= h.held
 	b.carried -= h.carried
@@ -89,6 +94,28 @@
 	b.asked -= h.asked
 }
 
+// recordRecent adds a proxy's Holding.Recent.
+func (b *bucket) recordRecent(recent []uint32) {
+	for i := range min(len(recent), RecentSteps) {
+		b.recent[i] += int(recent[i])
+	}
+}
+
+// estimate raises the level to what the bucket contains at least, once all proxies have
+// reported to a new leader. uptime is the shortest of their processes'; a process that ran
+// before spent nothing in that time. Even if the bucket was empty a time ago, it contains
+// what the rate has added since, up to the capacity, less all that was spent.
+func (b *bucket) estimate(uptime time.Duration) {
+	atLeast := 0.0
+	for i, recent := range b.recent {
+		since := time.Duration(i+1) * RecentStep
+		if since <= uptime {
+			atLeast = max(atLeast, min(b.capacity, b.rate*since.Seconds())-float64(recent))
+		}
+	}
+	b.level = max(b.level, atLeast-float64(b.spent+b.held))
+}
+
 // exchange records what a proxy reports and returns what it holds from now on.
 func (b *bucket) exchange(h *holding, r Holding, now time.Time) Allotment {
 	spent := h.held
@@ -97,6 +124,7 @@
 	}
 	b.setHeld(h, h.held-spent)
 	b.isFull = b.isFull && spent == 0
+	b.spent += spent
 	h.spent = r.Spent
 	if r.Generation == b.generation {
 		b.level += max(0, min(float64(r.Returned), b.capacity-float64(b.held)-b.level))
@@ -143,7 +171,7 @@
 	if float64(b.advance) <= share {
 		return wanted
 	}
-	return int(float64(wanted) * share / float64(b.advance))
+	return int(float64(wanted)*share/float64(b.advance) + h.rounding)
 }
 
 // available returns the number of tokens that can be given out.
--- a/internal/fleet/protoconv/exchange.go
+++ b/internal/fleet/protoconv/exchange.go
@@ -17,13 +17,13 @@
 func ExchangeToProto(r allowance.Request) *fleetpb.ExchangeRequest {
 	pb := &fleetpb.ExchangeRequest{
 		Proxy: string(r.Proxy), Incarnation: uint64(r.Incarnation), Sequence: r.Sequence, Epoch: r.Epoch,
-		Holdings: make([]*fleetpb.Holding, len(r.Holdings)),
+		Holdings: make([]*fleetpb.Holding, len(r.Holdings)), UptimeMs: uint32(r.Uptime.Milliseconds()),
 	}
 	for i, h := range r.Holdings {
 		pb.Holdings[i] = &fleetpb.Holding{
 			Customer: string(h.Customer), Held: uint32(h.Held), Offered: uint32(h.Offered), Spent: h.Spent,
 			Waiting: uint32(h.Waiting), Missed: uint32(h.Missed), Demand: uint32(math.Ceil(h.Demand * demandUnits)),
-			Returned: uint32(h.Returned), Generation: h.Generation,
+			Returned: uint32(h.Returned), Generation: h.Generation, Recent: h.Recent,
 		}
 	}
 	return pb
@@ -34,12 +34,13 @@
 	r := allowance.Request{
 		Proxy: cluster.ProxyName(pb.GetProxy()), Incarnation: cluster.Incarnation(pb.GetIncarnation()),
 		Sequence: pb.GetSequence(), Epoch: pb.GetEpoch(), Holdings: make([]allowance.Holding, len(pb.GetHoldings())),
+		Uptime: time.Duration(pb.GetUptimeMs()) * time.Millisecond,
 	}
 	for i, h := range pb.GetHoldings() {
 		r.Holdings[i] = allowance.Holding{
 			Customer: customer.Name(h.GetCustomer()), Held: int(h.GetHeld()), Offered: int(h.GetOffered()), Spent: h.GetSpent(),
 			Waiting: int(h.GetWaiting()), Missed: int(h.GetMissed()), Demand: float64(h.GetDemand()) / demandUnits,
-			Returned: int(h.GetReturned()), Generation: h.GetGeneration(),
+			Returned: int(h.GetReturned()), Generation: h.GetGeneration(), Recent: h.GetRecent(),
 		}
 	}
 	return r
--- a/internal/traffic/controlclient/exchange.go
+++ b/internal/traffic/controlclient/exchange.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -33,10 +34,12 @@
 )
 
 // exchangeState is what exchangeLoop keeps. Only its goroutine uses it, except for
-// newLeader.
+// newLeader and cancel.
 type exchangeState struct {
-	// newLeader receives a value when a leader has been elected.
+	// newLeader receives a value when a leader has been elected. cancel ends the call
+	// in flight; nil: there is none.
 	newLeader chan struct{}
+	cancel    atomic.Pointer[context.CancelFunc]
 	// customers are those of the configuration that limited was computed for.
 	customers *customer.Directory
 	limited   bool
@@ -55,6 +58,9 @@
 	case c.exchanges.newLeader <- struct{}{}:
 	default:
 	}
+	if cancel := c.exchanges.cancel.Load(); cancel != nil {
+		(*cancel)() // the call to the leader before
+	}
 }
 
 // exchangeLoop exchanges tokens with the leader until ctx ends: at once when an operation
@@ -142,6 +148,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	c.exchanges.cancel.Store(&cancel)
+	defer c.exchanges.cancel.Store(nil)
 	response, err := c.fleetClient(leader).Exchange(ctx, protoconv.ExchangeToProto(request))
 	if err != nil {
 		holder.Fail()
--- a/internal/traffic/quota/quota.go
+++ b/internal/traffic/quota/quota.go
@@ -97,6 +97,10 @@
 		incarnation cluster.Incarnation
 		sequence    uint64
 		epoch       uint64
+		// startedAt is when the process began. reports is true until the leader has
+		// received a request that names its epoch.
+		startedAt time.Time
+		reports   bool
 		// inFlight lists the accounts of the request that isn't answered yet.
 		inFlight []inFlight
 		// validUntil is when all tokens expire.
@@ -131,6 +135,10 @@
 		era        uint32
 		demand     float64
 		demandAt   time.Time
+		// recent are the operations admitted in each of the last steps, the step
+		// recentStep modulo their number being the newest.
+		recent     [allowance.RecentSteps + 1]uint32
+		recentStep int64
 		// answeredAt is when the leader last answered.
 		answeredAt time.Time
 		// refusedUntil is the time that the leader named; refusals is the number of
@@ -166,9 +174,9 @@
 	}
 )
 
-// New returns a holder without tokens.
-func New(proxy cluster.ProxyName, incarnation cluster.Incarnation) *Holder {
-	return &Holder{proxy: proxy, incarnation: incarnation, accounts: map[customer.Name]*account{}, wanted: make(chan struct{}, 1)}
+// New returns a holder without tokens, of a process that begins now.
+func New(proxy cluster.ProxyName, incarnation cluster.Incarnation, now time.Time) *Holder {
+	return &Holder{proxy: proxy, incarnation: incarnation, startedAt: now, accounts: map[customer.Name]*account{}, wanted: make(chan struct{}, 1)}
 }
 
 // Take decides on an operation that has just arrived. After Wait, the operation has to be
@@ -186,7 +194,7 @@
 	}
 	a.addDemand(now)
 	if a.available > 0 && now.Before(h.validUntil) {
-		return h.spend(a)
+		return h.spend(a, now)
 	}
 	if now.Before(a.refusedUntil) {
 		return a.refuse(c, now)
@@ -204,7 +212,7 @@
 	a := h.accounts[c.Name]
 	if a.available > 0 && now.Before(h.validUntil) {
 		h.endWait(a)
-		return h.spend(a)
+		return h.spend(a, now)
 	}
 	if a.refusedUntil.After(giveUpAt) {
 		h.endWait(a)
@@ -228,12 +236,37 @@
 }
 
 // spend spends a token.
-func (h *Holder) spend(a *account) Decision {
+func (h *Holder) spend(a *account, now time.Time) Decision {
 	a.available--
 	a.spent++
+	a.advanceRecent(h.step(now))
+	a.recent[a.recentStep%int64(len(a.recent))]++
 	return Decision{Verdict: Admitted, Token: Token{account: a, era: a.era, sequence: h.sequence}}
 }
 
+// step returns the number of a step of recent operations.
+func (h *Holder) step(now time.Time) int64 { return int64(now.Sub(h.startedAt) / allowance.RecentStep) }
+
+// advanceRecent clears the steps that have begun since the last call.
+func (a *account) advanceRecent(step int64) {
+	for n := int64(len(a.recent)); a.recentStep < step; {
+		a.recentStep = max(a.recentStep+1, step-n+1)
+		a.recent[a.recentStep%n] = 0
+	}
+}
+
+// sumRecent returns the operations admitted in the last step and the part of the next one
+// that has passed, in the last two and so on.
+func (a *account) sumRecent() []uint32 {
+	sums, n := make([]uint32, allowance.RecentSteps), int64(len(a.recent))
+	sum := a.recent[a.recentStep%n]
+	for i := range sums {
+		sum += a.recent[(a.recentStep+n-1-int64(i))%n]
+		sums[i] = sum
+	}
+	return sums
+}
+
 // refuse refuses an operation, and spreads the times at which refused ones come back.
 func (a *account) refuse(c *customer.Customer, now time.Time) Decision {
 	a.missed++
@@ -342,6 +375,9 @@
 	h.sequence++
 	r := allowance.Request{Proxy: h.proxy, Incarnation: h.incarnation, Sequence: h.sequence, Epoch: h.epoch, Holdings: make([]allowance.Holding, 0, len(h.accounts))}
 	h.inFlight = make([]inFlight, 0, len(h.accounts))
+	if h.reports {
+		r.Uptime = now.Sub(h.startedAt)
+	}
 	expired := !now.Before(h.validUntil)
 	for name, a := range h.accounts {
 		if expired {
@@ -361,6 +397,10 @@
 			Missed: min(a.missed, int(math.Ceil(demand*missedTime.Seconds()))),
 			Demand: demand, Returned: a.returned, Generation: a.generation,
 		})
+		if h.reports {
+			a.advanceRecent(h.step(now))
+			r.Holdings[len(r.Holdings)-1].Recent = a.sumRecent()
+		}
 		a.available, a.missed, a.returned, a.listed = kept, 0, 0, true
 		h.inFlight = append(h.inFlight, inFlight{a, kept})
 	}
@@ -378,7 +418,8 @@
 func (h *Holder) Apply(allotments []allowance.Allotment, epoch uint64, validFor time.Duration, sentAt, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if epoch != h.epoch {
+	h.reports = epoch != h.epoch
+	if h.reports {
 		h.epoch = epoch
 		for _, a := range h.accounts {
 			a.changeEra()
