--- a/internal/traffic/admission/connections.go
+++ b/internal/traffic/admission/connections.go
@@ -13,12 +13,19 @@
 const (
 	// Blocked means that no connection for the customer can be had now.
 	Blocked Connection = iota
+	// InUse means that another connection can be opened now, but that it isn't worth
+	// it while the item has time to wait for one of the customer's that are in use.
+	InUse
 	// NeedsOpening means that a connection for the customer can be opened now.
 	NeedsOpening
 	// IsOpen means that an open connection of the customer is idle.
 	IsOpen
 )
 
+// waitFactor is the time before the soft deadline up to which an item waits for a
+// connection in use, as a multiple of the time to open one.
+const waitFactor = 5
+
 // Connection is what an item needs to run: a connection of its customer.
 type Connection uint8
 
@@ -55,7 +62,11 @@
 		if first >= 0 && (item.Priority != q.items[first].Priority || slack <= 0) {
 			return first
 		}
-		switch connection(item.Customer) {
+		state := connection(item.Customer)
+		if state == InUse {
+			state = item.withoutWaiting(next)
+		}
+		switch state {
 		case IsOpen:
 			if first < 0 || int64(item.occupancy) <= slack {
 				return i
@@ -86,3 +97,13 @@
 	}
 	return first
 }
+
+// withoutWaiting returns whether an item goes on waiting for a connection in use: Blocked
+// as long as it will have the time to open one later. completion is when it would be done
+// on an open one.
+func (i *queued[T]) withoutWaiting(completion int64) Connection {
+	if i.softDeadline-completion > waitFactor*int64(i.Opening) {
+		return Blocked
+	}
+	return NeedsOpening
+}
--- a/internal/traffic/ownership/assignment.go
+++ b/internal/traffic/ownership/assignment.go
@@ -15,9 +15,14 @@
 	"github.com/burdockwood/burdockwood/internal/model/customer"
 )
 
-// maxOverFair bounds the weight of an owner's customers, and their number, as a multiple
-// of what each owner would have if all had the same.
-const maxOverFair = 1.25
+const (
+	// maxOverFair bounds the weight of an owner's customers as a multiple of what each
+	// owner would have if all had the same.
+	maxOverFair = 1.25
+	// fullRoom is the result of assigner.room for an owner that stays within both
+	// bounds.
+	fullRoom = 3
+)
 
 type (
 	// CustomerSet holds the customers of a configuration as the assignments to the
@@ -118,7 +123,9 @@
 // Assign returns the assignment of the customers to the owners of a server's connections:
 // old if it is that one. The largest customers come first, each goes to the first owners
 // of its rendezvous order that have room, and a customer that is too large for one owner
-// is spread over several.
+// is spread over several. At each point, the owners have the same number of customers: so
+// the larger ones find a connection each everywhere, and the smallest ones, which have to
+// do without, are spread over all.
 func Assign(old *Assignment, owners []Peer, customers *CustomerSet) *Assignment {
 	owners = slices.Clone(owners)
 	slices.SortFunc(owners, func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
@@ -142,30 +149,28 @@
 		hashes: a.hashes, loads: make([]float64, len(owners)), counts: make([]int, len(owners)),
 		order: make([]uint16, len(owners)), weights: make([]uint64, len(owners)),
 	}
-	maxCount := int(math.Ceil(float64(total) * fair))
+	soFar := 0
 	for _, i := range customers.bySize {
+		soFar += parts[i]
+		maxCount := (soFar + len(owners) - 1) / len(owners)
 		work.assign(a.assigned[a.starts[i]:a.starts[i+1]], customers.hashes[i], customers.weights[i]/float64(parts[i]), fair, maxCount)
 	}
 	return a
 }
 
 // assign chooses len(chosen) owners for a customer with the hash; each gets the given
-// weight of it. An owner has room if it stays within maxLoad and maxCount. If too few
-// have, those with the least weight are chosen.
+// weight of it. Those that stay within maxLoad and maxCount come first; if there are too
+// few, those that exceed them least follow.
 func (w *assigner) assign(chosen []uint16, hash uint64, weight, maxLoad float64, maxCount int) {
 	for i, h := range w.hashes {
 		w.order[i], w.weights[i] = uint16(i), mix(hash, h)
 	}
 	slices.SortFunc(w.order, func(a, b uint16) int {
-		if roomA, roomB := w.hasRoom(a, weight, maxLoad, maxCount), w.hasRoom(b, weight, maxLoad, maxCount); roomA != roomB {
-			if roomA {
-				return -1
-			}
-			return 1
-		} else if !roomA {
-			return cmp.Or(cmp.Compare(w.loads[a], w.loads[b]), cmp.Compare(a, b))
+		roomA, roomB := w.room(a, weight, maxLoad, maxCount), w.room(b, weight, maxLoad, maxCount)
+		if roomA == fullRoom && roomB == fullRoom {
+			return cmp.Or(cmp.Compare(w.weights[b], w.weights[a]), cmp.Compare(a, b))
 		}
-		return cmp.Or(cmp.Compare(w.weights[b], w.weights[a]), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(roomB, roomA), cmp.Compare(w.loads[a], w.loads[b]), cmp.Compare(a, b))
 	})
 	copy(chosen, w.order)
 	for _, owner := range chosen {
@@ -174,9 +179,20 @@
 	}
 }
 
-// hasRoom reports whether an owner stays within the bounds with another customer.
-func (w *assigner) hasRoom(owner uint16, weight, maxLoad float64, maxCount int) bool {
-	return w.loads[owner]+weight <= maxLoad && w.counts[owner] < maxCount
+// room returns how well another customer fits at an owner: 3 (fullRoom) within both
+// bounds, 2 with one customer more than maxCount, 1 within maxCount, 0 otherwise.
+func (w *assigner) room(owner uint16, weight, maxLoad float64, maxCount int) int {
+	fits, over := w.loads[owner]+weight <= maxLoad, w.counts[owner]+1-maxCount
+	switch {
+	case fits && over <= 0:
+		return fullRoom
+	case fits && over == 1:
+		return 2
+	case over <= 0:
+		return 1
+	default:
+		return 0
+	}
 }
 
 // Choose returns the owner for a customer's piece of work with the given digest: among
--- a/internal/traffic/ownership/ownership.go
+++ b/internal/traffic/ownership/ownership.go
@@ -161,9 +161,10 @@
 	count := ownerCount(server, usable, peers.Len())
 	owners := peers.highest(count, xxhash.Sum64String(string(server.Name)), server.DataCentre)
 	share := usable / count
-	if slices.ContainsFunc(owners, func(p Peer) bool { return p.Name == self.Name }) {
+	if rank := slices.IndexFunc(owners, func(p Peer) bool { return p.Name == self.Name }); rank >= 0 {
 		plan := ConnectionPlan{OwnsConnections: true, Share: share, Unassigned: usable - share*count, OwnerCount: count, ByCustomer: byCustomer, Self: self.Name}
 		if byCustomer {
+			plan.assignRest(rank)
 			plan.Owners = owners
 		}
 		return plan
@@ -172,6 +173,17 @@
 	return ConnectionPlan{Owners: NewPeerSet(owners).highest(count, key, self.DataCentre), ByCustomer: byCustomer, Self: self.Name}
 }
 
+// assignRest gives the first owners one more connection each, so that none is left
+// unassigned: with more customers than connections, whoever opened one first would never
+// close it again, and an owner that starts would be short of its share. rank is this
+// proxy's rank among the owners.
+func (p *ConnectionPlan) assignRest(rank int) {
+	if rank < p.Unassigned {
+		p.Share++
+	}
+	p.Unassigned = 0
+}
+
 // RunsHere reports whether this proxy runs a customer's statements on its own
 // connections. The zero customer stands for work that belongs to none.
 func (p ConnectionPlan) RunsHere(name customer.Name) bool {
--- a/internal/traffic/retention/retention.go
+++ b/internal/traffic/retention/retention.go
@@ -6,7 +6,7 @@
 //
 //	demand := retention.New()
 //	demand.Record("harbour-hotel", busy, now) // its work needs another connection
-//	i := demand.Cheapest(idle, now)           // the one to close for another customer
+//	i, worth := demand.Cheapest(idle, now)    // the one to close for another customer
 //
 // # Load pattern
 //
@@ -71,15 +71,20 @@
 	}
 }
 
-// Cheapest returns the index of the connection that is needed least often, of several
-// the first one, or -1 if there is none.
-func (d *Demand) Cheapest(held []Held, now time.Time) int {
-	best, least := -1, 0.0
+// Worth returns how often a connection is needed: the number of recent uses for which
+// the customer needed as many connections as it has with this one.
+func (d *Demand) Worth(h Held, now time.Time) float64 {
+	return d.needs.Get(need{h.Customer, min(h.Count, maxCount)}, now)
+}
+
+// Cheapest returns the index of the connection of the least worth, of several the first
+// one, and its worth. The index is -1 if there is none.
+func (d *Demand) Cheapest(held []Held, now time.Time) (index int, worth float64) {
+	index = -1
 	for i, h := range held {
-		uses := d.needs.Get(need{h.Customer, min(h.Count, maxCount)}, now)
-		if best < 0 || uses < least {
-			best, least = i, uses
+		if w := d.Worth(h, now); index < 0 || w < worth {
+			index, worth = i, w
 		}
 	}
-	return best
+	return index, worth
 }
--- a/internal/traffic/upstream/acquire.go
+++ b/internal/traffic/upstream/acquire.go
@@ -100,6 +100,10 @@
 		conn.Discard()
 		conn = nil
 	}
+	if p.connectionFor(options.Customer, time.Now()) != admission.NeedsOpening {
+		p.mu.Unlock()
+		return nil, false, nil
+	}
 	replaced, ok := p.reserveOpening(time.Now())
 	p.mu.Unlock()
 	if !ok {
@@ -217,9 +221,7 @@
 	}
 	if p.queuesByCustomer(options.Customer) {
 		item.Customer, p.customersWaited = options.Customer, true
-		if p.countOf(options.Customer) == 0 {
-			item.Opening = p.expectedConnectTime()
-		}
+		item.Opening = p.expectedConnectTime()
 	}
 	if options.HoldFor > 0 {
 		item.HoldUntil = arrivedAt.Add(options.HoldFor)
--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -29,10 +29,6 @@
 	// server rejected one because of its limit. Meanwhile, another proxy may
 	// close idle ones.
 	connectionLimitBackoff = 50 * time.Millisecond
-	// extraBackoff is the same for connections beyond the proxy's share where they
-	// belong to customers, so that all owners want more at any time. Meanwhile, this
-	// proxy replaces its own.
-	extraBackoff = 2 * time.Second
 	// maxForwardedConns bounds the forwarded connections of one proxy to one
 	// server, and so its forwarded statements and transactions. It is more than
 	// a proxy usually needs.
@@ -152,9 +148,6 @@
 		customersWaited bool
 		// demand is how often customers needed connections lately.
 		demand *retention.Demand
-		// noExtraUntil is until when no connection beyond the share is opened
-		// after the server rejected one.
-		noExtraUntil time.Time
 	}
 
 	// AcquireOptions describe the work that a connection is acquired for.
@@ -269,9 +262,6 @@
 	if now.Before(p.noDialUntil) || p.dialing >= maxDialing {
 		return false
 	}
-	if now.Before(p.noExtraUntil) {
-		return p.connectionCount() < p.plan.Share
-	}
 	return p.connectionCount() < p.plan.Share+p.plan.Unassigned
 }
 
@@ -298,14 +288,20 @@
 // popCheapest removes and returns the idle connection that costs least to lose. p.mu is
 // held.
 func (p *Pool) popCheapest(now time.Time) *Conn {
+	at, _ := p.cheapestIdle(now)
+	conn := p.idle[at]
+	p.idle = slices.Delete(p.idle, at, at+1)
+	return conn
+}
+
+// cheapestIdle returns the index of the idle connection that costs least to lose, and its
+// worth. p.mu is held.
+func (p *Pool) cheapestIdle(now time.Time) (index int, worth float64) {
 	held := make([]retention.Held, len(p.idle))
 	for i, conn := range p.idle {
 		held[i] = retention.Held{Customer: conn.customer, Count: p.countOf(conn.customer)}
 	}
-	at := p.demand.Cheapest(held, now)
-	conn := p.idle[at]
-	p.idle = slices.Delete(p.idle, at, at+1)
-	return conn
+	return p.demand.Cheapest(held, now)
 }
 
 // countOf returns the number of connections of a customer. p.mu is held.
@@ -416,9 +412,6 @@
 func (p *Pool) recordDialFailure(err error, now, began time.Time) {
 	p.manager.options.Logger.V(1).Info("no connection", "server", p.server.Name, "error", err.Error())
 	switch {
-	case errors.Is(err, backend.ErrConnectionLimit) && p.plan.ByCustomer && p.connectionCount() >= p.plan.Share:
-		p.noExtraUntil = time.Now().Add(extraBackoff)
-		p.recordResponse(now)
 	case errors.Is(err, backend.ErrConnectionLimit):
 		p.noDialUntil = time.Now().Add(connectionLimitBackoff)
 		p.recordResponse(now)
@@ -495,16 +488,25 @@
 	if !p.customersWaited || !p.plan.OwnsConnections {
 		return p.waiters.Pop(serviceTime, now)
 	}
-	withoutIdle := admission.Blocked
-	if p.canDial(now) || p.canReplace(now) {
-		withoutIdle = admission.NeedsOpening
-	}
-	return p.waiters.PopFor(func(name customer.Name) admission.Connection {
-		if p.hasIdle(name) {
-			return admission.IsOpen
+	return p.waiters.PopFor(func(name customer.Name) admission.Connection { return p.connectionFor(name, now) }, serviceTime, now)
+}
+
+// connectionFor returns how work of a customer can get a connection. p.mu is held.
+func (p *Pool) connectionFor(name customer.Name, now time.Time) admission.Connection {
+	switch {
+	case p.hasIdle(name):
+		return admission.IsOpen
+	case p.canDial(now):
+		return admission.NeedsOpening
+	case !p.canReplace(now):
+		return admission.Blocked
+	}
+	if count := p.countOf(name); count > 0 && p.queuesByCustomer(name) {
+		if _, worth := p.cheapestIdle(now); p.demand.Worth(retention.Held{Customer: name, Count: count + 1}, now) <= worth {
+			return admission.InUse
 		}
-		return withoutIdle
-	}, serviceTime, now)
+	}
+	return admission.NeedsOpening
 }
 
 // setServer applies the server's description and the plan. It closes the idle
@@ -569,9 +571,9 @@
 // idle. p.mu is held.
 func (p *Pool) idleTimeout(holdsLease bool) time.Duration {
 	switch count := p.connectionCount(); {
-	case !holdsLease || count > p.plan.Share && !p.plan.ByCustomer:
+	case count > p.plan.Share || !holdsLease:
 		return idleTimeoutFactor * p.expectedConnectTime()
-	case count > p.plan.Share || count > 1 && !p.plan.ByCustomer:
+	case count > 1 && !p.plan.ByCustomer:
 		return shareIdleFactor * p.expectedConnectTime()
 	default:
 		return math.MaxInt64
