--- a/internal/fleet/fleetrpc/fleetrpc.go
+++ b/internal/fleet/fleetrpc/fleetrpc.go
@@ -10,12 +10,14 @@
 //
 //	s := fleetrpc.New(fleetrpc.Options{Coordinator: c, ConsensusLog: node, Client: client, ...})
 //	mux.Handle(fleetpb.FleetPathPrefix, fleetpb.NewFleetServer(s))
-//	leader, err := s.ForwardAnnouncement(ctx, server, false)
+//	err := s.Run(ctx) // passes announcements to the leader
+//	node, err := s.TakeAnnouncement(ctx, server, false)
 //	version, err := s.ForwardDocument(ctx, document)
 //	document, err := s.NewestDocument(ctx)
 //
-// ForwardAnnouncement, ForwardDocument and NewestDocument work on every control
-// node: they call the leader and retry until ctx ends. The RPC methods are never
+// TakeAnnouncement, ForwardDocument and NewestDocument work on every control node. The
+// latter two call the leader and retry until ctx ends. Announcements are passed to the
+// leader in batches, and only what is new in them is waited for; see package intake. The RPC methods are never
 // forwarded, so that no request is forwarded twice. Only the leader serves them,
 // except Fetch, which every control node serves from its own state.
 //
@@ -38,7 +40,6 @@
 	"github.com/burdockwood/burdockwood/internal/fleet/coordinator"
 	"github.com/burdockwood/burdockwood/internal/fleet/leases"
 	"github.com/burdockwood/burdockwood/internal/fleet/protoconv"
-	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/fleet/state"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
@@ -61,6 +62,8 @@
 type (
 	// Options are the options of a Service.
 	Options struct {
+		// Name is the name of this control node.
+		Name        cluster.NodeName
 		Coordinator *coordinator.Coordinator
 		// ConsensusLog is the replicated log of the control nodes; it names
 		// the leader and the members.
@@ -74,19 +77,27 @@
 		// AppliedDocument returns the newest configuration document that
 		// this node has applied.
 		AppliedDocument func() state.Document
+		// ProxyDocument turns the body of a configuration document into what
+		// proxies are sent, which holds no keys; nil: they are sent the body
+		// itself. Equal bodies have equal results, and similar ones similar
+		// results, so that patches are small.
+		ProxyDocument func(body []byte) ([]byte, error)
 	}
 
 	// Service implements fleetpb.Fleet. It is safe for concurrent use.
 	Service struct {
-		options Options
-		encoded encodedDocument
+		options       Options
+		encoded       encodedDocument
+		announcements announcements
 	}
 )
 
 var _ fleetpb.Fleet = (*Service)(nil)
 
 // New returns a service with the given options.
-func New(options Options) *Service { return &Service{options: options} }
+func New(options Options) *Service {
+	return &Service{options: options, announcements: newAnnouncements(), encoded: encodedDocument{proxyForm: options.ProxyDocument}}
+}
 
 // Renew renews a proxy's lease; see fleetpb.Fleet. If this node doesn't lead, the
 // response grants no lease and names the leader if this node knows it.
@@ -96,6 +107,7 @@
 		Revision:       request.GetRevision(),
 		MinUsableTerms: minUsableTermsFromProto(request.GetReleases()), Observations: observationsFromProto(request.GetEvidence()), Leaving: request.GetLeaving(),
 		Peer: peerFromProto(request), Draining: request.GetDraining(), AcceptsPartial: request.GetAcceptsPartial(),
+		AcceptsParts: request.GetAcceptsParts(), Digests: request.GetDigests(), NextPart: int(request.GetNextPart()),
 		Clock: time.Duration(request.GetClockUs()) * time.Microsecond, Samples: samplesFromProto(request.GetSamples()),
 	})
 	response := &fleetpb.RenewResponse{}
@@ -137,11 +149,9 @@
 	response.Warming = g.Discovering
 	response.Proxies = uint32(g.Proxies)
 	for group, p := range g.Primaries {
-		primary := &fleetpb.Primacy{Group: string(group), Term: uint64(p.Term), Planned: p.Planned}
-		if p.Phase == state.Settled {
-			primary.Primary = string(p.Primary)
-		}
-		response.Primacies = append(response.Primacies, primary)
+		response.Primacies = append(response.Primacies, &fleetpb.Primacy{
+			Group: string(group), Term: uint64(p.Term), Planned: p.Planned, Primary: string(p.Usable()),
+		})
 	}
 	for name, peer := range g.Peers {
 		response.Peers = append(response.Peers, &fleetpb.Peer{
@@ -151,6 +161,10 @@
 	for _, server := range g.Servers {
 		response.Servers = append(response.Servers, protoconv.ServerToProto(server, now))
 	}
+	for _, part := range g.Parts {
+		response.Parts = append(response.Parts, uint32(part))
+	}
+	response.NextPart, response.DigestsWanted, response.ReleasedSum = uint32(g.NextPart), g.DigestsWanted, g.ReleasedSum
 	response.PartialServers, response.PartialPeers = g.PartialServers, g.PartialPeers
 	for _, name := range g.RemovedServers {
 		response.RemovedServers = append(response.RemovedServers, string(name))
@@ -210,12 +224,12 @@
 }
 
 // Announce records the announcement of a backend server; see fleetpb.Fleet.
-func (s *Service) Announce(_ context.Context, request *fleetpb.AnnounceRequest) (*fleetpb.AnnounceResponse, error) {
+func (s *Service) Announce(ctx context.Context, request *fleetpb.AnnounceRequest) (*fleetpb.AnnounceResponse, error) {
 	server, err := protoconv.ServerFromProto(request.GetServer(), s.options.Now())
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("server", err.Error())
 	}
-	if err := s.options.Coordinator.Announce(server, request.GetLeaving()); err != nil {
+	if err := s.options.Coordinator.Announce(ctx, server, request.GetLeaving()); err != nil {
 		return nil, unavailableError(err)
 	}
 	leader, _ := s.options.ConsensusLog.Leader()
@@ -260,17 +274,6 @@
 // unavailableError returns err as a twirp error with the code Unavailable.
 func unavailableError(err error) error { return twirp.NewError(twirp.Unavailable, err.Error()) }
 
-// ForwardAnnouncement forwards the announcement of a backend server to the leader
-// and returns the leader's name. leaving is true if the server shuts down.
-// Errors: ErrNoLeader.
-func (s *Service) ForwardAnnouncement(ctx context.Context, server registry.Server, leaving bool) (cluster.NodeName, error) {
-	request := &fleetpb.AnnounceRequest{Server: protoconv.ServerToProto(server, s.options.Now()), Leaving: leaving}
-	response, err := callLeader(ctx, s, func(ctx context.Context, f fleetpb.Fleet) (*fleetpb.AnnounceResponse, error) {
-		return f.Announce(ctx, request)
-	})
-	return cluster.NodeName(response.GetLeader()), err
-}
-
 // ForwardDocument has the leader store a configuration document if it is newer
 // than the stored one. It returns the newest stored version. Errors: ErrNoLeader.
 func (s *Service) ForwardDocument(ctx context.Context, d state.Document) (uint64, error) {
@@ -332,8 +335,3 @@
 	}
 	return fleetpb.NewFleetProtobufClient(transport.URL(leader.Address), s.options.Client)
 }
-
-// Exchange isn't served yet.
-func (s *Service) Exchange(context.Context, *fleetpb.ExchangeRequest) (*fleetpb.ExchangeResponse, error) {
-	return nil, twirp.NewError(twirp.Unimplemented, "this control node keeps no customers' limits")
-}
--- a/internal/traffic/controlclient/client.go
+++ b/internal/traffic/controlclient/client.go
@@ -28,15 +28,19 @@
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 
+	"github.com/burdockwood/burdockwood/internal/fleet/leaderclock"
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/model/pause"
 	"github.com/burdockwood/burdockwood/internal/ops/logging"
+	"github.com/burdockwood/burdockwood/internal/ops/metrics"
 	"github.com/burdockwood/burdockwood/internal/ops/rungroup"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 	"github.com/burdockwood/burdockwood/internal/rpc/transport"
+	"github.com/burdockwood/burdockwood/internal/traffic/keyright"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
 	"github.com/burdockwood/burdockwood/internal/traffic/ownership"
+	"github.com/burdockwood/burdockwood/internal/traffic/quota"
 	"github.com/burdockwood/burdockwood/internal/traffic/routing"
 	"github.com/burdockwood/burdockwood/internal/traffic/session"
 	"github.com/burdockwood/burdockwood/internal/traffic/upstream"
@@ -82,12 +86,20 @@
 		// DecodeConfig decodes the operators' configuration document.
 		DecodeConfig func(document []byte) (*routing.Config, error)
 		Sessions     *session.Manager
-		Lease        *lease.Holder
-		Pools        *upstream.Manager
+		// LeaderClock is told the leader's clock; nil: nobody needs it.
+		LeaderClock *leaderclock.Clock
+		Lease       *lease.Holder
+		// KeyRight is the right to run statements under callers' keys.
+		KeyRight *keyright.Right
+		Pools    *upstream.Manager
 		// Now reads a clock that includes the time for which the VM is
 		// suspended.
 		Now    func() time.Time
 		Logger logr.Logger
+		// Quota holds the tokens under customers' limits; nil: no customer has one.
+		Quota *quota.Holder
+		// Registry holds the metrics; nil: there are none.
+		Registry metrics.Registry
 	}
 
 	// Client is a client of the control plane. It is safe for concurrent use.
@@ -131,22 +143,29 @@
 		// customers are those of the configuration in force, assignments what
 		// follows from them for the owners of each server.
 		customers   *ownership.CustomerSet
-		assignments map[cluster.ServerName]*ownership.Assignment
+		assignments *assignmentCache
 		// draining is true if this proxy accepts no new statements of other
 		// proxies.
 		draining atomic.Bool
-		// loggedPrimaries are the primaries that were logged last.
-		loggedPrimaries map[cluster.GroupName]lease.GroupPrimary
+		// primaries are those that the control plane named last.
+		primaries map[cluster.GroupName]lease.GroupPrimary
+		// sync is the progress of finding out what is new; see parts.go.
+		sync syncProgress
+		// releases are the released terms that the control plane knows of.
+		releases releaseLog
 		// leaderClock is the leader's clock in the last response, which arrived
-		// no later than leaderClockAt.
+		// no later than leaderClockAt. Options.LeaderClock has it for forwarded
+		// statements.
 		leaderClock   time.Duration
 		leaderClockAt time.Time
 		// samplesSentAt is when the last renewal that succeeded was sent.
 		samplesSentAt time.Time
-		// everGranted is true once the control plane has granted a lease.
+		// everGranted is true once the control plane has granted a lease and has
+		// sent all servers and primaries.
 		everGranted atomic.Bool
 		// disconnected is true if the last renewal failed.
 		disconnected bool
+		exchanges    exchangeState
 	}
 )
 
@@ -155,15 +174,15 @@
 	return &Client{
 		options: options, incarnation: rand.Uint64() | 1,
 		seeds: slices.Clone(options.Seeds), members: slices.Clone(options.Seeds),
-		fetchRequests: make(chan struct{}, 1),
-		registry:      registry.New(), peers: map[cluster.ProxyName]ownership.Peer{}, loggedPrimaries: map[cluster.GroupName]lease.GroupPrimary{}, nextMember: rand.IntN(max(1, len(options.Seeds))),
+		fetchRequests: make(chan struct{}, 1), exchanges: exchangeState{newLeader: make(chan struct{}, 1)},
+		registry: registry.New(), peers: map[cluster.ProxyName]ownership.Peer{}, primaries: map[cluster.GroupName]lease.GroupPrimary{}, nextMember: rand.IntN(max(1, len(options.Seeds))),
 	}
 }
 
-// Run renews the lease, reports to the control plane and fetches configurations
-// until ctx ends.
+// Run renews the lease, reports to the control plane, fetches configurations and
+// exchanges tokens under customers' limits until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
-	return rungroup.Run(ctx, c.renewLoop, c.reportLoop, c.drainLoop, c.fetchLoop)
+	return rungroup.Run(ctx, c.renewLoop, c.reportLoop, c.drainLoop, c.fetchLoop, c.exchangeLoop)
 }
 
 // Ready reports whether the proxy can serve callers, and if not, the reason.
@@ -174,6 +193,9 @@
 	if !c.everGranted.Load() || c.options.Lease.Remaining(now) < minReadyLease {
 		return false, "the lease ends or has ended: control can't be reached"
 	}
+	if c.options.Sessions.Config().Customers != nil && !c.options.KeyRight.Valid(now) {
+		return false, "the right to use callers' keys has ended: control can't be reached"
+	}
 	return true, ""
 }
 
@@ -255,12 +277,17 @@
 	if c.leaderClock > 0 {
 		clock = uint64((c.leaderClock + sent.Sub(c.leaderClockAt)).Microseconds())
 	}
-	response, err := c.fleetClient(target).Renew(ctx, &fleetpb.RenewRequest{
+	if c.sync.source != target {
+		c.releases.reset()
+	}
+	request := &fleetpb.RenewRequest{
 		Proxy: string(c.options.Proxy), Incarnation: c.incarnation, Revision: c.revision,
-		Releases: c.minUsableTerms(), Evidence: c.observations(),
+		Releases: c.releases.unsent(c.options.Lease.MinUsableTerms()), Evidence: c.observations(),
+		AcceptsParts: true, Digests: c.digests(target), NextPart: uint32(c.sync.nextPart),
 		Address: c.options.Address.String(), DataCentre: string(c.options.DataCentre), Draining: c.draining.Load(),
 		AcceptsPartial: true, ClockUs: clock, Samples: c.ownSamples(sent),
-	})
+	}
+	response, err := c.fleetClient(target).Renew(ctx, request)
 	if err != nil {
 		return err
 	}
@@ -268,7 +295,10 @@
 		c.setLeader(response.GetLeader(), target)
 		return errNotLeader
 	}
+	c.sync.source = target
 	c.setMembers(response.GetMembers(), target)
+	c.noteLeader(response.GetRevision())
+	c.releases.acknowledged(request.GetReleases(), response.GetReleasedSum())
 	c.applyRenewal(response, sent)
 	return nil
 }
@@ -317,16 +347,6 @@
 	}
 }
 
-// minUsableTerms returns, for each group, the lowest term in which this proxy may still
-// use a primary; it has released the terms below.
-func (c *Client) minUsableTerms() []*fleetpb.Release {
-	var list []*fleetpb.Release
-	for group, term := range c.options.Lease.MinUsableTerms() {
-		list = append(list, &fleetpb.Release{Group: string(group), Term: uint64(term)})
-	}
-	return list
-}
-
 // observations returns what this proxy has observed of servers.
 func (c *Client) observations() []*fleetpb.Evidence {
 	var list []*fleetpb.Evidence
@@ -359,7 +379,7 @@
 		}
 		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 		_, err := c.fleetClient(leader).Report(callCtx, &fleetpb.ReportRequest{
-			Proxy: string(c.options.Proxy), Incarnation: c.incarnation, Releases: c.minUsableTerms(), Evidence: c.observations(),
+			Proxy: string(c.options.Proxy), Incarnation: c.incarnation, Releases: c.releases.unsent(c.options.Lease.MinUsableTerms()), Evidence: c.observations(),
 		})
 		cancel()
 		if err != nil {
--- a/internal/traffic/session/execution.go
+++ b/internal/traffic/session/execution.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
+	"github.com/burdockwood/burdockwood/internal/traffic/quota"
 	"github.com/burdockwood/burdockwood/internal/traffic/routing"
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
 	"github.com/burdockwood/burdockwood/internal/traffic/upstream"
@@ -87,6 +90,12 @@
 		failedAttempts []string
 		// lastPool is the pool of the server that was tried last; nil: none.
 		lastPool *upstream.Pool
+		// customer is the one whose limit applies; nil: none. token was taken for the
+		// operation; reachedServer is true once a statement
+		// of it may have reached a server.
+		customer      *customer.Customer
+		token         quota.Token
+		reachedServer bool
 	}
 
 	// target is the server for one attempt.
@@ -111,6 +120,7 @@
 		session: s, route: route, stmt: next, writes: writes, bootStart: s.manager.options.Now(), start: start,
 		primaryOnly:  writes || route.Consistency == routing.Strong,
 		softDeadline: waitingSince.Add(route.LatencyTarget - min(answerTransit, route.LatencyTarget/4)),
+		customer:     s.limitedCustomer(),
 		deadline:     start.Add(route.StatementTimeout), excluded: map[cluster.ServerName]bool{},
 	}
 }
@@ -129,6 +139,10 @@
 	callerContext, endWatch := e.session.watchCaller()
 	defer endWatch()
 	e.callerContext = callerContext
+	if refusal := e.admit(); refusal != nil {
+		return *refusal
+	}
+	defer e.returnToken()
 	for {
 		e.attempts++
 		t, refusal := e.chooseTarget()
@@ -159,7 +173,7 @@
 	}()
 	began := time.Now()
 	conn, err := t.pool.Acquire(upstream.AcquireOptions{
-		Fingerprint: e.session.fingerprint, Priority: e.route.Priority,
+		Customer: e.session.identity.customer, Fingerprint: e.session.fingerprint, Priority: e.route.Priority,
 		SoftDeadline: e.softDeadline, Deadline: e.acquireDeadline(t), CallerContext: e.callerContext,
 		Digest: e.stmt.Digest(), HoldFor: e.holdTime(), Kind: e.kind(),
 	})
@@ -180,13 +194,19 @@
 		limit = e.deadline
 	}
 	if e.tx != nil {
-		if answer, err := e.beginOnServer(conn, t, limit); err != nil || answer.Code != statement.OK {
+		answer, err := e.beginOnServer(conn, t, limit)
+		e.recordReached(answer, err)
+		if err != nil || answer.Code != statement.OK {
 			return e.handleBeginFailure(conn, t, answer, err)
 		}
 		request.MinPosition = cluster.LogPosition{}
 	}
 	sent := manager.options.Now()
 	answer, err = conn.Do(request, limit)
+	if _, refused := errors.AsType[*upstream.NotPermittedError](err); refused {
+		return e.handleNotPermitted(conn, err)
+	}
+	e.recordReached(answer, err)
 	if err != nil {
 		conn.Discard()
 		return e.handleLostAnswer(t, err)
@@ -246,13 +266,15 @@
 	if err := conn.ApplySettings(s.settings, s.fingerprint, deadline); err != nil {
 		return statement.Request{}, err
 	}
+	request := statement.Request{Statement: next}
+	s.identity.assign(&request)
 	if next.Verb != statement.Execute {
-		return statement.Request{Statement: next}, nil
+		return request, nil
 	}
 	name, err := conn.Prepare(next.Query, next.Writes, deadline)
 	if err != nil {
 		return statement.Request{}, err
 	}
-	next.Name = name
-	return statement.Request{Statement: next}, nil
+	request.Name = name
+	return request, nil
 }
--- a/internal/traffic/session/manager.go
+++ b/internal/traffic/session/manager.go
@@ -10,7 +10,7 @@
 //
 //	m := session.NewManager(session.Options{Lease: holder, Pools: pools, Now: clock, Logger: logger})
 //	m.SetConfig(config)
-//	err := m.Serve(caller, "payroll", connectedAt) // until the caller disconnects
+//	err := m.Serve(caller, "payroll", customer.DigestOf(key), connectedAt) // until the caller disconnects
 //
 // # Outcomes
 //
@@ -33,9 +33,12 @@
 
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/ops/metrics"
 	"github.com/burdockwood/burdockwood/internal/traffic/freshness"
+	"github.com/burdockwood/burdockwood/internal/traffic/keyright"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
+	"github.com/burdockwood/burdockwood/internal/traffic/quota"
 	"github.com/burdockwood/burdockwood/internal/traffic/routing"
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
 	"github.com/burdockwood/burdockwood/internal/traffic/upstream"
@@ -66,6 +69,8 @@
 	Options struct {
 		Lease *lease.Holder
 		Pools *upstream.Manager
+		// KeyRight is the right to run statements under callers' keys.
+		KeyRight *keyright.Right
 		// Now reads a clock that includes the time for which the VM is
 		// suspended.
 		Now    func() time.Time
@@ -75,6 +80,8 @@
 		// MaxDrainAge is how long a draining primary gets new statements;
 		// zero: as long as it is the primary.
 		MaxDrainAge time.Duration
+		// Quota holds the tokens under customers' limits; nil: no customer has one.
+		Quota *quota.Holder
 	}
 
 	// Manager holds the sessions of a proxy and what they share. It is safe for
@@ -83,8 +90,9 @@
 		options Options
 		config  atomic.Pointer[routing.Config]
 		// tenants are the latency histograms of each database.
-		tenants *metrics.TenantHistograms
-		mu      sync.Mutex
+		tenants      *metrics.TenantHistograms
+		limitMetrics *limitMetrics
+		mu           sync.Mutex
 		// trackers hold, for each group, samples of the log position of its
 		// primary. They determine which position a read must see.
 		trackers map[cluster.GroupName]*freshness.Tracker
@@ -105,8 +113,9 @@
 	}
 	return &Manager{
 		options: options, trackers: map[cluster.GroupName]*freshness.Tracker{},
-		tenants:  metrics.NewTenantHistograms(options.Registry, metrics.DefaultMaxTenants),
-		sessions: map[*session]struct{}{},
+		tenants:      metrics.NewTenantHistograms(options.Registry, metrics.DefaultMaxTenants),
+		limitMetrics: newLimitMetrics(options.Registry),
+		sessions:     map[*session]struct{}{},
 	}
 }
 
@@ -118,32 +127,40 @@
 }
 
 // SetConfig puts a configuration in force unless the one in force has the same or a
-// newer version.
+// newer version. Idle sessions whose key is withdrawn end.
 func (m *Manager) SetConfig(next *routing.Config) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if old := m.config.Load(); old == nil || next.Version > old.Version {
-		m.config.Store(next)
+	if old := m.config.Load(); old != nil && next.Version <= old.Version {
+		return
+	}
+	m.config.Store(next)
+	if next.Customers == nil {
+		return
+	}
+	for s := range m.sessions {
+		if _, code := identify(next, s.database, s.key); code == statement.UnknownKey {
+			s.caller.Interrupt()
+		}
 	}
 }
 
 // Config returns the configuration in force, or nil if there is none yet.
 func (m *Manager) Config() *routing.Config { return m.config.Load() }
 
-// HasDatabase reports whether a route is declared for the database.
-func (m *Manager) HasDatabase(database string) bool {
-	current := m.config.Load()
-	if current == nil {
-		return false
-	}
-	_, ok := current.Route(database)
-	return ok
+// CheckStart reports whether a session for a database may start with a key: OK,
+// NoDatabase or UnknownKey.
+func (m *Manager) CheckStart(database string, key customer.Digest) statement.Code {
+	_, code := identify(m.config.Load(), database, key)
+	return code
 }
 
-// Serve serves a caller until it disconnects or its session is closed. connectedAt
-// is when the caller connected; its first statement may have waited since then.
-func (m *Manager) Serve(caller Caller, database string, connectedAt time.Time) error {
+// Serve serves a caller until it disconnects or its session is closed. key is the digest
+// of the caller's key; zero: it has none. connectedAt is when the caller connected; its
+// first statement may have waited since then.
+func (m *Manager) Serve(caller Caller, database string, key customer.Digest, connectedAt time.Time) error {
 	s := &session{
+		key:     key,
 		manager: m, caller: caller, database: database, statementKind: xxhash.Sum64String(database), transactionKind: xxhash.Sum64String("transaction " + database), connectedAt: connectedAt, readyAt: time.Now(),
 		settings: map[string]string{}, prepared: map[string]preparedStatement{},
 	}
@@ -266,6 +283,9 @@
 		metrics.Gauge(registry, name, labels...).Update(value)
 	}
 	set("lease-left-ms", m.options.Lease.Remaining(now).Milliseconds())
+	if m.options.KeyRight != nil {
+		set("key-right-left-ms", m.options.KeyRight.Remaining(now).Milliseconds())
+	}
 	set("sessions", int64(m.Count()))
 	if current := m.Config(); current != nil {
 		set("configuration-version", int64(current.Version))
@@ -276,6 +296,7 @@
 			set("sample-age-ms", now.Sub(latest.SentAt).Milliseconds(), "group", string(group))
 		}
 	}
+	m.limitMetrics.updateHeld(m.options.Quota, now)
 	m.options.Pools.UpdateMetrics(registry)
 }
 
