--- a/internal/traffic/balancer/balancer.go
+++ b/internal/traffic/balancer/balancer.go
@@ -19,6 +19,10 @@
 // a replica even if it is slower. A replica that lagged gets reads again only after a
 // back-off, unless it is known to have caught up.
 //
+// Where a connection belongs to one customer, a customer's reads prefer one replica, so
+// that they find open connections there. While it is slower than another one by more than
+// the time to open a connection, they go to that one.
+//
 // A server that fails part of its statements may fail them fast, and so look idle.
 // Its latency is therefore divided by its success rate, as if each statement were
 // retried there until it succeeds.
@@ -49,6 +53,9 @@
 	// maxFailureRate bounds the failure rate that is used, so that a server that
 	// failed all statements is tried again once the others are ten times as slow.
 	maxFailureRate = 0.9
+	// notPreferredPenalty is added for servers where the customer's connections are
+	// probably not open: about the time to open one.
+	notPreferredPenalty = 12 * time.Millisecond
 	// lagPenalty ranks a replica that lagged recently after the primary.
 	lagPenalty = 10 * time.Second
 )
@@ -68,6 +75,9 @@
 	Slots int
 	// ConnectTime is the time to open a connection; zero: one is idle.
 	ConnectTime time.Duration
+	// NotPreferred is true if the customer's reads should use another server while
+	// that one is as fast.
+	NotPreferred bool
 	// WarmingUp is true if the server has just started.
 	WarmingUp bool
 	// Unresponsive is true if requests to the server go unanswered.
@@ -98,6 +108,9 @@
 		expected += crossDataCentreLatency
 	}
 	expected += c.ConnectTime
+	if c.NotPreferred {
+		expected += notPreferredPenalty
+	}
 	if c.Lagging {
 		expected += lagPenalty
 	}
--- a/internal/traffic/balancer/balancer_test.go
+++ b/internal/traffic/balancer/balancer_test.go
@@ -27,6 +27,8 @@
 		{"the server with more slots", []Candidate{with(func(c *Candidate) { c.Running = 2 }), with(func(c *Candidate) { c.Running = 2; c.Slots = 8 })}, 1},
 		{"a queued statement counts as much as a running one", []Candidate{with(func(c *Candidate) { c.Queued = 3 }), with(func(c *Candidate) { c.Running = 1 })}, 1},
 		{"an idle connection before one to be opened", []Candidate{with(func(c *Candidate) { c.ConnectTime = 15 * time.Millisecond }), with(func(c *Candidate) { c.SameDataCentre = false })}, 1},
+		{"the preferred server", []Candidate{with(func(c *Candidate) { c.NotPreferred = true }), with(func(c *Candidate) { c.Running = 1 })}, 1},
+		{"not the preferred server if it is loaded", []Candidate{with(func(c *Candidate) { c.NotPreferred = true }), with(func(c *Candidate) { c.Latency = 30 * time.Millisecond })}, 0},
 		{"a server that isn't warming up", []Candidate{with(func(c *Candidate) { c.WarmingUp = true }), replica}, 1},
 		{"the primary before a lagging replica", []Candidate{with(func(c *Candidate) { c.Lagging = true }), primary}, 1},
 		{"an unresponsive server is last", []Candidate{with(func(c *Candidate) { c.Unresponsive = true }), with(func(c *Candidate) { c.Lagging = true })}, 1},
--- a/internal/traffic/ownership/assignment.go
+++ b/internal/traffic/ownership/assignment.go
@@ -195,6 +195,9 @@
 	}
 }
 
+// Customers returns the customers that are assigned.
+func (a *Assignment) Customers() *CustomerSet { return a.customers }
+
 // Choose returns the owner for a customer's piece of work with the given digest: among
 // the customer's owners for which usable returns true the one of the highest rendezvous
 // weight, or such a one among all owners if the customer has none that is usable.
--- a/internal/traffic/session/target.go
+++ b/internal/traffic/session/target.go
@@ -128,6 +128,8 @@
 	isMissing := func(position cluster.LogPosition, at time.Time) bool {
 		return position.Compare(required.Position) < 0 && tracker.Lag(position, at) > now.Sub(required.SentAt)
 	}
+	on := e.session.identity.customer
+	preferred := manager.options.Pools.PreferredReplica(on, e.stmt.Digest(), e.route.Group, primary)
 	var pools []*upstream.Pool
 	var candidates []balancer.Candidate
 	for _, pool := range manager.options.Pools.GroupPools(e.route.Group) {
@@ -135,8 +137,8 @@
 		if server.Draining || e.excluded[server.Name] {
 			continue
 		}
-		c := pool.Candidate("", isMissing, now)
-		c.IsPrimary = server.Name == primary
+		c := pool.Candidate(on, isMissing, now)
+		c.IsPrimary, c.NotPreferred = server.Name == primary, preferred != "" && server.Name != preferred
 		if c.Unresponsive && !c.IsPrimary {
 			continue
 		}
--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -225,7 +225,7 @@
 		FailureRate:  p.currentFailureRate(now),
 		Lagging:      now.Before(p.laggingUntil) && isMissing(p.position, p.positionUpdated),
 	}
-	if !p.hasIdle(on) {
+	if !p.hasIdle(on) && (p.plan.RunsHere(on) || !p.plan.ByCustomer) {
 		c.ConnectTime = p.expectedConnectTime()
 	}
 	return c
--- a/internal/traffic/upstream/upstream.go
+++ b/internal/traffic/upstream/upstream.go
@@ -113,6 +113,9 @@
 		directory directory
 		pools     atomic.Pointer[map[cluster.ServerName]*Pool]
 		groups    atomic.Pointer[map[cluster.GroupName][]*Pool]
+		// preferencesMu guards preferences, which holds those that were asked for.
+		preferencesMu sync.Mutex
+		preferences   map[cluster.GroupName]*preference
 		// unresponsive receives a value when a server becomes unresponsive.
 		unresponsive chan struct{}
 		// openRequests are pools whose first connection is to be opened in
@@ -127,7 +130,7 @@
 
 // New returns a manager without servers.
 func New(options Options) *Manager {
-	m := &Manager{options: options, unresponsive: make(chan struct{}, 1), openRequests: make(chan *Pool, 256), serviceTimes: admission.NewServiceTimes()}
+	m := &Manager{options: options, unresponsive: make(chan struct{}, 1), openRequests: make(chan *Pool, 256), serviceTimes: admission.NewServiceTimes(), preferences: map[cluster.GroupName]*preference{}}
 	m.pools.Store(&map[cluster.ServerName]*Pool{})
 	m.groups.Store(&map[cluster.GroupName][]*Pool{})
 	return m
