Coordinator: many changes of primaries at once are paced and share entries

Cause: 134 primaries lost at once made an entry for nearly each step, and each renewal woke every group that waited for proxies. Change: entries are at least 5 ms apart; looks after events are spread while many groups are worked on.

--- a/internal/fleet/coordinator/scale_test.go
+++ b/internal/fleet/coordinator/scale_test.go
@@ -219,3 +219,43 @@
 		}
 	}
 }
+
+// TestLossOfDataCentre takes 134 of 400 primaries away at once. All of these groups get
+// another primary, and their changes share entries of the log.
+func TestLossOfDataCentre(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	for i := range 3 * testGroups {
+		role := cluster.RoleReplica
+		if i%3 == 0 {
+			role = cluster.RolePrimary
+		}
+		f.platform.setStatus(cluster.ServerName(fmt.Sprint("s", i)), role, 1, 10)
+	}
+	f.announceGroups()
+	var observations []Observation
+	f.platform.mu.Lock()
+	for i := 0; i < testGroups; i += 3 {
+		primary := cluster.ServerName(fmt.Sprint("s", 3*i))
+		delete(f.platform.statuses, primary)
+		observations = append(observations, Observation{Server: primary, FailingFor: time.Second, Refused: true, SinceResponse: time.Second})
+	}
+	f.platform.mu.Unlock()
+	before := f.coordinator.options.ConsensusLog.AppliedIndex()
+	f.waitUntil("all groups have a primary that runs", func() bool {
+		if err := f.coordinator.Report(Renewal{Proxy: "proxy-1", Observations: observations}); err != nil {
+			t.Fatal(err)
+		}
+		primaries := f.machine.View().Primaries
+		for i := 0; i < testGroups; i += 3 {
+			p := primaries[cluster.GroupName(fmt.Sprint("g", i))]
+			if p.Phase != state.Settled || p.Term < 2 {
+				return false
+			}
+		}
+		return true
+	})
+	if got := f.coordinator.options.ConsensusLog.AppliedIndex() - before; got > uint64(len(observations)) {
+		t.Errorf("got %d entries for %d changes of primary in three steps each, want fewer entries than changes", got, len(observations))
+	}
+}
--- a/internal/fleet/coordinator/schedule.go
+++ b/internal/fleet/coordinator/schedule.go
@@ -11,16 +11,23 @@
 	"github.com/burdockwood/burdockwood/internal/fleet/failover"
 	"github.com/burdockwood/burdockwood/internal/fleet/state"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/pause"
 )
 
-// sweepParts is the number of ticks in which the scheduler looks at every group once,
-// also without an event. What a group's primary fails to do, such as announcing itself,
-// shows only with time.
-const sweepParts = 5
-
-// failingTime is how long a group is looked at each tick after the last report of a
-// failure. It is longer than reports count.
-const failingTime = 3 * time.Second
+const (
+	// sweepParts is the number of ticks in which the scheduler looks at every group
+	// once, also without an event. What a group's primary fails to do, such as
+	// announcing itself, shows only with time.
+	sweepParts = 5
+	// failingTime is how long a group is looked at each tick after the last report
+	// of a failure. It is longer than reports count.
+	failingTime = 3 * time.Second
+	// controllerCost is a multiple of what a look costs for one group that is worked
+	// on, so that looks take a small part of the processor.
+	controllerCost = 100 * time.Microsecond
+	// maxLookDelay bounds the delay of a look.
+	maxLookDelay = 50 * time.Millisecond
+)
 
 // scheduler decides which groups need work. A group that needs none costs a look at its
 // state in every sweep. One that does has a groupController that runs until nothing is
@@ -62,6 +69,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-changed:
+			s.restrain(ctx)
 		case group := <-s.finished:
 			delete(s.controllers, group)
 			delete(s.adopting, group)
@@ -72,6 +80,14 @@
 	}
 }
 
+// restrain delays the next look after an event while many groups are worked on. Every
+// renewal of hundreds of proxies is an event for each group that waits for them.
+func (s *scheduler) restrain(ctx context.Context) {
+	if n := len(s.controllers); n > 1 {
+		pause.For(ctx, min(time.Duration(n)*controllerCost, maxLookDelay))
+	}
+}
+
 // nextPart returns the groups of the next part of a sweep, and those that a proxy
 // reported to be failing lately.
 func (s *scheduler) nextPart() []cluster.GroupName {
--- a/internal/fleet/coordinator/writer.go
+++ b/internal/fleet/coordinator/writer.go
@@ -3,12 +3,19 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/burdockwood/burdockwood/internal/fleet/state"
+	"github.com/burdockwood/burdockwood/internal/model/pause"
 )
 
-// maxChangesPerEntry bounds the changes of primaries in one entry of the log.
-const maxChangesPerEntry = 256
+const (
+	// maxChangesPerEntry bounds the changes of primaries in one entry of the log.
+	maxChangesPerEntry = 256
+	// entryInterval is the least time between two entries. It is a few syncs, and
+	// small beside a change of primary.
+	entryInterval = 5 * time.Millisecond
+)
 
 type (
 	// primaryWriter collects changes of primaries, so that those that are due at
@@ -62,6 +69,7 @@
 		}
 		for batch := l.writer.take(); len(batch) > 0 && ctx.Err() == nil; batch = l.writer.take() {
 			c.writeBatch(ctx, batch)
+			pause.For(ctx, entryInterval)
 		}
 	}
 }
