--- a/internal/fleet/coordinator/writer.go
+++ b/internal/fleet/coordinator/writer.go
@@ -78,9 +78,12 @@
 // primaries, and one group's changes follow each other, so a change was applied if the
 // state holds it after the commit.
 func (c *Coordinator) writeBatch(ctx context.Context, batch []primaryWrite) {
-	command := state.Command{}
-	for _, w := range batch {
-		command.Primaries = append(command.Primaries, w.change)
+	command := state.Command{Primary: &batch[0].change}
+	if len(batch) > 1 {
+		command = state.Command{}
+		for _, w := range batch {
+			command.Primaries = append(command.Primaries, w.change)
+		}
 	}
 	_, err := c.propose(ctx, command)
 	primaries := c.options.Machine.View().Primaries
