server label leaves customers as they are

Cause: it built new declarations from groups and selectors, so that a label of a server removed every customer. Change: it copies the declarations. Measured: the script customer.txtar fails without it, and passes.

--- a/internal/cli/server/label.go
+++ b/internal/cli/server/label.go
@@ -74,7 +74,8 @@
 // relabel returns new declarations with the edits applied to the server's labels.
 // It doesn't change d.
 func relabel(d *declaration.Declarations, target serverName, edits []string) (*declaration.Declarations, error) {
-	next := &declaration.Declarations{Format: d.Format, Selectors: d.Selectors}
+	next := *d
+	next.Groups = nil
 	found := false
 	for _, g := range d.Groups {
 		if g.Name == target.group {
@@ -90,7 +91,7 @@
 	if !found {
 		return nil, exit.New(exit.Failed, exit.WithDetail(errUnknownGroup, "%q", target.group), "see \"burdockwood group list\"")
 	}
-	return next, nil
+	return &next, nil
 }
 
 // editLabels returns all labels with the edits applied to those of the server. An
