No value from the section of customers in a problem

Cause: a key in place of a customer or a mapping stood in the problem's text. Change: within that section a value of the wrong type isn't quoted.

--- a/internal/config/declaration/customers.go
+++ b/internal/config/declaration/customers.go
@@ -95,6 +95,12 @@
 	return y
 }
 
+func (p *parser) parseCustomers(path string, node *yaml.Node) {
+	p.hidesValues = true
+	p.decodeSequence(path, node, p.parseCustomer)
+	p.hidesValues = false
+}
+
 func (p *parser) parseCustomer(path string, node *yaml.Node) {
 	c := customer.Customer{Weight: defaultWeight}
 	index := len(p.declarations.Customers)
@@ -118,6 +124,9 @@
 		{"priority", func(path string, n *yaml.Node) { c.Priority, _ = p.decodeInt(path, n, 0, maxPriority) }},
 		{"weight", func(path string, n *yaml.Node) { c.Weight, _ = p.decodeInt(path, n, 1, maxWeight) }},
 	})
+	if node.Kind != yaml.MappingNode {
+		return
+	}
 	p.declarations.Customers = append(p.declarations.Customers, c)
 	p.customerPositions = append(p.customerPositions, position{file: p.file, path: path, lines: found})
 }
--- a/internal/config/declaration/customers_test.go
+++ b/internal/config/declaration/customers_test.go
@@ -44,6 +44,7 @@
 		{"key with a space", secret, `"2rrytapj sujqurtyiikd"`, `4: customers[0].keys[0]: is not a key: 21 bytes`},
 		{"keys not in a list", "[" + secret + `, "20241204"]`, secret, `4: customers[0].keys: is not a list`},
 		{"key as a mapping", secret, "{" + secret + ": 1}", `4: customers[0].keys[0]: is not a text`},
+		{"key in place of a customer", "- name: quarry\n    key-digests: [AAECAwQFBgcICQoLDA0ODw]", "- " + secret, `8: customers[1]: has the wrong type: a single value`},
 		{"key as a digest", "AAECAwQFBgcICQoLDA0ODw", secret, `9: customers[1].key-digests[0]: is not the digest of a key`},
 		{"key that looks like an alias", secret, "*" + secret, `not YAML: unknown anchor referenced`},
 		{"negative rate", "rate: 200", "rate: -1", `5: customers[0].limit.rate: -1 is out of range`},
--- a/internal/config/declaration/decode.go
+++ b/internal/config/declaration/decode.go
@@ -19,6 +19,8 @@
 	decoder struct {
 		file     string
 		problems []Problem
+		// hidesValues is true where a value in the wrong place may be a key.
+		hidesValues bool
 	}
 
 	// mappingKey is a known key of a mapping and the function that decodes its
@@ -187,7 +189,11 @@
 		d.addProblem(node, path, "is an alias", "write the value out")
 		return false
 	}
-	d.addProblem(node, path, "has the wrong type: "+describeNode(node), "write "+want)
+	description := describeNode(node)
+	if d.hidesValues && node.Kind == yaml.ScalarNode {
+		description = "a single value"
+	}
+	d.addProblem(node, path, "has the wrong type: "+description, "write "+want)
 	return false
 }
 
--- a/internal/config/declaration/parse.go
+++ b/internal/config/declaration/parse.go
@@ -170,7 +170,7 @@
 		{"format", func(path string, n *yaml.Node) { format = p.parseFormat(path, n) }},
 		{"groups", func(path string, n *yaml.Node) { p.decodeSequence(path, n, p.parseGroup) }},
 		{"selectors", func(path string, n *yaml.Node) { p.decodeSequence(path, n, p.parseSelector) }},
-		{"customers", func(path string, n *yaml.Node) { p.decodeSequence(path, n, p.parseCustomer) }},
+		{"customers", p.parseCustomers},
 	})
 	if _, ok := found["format"]; !ok && node.Kind == yaml.MappingNode {
 		p.addProblem(node, "format", "is missing", "write format: "+Format)
