--- a/internal/fleet/leases/leases.go
+++ b/internal/fleet/leases/leases.go
@@ -23,7 +23,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -48,6 +47,8 @@
 		incarnation    cluster.Incarnation
 		expiresAt      time.Time
 		minUsableTerms MinUsableTerms
+		// releasedSum is the sum of minUsableTerms.
+		releasedSum uint64
 		// ended is true if the proxy has shut down and uses no primary any
 		// more.
 		ended bool
@@ -78,7 +79,7 @@
 	l.incarnation = incarnation
 	l.expiresAt = now.Add(t.duration)
 	l.ended = false
-	l.minUsableTerms = mergeTerms(l.minUsableTerms, minUsableTerms)
+	l.raiseTerms(minUsableTerms)
 }
 
 // Release records the terms that a proxy has released since its last renewal.
@@ -87,16 +88,27 @@
 	if l == nil || l.incarnation != incarnation {
 		return
 	}
-	l.minUsableTerms = mergeTerms(l.minUsableTerms, minUsableTerms)
+	l.raiseTerms(minUsableTerms)
 }
 
-// mergeTerms returns, for each group, the higher one of its two terms.
-func mergeTerms(a, b MinUsableTerms) MinUsableTerms {
-	merged := maps.Clone(a)
-	for group, term := range b {
-		merged[group] = max(merged[group], term)
+// raiseTerms raises the terms of the lease to the given ones where those are higher.
+func (l *proxyLease) raiseTerms(terms MinUsableTerms) {
+	for group, term := range terms {
+		if old := l.minUsableTerms[group]; term > old {
+			l.minUsableTerms[group] = term
+			l.releasedSum += uint64(term - old)
+		}
 	}
-	return merged
+}
+
+// ReleasedSum returns the sum of the lowest terms that a proxy may still use, as it has
+// reported them. The proxy compares it with its own, to learn whether this table has all
+// that it reported.
+func (t *Table) ReleasedSum(name cluster.ProxyName) uint64 {
+	if l := t.leases[name]; l != nil {
+		return l.releasedSum
+	}
+	return 0
 }
 
 // End ends the lease of a proxy that has stopped using all primaries.
@@ -119,6 +131,17 @@
 	return names
 }
 
+// Held reports whether any proxy may still use a primary of group in a term below
+// term.
+func (t *Table) Held(group cluster.GroupName, term cluster.Term, now time.Time) bool {
+	for _, l := range t.leases {
+		if l.isValid(now) && l.minUsableTerms[group] < term {
+			return true
+		}
+	}
+	return false
+}
+
 // HasLease reports whether a proxy holds a valid lease.
 func (t *Table) HasLease(name cluster.ProxyName, now time.Time) bool {
 	l := t.leases[name]
