Logs say why a caller's key was refused, as explain reads it

Cause: the lines of refused statements lacked the version without the key and how long the right has ended, which explain prints.

--- a/internal/traffic/keyright/keyright.go
+++ b/internal/traffic/keyright/keyright.go
@@ -149,6 +149,19 @@
 	return max(0, r.confirmedAt.Add(r.lifetime).Sub(now))
 }
 
+// EndedFor returns for how long the right has ended; zero: it hasn't, or never began.
+func (r *Right) EndedFor(now time.Time) time.Duration {
+	if r == nil {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.confirmedAt.IsZero() {
+		return 0
+	}
+	return max(0, now.Sub(r.confirmedAt.Add(r.lifetime)))
+}
+
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/internal/traffic/session/identity.go
+++ b/internal/traffic/session/identity.go
@@ -65,6 +65,7 @@
 		s.failTransaction()
 	}
 	if code == statement.UnknownKey {
+		s.rejectionCause = causeUnknownKey
 		return false
 	}
 	s.identity = next
@@ -79,6 +80,20 @@
 	request.Customer, request.Key, request.ConfigVersion = i.customer, i.key, i.config.Version
 }
 
+// refusalDetails returns the log fields that explain a refusal for the sake of the
+// caller's key.
+func (s *session) refusalDetails(c cause) []any {
+	switch c {
+	case causeUnknownKey:
+		version := s.manager.Config().Version
+		return []any{"version", version, "withdrawn-in", version}
+	case causeNoKeyRight:
+		return []any{"right-ended-ms-ago", s.manager.options.KeyRight.EndedFor(s.manager.options.Now()).Milliseconds()}
+	default:
+		return nil
+	}
+}
+
 // checkRight returns the answer to a statement that a server would have to run although
 // this proxy has no right to use the caller's key; nil: it may run. An open transaction
 // is rolled back.
@@ -93,6 +108,7 @@
 	}
 	s.manager.customerMetrics.get(s.identity.customer).refusedRight.Inc(1)
 	answer := s.answerWithoutRight()
+	s.rejectionCause = causeNoKeyRight
 	if s.tx != nil {
 		s.failTransaction()
 		answer.Code = statement.Aborted
--- a/internal/traffic/session/identity_test.go
+++ b/internal/traffic/session/identity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -135,6 +136,33 @@
 	}
 }
 
+// TestRefusalsForTheKeyAreExplained checks the fields of the log that explain reads.
+func TestRefusalsForTheKeyAreExplained(t *testing.T) {
+	f := newFixture(t)
+	now := time.Now()
+	f.manager.options.KeyRight = keyright.New(8 * time.Second)
+	f.setCustomers(map[customer.Name]customer.Digest{"harbour": harbourKey})
+	f.manager.options.Now = func() time.Time { return now.Add(9 * time.Second) }
+	s := &session{manager: f.manager, database: "primary"}
+	tests := []struct {
+		cause cause
+		want  string
+	}{
+		{causeUnknownKey, "[version 2 withdrawn-in 2]"},
+		{causeNoKeyRight, "[right-ended-ms-ago "},
+		{causeQueue, "[]"},
+		{"", "[]"},
+	}
+	for _, test := range tests {
+		if got := fmt.Sprint(s.refusalDetails(test.cause)); !strings.HasPrefix(got, test.want) {
+			t.Errorf("%q: got %s, want %s", test.cause, got, test.want)
+		}
+	}
+	if got := f.manager.options.KeyRight.EndedFor(now.Add(9 * time.Second)); got < time.Second || got > 2*time.Second {
+		t.Errorf("got the right ended for %v, want between 1 and 2 s", got)
+	}
+}
+
 // TestIdleSessionsOfAWithdrawnKeyEnd withdraws the key of one of two idle sessions.
 func TestIdleSessionsOfAWithdrawnKeyEnd(t *testing.T) {
 	f := newFixture(t)
--- a/internal/traffic/session/outcome.go
+++ b/internal/traffic/session/outcome.go
@@ -212,7 +212,7 @@
 		logger = logger.WithValues("server", e.lastPool.Server().Name, "server-running", load.Running, "server-waiting", load.Queued,
 			"server-connections", load.Connections, "server-lately-ms", load.RecentLatency.Milliseconds(), "server-usual-ms", load.BaseLatency.Milliseconds())
 	}
-	logger.Info(message, "request-id", e.stmt.ID, "database", e.session.database, "customer", e.session.identity.customer,
+	logger.WithValues(e.session.refusalDetails(e.cause)...).Info(message, "request-id", e.stmt.ID, "database", e.session.database, "customer", e.session.identity.customer,
 		"group", e.route.Group, "verb", e.stmt.Verb.String(), "outcome", answer.Code.String(), "cause", e.finalCause(total), "reason", answer.Detail,
 		"last-attempt", e.lastFailure, "attempts", e.attempts, "failed-attempts", strings.Join(e.failedAttempts, ", "), "primary-only", e.primaryOnly, "waited-ms", e.waitTime.Milliseconds(), "total-ms", total.Milliseconds(),
 		"term", e.session.manager.options.Lease.Term(e.route.Group),
--- a/internal/traffic/session/session.go
+++ b/internal/traffic/session/session.go
@@ -59,6 +59,9 @@
 		// outcomeLogged is true if the outcome of the current statement has
 		// been recorded in the metrics and, where needed, logged.
 		outcomeLogged bool
+		// rejectionCause is why the proxy rejected the current statement, if its
+		// outcome hasn't been logged; empty: the answer says it.
+		rejectionCause cause
 		// refusedWithoutLease is true once a statement was rejected because
 		// this proxy has no lease, or no right to use keys. Another proxy may
 		// serve the caller.
@@ -103,10 +106,14 @@
 			}
 			continue
 		}
-		s.outcomeLogged = false
+		s.outcomeLogged, s.rejectionCause = false, ""
 		answer := s.execute(next)
 		if answer.Code != statement.OK && !s.outcomeLogged {
-			s.manager.options.Logger.Info("statement rejected by the proxy", "request-id", next.ID, "database", s.database,
+			logger := s.manager.options.Logger
+			if s.rejectionCause != "" {
+				logger = logger.WithValues("cause", s.rejectionCause).WithValues(s.refusalDetails(s.rejectionCause)...)
+			}
+			logger.Info("statement rejected by the proxy", "request-id", next.ID, "database", s.database,
 				"customer", s.identity.customer, "verb", next.Verb.String(), "outcome", answer.Code.String(), "reason", answer.Detail)
 			s.manager.countOutcome(s.database, answer.Code, 0, 0, 0)
 		}
