Test of late deadlines: virtual time

Cause: TestQueuedMessagesCountBeforeDeadline failed once on a machine with a load of 44: the message that it sends after 3 ms and the grace of 30 ms are timers of the real clock. Change: it runs in a bubble of virtual time; rows and wants are as they were.

--- a/internal/control/node/loop_test.go
+++ b/internal/control/node/loop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/burdockwood/burdockwood/internal/control/quorum"
@@ -25,15 +26,17 @@
 		{"late, nothing comes", 300 * time.Millisecond, false, false, 0},
 	}
 	for _, test := range tests {
-		n := &Node{now: func() time.Time { return now.Add(test.late) }, events: make(chan event, 4)}
-		if test.queued {
-			n.events <- message
-		}
-		if test.coming {
-			time.AfterFunc(lateGrace/10, func() { n.events <- message })
-		}
-		if got := len(n.collectLate(t.Context(), now)); got != test.want {
-			t.Errorf("%s: got %d events, want %d", test.name, got, test.want)
-		}
+		synctest.Test(t, func(t *testing.T) {
+			n := &Node{now: func() time.Time { return now.Add(test.late) }, events: make(chan event, 4)}
+			if test.queued {
+				n.events <- message
+			}
+			if test.coming {
+				time.AfterFunc(lateGrace/10, func() { n.events <- message })
+			}
+			if got := len(n.collectLate(t.Context(), now)); got != test.want {
+				t.Errorf("%s: got %d events, want %d", test.name, got, test.want)
+			}
+		})
 	}
 }
