--- a/internal/traffic/quota/bound_test.go
+++ b/internal/traffic/quota/bound_test.go
@@ -8,9 +8,13 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/burdockwood/burdockwood/internal/fleet/allowance"
+	"github.com/burdockwood/burdockwood/internal/fleet/protoconv"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/model/customer"
+	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 	"github.com/burdockwood/burdockwood/internal/traffic/quota"
 )
 
@@ -53,11 +57,13 @@
 		now    time.Time
 		events map[time.Time][]func()
 		// leader is nil between two leaders.
-		leader   *allowance.Ledger
-		proxies  []*replayProxy
-		traffic  []*traffic
-		kind     kind
-		messages int
+		leader  *allowance.Ledger
+		proxies []*replayProxy
+		traffic []*traffic
+		kind    kind
+		// calls, and if measures is true the bytes of their requests and responses.
+		calls, bytes int
+		measures     bool
 		// electedAt is when the current leader was elected, or the last one lost.
 		electedAt time.Time
 	}
@@ -111,16 +117,26 @@
 	}
 )
 
+// newReplay returns a replay of four customers of very uneven size.
 func newReplay(seed uint64, k kind) *replay {
-	r := &replay{random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), events: map[time.Time][]func(){}, kind: k}
-	names := make([]cluster.ProxyName, 2+r.random.IntN(69))
+	random := rand.New(rand.NewPCG(seed, 2))
+	r := newCalmReplay(seed, 2+random.IntN(69), []int{2, 8, 40, 200})
+	r.kind = k
+	r.plan()
+	return r
+}
+
+// newCalmReplay returns a replay in which nothing happens to customers of the rates.
+func newCalmReplay(seed uint64, proxies int, rates []int) *replay {
+	r := &replay{random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), events: map[time.Time][]func(){}}
+	names := make([]cluster.ProxyName, proxies)
 	for i := range names {
 		names[i] = cluster.ProxyName(fmt.Sprintf("proxy-%d", i))
 		p := &replayProxy{name: names[i]}
 		r.startProxy(p)
 		r.proxies = append(r.proxies, p)
 	}
-	for i, rate := range []int{2, 8, 40, 200} {
+	for i, rate := range rates {
 		burst := 1 + int(float64(rate)*(0.5+r.random.Float64()))
 		t := &traffic{customer: customer.Customer{Name: customer.Name(fmt.Sprintf("customer-%d", i)), Limit: customer.Limit{Rate: rate, Burst: burst}}}
 		t.usual, t.conforming, t.conformingAt = float64(rate)/1.6, float64(burst), r.now
@@ -131,7 +147,6 @@
 	// The ledger begins in the middle of a leader's time: with full buckets.
 	r.leader = allowance.New(replaySettings, 1, nil, r.now.Add(-time.Minute))
 	r.setCustomers()
-	r.plan()
 	return r
 }
 
@@ -278,8 +293,8 @@
 	p.inFlight, p.announce, p.due = 0, true, r.now
 }
 
-func (r *replay) run() {
-	for end := r.now.Add(replayTime); r.now.Before(end); {
+func (r *replay) run(duration time.Duration) {
+	for end := r.now.Add(duration); r.now.Before(end); {
 		r.now = r.now.Add(step)
 		events := r.events[r.now]
 		delete(r.events, r.now)
@@ -374,7 +389,7 @@
 	}
 	p.call++
 	p.inFlight = p.call
-	r.messages++
+	r.calls++
 	call, holder, sent := p.call, p.holder, r.now
 	request := p.holder.Begin(sent)
 	p.announce = false
@@ -388,6 +403,10 @@
 		if err != nil {
 			return
 		}
+		if r.measures {
+			r.bytes += proto.Size(protoconv.ExchangeToProto(request))
+			r.bytes += proto.Size(&fleetpb.ExchangeResponse{Granted: true, ValidMs: 3500, Epoch: epoch, Allotments: protoconv.AllotmentsToProto(allotments)})
+		}
 		r.at(back, func() {
 			if p.holder != holder || p.inFlight != call || r.now.Before(p.cutUntil) {
 				return
@@ -455,7 +474,7 @@
 	worst, names := math.Inf(-1), []string{"smallest", "small", "medium", "largest"}
 	for seed := range uint64(500) {
 		r := newReplay(seed, kind(seed%uint64(kinds)))
-		r.run()
+		r.run(replayTime)
 		for i, c := range r.traffic {
 			got := c.overshoot()
 			worst = max(worst, got)
@@ -478,3 +497,38 @@
 		}
 	}
 }
+
+// BenchmarkMessages reports what exchanges cost where each proxy has 15 operations a second
+// of customers of very uneven size, and there are a few more customers than proxies.
+func BenchmarkMessages(b *testing.B) {
+	for _, proxies := range []int{69, 300, 3000} {
+		b.Run(fmt.Sprint("proxies-", proxies), func(b *testing.B) {
+			rates, sum := make([]int, proxies*7/6), 0.0
+			for i := range rates {
+				sum += 1 / float64(i+1)
+			}
+			for i := range rates {
+				rates[i] = 1 + int(1.6*15*float64(proxies)/float64(i+1)/sum)
+			}
+			duration := 2*time.Second + 300*time.Second/time.Duration(proxies)
+			var calls, bytes, operations float64
+			for b.Loop() {
+				r := newCalmReplay(1, proxies, rates)
+				r.run(2 * time.Second) // until proxies hold what they need
+				r.calls, r.measures = 0, true
+				for _, t := range r.traffic {
+					t.sent = nil
+				}
+				r.run(duration)
+				calls, bytes, operations = float64(r.calls), float64(r.bytes), 0
+				for _, t := range r.traffic {
+					operations += float64(len(t.sent))
+				}
+			}
+			b.ReportMetric(calls/duration.Seconds(), "calls/s")
+			b.ReportMetric(bytes/calls, "bytes/call")
+			b.ReportMetric(bytes/duration.Seconds()/1000, "KB/s")
+			b.ReportMetric(operations/duration.Seconds(), "operations/s")
+		})
+	}
+}
