Fair shares: a customer beyond its share gives way in the queue

Cause: a customer that sends eight times its usual makes everybody's work late. Change: when not all can be in time, the length of a customer's work counts as many times as the customer has of its share (recent use, decaying, and what waits, by weight); late work of such customers comes after that of others. One customer or none: as before.

--- a/internal/traffic/admission/connections_test.go
+++ b/internal/traffic/admission/connections_test.go
@@ -54,14 +54,24 @@
 	}
 }
 
-func BenchmarkPopForAndDecideAt100(b *testing.B) {
-	var q Queue[int]
-	for i := range 100 {
-		name := customer.Name(fmt.Sprint("customer-", i%20))
-		q.Add(Item[int]{Value: i, Customer: name, SoftDeadline: at(100 + 20*i), Service: time.Duration(5+i%9) * time.Millisecond, Opening: 12 * time.Millisecond}, start)
-	}
-	b.ReportAllocs()
-	for b.Loop() {
-		q.PopFor(func(customer.Name) Connection { return Blocked }, 10*time.Millisecond, start)
+func BenchmarkDecisionsAt100(b *testing.B) {
+	for _, customers := range []int{1, 20} {
+		var q Queue[int]
+		for i := range 100 {
+			name := customer.Name(fmt.Sprint("customer-", i%customers))
+			q.Add(Item[int]{Value: i, Customer: name, SoftDeadline: at(100 + 20*i), Service: time.Duration(5+i%9) * time.Millisecond, Opening: 12 * time.Millisecond}, start)
+		}
+		b.Run(fmt.Sprintf("pop with %d customers", customers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				q.PopFor(func(customer.Name) Connection { return Blocked }, 10*time.Millisecond, start)
+			}
+		})
+		b.Run(fmt.Sprintf("decide with %d customers", customers), func(b *testing.B) {
+			item := Item[int]{Value: 100, Customer: "customer-0", SoftDeadline: at(500)}
+			for b.Loop() {
+				q.Decide(item, Pace{Service: 10 * time.Millisecond, Interval: 5 * time.Millisecond}, start)
+			}
+		})
 	}
 }
--- a/internal/traffic/admission/queue.go
+++ b/internal/traffic/admission/queue.go
@@ -15,6 +15,9 @@
 	// minRetryAfter is the shortest time after which a refused caller is advised to
 	// come back.
 	minRetryAfter = 20 * time.Millisecond
+	// lateExcess is the excess (see account) from which late work of a customer goes
+	// behind that of others.
+	lateExcess = 1.5
 	// maxRetryAfter is the longest one. Predictions further ahead are of no use.
 	maxRetryAfter = 2 * time.Second
 )
@@ -36,9 +39,12 @@
 		// Service is the time for which the server executes the item; zero:
 		// unknown, as long as the average item.
 		Service time.Duration
-		// Customer is the customer that the item belongs to; empty: to none. Opening
-		// is the time to open a connection for it; zero: none is needed.
+		// Customer is the customer that the item belongs to; empty: to none. Weight
+		// is its share of the server relative to other customers; zero counts as
+		// one. Opening is the time to open a connection for it; zero: none is
+		// needed.
 		Customer customer.Name
+		Weight   int
 		Opening  time.Duration
 	}
 
@@ -54,8 +60,8 @@
 	Queue[T comparable] struct {
 		// items are sorted by priority, then by soft deadline.
 		items []queued[T]
-		// scheduled are indices of items that schedule works on.
-		scheduled []int
+		// scheduled are the items that schedule works on.
+		scheduled []planned
 		// pace is the moving average of the time between two items that left the
 		// queue while others waited; zero: not measured since it was empty.
 		pace time.Duration
@@ -66,6 +72,7 @@
 		// meanService is the moving average of Item.Service of the items that
 		// left.
 		meanService time.Duration
+		shares      shares
 	}
 
 	queued[T comparable] struct {
@@ -73,6 +80,10 @@
 		// softDeadline is Item.SoftDeadline in nanoseconds, which are compared
 		// much faster.
 		softDeadline int64
+		// account is that of the item's customer; nil: it has none. work is the time
+		// that the server executes the item.
+		account *account
+		work    time.Duration
 		// inTime and occupancy are results of schedule: whether the item will be
 		// done by its soft deadline, and for how long it keeps the next one
 		// waiting.
@@ -80,6 +91,13 @@
 		occupancy time.Duration
 	}
 
+	// planned is an item that is planned in time: its index, and its occupancy times
+	// the excess of its customer.
+	planned struct {
+		at     int
+		length float64
+	}
+
 	// Pace is how fast a server works, as far as the queue's own pace isn't known.
 	Pace struct {
 		// Service is the time that an item takes from when it leaves the queue.
@@ -104,14 +122,16 @@
 func (q *Queue[T]) Add(item Item[T], now time.Time) {
 	if len(q.items) == 0 {
 		q.pace, q.lastPop, q.lastLatePop = 0, now, now
+		q.shares.forgetIdle()
 	}
-	q.insert(newQueued(item))
+	q.insert(q.newQueued(item))
 }
 
 // insert inserts an item in the order of items and returns its index.
 func (q *Queue[T]) insert(item queued[T]) int {
 	at, _ := slices.BinarySearchFunc(q.items, item, func(a, b queued[T]) int { return a.compare(&b) })
 	q.items = slices.Insert(q.items, at, item)
+	q.shares.add(item.account, item.work)
 	return at
 }
 
@@ -120,7 +140,13 @@
 
 // Remove removes the items with the value, if there are any.
 func (q *Queue[T]) Remove(value T) {
-	q.items = slices.DeleteFunc(q.items, func(i queued[T]) bool { return i.Value == value })
+	q.items = slices.DeleteFunc(q.items, func(i queued[T]) bool {
+		if i.Value != value {
+			return false
+		}
+		q.shares.remove(i.account, i.work)
+		return true
+	})
 }
 
 // Pop removes and returns the value of the first item in the queue's order.
@@ -154,11 +180,13 @@
 		q.lastLatePop = now
 	}
 	q.items = slices.Delete(q.items, first, first+1)
+	q.shares.remove(item.account, item.work)
 	q.pace = WeightedAverage(q.pace, now.Sub(q.lastPop), paceWeight)
 	if item.Service > 0 {
 		q.meanService = WeightedAverage(q.meanService, item.Service, paceWeight)
 	}
 	q.lastPop = now
+	q.shares.record(item.account, item.work, now)
 	return item.Value
 }
 
@@ -183,11 +211,12 @@
 	count := len(q.items)
 	q.Remove(item.Value)
 	inQueue := len(q.items) < count
-	at := q.insert(newQueued(item))
+	at := q.insert(q.newQueued(item))
 	q.schedule(pace.Service, interval, now)
 	inTime := q.items[at].inTime
 	d, lateAhead := q.predict(at)
 	if !inQueue {
+		q.shares.remove(q.items[at].account, q.items[at].work)
 		q.items = slices.Delete(q.items, at, at+1)
 	}
 	if inTime || item.HoldUntil.IsZero() {
@@ -235,8 +264,8 @@
 	return interval
 }
 
-func newQueued[T comparable](item Item[T]) queued[T] {
-	return queued[T]{Item: item, softDeadline: item.SoftDeadline.UnixNano()}
+func (q *Queue[T]) newQueued(item Item[T]) queued[T] {
+	return queued[T]{Item: item, softDeadline: item.SoftDeadline.UnixNano(), account: q.shares.open(item.Customer, item.Weight), work: q.workOf(item.Service)}
 }
 
 // compare orders items by priority, then by soft deadline, then by arrival.
@@ -255,10 +284,14 @@
 	return a.precedesLate(b)
 }
 
-// precedesLate reports whether a runs before b if neither can be in time.
+// precedesLate reports whether a runs before b if neither can be in time: by priority,
+// then customers within their share before others, then by arrival.
 func (a *queued[T]) precedesLate(b *queued[T]) bool {
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
+	if overA, overB := a.excess() > lateExcess, b.excess() > lateExcess; overA != overB {
+		return overB
+	}
 	return a.Arrival < b.Arrival
 }
--- a/internal/traffic/admission/schedule.go
+++ b/internal/traffic/admission/schedule.go
@@ -10,8 +10,11 @@
 // goes through the items by priority, and within a priority by soft deadline. Whenever
 // an item would be late, the longest item of its priority so far gives way, which
 // leaves as few late ones as possible (the algorithm of Moore and Hodgson): one long
-// statement makes room for several short ones.
+// statement makes room for several short ones. The length of an item counts as many times
+// as its customer has of its share of the server, if that is more than once (see shares):
+// so the work of a customer that sends much more than others gives way to theirs.
 func (q *Queue[T]) schedule(service, interval time.Duration, now time.Time) {
+	q.shares.measure(now)
 	first := now.Add(service).UnixNano()
 	next := first
 	q.scheduled = q.scheduled[:0]
@@ -28,25 +31,25 @@
 			continue
 		}
 		item.inTime = true
-		q.scheduled = append(q.scheduled, i)
-		isLate := next+int64(item.Opening) > item.softDeadline
+		q.scheduled = append(q.scheduled, planned{at: i, length: float64(item.occupancy) * item.excess()})
 		next += int64(item.occupancy)
-		if isLate {
+		// What gives way may be shorter than the item, which then is still late.
+		for item.inTime && next-int64(item.occupancy)+int64(item.Opening) > item.softDeadline {
 			next -= int64(q.dropLongest().occupancy)
 		}
 	}
 }
 
-// dropLongest removes the longest item from q.scheduled, of several the one with the
-// earliest soft deadline, and returns it.
+// dropLongest removes the item from q.scheduled that gives way: the longest one, of several
+// the one with the earliest soft deadline. It returns that.
 func (q *Queue[T]) dropLongest() *queued[T] {
 	longest := 0
-	for i, at := range q.scheduled {
-		if q.items[at].occupancy > q.items[q.scheduled[longest]].occupancy {
+	for i := range q.scheduled {
+		if q.scheduled[i].length > q.scheduled[longest].length {
 			longest = i
 		}
 	}
-	item := &q.items[q.scheduled[longest]]
+	item := &q.items[q.scheduled[longest].at]
 	item.inTime = false
 	q.scheduled = slices.Delete(q.scheduled, longest, longest+1)
 	return item
--- a/internal/traffic/controlclient/apply.go
+++ b/internal/traffic/controlclient/apply.go
@@ -207,6 +207,7 @@
 			Customers: customers.Len(),
 		}
 		plan := ownership.PlanConnections(s, count, peers, c.self())
+		plan.Customers = customers
 		if customers.Len() > 0 && len(plan.Owners) > 0 {
 			plan.Assignment = assignments.assign(server.Name, plan.Owners, customers)
 		}
--- a/internal/traffic/ownership/assignment.go
+++ b/internal/traffic/ownership/assignment.go
@@ -30,6 +30,7 @@
 	CustomerSet struct {
 		names  []customer.Name
 		rates  []int
+		shares []int
 		index  map[customer.Name]int32
 		hashes []uint64
 		// weights are the parts of all statements that are to be expected of the
@@ -89,7 +90,7 @@
 		if c.Limit.Rate > 0 {
 			weight = float64(c.Limit.Rate)
 		}
-		set.names, set.rates = append(set.names, c.Name), append(set.rates, c.Limit.Rate)
+		set.names, set.rates, set.shares = append(set.names, c.Name), append(set.rates, c.Limit.Rate), append(set.shares, c.Weight)
 		set.index[c.Name], set.hashes[i], set.weights[i] = int32(i), xxhash.Sum64String(string(c.Name)), weight/total
 		set.bySize = append(set.bySize, int32(i))
 	}
@@ -107,13 +108,25 @@
 	return len(s.hashes)
 }
 
+// Weight returns a customer's share of an overloaded server relative to the others; zero:
+// as the configuration says nothing.
+func (s *CustomerSet) Weight(name customer.Name) int {
+	if s == nil {
+		return 0
+	}
+	if i, ok := s.index[name]; ok {
+		return s.shares[i]
+	}
+	return 0
+}
+
 // Holds reports whether the set is that of the customers, listed in the same order.
 func (s *CustomerSet) Holds(customers []customer.Customer) bool {
 	if s.Len() != len(customers) {
 		return false
 	}
 	for i, c := range customers {
-		if s.names[i] != c.Name || s.rates[i] != c.Limit.Rate {
+		if s.names[i] != c.Name || s.rates[i] != c.Limit.Rate || s.shares[i] != c.Weight {
 			return false
 		}
 	}
--- a/internal/traffic/ownership/ownership.go
+++ b/internal/traffic/ownership/ownership.go
@@ -129,8 +129,9 @@
 		// ByCustomer is true if a connection belongs to one customer.
 		ByCustomer bool
 		// Assignment holds which of the owners run each customer's statements;
-		// nil: any of them may. Self is this proxy.
+		// nil: any of them may. Customers are all customers, and Self is this proxy.
 		Assignment *Assignment
+		Customers  *CustomerSet
 		Self       cluster.ProxyName
 	}
 )
--- a/internal/traffic/upstream/acquire.go
+++ b/internal/traffic/upstream/acquire.go
@@ -90,6 +90,9 @@
 			return nil, false, nil
 		}
 		conn = p.popIdle(options.Customer, options.Fingerprint)
+		if conn != nil {
+			p.recordUse(&options)
+		}
 		if conn == nil {
 			break
 		}
@@ -105,6 +108,9 @@
 		return nil, false, nil
 	}
 	replaced, ok := p.reserveOpening(time.Now())
+	if ok {
+		p.recordUse(&options)
+	}
 	p.mu.Unlock()
 	if !ok {
 		return nil, false, nil
@@ -113,6 +119,15 @@
 	return conn, true, err
 }
 
+// recordUse records work of a customer that gets a connection without having waited. p.mu
+// is held.
+func (p *Pool) recordUse(options *AcquireOptions) {
+	if p.queuesByCustomer(options.Customer) {
+		service := p.manager.serviceTimes.Expected(options.Kind, p.baseLatency)
+		p.waiters.Record(options.Customer, p.plan.Customers.Weight(options.Customer), service, time.Now())
+	}
+}
+
 // open opens a connection, which the pool counts already, after it has closed the one
 // that it replaces; nil: none.
 func (p *Pool) open(replaced *Conn, options AcquireOptions) (*Conn, error) {
@@ -220,7 +235,7 @@
 		Service: p.manager.serviceTimes.Expected(options.Kind, p.baseLatency),
 	}
 	if p.queuesByCustomer(options.Customer) {
-		item.Customer, p.customersWaited = options.Customer, true
+		item.Customer, item.Weight, p.customersWaited = options.Customer, p.plan.Customers.Weight(options.Customer), true
 		item.Opening = p.expectedConnectTime()
 	}
 	if options.HoldFor > 0 {
