Idle customers leave the ledger's sums; a proxy whose tokens expired reports all at once

Cause: a customer could be forgotten by a proxy before the leader knew that it wants nothing more; the first operation after an idle time cost a second round trip.

--- a/internal/traffic/quota/quota.go
+++ b/internal/traffic/quota/quota.go
@@ -377,10 +377,11 @@
 	h.sequence++
 	r := allowance.Request{Proxy: h.proxy, Incarnation: h.incarnation, Sequence: h.sequence, Epoch: h.epoch, Holdings: make([]allowance.Holding, 0, len(h.accounts))}
 	h.inFlight = make([]inFlight, 0, len(h.accounts))
+	expired := !now.Before(h.validUntil)
+	h.hasToReport = h.hasToReport || expired // the leader has forgotten the proxy
 	if r.Full = h.hasToReport; r.Full {
 		r.Uptime = now.Sub(h.startedAt)
 	}
-	expired := !now.Before(h.validUntil)
 	for name, a := range h.accounts {
 		if expired {
 			a.available = 0
@@ -422,7 +423,8 @@
 // isIdle reports whether the account neither holds nor wants anything, and the leader
 // knows.
 func (a *account) isIdle() bool {
-	return a.available == 0 && a.waiting == 0 && a.missed == 0 && a.returned == 0 && a.refused == 0 && !a.listed
+	return a.available == 0 && a.waiting == 0 && a.missed == 0 && a.returned == 0 && a.refused == 0 &&
+		a.wanted == 0 && !a.unanswered && !a.listed
 }
 
 // Resync records that the leader of the epoch doesn't know what the proxy holds. The next
