--- a/internal/traffic/controlclient/exchange.go
+++ b/internal/traffic/controlclient/exchange.go
@@ -180,7 +180,7 @@
 		if !t.Began {
 			message = "customer isn't refused any more"
 		}
-		logger.Info(message, "customer", t.Customer, "refused", t.Refused, "since-ms", t.Since.Milliseconds(), "demand-per-s", t.Demand,
+		logger.Info(message, "customer", t.Customer, "rate", t.Limit.Rate, "burst", t.Limit.Burst, "refused-operations", t.Refused, "since-ms", t.Since.Milliseconds(), "demand-per-s", t.Demand,
 			"tokens", t.Available, "waiting", t.Waiting, "answer-age-ms", t.AnswerAge.Milliseconds())
 	}
 }
--- a/internal/traffic/quota/quota.go
+++ b/internal/traffic/quota/quota.go
@@ -152,6 +152,7 @@
 		// lastRefusal. logged is true once the start was returned by Transitions.
 		refused                int
 		startedAt, lastRefusal time.Time
+		limit                  customer.Limit
 		logged                 bool
 		// listed is true if the leader may record that the proxy holds tokens. wanted and
 		// reportedSpent are as in the last request that listed the account, at listedAt;
@@ -165,7 +166,9 @@
 
 	// State is the state of one customer's tokens, for metrics and the log.
 	State struct {
-		Customer           customer.Name
+		Customer customer.Name
+		// Limit is as of the last refusal.
+		Limit              customer.Limit
 		Available, Waiting int
 		Demand             float64
 		// AnswerAge is the time since the leader last answered for the customer.
@@ -283,7 +286,7 @@
 		a.startedAt = now
 	}
 	a.refused++
-	a.lastRefusal = now
+	a.lastRefusal, a.limit = now, c.Limit
 	d := Decision{Verdict: Refused, Asked: true}
 	perToken := time.Second / time.Duration(max(1, c.Limit.Rate))
 	d.RetryAfter = max(perToken, a.refusedUntil.Sub(now)) + min(maxSpread, time.Duration(a.refusals)*perToken)
@@ -508,7 +511,7 @@
 }
 
 func (h *Holder) state(a *account, now time.Time) State {
-	s := State{Customer: a.name, Waiting: a.waiting, Demand: a.demandNow(now), AnswerAge: now.Sub(a.answeredAt)}
+	s := State{Customer: a.name, Limit: a.limit, Waiting: a.waiting, Demand: a.demandNow(now), AnswerAge: now.Sub(a.answeredAt)}
 	if now.Before(h.validUntil) {
 		s.Available = a.available
 	}
