Limits: advice without a leader is spread; bounds for odd settings and reports

Cause: all operations refused without a leader were told to come back after the same second; settings without a window, or a report of a huge number, gave odd buckets.

--- a/internal/fleet/allowance/allowance.go
+++ b/internal/fleet/allowance/allowance.go
@@ -52,6 +52,8 @@
 )
 
 const (
+	// defaultWindow is used if the settings name none.
+	defaultWindow = 5 * time.Second
 	// advanceTime is the demand that a proxy holds in advance.
 	advanceTime = time.Second
 	// advanceShare is the part of a bucket that proxies hold in advance.
@@ -200,6 +202,9 @@
 // New returns the ledger of a leader that was just elected. The proxies may hold tokens
 // of earlier leaders.
 func New(settings Settings, epoch uint64, proxies []cluster.ProxyName, now time.Time) *Ledger {
+	if settings.Window <= 0 {
+		settings.Window = defaultWindow
+	}
 	l := &Ledger{
 		settings: settings, epoch: epoch, startedAt: now, buckets: map[customer.Name]*bucket{},
 		members: map[memberKey]*member{}, order: list.New(), unreported: map[cluster.ProxyName]struct{}{},
--- a/internal/fleet/allowance/bucket.go
+++ b/internal/fleet/allowance/bucket.go
@@ -200,6 +200,6 @@
 	if latest := now.Add(maxRetryAfter); due.After(latest) {
 		due = latest
 	}
-	b.nextDue = due.Add(time.Duration(float64(max(1, waiting)) * perToken))
+	b.nextDue = due.Add(time.Duration(min(float64(max(1, waiting))*perToken, float64(maxRetryAfter))))
 	return max(time.Millisecond, due.Sub(now))
 }
--- a/internal/traffic/quota/quota.go
+++ b/internal/traffic/quota/quota.go
@@ -56,9 +56,9 @@
 	listInterval = time.Second
 	// missedTime bounds the missed operations that are reported to those of this time.
 	missedTime = 100 * time.Millisecond
-	// defaultRetryAfter is the advice to callers while control doesn't answer: the time
-	// of an election.
-	defaultRetryAfter = time.Second
+	// defaultRetryAfter is added to the advice to callers while control doesn't answer: the
+	// time of an election.
+	defaultRetryAfter = 500 * time.Millisecond
 	// maxSpread bounds by how much the advice to callers is spread.
 	maxSpread = time.Second
 	// calmTime is the time without a refusal after which a customer counts as within its
@@ -237,7 +237,7 @@
 	d := a.refuse(c, now)
 	d.Asked = a.answeredAt.After(arrived)
 	if !d.Asked {
-		d.RetryAfter = defaultRetryAfter
+		d.RetryAfter += defaultRetryAfter
 	}
 	return d
 }
