--- a/internal/traffic/quota/quota.go
+++ b/internal/traffic/quota/quota.go
@@ -56,9 +56,9 @@
 	listInterval = time.Second
 	// missedTime bounds the missed operations that are reported to those of this time.
 	missedTime = 100 * time.Millisecond
-	// defaultRetryAfter is the advice to callers while control doesn't answer: the time
-	// of an election.
-	defaultRetryAfter = time.Second
+	// defaultRetryAfter is added to the advice to callers while control doesn't answer: the
+	// time of an election.
+	defaultRetryAfter = 500 * time.Millisecond
 	// maxSpread bounds by how much the advice to callers is spread.
 	maxSpread = time.Second
 	// calmTime is the time without a refusal after which a customer counts as within its
@@ -152,6 +152,7 @@
 		// lastRefusal. logged is true once the start was returned by Transitions.
 		refused                int
 		startedAt, lastRefusal time.Time
+		limit                  customer.Limit
 		logged                 bool
 		// listed is true if the leader may record that the proxy holds tokens. wanted and
 		// reportedSpent are as in the last request that listed the account, at listedAt;
@@ -165,7 +166,9 @@
 
 	// State is the state of one customer's tokens, for metrics and the log.
 	State struct {
-		Customer           customer.Name
+		Customer customer.Name
+		// Limit is as of the last refusal.
+		Limit              customer.Limit
 		Available, Waiting int
 		Demand             float64
 		// AnswerAge is the time since the leader last answered for the customer.
@@ -234,7 +237,7 @@
 	d := a.refuse(c, now)
 	d.Asked = a.answeredAt.After(arrived)
 	if !d.Asked {
-		d.RetryAfter = defaultRetryAfter
+		d.RetryAfter += defaultRetryAfter
 	}
 	return d
 }
@@ -283,7 +286,7 @@
 		a.startedAt = now
 	}
 	a.refused++
-	a.lastRefusal = now
+	a.lastRefusal, a.limit = now, c.Limit
 	d := Decision{Verdict: Refused, Asked: true}
 	perToken := time.Second / time.Duration(max(1, c.Limit.Rate))
 	d.RetryAfter = max(perToken, a.refusedUntil.Sub(now)) + min(maxSpread, time.Duration(a.refusals)*perToken)
@@ -377,10 +380,11 @@
 	h.sequence++
 	r := allowance.Request{Proxy: h.proxy, Incarnation: h.incarnation, Sequence: h.sequence, Epoch: h.epoch, Holdings: make([]allowance.Holding, 0, len(h.accounts))}
 	h.inFlight = make([]inFlight, 0, len(h.accounts))
+	expired := !now.Before(h.validUntil)
+	h.hasToReport = h.hasToReport || expired // the leader has forgotten the proxy
 	if r.Full = h.hasToReport; r.Full {
 		r.Uptime = now.Sub(h.startedAt)
 	}
-	expired := !now.Before(h.validUntil)
 	for name, a := range h.accounts {
 		if expired {
 			a.available = 0
@@ -422,7 +426,8 @@
 // isIdle reports whether the account neither holds nor wants anything, and the leader
 // knows.
 func (a *account) isIdle() bool {
-	return a.available == 0 && a.waiting == 0 && a.missed == 0 && a.returned == 0 && a.refused == 0 && !a.listed
+	return a.available == 0 && a.waiting == 0 && a.missed == 0 && a.returned == 0 && a.refused == 0 &&
+		a.wanted == 0 && !a.unanswered && !a.listed
 }
 
 // Resync records that the leader of the epoch doesn't know what the proxy holds. The next
@@ -506,7 +511,7 @@
 }
 
 func (h *Holder) state(a *account, now time.Time) State {
-	s := State{Customer: a.name, Waiting: a.waiting, Demand: a.demandNow(now), AnswerAge: now.Sub(a.answeredAt)}
+	s := State{Customer: a.name, Limit: a.limit, Waiting: a.waiting, Demand: a.demandNow(now), AnswerAge: now.Sub(a.answeredAt)}
 	if now.Before(h.validUntil) {
 		s.Available = a.available
 	}
