Exchanges: proxies slow down with the leader, and ask around when it is silent

The renewal that waits for a frozen leader notices that only after 1.1 s. After an exchange that wasn't served the next control node is asked, which names the leader.

--- a/internal/traffic/controlclient/exchange.go
+++ b/internal/traffic/controlclient/exchange.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/model/pause"
 	"github.com/burdockwood/burdockwood/internal/ops/metrics"
+	"github.com/burdockwood/burdockwood/internal/traffic/quota"
 )
 
 const (
@@ -24,8 +26,6 @@
 	// exchangeTimeout bounds one exchange. It is many times its usual time, and leaves
 	// time for another one before tokens expire.
 	exchangeTimeout = 300 * time.Millisecond
-	// exchangeRetryDelay is the longest delay after a failed exchange.
-	exchangeRetryDelay = 50 * time.Millisecond
 )
 
 var (
@@ -44,6 +44,14 @@
 	customers *customer.Directory
 	limited   bool
 	failing   bool
+	// pace decides when the next exchange may begin.
+	pace quota.Pace
+	// askAround is true if the last exchange wasn't served: the leader that renewLoop
+	// knows may be frozen, which a renewal notices later. nextMember is the control
+	// node to ask next, and named the leader that such a node named; invalid: none.
+	askAround  bool
+	nextMember int
+	named      netip.AddrPort
 }
 
 // noteLeader wakes exchangeLoop if a renewal's revision is that of another leader than the
@@ -80,13 +88,43 @@
 		err := c.exchange(ctx)
 		c.recordExchange(err)
 		isNew = isNew && (err != nil || holder.HasToReport())
-		if err != nil {
-			pause.For(ctx, exchangeRetryDelay/2+rand.N(exchangeRetryDelay/2))
+		if gap := c.exchanges.pace.Delay(c.options.Now()); gap > 0 {
+			pause.For(ctx, gap/2+rand.N(gap))
 		}
 	}
 	return nil
 }
 
+// exchangeTarget returns the control node for the next exchange: the leader, or after an
+// exchange that wasn't served the node that was named as the leader, or the next one of all.
+func (c *Client) exchangeTarget() netip.AddrPort {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := &c.exchanges
+	switch {
+	case s.named.IsValid():
+		return s.named
+	case !s.askAround && c.leader.IsValid() || len(c.members) == 0:
+		return c.leader
+	}
+	s.nextMember++
+	return c.members[s.nextMember%len(c.members)]
+}
+
+// recordTarget records whether a control node served an exchange, and the leader that it
+// named if it didn't.
+func (c *Client) recordTarget(asked netip.AddrPort, served bool, leader string) {
+	s := &c.exchanges
+	s.askAround = !served
+	if served {
+		return
+	}
+	named, err := netip.ParseAddrPort(leader)
+	if s.named = named; err != nil || named == asked {
+		s.named = netip.AddrPort{}
+	}
+}
+
 // awaitExchange waits until the next exchange is due, and returns false when ctx ends. It
 // sets isNew if a leader was elected.
 func (c *Client) awaitExchange(ctx context.Context, isNew *bool) bool {
@@ -127,30 +165,32 @@
 // exchange exchanges tokens with the leader once. Errors: errNoLeader,
 // errExchangeRejected and those of the call.
 func (c *Client) exchange(ctx context.Context) error {
-	c.mu.Lock()
-	leader := c.leader
-	c.mu.Unlock()
-	holder := c.options.Quota
+	holder, target := c.options.Quota, c.exchangeTarget()
 	sent := c.options.Now()
 	request := holder.Begin(sent)
-	if !leader.IsValid() {
+	if !target.IsValid() {
 		holder.Fail()
+		c.exchanges.pace.Record(0, true, sent)
 		return errNoLeader
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	c.exchanges.cancel.Store(&cancel)
 	defer c.exchanges.cancel.Store(nil)
-	response, err := c.fleetClient(leader).Exchange(ctx, protoconv.ExchangeToProto(request))
+	response, err := c.fleetClient(target).Exchange(ctx, protoconv.ExchangeToProto(request))
+	now := c.options.Now()
+	served := err == nil && response.GetGranted()
+	c.recordTarget(target, served, response.GetLeader())
+	// A node that names the leader answers at once, and the leader is asked next.
+	c.exchanges.pace.Record(now.Sub(sent), !served && !c.exchanges.named.IsValid(), now)
 	if err != nil {
 		holder.Fail()
 		return err
 	}
-	if !response.GetGranted() {
+	if !served {
 		holder.Fail()
 		return errExchangeRejected
 	}
-	now := c.options.Now()
 	if response.GetResync() {
 		holder.Resync(response.GetEpoch())
 		return nil
