--- a/internal/fleet/allowance/allowance.go
+++ b/internal/fleet/allowance/allowance.go
@@ -36,7 +36,7 @@
 // less than one a second for most. One customer sends eight times its usual through all
 // proxies from one moment to the next, while clients move between data centres. A proxy
 // that uses a customer holds about a second of its own demand, but all proxies together
-// hold at most half of the bucket in advance, so that the rest serves those that ask.
+// hold at most a third of the bucket in advance, so that the rest serves those that ask.
 // When less is left than is asked for, proxies get it in proportion to what waits at them.
 package allowance
 
@@ -57,7 +57,7 @@
 	// advanceTime is the demand that a proxy holds in advance.
 	advanceTime = time.Second
 	// advanceShare is the part of a bucket that proxies hold in advance.
-	advanceShare = 0.4
+	advanceShare = 0.33
 	// heldShare is the part of the capacity that all proxies together may hold.
 	heldShare = 0.85
 	// maxRetryAfter bounds the advice to callers when a limit is used up.
--- a/internal/fleet/allowance/allowance_test.go
+++ b/internal/fleet/allowance/allowance_test.go
@@ -54,7 +54,7 @@
 	}{
 		{"a second of the demand in advance, rounded up", []exchange{{"a", 1, 0, Holding{Waiting: 1, Demand: 2.2}, 4}}, 26},
 		{"an idle proxy holds nothing", []exchange{{"a", 1, 0, Holding{}, 0}}, 30},
-		{"most of the bucket is left for those that ask", []exchange{{"a", 1, 0, Holding{Demand: 100}, 12}, {"b", 1, 0, Holding{Waiting: 3}, 3}}, 15},
+		{"two thirds of the bucket are left for those that ask", []exchange{{"a", 1, 0, Holding{Demand: 100}, 10}, {"b", 1, 0, Holding{Waiting: 3}, 3}}, 17},
 		{"a part isn't given out", []exchange{{"a", 1, 0, Holding{Waiting: 60}, 25}, {"b", 1, 0, Holding{Waiting: 3}, 0}}, 5},
 		{"a lost response costs nothing", []exchange{{"a", 1, 0, Holding{Waiting: 4}, 4}, {"a", 2, 0, Holding{Waiting: 4}, 4}}, 26},
 		{"spent tokens are gone", []exchange{{"a", 1, 0, Holding{Waiting: 4}, 4}, {"a", 2, 0, Holding{Spent: 4}, 0}}, 26},
@@ -71,7 +71,7 @@
 			{"a", 4, time.Minute, Holding{Waiting: 9}, 9}, {"a", 5, time.Minute, Holding{Spent: 29, Returned: 20, Generation: 1}, 0},
 		}, 21},
 		{"an unknown customer", []exchange{{"a", 1, 0, Holding{Customer: "other", Waiting: 1}, 0}}, 30},
-		{"a lying proxy", []exchange{{"a", 1, 0, Holding{Waiting: 2}, 2}, {"a", 2, 0, Holding{Held: 900, Offered: -900, Spent: 1, Demand: 1e300}, 12}}, 17},
+		{"a lying proxy", []exchange{{"a", 1, 0, Holding{Waiting: 2}, 2}, {"a", 2, 0, Holding{Held: 900, Offered: -900, Spent: 1, Demand: 1e300}, 10}}, 19},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
