Parts of the state are sent compressed, and packed once for all proxies

Change: a part is a message compressed with DEFLATE, kept until it changes; a response holds up to 600 servers.

--- a/internal/fleet/coordinator/parts.go
+++ b/internal/fleet/coordinator/parts.go
@@ -2,13 +2,24 @@
 
 import (
 	"github.com/burdockwood/burdockwood/internal/fleet/parts"
+	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/fleet/state"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 )
 
-// maxServersPerGrant bounds the servers in one grant, and so its bytes: some 20 KB, which
-// a link of 2 Mbit/s carries in a tenth of a second.
-const maxServersPerGrant = 200
+// maxServersPerGrant bounds the servers in one grant, and so its bytes: some 20 KB
+// compressed, which a link of 2 Mbit/s carries in a tenth of a second.
+const maxServersPerGrant = 600
+
+// PartContent is everything of a part.
+type PartContent struct {
+	Number int
+	// Digest is the part's digest; contents with the same digest are equal, but for
+	// the times in them.
+	Digest    uint64
+	Servers   []registry.Server
+	Primaries map[cluster.GroupName]state.GroupPrimary
+}
 
 // partIndex is the leader's state by parts, as of a change of the servers and a view.
 type partIndex struct {
@@ -55,21 +66,23 @@
 	if !known {
 		next = 0
 	}
-	index := l.partIndex(view)
+	index, servers := l.partIndex(view), 0
 	for part := next; part < parts.Count; part++ {
 		if index.digests[part] == r.Digests[part] {
 			continue
 		}
-		if len(grant.Servers) >= maxServersPerGrant {
+		if servers >= maxServersPerGrant {
 			grant.NextPart = part
 			return
 		}
-		grant.Parts = append(grant.Parts, part)
+		content := PartContent{Number: part, Digest: index.digests[part], Primaries: map[cluster.GroupName]state.GroupPrimary{}}
 		for _, group := range index.groups[part] {
-			grant.Servers = append(grant.Servers, l.registry.Group(group)...)
+			content.Servers = append(content.Servers, l.registry.Group(group)...)
 			if p, listed := view.Primaries[group]; listed {
-				grant.Primaries[group] = p
+				content.Primaries[group] = p
 			}
 		}
+		grant.Parts = append(grant.Parts, content)
+		servers += len(content.Servers)
 	}
 }
--- a/internal/fleet/coordinator/requests.go
+++ b/internal/fleet/coordinator/requests.go
@@ -103,11 +103,10 @@
 		// RemovedServers those that were removed.
 		PartialServers bool
 		RemovedServers []cluster.ServerName
-		// Parts are the parts of which Servers and Primaries contain everything.
-		// The proxy may still differ in the parts from NextPart on, if that
-		// isn't 0. DigestsWanted is true if the next renewal must carry
-		// Digests.
-		Parts         []int
+		// Parts are parts in which the proxy differs. It may still differ in
+		// those from NextPart on, if that isn't 0. DigestsWanted is true if
+		// the next renewal must carry Digests.
+		Parts         []PartContent
 		NextPart      int
 		DigestsWanted bool
 		// ReleasedSum is the sum of the terms that the leader holds as the
--- a/internal/fleet/coordinator/scale_test.go
+++ b/internal/fleet/coordinator/scale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -78,6 +79,12 @@
 	for group, p := range g.Primaries {
 		h.primaries[group] = p
 	}
+	for _, part := range g.Parts {
+		for _, s := range part.Servers {
+			h.servers[s.Name] = s
+		}
+		maps.Copy(h.primaries, part.Primaries)
+	}
 	for _, name := range g.RemovedServers {
 		delete(h.servers, name)
 	}
@@ -114,8 +121,12 @@
 	}
 	grants := 0
 	for g := renew(); g.NextPart > 0; g = renew() {
-		if len(g.Servers) > 2*maxServersPerGrant {
-			t.Fatalf("got %d servers in a grant, want about %d at most", len(g.Servers), maxServersPerGrant)
+		servers := 0
+		for _, part := range g.Parts {
+			servers += len(part.Servers)
+		}
+		if servers > maxServersPerGrant+maxServersPerGrant/10 {
+			t.Fatalf("got %d servers in a grant, want about %d at most", servers, maxServersPerGrant)
 		}
 		if grants++; grants == 1 {
 			f.announceServer(registry.Server{Name: "s1", Group: "g0", Slots: 2, Role: cluster.RoleReplica, Sequence: 2, StartedAt: time.UnixMilli(50), Draining: true}, false)
--- a/internal/fleet/fleetrpc/fleetrpc.go
+++ b/internal/fleet/fleetrpc/fleetrpc.go
@@ -84,6 +84,7 @@
 		options       Options
 		encoded       encodedDocument
 		announcements announcements
+		packed        packedParts
 	}
 )
 
@@ -116,7 +117,15 @@
 	for _, m := range s.options.ConsensusLog.Members() {
 		response.Members = append(response.Members, string(m.Name))
 	}
-	setGrant(response, grant, s.options.Now())
+	now := s.options.Now()
+	setGrant(response, grant, now)
+	for _, content := range grant.Parts {
+		packed, err := s.packed.get(content, now)
+		if err != nil {
+			return nil, twirp.InternalErrorWith(err)
+		}
+		response.Parts = append(response.Parts, packed)
+	}
 	return response, nil
 }
 
@@ -144,9 +153,7 @@
 	response.Warming = g.Discovering
 	response.Proxies = uint32(g.Proxies)
 	for group, p := range g.Primaries {
-		response.Primacies = append(response.Primacies, &fleetpb.Primacy{
-			Group: string(group), Term: uint64(p.Term), Planned: p.Planned, Primary: string(p.Usable()),
-		})
+		response.Primacies = append(response.Primacies, primacyToProto(group, p))
 	}
 	for name, peer := range g.Peers {
 		response.Peers = append(response.Peers, &fleetpb.Peer{
@@ -156,9 +163,6 @@
 	for _, server := range g.Servers {
 		response.Servers = append(response.Servers, protoconv.ServerToProto(server, now))
 	}
-	for _, part := range g.Parts {
-		response.Parts = append(response.Parts, uint32(part))
-	}
 	response.NextPart, response.DigestsWanted, response.ReleasedSum = uint32(g.NextPart), g.DigestsWanted, g.ReleasedSum
 	response.PartialServers, response.PartialPeers = g.PartialServers, g.PartialPeers
 	for _, name := range g.RemovedServers {
@@ -173,6 +177,11 @@
 	}
 }
 
+// primacyToProto returns the message for a group's primary, as proxies are told it.
+func primacyToProto(group cluster.GroupName, p state.GroupPrimary) *fleetpb.Primacy {
+	return &fleetpb.Primacy{Group: string(group), Term: uint64(p.Term), Planned: p.Planned, Primary: string(p.Usable())}
+}
+
 // minUsableTermsFromProto returns, for each group, the lowest term in which the
 // proxy may still use a primary. A fleetpb.Release contains that term: all terms
 // below it are released.
--- a/internal/traffic/controlclient/apply.go
+++ b/internal/traffic/controlclient/apply.go
@@ -47,8 +47,9 @@
 	}
 }
 
-// applyRenewal applies the response to a renewal that was sent at sentAt.
-func (c *Client) applyRenewal(response *fleetpb.RenewResponse, sentAt time.Time) {
+// applyRenewal applies the response to a renewal that was sent at sentAt. listed are the
+// parts that it contains in full.
+func (c *Client) applyRenewal(response *fleetpb.RenewResponse, listed map[int]bool, sentAt time.Time) {
 	now := c.options.Now()
 	c.requestConfig(response.GetDocumentVersion())
 	c.applySamples(response, sentAt, now)
@@ -65,7 +66,7 @@
 	// yields a sample only if the server is known to be the primary.
 	if response.GetChanged() {
 		c.serversMu.Lock()
-		serversChanged, peersChanged := c.applyServers(response, now), c.applyPeers(response)
+		serversChanged, peersChanged := c.applyServers(response, listed, now), c.applyPeers(response)
 		if serversChanged {
 			c.updatePools()
 		} else if peersChanged && c.options.Sessions.Config() != nil {
@@ -109,7 +110,7 @@
 // to announce themselves to the new leader. Until they have had the time for that (the
 // response's warming is true), known servers that the leader doesn't list are kept.
 // It reports whether anything changed. c.serversMu is held.
-func (c *Client) applyServers(response *fleetpb.RenewResponse, now time.Time) (changed bool) {
+func (c *Client) applyServers(response *fleetpb.RenewResponse, listed map[int]bool, now time.Time) (changed bool) {
 	names := map[cluster.ServerName]bool{}
 	added := 0
 	for _, pb := range response.GetServers() {
@@ -135,8 +136,8 @@
 		for _, name := range response.GetRemovedServers() {
 			c.registry.Remove(cluster.ServerName(name))
 		}
-		if len(response.GetParts()) > 0 && !response.GetWarming() {
-			c.removeUnlisted(response.GetParts(), names)
+		if len(listed) > 0 && !response.GetWarming() {
+			c.removeUnlisted(listed, names)
 		}
 	} else if !response.GetWarming() {
 		c.registry.Retain(names)
--- a/internal/traffic/controlclient/client.go
+++ b/internal/traffic/controlclient/client.go
@@ -275,8 +275,12 @@
 	}
 	c.sync.source = target
 	c.setMembers(response.GetMembers(), target)
+	listed, err := unpackParts(response)
+	if err != nil {
+		return err
+	}
 	c.releases.acknowledged(request.GetReleases(), response.GetReleasedSum())
-	c.applyRenewal(response, sent)
+	c.applyRenewal(response, listed, sent)
 	return nil
 }
 
--- a/internal/traffic/controlclient/client_test.go
+++ b/internal/traffic/controlclient/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/flate"
 	"compress/gzip"
 	"context"
 	"net/http"
@@ -15,7 +16,9 @@
 
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/burdockwood/burdockwood/internal/fleet/parts"
 	"github.com/burdockwood/burdockwood/internal/fleet/patch"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
@@ -231,6 +234,24 @@
 		return &fleetpb.Server{Name: name, Group: "g", Address: "127.0.0.1:1", Slots: 2, Sequence: sequence}
 	}
 	peer := func(name string) *fleetpb.Peer { return &fleetpb.Peer{Name: name, Address: "127.0.0.1:1"} }
+	part := func(servers ...*fleetpb.Server) [][]byte {
+		encoded, err := proto.Marshal(&fleetpb.Part{Number: uint32(parts.Of("g")), Servers: servers})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var packed bytes.Buffer
+		w, err := flate.NewWriter(&packed, flate.BestSpeed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := w.Write(encoded); err != nil {
+			t.Fatal(err)
+		}
+		if err := w.Close(); err != nil {
+			t.Fatal(err)
+		}
+		return [][]byte{packed.Bytes()}
+	}
 	steps := []struct {
 		name        string
 		response    *fleetpb.RenewResponse
@@ -243,11 +264,19 @@
 		{"the same process again", &fleetpb.RenewResponse{PartialServers: true, PartialPeers: true, Servers: []*fleetpb.Server{server("a", 2)}}, "a b c", "y z"},
 		{"whole, from a leader that may not know all servers", &fleetpb.RenewResponse{Warming: true, PartialPeers: true, Servers: []*fleetpb.Server{server("b", 3)}}, "a b c", "y z"},
 		{"whole again", &fleetpb.RenewResponse{Servers: []*fleetpb.Server{server("b", 4)}, Peers: []*fleetpb.Peer{peer("x")}}, "b", "x"},
+		{"peers of a leader that may not know all", &fleetpb.RenewResponse{Warming: true, PartialServers: true, Peers: []*fleetpb.Peer{peer("y")}}, "b", "x y"},
+		{"part of the group", &fleetpb.RenewResponse{PartialServers: true, PartialPeers: true, Parts: part(server("a", 5), server("b", 5))}, "a b", "x y"},
+		{"part without a server, from a leader that may not know all", &fleetpb.RenewResponse{Warming: true, PartialServers: true, PartialPeers: true, Parts: part(server("a", 6))}, "a b", "x y"},
+		{"part without a server", &fleetpb.RenewResponse{PartialServers: true, PartialPeers: true, Parts: part(server("a", 7))}, "a", "x y"},
 	}
 	c, _, _ := start(t, serve(t, &fakeControl{leader: "none"}))
 	for _, step := range steps {
 		step.response.Changed, step.response.Granted, step.response.LeaseMs = true, true, 60_000
-		c.applyRenewal(step.response, time.Now())
+		listed, err := unpackParts(step.response)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.applyRenewal(step.response, listed, time.Now())
 		var servers, peers []string
 		for _, s := range c.registry.List() {
 			servers = append(servers, string(s.Name))
@@ -278,7 +307,7 @@
 	c.applyRenewal(&fleetpb.RenewResponse{
 		Granted: true, LeaseMs: 1000, ClockUs: 5_000_000, HeldMs: 300,
 		Samples: []*fleetpb.Sample{{Group: "g", Term: 3, LogTerm: 2, LogPosition: 7, AgeMs: 80}},
-	}, now.Add(-400*time.Millisecond))
+	}, nil, now.Add(-400*time.Millisecond))
 	// Sent 400 ms ago, held for 300 ms, then 80 ms old: taken no later than 180 ms ago.
 	got, known := sessions.LatestSample("g")
 	want := freshness.Sample{SentAt: now.Add(-180 * time.Millisecond), Term: 3, Position: cluster.LogPosition{Term: 2, Position: 7}, Shared: true}
@@ -322,3 +351,31 @@
 		}
 	}
 }
+
+// TestReleasesAreSentOnce sends released terms until the control plane has them, and all of
+// them again once it has lost any.
+func TestReleasesAreSentOnce(t *testing.T) {
+	terms := map[cluster.GroupName]cluster.Term{"a": 2, "b": 5}
+	var l releaseLog
+	l.reset()
+	steps := []struct {
+		name     string
+		change   func()
+		wantSent int
+		knownSum uint64
+	}{
+		{"first", func() {}, 2, 7},
+		{"nothing new", func() {}, 0, 7},
+		{"one released", func() { terms["a"] = 3 }, 1, 8},
+		{"lost by the control plane", func() {}, 0, 0},
+		{"again", func() {}, 2, 8},
+	}
+	for _, step := range steps {
+		step.change()
+		sent := l.unsent(terms)
+		if len(sent) != step.wantSent {
+			t.Errorf("%s: got %d terms sent, want %d", step.name, len(sent), step.wantSent)
+		}
+		l.acknowledged(sent, step.knownSum)
+	}
+}
--- a/internal/traffic/controlclient/parts.go
+++ b/internal/traffic/controlclient/parts.go
@@ -1,14 +1,23 @@
 package controlclient
 
 import (
+	"bytes"
+	"compress/flate"
+	"io"
 	"net/netip"
 	"sync"
 
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
 	"github.com/burdockwood/burdockwood/internal/fleet/parts"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 )
 
+// maxPartBytes bounds a decompressed part.
+const maxPartBytes = 4 << 20
+
 type (
 	// syncProgress is how far a proxy has found out what is new. As long as it
 	// renews its lease with the same leader, that sends what changes. Otherwise the
@@ -49,13 +58,29 @@
 	return digests[:]
 }
 
+// unpackParts adds the content of a response's parts to its servers and primaries. It
+// returns the numbers of the parts.
+func unpackParts(response *fleetpb.RenewResponse) (listed map[int]bool, err error) {
+	listed = map[int]bool{}
+	for _, packed := range response.GetParts() {
+		encoded, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxPartBytes))
+		if err != nil {
+			return nil, eris.Wrap(err, "decompress a part of the control plane's state")
+		}
+		part := &fleetpb.Part{}
+		if err := proto.Unmarshal(encoded, part); err != nil {
+			return nil, eris.Wrap(err, "decode a part of the control plane's state")
+		}
+		listed[int(part.GetNumber())] = true
+		response.Servers = append(response.Servers, part.GetServers()...)
+		response.Primacies = append(response.Primacies, part.GetPrimacies()...)
+	}
+	return listed, nil
+}
+
 // removeUnlisted removes the servers of the listed parts that aren't among names.
 // c.serversMu is held.
-func (c *Client) removeUnlisted(listed []uint32, names map[cluster.ServerName]bool) {
-	isListed := make(map[int]bool, len(listed))
-	for _, part := range listed {
-		isListed[int(part)] = true
-	}
+func (c *Client) removeUnlisted(isListed map[int]bool, names map[cluster.ServerName]bool) {
 	for _, s := range c.registry.List() {
 		if isListed[parts.Of(s.Group)] && !names[s.Name] {
 			c.registry.Remove(s.Name)
