Proxy: the first fetch of a long configuration has the time that it takes

Cause: a whole document of 1 MB for 1,200 groups, compressed, shares a link of 2 Mbit/s with the state; the first attempt ended after 0.5 s and began anew. Change: the leader says the document's length, and the first attempt of a proxy that holds none is allowed 1 us a byte more.

--- a/internal/fleet/coordinator/requests.go
+++ b/internal/fleet/coordinator/requests.go
@@ -88,8 +88,9 @@
 		// Revision identifies the state that this grant describes.
 		Revision string
 		// DocumentVersion is the version of the newest configuration
-		// document.
+		// document, and DocumentBytes its length.
 		DocumentVersion uint64
+		DocumentBytes   int
 		// RevisionChanged is true if Revision differs from that of the
 		// renewal. The fields Primaries, Servers, Discovering and Peers are
 		// set only then.
@@ -277,7 +278,7 @@
 	defer c.mu.Unlock()
 	current := c.options.Machine.View()
 	grant := Grant{LeaseDuration: c.options.LeaseDuration, Revision: l.revisionID(), Proxies: l.leases.Count(now)}
-	grant.DocumentVersion = current.Document.Version
+	grant.DocumentVersion, grant.DocumentBytes = current.Document.Version, len(current.Document.Body)
 	grant.Clock, grant.Held = now.Sub(l.startedAt), now.Sub(received)
 	grant.ReleasedSum = l.leases.ReleasedSum(r.Proxy)
 	for _, s := range l.recentSamples(r, now) {
--- a/internal/fleet/fleetrpc/fleetrpc.go
+++ b/internal/fleet/fleetrpc/fleetrpc.go
@@ -148,7 +148,7 @@
 	response.Granted = true
 	response.LeaseMs = uint32(g.LeaseDuration.Milliseconds())
 	response.Revision = g.Revision
-	response.DocumentVersion = g.DocumentVersion
+	response.DocumentVersion, response.DocumentBytes = g.DocumentVersion, uint32(g.DocumentBytes)
 	response.Changed = g.RevisionChanged
 	response.Warming = g.Discovering
 	response.Proxies = uint32(g.Proxies)
--- a/internal/traffic/controlclient/apply.go
+++ b/internal/traffic/controlclient/apply.go
@@ -51,6 +51,7 @@
 // parts that it contains in full.
 func (c *Client) applyRenewal(response *fleetpb.RenewResponse, listed map[int]bool, sentAt time.Time) {
 	now := c.options.Now()
+	c.documentBytes.Store(int64(response.GetDocumentBytes()))
 	c.requestConfig(response.GetDocumentVersion())
 	c.applySamples(response, sentAt, now)
 	primaries := map[cluster.GroupName]lease.GroupPrimary{}
--- a/internal/traffic/controlclient/client.go
+++ b/internal/traffic/controlclient/client.go
@@ -117,6 +117,8 @@
 		// in force, or couldn't be decoded.
 		latestVersion  atomic.Uint64
 		appliedVersion atomic.Uint64
+		// documentBytes is the length of the latest configuration document.
+		documentBytes atomic.Int64
 		// heldVersion and heldDocument are the configuration document that was
 		// fetched last; only the goroutine of fetchLoop uses them.
 		heldVersion  uint64
--- a/internal/traffic/controlclient/client_test.go
+++ b/internal/traffic/controlclient/client_test.go
@@ -379,3 +379,28 @@
 		l.acknowledged(sent, step.knownSum)
 	}
 }
+
+// TestFirstFetchTimeout checks the time for a first attempt. A document of 1 MB, which takes
+// most of a second on a network of 2 Mbit/s, was fetched twice when the attempt had half a
+// second.
+func TestFirstFetchTimeout(t *testing.T) {
+	tests := []struct {
+		name  string
+		held  uint64
+		bytes int64
+		want  time.Duration
+	}{
+		{"short document", 0, 20_000, 520 * time.Millisecond},
+		{"long document", 0, 1_000_000, 1500 * time.Millisecond},
+		{"long document that is patched", 7, 1_000_000, 500 * time.Millisecond},
+		{"leader of an earlier release", 0, 0, 500 * time.Millisecond},
+	}
+	for _, test := range tests {
+		c := New(Options{})
+		c.heldVersion = test.held
+		c.documentBytes.Store(test.bytes)
+		if got := c.firstFetchTimeout(); got != test.want {
+			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
+		}
+	}
+}
--- a/internal/traffic/controlclient/fetch.go
+++ b/internal/traffic/controlclient/fetch.go
@@ -22,6 +22,9 @@
 	// configuration over a slow and busy network.
 	minFetchTimeout = 500 * time.Millisecond
 	maxFetchTimeout = 4 * time.Second
+	// fetchTimePerByte is the time for one byte of a document that is sent
+	// compressed over a busy network of 2 Mbit/s.
+	fetchTimePerByte = time.Microsecond
 	// fetchRetryDelay is the delay before the next control node is tried.
 	fetchRetryDelay = 50 * time.Millisecond
 	// maxDocumentBytes bounds a decompressed configuration document: several
@@ -58,7 +61,7 @@
 // fetchLatest tries control nodes one after the other until the latest version is in
 // force or ctx ends.
 func (c *Client) fetchLatest(ctx context.Context) {
-	timeout := minFetchTimeout
+	timeout := c.firstFetchTimeout()
 	for try := 0; ctx.Err() == nil && c.appliedVersion.Load() < c.latestVersion.Load(); try++ {
 		target := c.fetchTarget(try)
 		err := c.fetch(ctx, target, timeout)
@@ -66,11 +69,21 @@
 			continue
 		}
 		c.options.Logger.Info("fetching the configuration failed", "node", target.String(), "version", c.latestVersion.Load(), "error", err.Error())
-		timeout = min(2*timeout, maxFetchTimeout)
+		timeout = min(2*timeout, max(maxFetchTimeout, c.firstFetchTimeout()))
 		pause.For(ctx, fetchRetryDelay)
 	}
 }
 
+// firstFetchTimeout returns the timeout of a first attempt: minFetchTimeout, and the time
+// that a slow network takes for a whole document if this proxy holds none that could be
+// patched.
+func (c *Client) firstFetchTimeout() time.Duration {
+	if c.heldVersion > 0 {
+		return minFetchTimeout
+	}
+	return minFetchTimeout + time.Duration(c.documentBytes.Load())*fetchTimePerByte
+}
+
 // fetchTarget returns the control node for an attempt, counted from 0: first the
 // leader, which has just answered and has the version, then all members in turn.
 func (c *Client) fetchTarget(attempt int) netip.AddrPort {
