Leader: old observations of a server don't pile up

Cause: each proxy that ever used one of thousands of servers left an observation. Change: beyond 32, those too old to count are dropped when a new one comes. Result: tests of the package pass.

--- a/internal/fleet/coordinator/requests.go
+++ b/internal/fleet/coordinator/requests.go
@@ -17,6 +17,10 @@
 // maxUnaskedSamples is the number of samples up to which a proxy is sent all of them.
 const maxUnaskedSamples = 64
 
+// maxOldObservations is the number of observations of a server up to which those that are
+// too old to count are kept.
+const maxOldObservations = 32
+
 type (
 	// Observation is a proxy's report on a backend server, with times
 	// relative to the report.
@@ -235,6 +239,9 @@
 			byProxy = map[cluster.ProxyName]failover.Observation{}
 			l.observations[o.Server] = byProxy
 		}
+		if len(byProxy) > maxOldObservations {
+			maps.DeleteFunc(byProxy, func(_ cluster.ProxyName, old failover.Observation) bool { return now.Sub(old.ReportedAt) > failingTime })
+		}
 		if o.FailingFor > 0 {
 			if server, known := l.registry.Get(o.Server); known {
 				l.dirty[server.Group] = struct{}{}
