--- a/internal/traffic/controlclient/parts.go
+++ b/internal/traffic/controlclient/parts.go
@@ -71,7 +71,9 @@
 		if err := proto.Unmarshal(encoded, part); err != nil {
 			return nil, eris.Wrap(err, "decode a part of the control plane's state")
 		}
-		listed[int(part.GetNumber())] = true
+		if part.GetNumber() < parts.Count {
+			listed[int(part.GetNumber())] = true
+		}
 		response.Servers = append(response.Servers, part.GetServers()...)
 		response.Primacies = append(response.Primacies, part.GetPrimacies()...)
 	}
