A proxy that divides the state otherwise is sent whole lists

Cause: digests of another number would be asked for again without an end. Change: such a renewal is answered as that of an earlier release. Result: TestGrantInParts checks it.

--- a/internal/fleet/coordinator/parts.go
+++ b/internal/fleet/coordinator/parts.go
@@ -56,7 +56,7 @@
 // known, up to maxServersPerGrant. The rest follows with the next grants, together with
 // what changes meanwhile.
 func (l *leadership) addParts(grant *Grant, r Renewal, view *state.State, known bool) {
-	if len(r.Digests) != parts.Count {
+	if len(r.Digests) == 0 {
 		// Without an answer to what differs, the proxy mustn't take this
 		// revision for its own.
 		grant.DigestsWanted, grant.Revision = true, ""
--- a/internal/fleet/coordinator/requests.go
+++ b/internal/fleet/coordinator/requests.go
@@ -8,6 +8,7 @@
 
 	"github.com/burdockwood/burdockwood/internal/fleet/failover"
 	"github.com/burdockwood/burdockwood/internal/fleet/leases"
+	"github.com/burdockwood/burdockwood/internal/fleet/parts"
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/fleet/samples"
 	"github.com/burdockwood/burdockwood/internal/fleet/state"
@@ -310,6 +311,9 @@
 	grant.Discovering = !l.discovered
 	since, known := l.parseRevision(r.Revision)
 	known = known && r.AcceptsPartial
+	if n := len(r.Digests); n > 0 && n != parts.Count {
+		r.AcceptsParts = false // a release that divides the state otherwise
+	}
 	if r.AcceptsParts {
 		known = known && l.serverLog.Complete(since) && l.primaryLog.Complete(since)
 		grant.PartialServers, grant.Primaries = true, map[cluster.GroupName]state.GroupPrimary{}
--- a/internal/fleet/coordinator/scale_test.go
+++ b/internal/fleet/coordinator/scale_test.go
@@ -138,6 +138,11 @@
 		_, left := h.servers["s2"]
 		return h.servers["s1"].Draining && !left && len(h.servers) == 3*testGroups-1 && len(h.primaries) == testGroups
 	})
+	other := h.renewal
+	other.Revision, other.Digests = "", make([]uint64, 7)
+	if g, err := f.coordinator.Renew(t.Context(), other); err != nil || len(g.Parts) > 0 || len(g.Servers) != 3*testGroups-1 || g.PartialServers {
+		t.Errorf("got %d parts and %d servers, partial %v, %v, for a proxy that divides the state otherwise, want whole lists", len(g.Parts), len(g.Servers), g.PartialServers, err)
+	}
 	h.renewal.Revision = "999.1"
 	if g := renew(); len(g.Servers)+len(g.Primaries)+len(g.Parts) > 0 || g.NextPart > 0 {
 		t.Errorf("got %d servers and %d primaries after a change of leader, want none", len(g.Servers), len(g.Primaries))
--- a/internal/rpc/fleetpb/fleet.twirp.go
+++ b/internal/rpc/fleetpb/fleet.twirp.go
@@ -33,7 +33,8 @@
 
 // Fleet is served by every control node, but only the leader executes the calls,
 // except Fetch. Another node responds to Renew with the leader's name, and to
-// Report, Announce, Submit and Document with the twirp code "unavailable".
+// Report, Announce, AnnounceBatch, Submit and Document with the twirp code
+// "unavailable".
 type Fleet interface {
 	// Renew renews the lease of a proxy. It is a long poll: the leader responds
 	// once something has changed for the proxy or the long-poll time has passed.
@@ -43,7 +44,8 @@
 	// which terms it has released.
 	Report(context.Context, *ReportRequest) (*ReportResponse, error)
 
-	// Announce forwards the announcement of a backend server.
+	// Announce forwards the announcement of a backend server. Control nodes of earlier
+	// releases call it.
 	Announce(context.Context, *AnnounceRequest) (*AnnounceResponse, error)
 
 	// Submit stores a configuration document if its version is higher than that
