--- a/internal/control/daemon/declarations.go
+++ b/internal/control/daemon/declarations.go
@@ -23,7 +23,10 @@
 // checkDeclarations returns why a text can't be accepted as declarations, or
 // nil if it can.
 func checkDeclarations(text string) error {
-	_, problems := declaration.Parse(text)
+	parsed, problems := declaration.Parse(text)
+	if len(problems) == 0 && parsed.HasPlainKeys() {
+		return eris.Wrap(errDeclarations, "they hold customers' keys: send their digests, as burdockwood apply does")
+	}
 	if len(problems) == 0 {
 		return nil
 	}
@@ -45,6 +48,7 @@
 	if len(problems) > 0 {
 		return declarations, eris.Wrap(errDeclarations, problems[0].String())
 	}
+	declarations.HasCustomers = len(parsed.Customers) > 0
 	for _, group := range parsed.Groups {
 		next := coordinator.DeclaredGroup{Servers: group.Servers, Labels: map[cluster.ServerName]cluster.Labels{}}
 		if next.Servers == 0 {
--- a/internal/fleet/coordinator/parts.go
+++ b/internal/fleet/coordinator/parts.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"strconv"
+
 	"github.com/burdockwood/burdockwood/internal/fleet/parts"
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/fleet/state"
@@ -58,8 +60,9 @@
 func (l *leadership) addParts(grant *Grant, r Renewal, view *state.State, known bool) {
 	if len(r.Digests) == 0 {
 		// Without an answer to what differs, the proxy mustn't take this
-		// revision for its own.
-		grant.DigestsWanted, grant.Revision = true, ""
+		// revision for its own. What it is given instead names the
+		// leadership alone.
+		grant.DigestsWanted, grant.Revision = true, strconv.FormatUint(l.epoch, 10)+"."
 		return
 	}
 	next := r.NextPart
--- a/internal/fleet/fleetrpc/fleetrpc.go
+++ b/internal/fleet/fleetrpc/fleetrpc.go
@@ -77,6 +77,11 @@
 		// AppliedDocument returns the newest configuration document that
 		// this node has applied.
 		AppliedDocument func() state.Document
+		// ProxyDocument turns the body of a configuration document into what
+		// proxies are sent, which holds no keys; nil: they are sent the body
+		// itself. Equal bodies have equal results, and similar ones similar
+		// results, so that patches are small.
+		ProxyDocument func(body []byte) ([]byte, error)
 	}
 
 	// Service implements fleetpb.Fleet. It is safe for concurrent use.
@@ -92,7 +97,7 @@
 
 // New returns a service with the given options.
 func New(options Options) *Service {
-	return &Service{options: options, announcements: newAnnouncements()}
+	return &Service{options: options, announcements: newAnnouncements(), encoded: encodedDocument{proxyForm: options.ProxyDocument}}
 }
 
 // Renew renews a proxy's lease; see fleetpb.Fleet. If this node doesn't lead, the
@@ -344,8 +349,3 @@
 	}
 	return fleetpb.NewFleetProtobufClient(transport.URL(leader.Address), s.options.Client)
 }
-
-// Exchange isn't served yet.
-func (s *Service) Exchange(context.Context, *fleetpb.ExchangeRequest) (*fleetpb.ExchangeResponse, error) {
-	return nil, twirp.NewError(twirp.Unimplemented, "this control node keeps no customers' limits")
-}
--- a/internal/traffic/controlclient/apply.go
+++ b/internal/traffic/controlclient/apply.go
@@ -7,12 +7,17 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strconv"
+	"strings"
+	"sync"
 	"time"
 
+	"github.com/burdockwood/burdockwood/internal/fleet/leaderclock"
 	"github.com/burdockwood/burdockwood/internal/fleet/protoconv"
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/fleet/samples"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 	"github.com/burdockwood/burdockwood/internal/traffic/freshness"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
@@ -40,6 +45,11 @@
 func (c *Client) applySamples(response *fleetpb.RenewResponse, sentAt, now time.Time) {
 	c.leaderClock, c.leaderClockAt = time.Duration(response.GetClockUs())*time.Microsecond, now
 	c.samplesSentAt = sentAt
+	if c.options.LeaderClock != nil {
+		c.options.LeaderClock.Record(leaderclock.Response{
+			Leader: leadershipOf(response.GetRevision()), Clock: c.leaderClock, Held: time.Duration(response.GetHeldMs()) * time.Millisecond,
+		}, sentAt, now)
+	}
 	madeAfter := sentAt.Add(time.Duration(response.GetHeldMs()) * time.Millisecond)
 	for _, pb := range response.GetSamples() {
 		s, age := protoconv.SampleFromProto(pb)
@@ -47,10 +57,21 @@
 	}
 }
 
+// leadershipOf returns the leadership that a revision belongs to; zero: unknown.
+func leadershipOf(revision string) uint64 {
+	text, _, _ := strings.Cut(revision, ".")
+	leadership, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return leadership
+}
+
 // applyRenewal applies the response to a renewal that was sent at sentAt. listed are the
 // parts that it contains in full.
 func (c *Client) applyRenewal(response *fleetpb.RenewResponse, listed map[int]bool, sentAt time.Time) {
 	now := c.options.Now()
+	c.options.KeyRight.Confirm(response.GetDocumentVersion(), sentAt)
 	c.documentBytes.Store(int64(response.GetDocumentBytes()))
 	c.requestConfig(response.GetDocumentVersion())
 	c.applySamples(response, sentAt, now)
@@ -180,11 +201,51 @@
 // connectionPlan returns a function that returns how this proxy reaches a server, as of
 // now. c.serversMu is held.
 func (c *Client) connectionPlan() func(registry.Server) ownership.ConnectionPlan {
-	count, peers := c.proxyCount, c.peerSet
+	count, peers, customers := c.proxyCount, c.peerSet, c.customerSet()
+	assignments := c.assignments
 	return func(server registry.Server) ownership.ConnectionPlan {
-		s := ownership.Server{Name: server.Name, DataCentre: server.DataCentre, MaxConnections: c.maxConnections(server.Group), Slots: server.Slots}
-		return ownership.PlanConnections(s, count, peers, c.self())
+		s := ownership.Server{
+			Name: server.Name, DataCentre: server.DataCentre, MaxConnections: c.maxConnections(server.Group), Slots: server.Slots,
+			Customers: customers.Len(),
+		}
+		plan := ownership.PlanConnections(s, count, peers, c.self())
+		plan.Customers = customers
+		if customers.Len() > 0 && len(plan.Owners) > 0 {
+			plan.Assignment = assignments.assign(server.Name, plan.Owners, customers)
+		}
+		return plan
+	}
+}
+
+// customerSet returns the customers of the configuration in force. c.serversMu is held.
+func (c *Client) customerSet() *ownership.CustomerSet {
+	var current []customer.Customer
+	if config := c.options.Sessions.Config(); config != nil {
+		current = config.Customers.All()
+	}
+	if !c.customers.Holds(current) {
+		c.customers, c.assignments = ownership.NewCustomerSet(current), &assignmentCache{}
+	}
+	return c.customers
+}
+
+// assignmentCache holds the last assignment of one set of customers to the owners of each
+// server's connections, so that plans of the same owners share it. It is safe for
+// concurrent use.
+type assignmentCache struct {
+	mu       sync.Mutex
+	byServer map[cluster.ServerName]*ownership.Assignment
+}
+
+// assign returns the assignment for a server with the given owners.
+func (a *assignmentCache) assign(server cluster.ServerName, owners []ownership.Peer, customers *ownership.CustomerSet) *ownership.Assignment {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.byServer == nil {
+		a.byServer = map[cluster.ServerName]*ownership.Assignment{}
 	}
+	a.byServer[server] = ownership.Assign(a.byServer[server], owners, customers)
+	return a.byServer[server]
 }
 
 // self returns this proxy as a peer.
--- a/internal/traffic/controlclient/client.go
+++ b/internal/traffic/controlclient/client.go
@@ -28,15 +28,19 @@
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 
+	"github.com/burdockwood/burdockwood/internal/fleet/leaderclock"
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/model/pause"
 	"github.com/burdockwood/burdockwood/internal/ops/logging"
+	"github.com/burdockwood/burdockwood/internal/ops/metrics"
 	"github.com/burdockwood/burdockwood/internal/ops/rungroup"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 	"github.com/burdockwood/burdockwood/internal/rpc/transport"
+	"github.com/burdockwood/burdockwood/internal/traffic/keyright"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
 	"github.com/burdockwood/burdockwood/internal/traffic/ownership"
+	"github.com/burdockwood/burdockwood/internal/traffic/quota"
 	"github.com/burdockwood/burdockwood/internal/traffic/routing"
 	"github.com/burdockwood/burdockwood/internal/traffic/session"
 	"github.com/burdockwood/burdockwood/internal/traffic/upstream"
@@ -82,12 +86,20 @@
 		// DecodeConfig decodes the operators' configuration document.
 		DecodeConfig func(document []byte) (*routing.Config, error)
 		Sessions     *session.Manager
-		Lease        *lease.Holder
-		Pools        *upstream.Manager
+		// LeaderClock is told the leader's clock; nil: nobody needs it.
+		LeaderClock *leaderclock.Clock
+		Lease       *lease.Holder
+		// KeyRight is the right to run statements under callers' keys.
+		KeyRight *keyright.Right
+		Pools    *upstream.Manager
 		// Now reads a clock that includes the time for which the VM is
 		// suspended.
 		Now    func() time.Time
 		Logger logr.Logger
+		// Quota holds the tokens under customers' limits; nil: no customer has one.
+		Quota *quota.Holder
+		// Registry holds the metrics; nil: there are none.
+		Registry metrics.Registry
 	}
 
 	// Client is a client of the control plane. It is safe for concurrent use.
@@ -103,7 +115,8 @@
 		members    []netip.AddrPort
 		leader     netip.AddrPort
 		nextMember int
-		// serversMu guards registry, proxyCount, peers and peerSet.
+		// serversMu guards registry, proxyCount, peers, peerSet, customers and
+		// assignments.
 		serversMu sync.Mutex
 		// The fields below are used by the goroutine of renewLoop only, unless
 		// they are atomic or guarded as said above.
@@ -129,6 +142,10 @@
 		peers         map[cluster.ProxyName]ownership.Peer
 		// peerSet holds peers in the form that plans are computed from.
 		peerSet ownership.PeerSet
+		// customers are those of the configuration in force, assignments what
+		// follows from them for the owners of each server.
+		customers   *ownership.CustomerSet
+		assignments *assignmentCache
 		// draining is true if this proxy accepts no new statements of other
 		// proxies.
 		draining atomic.Bool
@@ -139,7 +156,8 @@
 		// releases are the released terms that the control plane knows of.
 		releases releaseLog
 		// leaderClock is the leader's clock in the last response, which arrived
-		// no later than leaderClockAt.
+		// no later than leaderClockAt. Options.LeaderClock has it for forwarded
+		// statements.
 		leaderClock   time.Duration
 		leaderClockAt time.Time
 		// samplesSentAt is when the last renewal that succeeded was sent.
@@ -149,6 +167,7 @@
 		everGranted atomic.Bool
 		// disconnected is true if the last renewal failed.
 		disconnected bool
+		exchanges    exchangeState
 	}
 )
 
@@ -157,15 +176,15 @@
 	return &Client{
 		options: options, incarnation: rand.Uint64() | 1,
 		seeds: slices.Clone(options.Seeds), members: slices.Clone(options.Seeds),
-		fetchRequests: make(chan struct{}, 1),
-		registry:      registry.New(), peers: map[cluster.ProxyName]ownership.Peer{}, primaries: map[cluster.GroupName]lease.GroupPrimary{}, nextMember: rand.IntN(max(1, len(options.Seeds))),
+		fetchRequests: make(chan struct{}, 1), exchanges: exchangeState{newLeader: make(chan struct{}, 1)},
+		registry: registry.New(), peers: map[cluster.ProxyName]ownership.Peer{}, primaries: map[cluster.GroupName]lease.GroupPrimary{}, nextMember: rand.IntN(max(1, len(options.Seeds))),
 	}
 }
 
-// Run renews the lease, reports to the control plane and fetches configurations
-// until ctx ends.
+// Run renews the lease, reports to the control plane, fetches configurations and
+// exchanges tokens under customers' limits until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
-	return rungroup.Run(ctx, c.renewLoop, c.reportLoop, c.drainLoop, c.fetchLoop)
+	return rungroup.Run(ctx, c.renewLoop, c.reportLoop, c.drainLoop, c.fetchLoop, c.exchangeLoop)
 }
 
 // Ready reports whether the proxy can serve callers, and if not, the reason.
@@ -176,6 +195,9 @@
 	if !c.everGranted.Load() || c.options.Lease.Remaining(now) < minReadyLease {
 		return false, "the lease ends or has ended: control can't be reached"
 	}
+	if c.options.Sessions.Config().Customers != nil && !c.options.KeyRight.Valid(now) {
+		return false, "the right to use callers' keys has ended: control can't be reached"
+	}
 	return true, ""
 }
 
@@ -281,6 +303,7 @@
 	if err != nil {
 		return err
 	}
+	c.noteLeader(response.GetRevision())
 	c.releases.acknowledged(request.GetReleases(), response.GetReleasedSum())
 	c.applyRenewal(response, listed, sent)
 	return nil
--- a/internal/traffic/forward/owners.go
+++ b/internal/traffic/forward/owners.go
@@ -12,7 +12,10 @@
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 
+	"github.com/burdockwood/burdockwood/internal/fleet/leaderclock"
+	"github.com/burdockwood/burdockwood/internal/model/boottime"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 	"github.com/burdockwood/burdockwood/internal/rpc/transport"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
@@ -55,7 +58,9 @@
 	OwnerClient struct {
 		httpClient *http.Client
 		logger     logr.Logger
-		mu         sync.Mutex
+		// clock is the leader's clock, on which deadlines are sent.
+		clock *leaderclock.Clock
+		mu    sync.Mutex
 		// avoidUntil holds, for each owner that couldn't be reached or didn't
 		// answer, the end of the time in which other owners are preferred.
 		avoidUntil map[cluster.ProxyName]time.Time
@@ -72,6 +77,8 @@
 		client *OwnerClient
 		server cluster.ServerName
 		owners []ownership.Peer
+		// assignment holds which owners run a customer's statements; nil: any.
+		assignment *ownership.Assignment
 		// owner is the owner that was called last. It holds the transaction
 		// that handle identifies; a zero handle means that it holds none.
 		owner  ownership.Peer
@@ -88,23 +95,37 @@
 
 var _ backend.Conn = (*connection)(nil)
 
-// NewOwnerClient returns a client that calls owners through an HTTP client.
-func NewOwnerClient(client *http.Client, logger logr.Logger) *OwnerClient {
-	return &OwnerClient{httpClient: client, logger: logger, avoidUntil: map[cluster.ProxyName]time.Time{}, lastResponse: map[cluster.ProxyName]time.Time{}}
+// NewOwnerClient returns a client that calls owners through an HTTP client, with
+// deadlines on the leader's clock.
+func NewOwnerClient(client *http.Client, clock *leaderclock.Clock, logger logr.Logger) *OwnerClient {
+	return &OwnerClient{httpClient: client, clock: clock, logger: logger, avoidUntil: map[cluster.ProxyName]time.Time{}, lastResponse: map[cluster.ProxyName]time.Time{}}
 }
 
 // Connect returns a connection that forwards statements for a server to its
 // owners. It makes no call until a statement has to be sent.
 func (c *OwnerClient) Connect(server cluster.ServerName, owners []ownership.Peer) backend.Conn {
-	return &connection{client: c, server: server, owners: owners, settings: map[string]string{}, prepared: map[string]statement.Statement{}}
+	return c.ConnectAssigned(server, owners, nil)
 }
 
-// pickOwner returns the owner for a statement with the given digest; owners in their
-// back-off come last.
-func (c *OwnerClient) pickOwner(owners []ownership.Peer, digest uint64, now time.Time) ownership.Peer {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return ownership.ChooseOwner(owners, digest, func(peer ownership.Peer) bool { return now.After(c.avoidUntil[peer.Name]) })
+// ConnectAssigned is Connect where the statements of each customer go to the owners of
+// an assignment; nil: to any owner.
+func (c *OwnerClient) ConnectAssigned(server cluster.ServerName, owners []ownership.Peer, assignment *ownership.Assignment) backend.Conn {
+	return &connection{
+		client: c, server: server, owners: owners, assignment: assignment,
+		settings: map[string]string{}, prepared: map[string]statement.Statement{},
+	}
+}
+
+// pickOwner returns the owner for a customer's statement with the given digest; owners in
+// their back-off come last.
+func (c *connection) pickOwner(name customer.Name, digest uint64, now time.Time) ownership.Peer {
+	c.client.mu.Lock()
+	defer c.client.mu.Unlock()
+	usable := func(peer ownership.Peer) bool { return now.After(c.client.avoidUntil[peer.Name]) }
+	if name == "" || c.assignment == nil {
+		return ownership.ChooseOwner(c.owners, digest, usable)
+	}
+	return c.assignment.Choose(name, digest, usable)
 }
 
 // recordResponse records that an owner responded. took is the time of the call, and
@@ -195,7 +216,7 @@
 	}
 	inTransaction := c.handle != 0
 	if !inTransaction {
-		c.owner = c.client.pickOwner(c.owners, request.Digest(), now)
+		c.owner = c.pickOwner(request.Customer, request.Digest(), now)
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(callGrace))
 	defer cancel()
@@ -247,6 +268,13 @@
 		HoldMs: uint32(request.HoldFor.Milliseconds()), Kind: request.Kind,
 		Priority: uint32(request.Priority), AnswerMs: uint32(request.ResponseTimeout.Milliseconds()),
 	}
+	now := boottime.Now()
+	if due, known := c.client.clock.At(now.Add(remaining), now); known {
+		r.ClockLeader, r.DeadlineClockUs = due.Leader, uint64(due.Clock.Microseconds())
+	}
+	if request.Customer != "" {
+		r.Customer, r.Key, r.ConfigVersion = string(request.Customer), request.Key[:], request.ConfigVersion
+	}
 	if c.deferredBegin != nil {
 		r.Begin = uint32(c.deferredBegin.Verb)
 		r.BeginAfterTerm, r.BeginAfterPosition = uint64(c.deferredBegin.MinPosition.Term), uint64(c.deferredBegin.MinPosition.Position)
@@ -288,6 +316,8 @@
 	switch r.GetFault() {
 	case fleetpb.ExecuteResponse_FAULT_NO_ROOM:
 		return statement.Answer{Code: statement.Busy, Detail: r.GetDetail(), RetryAfter: milliseconds(r.GetRetryAfterMs())}, nil
+	case fleetpb.ExecuteResponse_FAULT_KEY:
+		return statement.Answer{Code: statement.UnknownKey, Detail: r.GetDetail()}, nil
 	case fleetpb.ExecuteResponse_FAULT_NOT_SENT:
 		return statement.Answer{}, eris.Wrap(backend.ErrNotSent, r.GetDetail())
 	case fleetpb.ExecuteResponse_FAULT_SILENT:
--- a/internal/traffic/forward/service.go
+++ b/internal/traffic/forward/service.go
@@ -5,11 +5,11 @@
 //
 // # Usage
 //
-//	service := forward.New(forward.Options{Pools: m, Logger: logger})
+//	service := forward.New(forward.Options{Pools: m, LeaderClock: leaderClock, Logger: logger})
 //	mux.Handle(fleetpb.BrokerPathPrefix, fleetpb.NewBrokerServer(service))
 //	err := service.Run(ctx)
 //
-//	client := forward.NewOwnerClient(httpClient, logger)
+//	client := forward.NewOwnerClient(httpClient, leaderClock, logger)
 //	conn := client.Connect(server, owners) // a backend.Conn
 //
 // The proxy that serves the caller keeps the session's settings and prepared
@@ -29,10 +29,14 @@
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 
+	"github.com/burdockwood/burdockwood/internal/fleet/leaderclock"
+	"github.com/burdockwood/burdockwood/internal/model/boottime"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/model/pause"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
+	"github.com/burdockwood/burdockwood/internal/traffic/keyright"
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
 	"github.com/burdockwood/burdockwood/internal/traffic/upstream"
 )
@@ -49,8 +53,11 @@
 type (
 	// Options configure a service.
 	Options struct {
-		Pools  *upstream.Manager
-		Logger logr.Logger
+		Pools *upstream.Manager
+		// LeaderClock is the clock of the deadlines in requests; nil: they count
+		// from the request's arrival.
+		LeaderClock *leaderclock.Clock
+		Logger      logr.Logger
 	}
 
 	// Service implements fleetpb.Broker. It is safe for concurrent use.
@@ -76,6 +83,9 @@
 
 // New returns a service.
 func New(options Options) *Service {
+	if options.LeaderClock == nil {
+		options.LeaderClock = &leaderclock.Clock{}
+	}
 	return &Service{options: options, transactions: map[uint64]*openTransaction{}}
 }
 
@@ -118,7 +128,10 @@
 
 // execute is Execute without the measurement of its time.
 func (s *Service) execute(ctx context.Context, r *fleetpb.ExecuteRequest) (*fleetpb.ExecuteResponse, error) {
-	deadline := time.Now().Add(milliseconds(r.GetDeadlineMs()))
+	deadline := s.deadline(r)
+	if !time.Now().Before(deadline) {
+		return faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, errTooLate), nil
+	}
 	settings := settingsFromProto(r.GetValues())
 	fingerprint := statement.Fingerprint(settings)
 	if r.GetHandle() != 0 {
@@ -138,7 +151,11 @@
 		response.NotOwner = true
 		return response, nil
 	}
+	if err := s.options.Pools.Permit(keyed(r, statement.Request{})); err != nil {
+		return s.notPermitted(r, err), nil
+	}
 	conn, err := pool.Acquire(upstream.AcquireOptions{
+		Customer: customer.Name(r.GetCustomer()), Forwarded: true,
 		Fingerprint: fingerprint, Priority: int(r.GetPriority()),
 		SoftDeadline: time.Now().Add(milliseconds(r.GetAimMs())), Deadline: deadline, CallerContext: ctx,
 		Digest:  statement.Statement{Verb: statement.Verb(r.GetVerb()), Query: r.GetShape(), Text: r.GetText()}.Digest(),
@@ -158,6 +175,17 @@
 	return s.runStatement(ctx, conn, r, deadline), nil
 }
 
+// deadline returns the deadline of a request that has just arrived. A request that was
+// held up on its way has less time left than it had when it was sent, or none.
+func (s *Service) deadline(r *fleetpb.ExecuteRequest) time.Time {
+	left := milliseconds(r.GetDeadlineMs())
+	due := leaderclock.Time{Leader: r.GetClockLeader(), Clock: time.Duration(r.GetDeadlineClockUs()) * time.Microsecond}
+	if until, known := s.options.LeaderClock.Until(due, boottime.Now()); known {
+		left = min(left, until)
+	}
+	return time.Now().Add(left)
+}
+
 // responseDeadline returns the deadline for the server's answer to a statement that
 // is about to be sent. The request's answer_ms counts from now. If it limited the
 // wait for a connection too, a statement could time out in the queue, and would lose
@@ -178,6 +206,7 @@
 	// identifies no open transaction of this proxy ("here").
 	errNoTransaction = eris.New("the transaction isn't open here any more")
 	errNotOwner      = eris.New("this proxy doesn't own connections to the server")
+	errTooLate       = eris.New("the request arrived after its deadline")
 )
 
 // acquireFault returns the response for a failed acquisition of a connection.
@@ -226,6 +255,14 @@
 		return faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, err)
 	}
 	answer, err := conn.Do(request, deadline)
+	if _, refused := errors.AsType[*upstream.NotPermittedError](err); refused {
+		if r.GetHandle() == 0 && r.GetBegin() == 0 {
+			conn.Release()
+		} else {
+			conn.Discard()
+		}
+		return s.notPermitted(r, err)
+	}
 	if err != nil {
 		conn.Discard()
 		return faultResponse(executeFault(err), err)
@@ -252,10 +289,10 @@
 // prepareRequest returns the request for the server. For Execute, it prepares the
 // query on the connection if needed.
 func prepareRequest(conn *upstream.Conn, r *fleetpb.ExecuteRequest, deadline time.Time) (statement.Request, error) {
-	request := statement.Request{
+	request := keyed(r, statement.Request{
 		Statement:   statement.Statement{ID: r.GetId(), Verb: statement.Verb(r.GetVerb()), Text: r.GetText()},
 		MinPosition: newPosition(r.GetAfterTerm(), r.GetAfterPosition()),
-	}
+	})
 	if request.Verb != statement.Execute {
 		return request, nil
 	}
@@ -326,6 +363,35 @@
 	return cluster.LogPosition{Term: cluster.Term(term), Position: cluster.Position(position)}
 }
 
+// keyed returns the request with the customer, the key and the version of r.
+func keyed(r *fleetpb.ExecuteRequest, request statement.Request) statement.Request {
+	request.Customer, request.Key, request.ConfigVersion = customer.Name(r.GetCustomer()), keyFromProto(r.GetKey()), r.GetConfigVersion()
+	return request
+}
+
+// notPermitted returns the response for a statement that wasn't sent because of its key.
+// Unless the key is unknown here, another owner may be able to send it.
+func (s *Service) notPermitted(r *fleetpb.ExecuteRequest, err error) *fleetpb.ExecuteResponse {
+	s.options.Logger.Info("forwarded statement refused", "request-id", r.GetId(), "customer", r.GetCustomer(),
+		"config-version", r.GetConfigVersion(), "reason", err.Error())
+	if errors.Is(err, keyright.ErrUnknownKey) {
+		return faultResponse(fleetpb.ExecuteResponse_FAULT_KEY, err)
+	}
+	response := faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, err)
+	response.NotOwner = r.GetHandle() == 0
+	return response
+}
+
+// keyFromProto returns the digest of a key, or the zero digest, which no customer holds, if
+// it has another length.
+func keyFromProto(key []byte) customer.Digest {
+	var digest customer.Digest
+	if len(key) == len(digest) {
+		copy(digest[:], key)
+	}
+	return digest
+}
+
 func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func settingsFromProto(list []*fleetpb.SessionValue) map[string]string {
--- a/internal/traffic/upstream/directory.go
+++ b/internal/traffic/upstream/directory.go
@@ -7,6 +7,7 @@
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/traffic/admission"
 	"github.com/burdockwood/burdockwood/internal/traffic/ownership"
+	"github.com/burdockwood/burdockwood/internal/traffic/retention"
 )
 
 // maxEagerServers is the number of servers up to which all have pools, each with a
@@ -78,7 +79,7 @@
 	for _, server := range m.directory.groups[name] {
 		p := old[server.Name]
 		if p == nil {
-			p = &Pool{manager: m, inUse: map[*Conn]struct{}{}, retries: admission.NewRetries()}
+			p = &Pool{manager: m, inUse: map[*Conn]struct{}{}, retries: admission.NewRetries(), demand: retention.New()}
 		}
 		p.setServer(server, m.directory.plan(server))
 		pools[server.Name] = p
--- a/internal/traffic/upstream/upstream.go
+++ b/internal/traffic/upstream/upstream.go
@@ -46,6 +46,7 @@
 	"github.com/burdockwood/burdockwood/internal/traffic/admission"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 	"github.com/burdockwood/burdockwood/internal/traffic/ownership"
+	"github.com/burdockwood/burdockwood/internal/traffic/statement"
 )
 
 const (
@@ -68,17 +69,29 @@
 		// server sent, or with the zero LogPosition if the attempt failed.
 		BeforeConnect func(server registry.Server) func(cluster.LogPosition)
 		// ConnectViaOwners returns a connection that forwards statements to the
-		// proxies that own the server's connections.
-		ConnectViaOwners func(server cluster.ServerName, owners []ownership.Peer) backend.Conn
+		// proxies that own the server's connections, those of each customer to
+		// the owners of the assignment; nil: to any owner.
+		ConnectViaOwners func(server cluster.ServerName, owners []ownership.Peer, assignment *ownership.Assignment) backend.Conn
 		DataCentre       cluster.DataCentre
 		// HoldsLease reports whether this proxy may use primaries; nil: always.
 		HoldsLease func(now time.Time) bool
+		// MaySend reports why a statement must not be sent under its key now; nil:
+		// it may be. It is called as the last thing before a statement is sent. A
+		// nil MaySend permits all.
+		MaySend func(request statement.Request, now time.Time) error
 		// Now reads a clock that includes the time for which the VM is
 		// suspended.
 		Now    func() time.Time
 		Logger logr.Logger
 	}
 
+	// NotPermittedError is returned for a statement that wasn't sent because of its
+	// key. Nothing ran, and the connection can still be used.
+	NotPermittedError struct {
+		// Reason is the error of Options.MaySend.
+		Reason error
+	}
+
 	// Observation is what the proxy reports to the control plane about a server.
 	Observation struct {
 		Server cluster.ServerName
@@ -100,6 +113,9 @@
 		directory directory
 		pools     atomic.Pointer[map[cluster.ServerName]*Pool]
 		groups    atomic.Pointer[map[cluster.GroupName][]*Pool]
+		// preferencesMu guards preferences, which holds those that were asked for.
+		preferencesMu sync.Mutex
+		preferences   map[cluster.GroupName]*preference
 		// unresponsive receives a value when a server becomes unresponsive.
 		unresponsive chan struct{}
 		// openRequests are pools whose first connection is to be opened in
@@ -114,12 +130,30 @@
 
 // New returns a manager without servers.
 func New(options Options) *Manager {
-	m := &Manager{options: options, unresponsive: make(chan struct{}, 1), openRequests: make(chan *Pool, 256), serviceTimes: admission.NewServiceTimes()}
+	m := &Manager{options: options, unresponsive: make(chan struct{}, 1), openRequests: make(chan *Pool, 256), serviceTimes: admission.NewServiceTimes(), preferences: map[cluster.GroupName]*preference{}}
 	m.pools.Store(&map[cluster.ServerName]*Pool{})
 	m.groups.Store(&map[cluster.GroupName][]*Pool{})
 	return m
 }
 
+// Permit reports whether a statement may be sent under its key now. Errors:
+// NotPermittedError.
+func (m *Manager) Permit(request statement.Request) error {
+	if m.options.MaySend == nil || request.Customer == "" {
+		return nil
+	}
+	if err := m.options.MaySend(request, m.options.Now()); err != nil {
+		return &NotPermittedError{Reason: err}
+	}
+	return nil
+}
+
+// Error says why the statement wasn't sent.
+func (e *NotPermittedError) Error() string { return "the statement wasn't sent: " + e.Reason.Error() }
+
+// Unwrap returns the reason, and that the statement wasn't sent.
+func (e *NotPermittedError) Unwrap() []error { return []error{e.Reason, backend.ErrNotSent} }
+
 // requestOpen requests that the first connection to a server be opened in advance.
 func (m *Manager) requestOpen(p *Pool) {
 	select {
@@ -229,8 +263,15 @@
 	}
 }
 
-// openInAdvance opens a connection and adds it to the pool as idle.
+// openInAdvance opens a connection and adds it to the pool as idle. It does nothing if
+// connections belong to customers: the one that needs it first isn't known.
 func (p *Pool) openInAdvance() {
+	p.mu.Lock()
+	byCustomer := p.plan.ByCustomer
+	p.mu.Unlock()
+	if byCustomer {
+		return
+	}
 	now := time.Now()
 	conn, err := p.Acquire(AcquireOptions{SoftDeadline: now, Deadline: now.Add(dialTimeout)})
 	if err != nil {
