--- a/internal/fleet/coordinator/parts.go
+++ b/internal/fleet/coordinator/parts.go
@@ -1,14 +1,27 @@
 package coordinator
 
 import (
+	"strconv"
+
 	"github.com/burdockwood/burdockwood/internal/fleet/parts"
+	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/fleet/state"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 )
 
-// maxServersPerGrant bounds the servers in one grant, and so its bytes: some 20 KB, which
-// a link of 2 Mbit/s carries in a tenth of a second.
-const maxServersPerGrant = 200
+// maxServersPerGrant bounds the servers in one grant, and so its bytes: some 20 KB
+// compressed, which a link of 2 Mbit/s carries in a tenth of a second.
+const maxServersPerGrant = 600
+
+// PartContent is everything of a part.
+type PartContent struct {
+	Number int
+	// Digest is the part's digest; contents with the same digest are equal, but for
+	// the times in them.
+	Digest    uint64
+	Servers   []registry.Server
+	Primaries map[cluster.GroupName]state.GroupPrimary
+}
 
 // partIndex is the leader's state by parts, as of a change of the servers and a view.
 type partIndex struct {
@@ -45,31 +58,34 @@
 // known, up to maxServersPerGrant. The rest follows with the next grants, together with
 // what changes meanwhile.
 func (l *leadership) addParts(grant *Grant, r Renewal, view *state.State, known bool) {
-	if len(r.Digests) != parts.Count {
+	if len(r.Digests) == 0 {
 		// Without an answer to what differs, the proxy mustn't take this
-		// revision for its own.
-		grant.DigestsWanted, grant.Revision = true, ""
+		// revision for its own. What it is given instead names the
+		// leadership alone.
+		grant.DigestsWanted, grant.Revision = true, strconv.FormatUint(l.epoch, 10)+"."
 		return
 	}
 	next := r.NextPart
 	if !known {
 		next = 0
 	}
-	index := l.partIndex(view)
+	index, servers := l.partIndex(view), 0
 	for part := next; part < parts.Count; part++ {
 		if index.digests[part] == r.Digests[part] {
 			continue
 		}
-		if len(grant.Servers) >= maxServersPerGrant {
+		if servers >= maxServersPerGrant {
 			grant.NextPart = part
 			return
 		}
-		grant.Parts = append(grant.Parts, part)
+		content := PartContent{Number: part, Digest: index.digests[part], Primaries: map[cluster.GroupName]state.GroupPrimary{}}
 		for _, group := range index.groups[part] {
-			grant.Servers = append(grant.Servers, l.registry.Group(group)...)
+			content.Servers = append(content.Servers, l.registry.Group(group)...)
 			if p, listed := view.Primaries[group]; listed {
-				grant.Primaries[group] = p
+				content.Primaries[group] = p
 			}
 		}
+		grant.Parts = append(grant.Parts, content)
+		servers += len(content.Servers)
 	}
 }
--- a/internal/fleet/coordinator/requests.go
+++ b/internal/fleet/coordinator/requests.go
@@ -8,6 +8,7 @@
 
 	"github.com/burdockwood/burdockwood/internal/fleet/failover"
 	"github.com/burdockwood/burdockwood/internal/fleet/leases"
+	"github.com/burdockwood/burdockwood/internal/fleet/parts"
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/fleet/samples"
 	"github.com/burdockwood/burdockwood/internal/fleet/state"
@@ -17,6 +18,10 @@
 // maxUnaskedSamples is the number of samples up to which a proxy is sent all of them.
 const maxUnaskedSamples = 64
 
+// pruneInterval is the interval at which observations are removed that are too old to
+// count.
+const pruneInterval = 5 * time.Second
+
 type (
 	// Observation is a proxy's report on a backend server, with times
 	// relative to the report.
@@ -88,8 +93,9 @@
 		// Revision identifies the state that this grant describes.
 		Revision string
 		// DocumentVersion is the version of the newest configuration
-		// document.
+		// document, and DocumentBytes its length.
 		DocumentVersion uint64
+		DocumentBytes   int
 		// RevisionChanged is true if Revision differs from that of the
 		// renewal. The fields Primaries, Servers, Discovering and Peers are
 		// set only then.
@@ -103,11 +109,10 @@
 		// RemovedServers those that were removed.
 		PartialServers bool
 		RemovedServers []cluster.ServerName
-		// Parts are the parts of which Servers and Primaries contain everything.
-		// The proxy may still differ in the parts from NextPart on, if that
-		// isn't 0. DigestsWanted is true if the next renewal must carry
-		// Digests.
-		Parts         []int
+		// Parts are parts in which the proxy differs. It may still differ in
+		// those from NextPart on, if that isn't 0. DigestsWanted is true if
+		// the next renewal must carry Digests.
+		Parts         []PartContent
 		NextPart      int
 		DigestsWanted bool
 		// ReleasedSum is the sum of the terms that the leader holds as the
@@ -245,6 +250,21 @@
 	}
 }
 
+// pruneObservations removes the observations that are too old to count, so that they don't
+// pile up for each server that a proxy ever used.
+func (l *leadership) pruneObservations(now time.Time) {
+	if now.Sub(l.prunedAt) < pruneInterval {
+		return
+	}
+	l.prunedAt = now
+	for server, byProxy := range l.observations {
+		maps.DeleteFunc(byProxy, func(_ cluster.ProxyName, o failover.Observation) bool { return now.Sub(o.ReportedAt) > pruneInterval })
+		if len(byProxy) == 0 {
+			delete(l.observations, server)
+		}
+	}
+}
+
 // awaitChange waits until the revision of a renewal is outdated, Options.LongPoll
 // has passed, the leadership has ended or ctx ends. It returns an error only if
 // ctx ends. The end of the leadership doesn't invalidate the lease, because the
@@ -278,7 +298,7 @@
 	defer c.mu.Unlock()
 	current := c.options.Machine.View()
 	grant := Grant{LeaseDuration: c.options.LeaseDuration, Revision: l.revisionID(), Proxies: l.leases.Count(now)}
-	grant.DocumentVersion = current.Document.Version
+	grant.DocumentVersion, grant.DocumentBytes = current.Document.Version, len(current.Document.Body)
 	grant.Clock, grant.Held = now.Sub(l.startedAt), now.Sub(received)
 	grant.ReleasedSum = l.leases.ReleasedSum(r.Proxy)
 	for _, s := range l.recentSamples(r, now) {
@@ -291,6 +311,9 @@
 	grant.Discovering = !l.discovered
 	since, known := l.parseRevision(r.Revision)
 	known = known && r.AcceptsPartial
+	if n := len(r.Digests); n > 0 && n != parts.Count {
+		r.AcceptsParts = false // a release that divides the state otherwise
+	}
 	if r.AcceptsParts {
 		known = known && l.serverLog.Complete(since) && l.primaryLog.Complete(since)
 		grant.PartialServers, grant.Primaries = true, map[cluster.GroupName]state.GroupPrimary{}
--- a/internal/traffic/controlclient/client.go
+++ b/internal/traffic/controlclient/client.go
@@ -130,6 +130,8 @@
 		// in force, or couldn't be decoded.
 		latestVersion  atomic.Uint64
 		appliedVersion atomic.Uint64
+		// documentBytes is the length of the latest configuration document.
+		documentBytes atomic.Int64
 		// heldVersion and heldDocument are the configuration document that was
 		// fetched last; only the goroutine of fetchLoop uses them.
 		heldVersion  uint64
@@ -297,9 +299,13 @@
 	}
 	c.sync.source = target
 	c.setMembers(response.GetMembers(), target)
+	listed, err := unpackParts(response)
+	if err != nil {
+		return err
+	}
 	c.noteLeader(response.GetRevision())
 	c.releases.acknowledged(request.GetReleases(), response.GetReleasedSum())
-	c.applyRenewal(response, sent)
+	c.applyRenewal(response, listed, sent)
 	return nil
 }
 
