Places of a lost VM: replace instead of growing, and let other owners run the work

Cause: an owner whose places are still counted for a lost VM backed off 50 ms at each statement that needed a connection, though it could replace one. Change: after a rejection it makes do with what it has for a second; with nothing, it tells the caller's proxy to ask another owner. Measured: 20 acquisitions in turns for two customers over one place take under 0.5 s.

--- a/internal/traffic/forward/service.go
+++ b/internal/traffic/forward/service.go
@@ -217,6 +217,11 @@
 		response.RetryAfterMs = uint32(max(1, refused.RetryAfter.Milliseconds()))
 		return response
 	}
+	if errors.Is(err, upstream.ErrNoPlace) {
+		response := faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, err)
+		response.NotOwner = true
+		return response
+	}
 	if errors.Is(err, upstream.ErrAcquireTimeout) {
 		return faultResponse(fleetpb.ExecuteResponse_FAULT_NO_ROOM, err)
 	}
--- a/internal/traffic/upstream/acquire.go
+++ b/internal/traffic/upstream/acquire.go
@@ -14,7 +14,7 @@
 
 // Acquire returns an idle connection, opens one, or waits for one until
 // options.Deadline. The connection must be given to Release or Discard. Errors:
-// RefusedError, ErrServerRemoved, ErrAcquireTimeout, ErrCallerGone and those of
+// RefusedError, ErrServerRemoved, ErrAcquireTimeout, ErrCallerGone, ErrNoPlace and those of
 // backend.Dial.
 func (p *Pool) Acquire(options AcquireOptions) (*Conn, error) {
 	if conn := p.connectToOthers(&options); conn != nil {
@@ -85,6 +85,10 @@
 			p.mu.Unlock()
 			return nil, true, ErrServerRemoved
 		}
+		if options.Forwarded && p.hasNoPlace(time.Now()) {
+			p.mu.Unlock()
+			return nil, true, ErrNoPlace
+		}
 		if !p.hasCapacity() || p.waiters.Len() > 0 && (!waited || p.queuesByCustomer(options.Customer)) {
 			p.mu.Unlock()
 			return nil, false, nil
--- a/internal/traffic/upstream/customers_test.go
+++ b/internal/traffic/upstream/customers_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -96,6 +97,36 @@
 	}
 }
 
+// TestPlacesOfALostVM has a server that still counts the connections of a lost VM, so that
+// it accepts fewer than the share of this proxy.
+func TestPlacesOfALostVM(t *testing.T) {
+	tests := []struct {
+		name    string
+		limit   int
+		wantErr error
+	}{
+		{"no place: another owner runs the work", 0, ErrNoPlace},
+		{"one place: it is used in turns", 1, nil},
+	}
+	for _, test := range tests {
+		f := &fakeServers{limit: test.limit}
+		_, pool := newCustomerManager(f, 3, nil)
+		start := time.Now()
+		for i := range 20 {
+			conn, err := pool.Acquire(forwardedOptions([]customer.Name{"a", "b"}[i%2]))
+			if !errors.Is(err, test.wantErr) {
+				t.Fatalf("%s: got %v, want %v", test.name, err, test.wantErr)
+			}
+			if err == nil {
+				conn.Release()
+			}
+		}
+		if took := time.Since(start); took > 500*time.Millisecond {
+			t.Errorf("%s: got 20 acquisitions in %v, want no back-off for each", test.name, took)
+		}
+	}
+}
+
 func TestNoConnectionInAdvanceForCustomers(t *testing.T) {
 	f := &fakeServers{limit: 3}
 	_, pool := newCustomerManager(f, 2, nil)
--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -29,6 +29,10 @@
 	// server rejected one because of its limit. Meanwhile, another proxy may
 	// close idle ones.
 	connectionLimitBackoff = 50 * time.Millisecond
+	// growBackoff is how long a proxy with connections that belong to customers makes
+	// do with as many as it had when the server rejected one: a VM that lost power has
+	// places there for some seconds.
+	growBackoff = time.Second
 	// maxForwardedConns bounds the forwarded connections of one proxy to one
 	// server, and so its forwarded statements and transactions. It is more than
 	// a proxy usually needs.
@@ -70,6 +74,9 @@
 	// ErrCallerGone is returned if AcquireOptions.CallerContext ended before a
 	// connection became free.
 	ErrCallerGone = eris.New("the caller closed its connection before one to the backend server became free")
+	// ErrNoPlace is returned for forwarded work if the server accepts no connection of
+	// this proxy at the moment, so that another owner should run it.
+	ErrNoPlace = eris.New("the backend server accepts no connection of this proxy")
 	// ErrAcquireTimeout is returned if no connection became free before the
 	// deadline.
 	ErrAcquireTimeout = eris.New("no connection to the backend server became free in time")
@@ -118,6 +125,8 @@
 		// noDialUntil is the end of the back-off at the server's connection
 		// limit.
 		noDialUntil time.Time
+		// noGrowUntil is the end of growBackoff; zero: there was none.
+		noGrowUntil time.Time
 		// lastResponse is when the server last responded on any connection.
 		lastResponse time.Time
 		// unresponsiveSince is since when the server has been unresponsive, as
@@ -259,7 +268,7 @@
 	if !p.plan.OwnsConnections {
 		return p.connectionCount() < maxForwardedConns
 	}
-	if now.Before(p.noDialUntil) || p.dialing >= maxDialing {
+	if now.Before(p.noDialUntil) || p.dialing >= maxDialing || now.Before(p.noGrowUntil) && p.connectionCount() > 0 {
 		return false
 	}
 	return p.connectionCount() < p.plan.Share+p.plan.Unassigned
@@ -413,7 +422,7 @@
 	p.manager.options.Logger.V(1).Info("no connection", "server", p.server.Name, "error", err.Error())
 	switch {
 	case errors.Is(err, backend.ErrConnectionLimit):
-		p.noDialUntil = time.Now().Add(connectionLimitBackoff)
+		p.recordConnectionLimit(time.Now())
 		p.recordResponse(now)
 	case errors.Is(err, backend.ErrConnectionRefused), eris.Is(err, backend.ErrWrongServer):
 		p.recordUnresponsive(now, true)
@@ -422,6 +431,25 @@
 	}
 }
 
+// recordConnectionLimit records that the server rejected a connection because of its
+// limit. Where connections belong to customers, idle ones can be replaced at once, unless
+// that is what failed: the server may count a connection that was just closed. p.mu is
+// held.
+func (p *Pool) recordConnectionLimit(now time.Time) {
+	if !p.plan.ByCustomer || now.Before(p.noGrowUntil) || p.connectionCount() == 0 {
+		p.noDialUntil = now.Add(connectionLimitBackoff)
+	}
+	if p.plan.ByCustomer {
+		p.noGrowUntil = now.Add(growBackoff)
+	}
+}
+
+// hasNoPlace reports whether the server lately rejected the only connection of this proxy,
+// so that other owners should run its work. p.mu is held.
+func (p *Pool) hasNoPlace(now time.Time) bool {
+	return p.plan.ByCustomer && p.connectionCount() == 0 && now.Before(p.noDialUntil)
+}
+
 // returnConn returns a connection to the pool. It closes the connection if the pool
 // was shut down, or if statements for the server are now forwarded and weren't when
 // the connection was acquired, or the reverse.
