An owner of large customers may send one statement more while the server isn't slow

Cause: a large customer's burst meets the two or three owners that it is assigned to, each limited to one statement at a time, while the server has slots to spare. Change: an owner with waiting work may exceed its fair part by one while the server takes less than twice its usual time.

--- a/internal/traffic/admission/limit.go
+++ b/internal/traffic/admission/limit.go
@@ -31,6 +31,9 @@
 //     here), whose usual time isn't known yet (all owners may have just started), or that
 //     has just rejected a statement gets each owner's fair share. Rejections show overload before latencies do, because
 //     rejected statements have none.
+//   - Where customers are assigned to owners, one that sends more than usual meets few of
+//     them. An owner with waiting work then may send one statement more than its fair
+//     share, as long as the server takes less than much longer than usual.
 //
 // Work beyond what a server can do waits in a Queue. A lagging replica, a lost server
 // or a burst may bring more for seconds. Then as much work as possible is done in time
@@ -78,6 +81,9 @@
 	Timed                      int
 	// Waiting is the number of statements that wait at this proxy.
 	Waiting int
+	// Uneven is true if the owners get different work, those of a large customer
+	// more than others.
+	Uneven bool
 	// LastRejection is when the server last rejected a statement because it had no
 	// room; zero: never.
 	LastRejection time.Time
@@ -100,9 +106,20 @@
 // MaxRunning returns the number of statements that this proxy may have running on the
 // server, at least 1.
 func (l Load) MaxRunning(now time.Time) int {
-	if l.Overloaded(now) {
-		// Rounded up, so that all slots stay busy.
-		return max(1, (fairPerSlot*l.Slots+max(1, l.Owners)-1)/max(1, l.Owners))
+	burst := max(minBurst, burstPerSlot*l.Slots/max(1, l.Owners))
+	if !l.Overloaded(now) {
+		return burst
 	}
-	return max(minBurst, burstPerSlot*l.Slots/max(1, l.Owners))
+	// Rounded up, so that all slots stay busy.
+	fair := max(1, (fairPerSlot*l.Slots+max(1, l.Owners)-1)/max(1, l.Owners))
+	if l.Uneven && l.Waiting > 0 && !l.withoutWaiting().Overloaded(now) {
+		return min(fair+1, max(fair, burst))
+	}
+	return fair
+}
+
+// withoutWaiting returns the load as if no statements waited.
+func (l Load) withoutWaiting() Load {
+	l.Waiting = 0
+	return l
 }
--- a/internal/traffic/admission/limit_test.go
+++ b/internal/traffic/admission/limit_test.go
@@ -29,6 +29,9 @@
 		{"slow, one owner", with(func(l *Load) { l.RecentLatency, l.Owners = 19*time.Millisecond, 1 }), 4},
 		{"base latency unknown", with(func(l *Load) { l.Timed = MinTimed - 1 }), 1},
 		{"just rejected", with(func(l *Load) { l.LastRejection = at(-50) }), 1},
+		{"somewhat slow, work waits", with(func(l *Load) { l.RecentLatency, l.Waiting = 13*time.Millisecond, 1 }), 1},
+		{"somewhat slow, work of large customers waits", with(func(l *Load) { l.RecentLatency, l.Waiting, l.Uneven = 13*time.Millisecond, 1, true }), 2},
+		{"slow, work of large customers waits", with(func(l *Load) { l.RecentLatency, l.Waiting, l.Uneven = 19*time.Millisecond, 1, true }), 1},
 		{"rejected some time ago", with(func(l *Load) { l.LastRejection = at(-500) }), 2},
 	}
 	for _, test := range tests {
--- a/internal/traffic/upstream/acquire.go
+++ b/internal/traffic/upstream/acquire.go
@@ -212,6 +212,7 @@
 	return admission.Load{
 		Slots: p.server.Slots, Owners: p.plan.OwnerCount, RecentLatency: p.recentLatency, BaseLatency: p.baseLatency,
 		Timed: p.timedStatements, Waiting: p.waiters.Len(), LastRejection: p.lastRejection,
+		Uneven: p.plan.Assignment != nil,
 	}
 }
 
--- a/internal/traffic/upstream/replay_test.go
+++ b/internal/traffic/upstream/replay_test.go
@@ -342,6 +342,23 @@
 	}
 }
 
+// TestLargeCustomerUsesFreeSlots has the largest customer send twelve times its usual for
+// ten seconds: with the others' work, two thirds of what the server can do.
+func TestLargeCustomerUsesFreeSlots(t *testing.T) {
+	arrivals, customers := newArrivals(3, 90*time.Second)
+	random := rand.New(rand.NewPCG(3, 2))
+	for at := replayWarmUp; at < replayWarmUp+10*time.Second; {
+		at += time.Duration(random.ExpFloat64() / 100 * float64(time.Second))
+		arrivals = append(arrivals, newArrival(random, at, replayCustomer(1)))
+	}
+	slices.SortStableFunc(arrivals, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+	got := replay(t, arrivals, customers)
+	t.Logf("%d statements, %d late, %d failed; mean latency %v", got.statements, got.late, got.failed, got.latency/time.Duration(got.statements))
+	if got.late > got.statements/20 {
+		t.Errorf("got %d of %d statements late, want at most 1 in 20", got.late, got.statements)
+	}
+}
+
 // openedFor returns the number of connections opened for customers from to to.
 func (r replayResult) openedFor(from, to int) (opened int) {
 	for k := from; k <= to; k++ {
