--- a/internal/fleet/coordinator/servers.go
+++ b/internal/fleet/coordinator/servers.go
@@ -82,7 +82,7 @@
 // saveServers stores changed servers in the replicated state until ctx ends. It
 // combines changes that accumulate while a command is being committed.
 func (c *Coordinator) saveServers(ctx context.Context, l *leadership) error {
-	for {
+	for ctx.Err() == nil {
 		c.mu.Lock()
 		changed := l.changed.Next()
 		unsaved, through := l.takeUnsavedServers()
@@ -109,6 +109,7 @@
 			pause.For(ctx, saveRetryDelay)
 		}
 	}
+	return nil
 }
 
 // takeUnsavedServers returns the changes of servers that aren't saved yet, and the
