Proxies count each customer's connections to servers

Cause: `burdockwood customer usage` and `top` read customer-connections and customer-connections-opened, which no proxy wrote. Change: pools count what they open and hold for each customer; a container by customer, which sessions now use too, bounds the number of labels. Result: TestMetricsCountConnectionsByCustomer opens connections for 70 customers: 64 have a label, 6 are counted under "other".

--- a/internal/ops/metrics/customers.go
+++ b/internal/ops/metrics/customers.go
@@ -1,5 +1,7 @@
 package metrics
 
+import "sync"
+
 // Names and label values of the metrics by customer. Their number is bounded as that of
 // the histograms: further customers are counted under OtherTenant.
 const (
@@ -33,3 +35,45 @@
 	// keys are in force.
 	OutcomeRefusedRight = OutcomeRefusedPrefix + "key-right"
 )
+
+// PerCustomer holds a value for each of up to DefaultMaxTenants customers, and one that
+// all others share, under their labels. It is safe for concurrent use.
+type PerCustomer[T any] struct {
+	mu     sync.RWMutex
+	values map[string]T
+	create func(label string) T
+}
+
+// NewPerCustomer returns an empty container. create returns the value of a new label.
+func NewPerCustomer[T any](create func(label string) T) *PerCustomer[T] {
+	return &PerCustomer[T]{values: map[string]T{}, create: create}
+}
+
+// Get returns the value of a customer and its label.
+func (p *PerCustomer[T]) Get(name string) (value T, label string) {
+	p.mu.RLock()
+	value, known := p.values[name]
+	p.mu.RUnlock()
+	if known {
+		return value, name
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, known = p.values[name]; !known && len(p.values) >= DefaultMaxTenants {
+		name = OtherTenant
+	}
+	if value, known = p.values[name]; !known {
+		value = p.create(name)
+		p.values[name] = value
+	}
+	return value, name
+}
+
+// Each calls do with each label and its value. do must not call Get.
+func (p *PerCustomer[T]) Each(do func(label string, value T)) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for label, value := range p.values {
+		do(label, value)
+	}
+}
--- a/internal/traffic/session/limit.go
+++ b/internal/traffic/session/limit.go
@@ -5,7 +5,6 @@
 import (
 	"errors"
 	"fmt"
-	"sync"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -26,12 +25,10 @@
 )
 
 type (
-	// customerMetrics count the operations of up to metrics.DefaultMaxTenants customers,
-	// and those of all others together.
+	// customerMetrics count the operations of each customer.
 	customerMetrics struct {
 		registry metrics.Registry
-		mu       sync.RWMutex
-		counters map[customer.Name]*customerCounters
+		counters *metrics.PerCustomer[*customerCounters]
 	}
 
 	customerCounters struct {
@@ -42,34 +39,22 @@
 )
 
 func newCustomerMetrics(registry metrics.Registry) *customerMetrics {
-	return &customerMetrics{registry: registry, counters: map[customer.Name]*customerCounters{}}
+	return &customerMetrics{registry: registry, counters: metrics.NewPerCustomer(func(label string) *customerCounters {
+		counter := func(outcome string) gometrics.Counter {
+			return metrics.Counter(registry, metrics.CustomerOperations, metrics.LabelCustomer, label, metrics.LabelOutcome, outcome)
+		}
+		return &customerCounters{
+			label: label, admitted: counter(metrics.OutcomeAdmitted), waited: metrics.Counter(registry, metrics.CustomerOperationsWaited, metrics.LabelCustomer, label),
+			refusedLimit: counter(metrics.OutcomeRefusedLimit), refusedKey: counter(metrics.OutcomeRefusedKey), refusedRight: counter(metrics.OutcomeRefusedRight),
+		}
+	})}
 }
 
 // get returns the counters of a customer; the empty name stands for callers whose key no
 // customer holds.
 func (m *customerMetrics) get(name customer.Name) *customerCounters {
-	m.mu.RLock()
-	found := m.counters[name]
-	m.mu.RUnlock()
-	if found != nil {
-		return found
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if len(m.counters) >= metrics.DefaultMaxTenants {
-		name = metrics.OtherTenant
-	}
-	if found = m.counters[name]; found == nil {
-		counter := func(outcome string) gometrics.Counter {
-			return metrics.Counter(m.registry, metrics.CustomerOperations, metrics.LabelCustomer, string(name), metrics.LabelOutcome, outcome)
-		}
-		found = &customerCounters{
-			label: string(name), admitted: counter(metrics.OutcomeAdmitted), waited: metrics.Counter(m.registry, metrics.CustomerOperationsWaited, metrics.LabelCustomer, string(name)),
-			refusedLimit: counter(metrics.OutcomeRefusedLimit), refusedKey: counter(metrics.OutcomeRefusedKey), refusedRight: counter(metrics.OutcomeRefusedRight),
-		}
-		m.counters[name] = found
-	}
-	return found
+	counters, _ := m.counters.Get(string(name))
+	return counters
 }
 
 // updateHeld updates the gauges of the tokens that this proxy holds.
--- a/internal/traffic/upstream/customers_test.go
+++ b/internal/traffic/upstream/customers_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/model/customer"
+	"github.com/burdockwood/burdockwood/internal/ops/metrics"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 	"github.com/burdockwood/burdockwood/internal/traffic/ownership"
 )
@@ -105,3 +107,37 @@
 		t.Errorf("got %d connections that belong to no customer, want none", f.open)
 	}
 }
+
+func TestMetricsCountConnectionsByCustomer(t *testing.T) {
+	const customers, share = metrics.DefaultMaxTenants + 6, 2
+	m, pool := newCustomerManager(&fakeServers{limit: share + 1}, share, nil)
+	for i := range customers {
+		conn, err := pool.Acquire(forwardedOptions(customer.Name(fmt.Sprint("c", i))))
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.Release()
+	}
+	registry := metrics.NewRegistry()
+	for range 2 { // the second update must not add to the first
+		m.UpdateMetrics(registry)
+	}
+	tests := []struct {
+		label        string
+		opened, open int64
+	}{
+		{"c0", 1, 0},
+		{fmt.Sprint("c", metrics.DefaultMaxTenants-1), 1, 0},
+		{metrics.OtherTenant, customers - metrics.DefaultMaxTenants, share},
+	}
+	for _, test := range tests {
+		opened := metrics.Counter(registry, metrics.CustomerConnectionsOpened, metrics.LabelCustomer, test.label).Count()
+		open := metrics.Gauge(registry, metrics.CustomerConnections, metrics.LabelCustomer, test.label).Value()
+		if opened != test.opened || open != test.open {
+			t.Errorf("customer %s: got %d connections opened and %d open, want %d and %d", test.label, opened, open, test.opened, test.open)
+		}
+	}
+	if got := registry.Get(metrics.Name(metrics.CustomerConnections, metrics.LabelCustomer, fmt.Sprint("c", customers-1))); got != nil {
+		t.Errorf("customer %d has a gauge of its own, want at most %d customers with one", customers, metrics.DefaultMaxTenants)
+	}
+}
--- a/internal/traffic/upstream/metrics.go
+++ b/internal/traffic/upstream/metrics.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/ops/metrics"
 )
 
@@ -35,10 +38,49 @@
 	return now.Sub(since).Milliseconds()
 }
 
-// UpdateMetrics updates the gauges of all pools in the registry and unregisters
-// those of removed servers. Call it before the registry is read.
+// newOpenedCounters returns counters of the connections opened for each customer.
+// UpdateMetrics registers them.
+func newOpenedCounters() *metrics.PerCustomer[gometrics.Counter] {
+	return metrics.NewPerCustomer(func(string) gometrics.Counter { return gometrics.NewCounter() })
+}
+
+// countOpened counts a connection that was opened for a customer; empty: for none.
+func (m *Manager) countOpened(name customer.Name) {
+	if name != "" {
+		counter, _ := m.opened.Get(string(name))
+		counter.Inc(1)
+	}
+}
+
+// addOpen adds the pool's connections to their servers to those of each label. p.mu is
+// held.
+func (p *Pool) addOpen(open map[string]int64) {
+	add := func(conn *Conn) {
+		if conn.customer != "" {
+			_, label := p.manager.opened.Get(string(conn.customer))
+			open[label]++
+		}
+	}
+	for _, conn := range p.idle {
+		add(conn)
+	}
+	for conn := range p.inUse {
+		add(conn)
+	}
+}
+
+// updateCustomers updates the metrics of each customer's connections.
+func (m *Manager) updateCustomers(registry metrics.Registry, open map[string]int64) {
+	m.opened.Each(func(label string, opened gometrics.Counter) {
+		registry.GetOrRegister(metrics.Name(metrics.CustomerConnectionsOpened, metrics.LabelCustomer, label), opened)
+		metrics.Gauge(registry, metrics.CustomerConnections, metrics.LabelCustomer, label).Update(open[label])
+	})
+}
+
+// UpdateMetrics updates the gauges of all pools and customers in the registry and
+// unregisters those of removed servers. Call it before the registry is read.
 func (m *Manager) UpdateMetrics(registry metrics.Registry) {
-	present := map[string]bool{}
+	present, open := map[string]bool{}, map[string]int64{}
 	for name, p := range *m.pools.Load() {
 		p.mu.Lock()
 		for _, g := range gauges {
@@ -49,8 +91,10 @@
 			present[metrics.Name(g.name, labels...)] = true
 			metrics.Gauge(registry, g.name, labels...).Update(g.value(p))
 		}
+		p.addOpen(open)
 		p.mu.Unlock()
 	}
+	m.updateCustomers(registry, open)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for key := range m.registeredGauges {
--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -365,6 +365,7 @@
 	}
 	p.recordResponse(now)
 	p.connectTime = smooth(p.connectTime, time.Since(began))
+	p.manager.countOpened(on)
 	conn := &Conn{pool: p, raw: raw, customer: on, prepared: map[string]string{}}
 	p.markInUse(conn)
 	return conn, nil
--- a/internal/traffic/upstream/upstream.go
+++ b/internal/traffic/upstream/upstream.go
@@ -38,10 +38,12 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	gometrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/ops/metrics"
 	"github.com/burdockwood/burdockwood/internal/ops/rungroup"
 	"github.com/burdockwood/burdockwood/internal/traffic/admission"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
@@ -125,12 +127,14 @@
 		serviceTimes  *admission.ServiceTimes
 		// registeredGauges are the names of the gauges in the registry.
 		registeredGauges map[string]bool
+		// opened counts the connections that were opened for each customer.
+		opened *metrics.PerCustomer[gometrics.Counter]
 	}
 )
 
 // New returns a manager without servers.
 func New(options Options) *Manager {
-	m := &Manager{options: options, unresponsive: make(chan struct{}, 1), openRequests: make(chan *Pool, 256), serviceTimes: admission.NewServiceTimes(), preferences: map[cluster.GroupName]*preference{}}
+	m := &Manager{options: options, unresponsive: make(chan struct{}, 1), openRequests: make(chan *Pool, 256), serviceTimes: admission.NewServiceTimes(), preferences: map[cluster.GroupName]*preference{}, opened: newOpenedCounters()}
 	m.pools.Store(&map[cluster.ServerName]*Pool{})
 	m.groups.Store(&map[cluster.GroupName][]*Pool{})
 	return m
