Proxies log which keys a configuration withdraws

Cause: `explain` looks for lines "key withdrawn" with the key's digest, which nobody wrote, and refusals didn't name the digest. Change: putting a configuration in force logs up to 20 withdrawn keys, with the customer, the beginning of the digest and the version, and the number of further ones. Refusals for an unknown key name the digest too, also when a session begins. Result: TestWithdrawnKeysAreLogged withdraws 25 keys at once and gets 21 lines. The test of the refusals' fields now wants the digest as well.

--- a/internal/model/customer/customer.go
+++ b/internal/model/customer/customer.go
@@ -22,9 +22,13 @@
 	"github.com/rotisserie/eris"
 )
 
-// digestBytes is the length of a digest. Keys are random texts, so that a longer one
-// wouldn't be harder to find.
-const digestBytes = 16
+const (
+	// digestBytes is the length of a digest. Keys are random texts, so that a longer one
+	// wouldn't be harder to find.
+	digestBytes = 16
+	// logLength is the number of characters of a digest's text in logs.
+	logLength = 8
+)
 
 var (
 	// ErrInvalid is returned for customers that contradict each other or have an
@@ -88,6 +92,14 @@
 // String returns the digest's text.
 func (d Digest) String() string { return base64.RawURLEncoding.EncodeToString(d[:]) }
 
+// ForLog returns the beginning of the digest's text, for logs; empty: no key.
+func (d Digest) ForLog() string {
+	if d.IsZero() {
+		return ""
+	}
+	return d.String()[:logLength]
+}
+
 // IsZero reports whether the digest stands for no key.
 func (d Digest) IsZero() bool { return d == Digest{} }
 
--- a/internal/traffic/session/identity.go
+++ b/internal/traffic/session/identity.go
@@ -16,6 +16,10 @@
 	"github.com/burdockwood/burdockwood/internal/traffic/upstream"
 )
 
+// maxWithdrawnLogged bounds the keys that are logged when one configuration withdraws
+// them.
+const maxWithdrawnLogged = 20
+
 // errKeyWithdrawn ends the session of a caller whose key no customer holds any more.
 var errKeyWithdrawn = eris.New("no customer holds the caller's key any more")
 
@@ -72,6 +76,28 @@
 	return true
 }
 
+// logWithdrawn logs which keys a configuration withdraws, up to maxWithdrawnLogged of
+// them.
+func (m *Manager) logWithdrawn(old, next *routing.Config) {
+	if old.Customers == next.Customers {
+		return
+	}
+	count := 0
+	for _, c := range old.Customers.All() {
+		for _, key := range c.Keys {
+			if _, held := next.Customers.ByKey(key); held {
+				continue
+			}
+			if count++; count <= maxWithdrawnLogged {
+				m.options.Logger.Info("key withdrawn", "customer", c.Name, "key-digest", key.ForLog(), "version", next.Version)
+			}
+		}
+	}
+	if count > maxWithdrawnLogged {
+		m.options.Logger.Info("more keys withdrawn", "withdrawn", count-maxWithdrawnLogged, "version", next.Version)
+	}
+}
+
 // assign enters the customer of a statement into its request.
 func (i identity) assign(request *statement.Request) {
 	if i.customer == "" {
@@ -86,7 +112,7 @@
 	switch c {
 	case causeUnknownKey:
 		version := s.manager.Config().Version
-		return []any{"version", version, "withdrawn-in", version}
+		return []any{"version", version, "withdrawn-in", version, "key-digest", s.key.ForLog()}
 	case causeNoKeyRight:
 		return []any{"right-ended-ms-ago", s.manager.options.KeyRight.EndedFor(s.manager.options.Now()).Milliseconds()}
 	default:
--- a/internal/traffic/session/identity_test.go
+++ b/internal/traffic/session/identity_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
@@ -143,12 +144,12 @@
 	f.manager.options.KeyRight = keyright.New(8 * time.Second)
 	f.setCustomers(map[customer.Name]customer.Digest{"harbour": harbourKey})
 	f.manager.options.Now = func() time.Time { return now.Add(9 * time.Second) }
-	s := &session{manager: f.manager, database: "primary"}
+	s := &session{manager: f.manager, database: "primary", key: harbourKey}
 	tests := []struct {
 		cause cause
 		want  string
 	}{
-		{causeUnknownKey, "[version 2 withdrawn-in 2]"},
+		{causeUnknownKey, "[version 2 withdrawn-in 2 key-digest " + harbourKey.String()[:8] + "]"},
 		{causeNoKeyRight, "[right-ended-ms-ago "},
 		{causeQueue, "[]"},
 		{"", "[]"},
@@ -163,6 +164,30 @@
 	}
 }
 
+// TestWithdrawnKeysAreLogged withdraws more keys at once than are logged. The lines are
+// as package trace reads them.
+func TestWithdrawnKeysAreLogged(t *testing.T) {
+	f := newFixture(t)
+	f.manager.options.KeyRight = keyright.New(time.Minute)
+	var lines []string
+	f.manager.options.Logger = funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})
+	const withdrawn = maxWithdrawnLogged + 5
+	keys := map[customer.Name]customer.Digest{"standing": harbourKey}
+	for i := range withdrawn {
+		keys[customer.Name(fmt.Sprintf("c%02d", i))] = customer.DigestOf(fmt.Sprint("key ", i))
+	}
+	f.setCustomers(keys)
+	f.setCustomers(keys)
+	f.setCustomers(map[customer.Name]customer.Digest{"renamed": harbourKey})
+	want := fmt.Sprintf(`"level"=0 "msg"="key withdrawn" "customer"="c00" "key-digest"=%q "version"=4`, customer.DigestOf("key 0").ForLog())
+	if len(lines) != maxWithdrawnLogged+1 || lines[0] != want {
+		t.Fatalf("got %d lines %q, want %d, the first %s", len(lines), lines, maxWithdrawnLogged+1, want)
+	}
+	if want := `"level"=0 "msg"="more keys withdrawn" "withdrawn"=5 "version"=4`; lines[maxWithdrawnLogged] != want {
+		t.Errorf("got %s as the last line, want %s", lines[maxWithdrawnLogged], want)
+	}
+}
+
 // TestIdleSessionsOfAWithdrawnKeyEnd withdraws the key of one of two idle sessions.
 func TestIdleSessionsOfAWithdrawnKeyEnd(t *testing.T) {
 	f := newFixture(t)
--- a/internal/traffic/session/manager.go
+++ b/internal/traffic/session/manager.go
@@ -131,13 +131,17 @@
 func (m *Manager) SetConfig(next *routing.Config) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if old := m.config.Load(); old != nil && next.Version <= old.Version {
+	old := m.config.Load()
+	if old != nil && next.Version <= old.Version {
 		return
 	}
 	m.config.Store(next)
 	if next.Customers == nil {
 		return
 	}
+	if old != nil {
+		m.logWithdrawn(old, next)
+	}
 	for s := range m.sessions {
 		if _, code := identify(next, s.database, s.key); code == statement.UnknownKey {
 			s.caller.Interrupt()
