Revert: long differences are sent compressed

Suspected, not traced: a compressor is made anew for each proxy and revision. Change: reverted; parts are still compressed, once for all proxies. Result: tests of the packages pass.

--- a/internal/fleet/fleetrpc/fleetrpc.go
+++ b/internal/fleet/fleetrpc/fleetrpc.go
@@ -124,11 +124,6 @@
 	}
 	now := s.options.Now()
 	setGrant(response, grant, now)
-	if request.GetAcceptsParts() && grant.PartialServers {
-		if err := packDifferences(response); err != nil {
-			return nil, twirp.InternalErrorWith(err)
-		}
-	}
 	for _, content := range grant.Parts {
 		packed, err := s.packed.get(content, now)
 		if err != nil {
--- a/internal/fleet/fleetrpc/parts.go
+++ b/internal/fleet/fleetrpc/parts.go
@@ -15,9 +15,6 @@
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 )
 
-// minPacked is the number of servers and primaries from which on differences are compressed.
-const minPacked = 32
-
 // packedParts keeps the last packed content of each part, because hundreds of proxies need
 // the same after a restart. It is safe for concurrent use.
 type packedParts struct {
@@ -55,34 +52,12 @@
 	for group, p := range content.Primaries {
 		part.Primacies = append(part.Primacies, primacyToProto(group, p))
 	}
-	return compressPart(part, flate.DefaultCompression)
-}
-
-// packDifferences moves the servers and primaries of a response, which are differences, to a
-// compressed part if they are many.
-func packDifferences(response *fleetpb.RenewResponse) error {
-	if len(response.GetServers())+len(response.GetPrimacies()) < minPacked {
-		return nil
-	}
-	packed, err := compressPart(&fleetpb.Part{
-		Number: parts.Count, Servers: response.GetServers(), Primacies: response.GetPrimacies(),
-	}, flate.BestSpeed)
-	if err != nil {
-		return err
-	}
-	response.Servers, response.Primacies = nil, nil
-	response.Parts = append(response.Parts, packed)
-	return nil
-}
-
-// compressPart returns a part, compressed.
-func compressPart(part *fleetpb.Part, level int) ([]byte, error) {
 	encoded, err := proto.Marshal(part)
 	if err != nil {
-		return nil, eris.Wrapf(err, "encode part %d of the state", part.GetNumber())
+		return nil, eris.Wrapf(err, "encode part %d of the state", content.Number)
 	}
 	var packed bytes.Buffer
-	w, err := flate.NewWriter(&packed, level)
+	w, err := flate.NewWriter(&packed, flate.DefaultCompression)
 	if err != nil {
 		return nil, eris.Wrap(err, "compress a part of the state")
 	}
--- a/internal/fleet/fleetrpc/parts_test.go
+++ b/internal/fleet/fleetrpc/parts_test.go
@@ -67,32 +67,3 @@
 		}
 	}
 }
-
-// TestPackDifferences packs the differences that a proxy is sent while hundreds of servers
-// start. Few are sent as they are.
-func TestPackDifferences(t *testing.T) {
-	tests := []struct {
-		name       string
-		servers    int
-		wantPacked bool
-	}{
-		{"few", 3, false},
-		{"many", 300, true},
-	}
-	for _, test := range tests {
-		response := &fleetpb.RenewResponse{}
-		for i := range test.servers {
-			response.Servers = append(response.Servers, &fleetpb.Server{Name: fmt.Sprint("server-", i), Group: "g", Address: "127.0.0.1:8080"})
-		}
-		before := proto.Size(response)
-		if err := packDifferences(response); err != nil {
-			t.Fatal(err)
-		}
-		if got := len(response.GetParts()) == 1 && len(response.GetServers()) == 0; got != test.wantPacked {
-			t.Errorf("%s: got packed %v, want %v", test.name, got, test.wantPacked)
-		}
-		if got := proto.Size(response); test.wantPacked && got > before/2 {
-			t.Errorf("%s: got %d bytes of %d, want less than half", test.name, got, before)
-		}
-	}
-}
--- a/internal/traffic/controlclient/parts.go
+++ b/internal/traffic/controlclient/parts.go
@@ -71,9 +71,7 @@
 		if err := proto.Unmarshal(encoded, part); err != nil {
 			return nil, eris.Wrap(err, "decode a part of the control plane's state")
 		}
-		if part.GetNumber() < parts.Count {
-			listed[int(part.GetNumber())] = true
-		}
+		listed[int(part.GetNumber())] = true
 		response.Servers = append(response.Servers, part.GetServers()...)
 		response.Primacies = append(response.Primacies, part.GetPrimacies()...)
 	}
