Consensus: a late leader sends its heartbeats at once

Cause: the wait for messages on their way also delayed a leader that was short of processor time, and so its heartbeats. Change: only nodes that don't lead wait.

--- a/internal/control/node/loop.go
+++ b/internal/control/node/loop.go
@@ -158,9 +158,10 @@
 // collectLate returns the events that are queued when a deadline has passed, so that a
 // message of the leader counts before this node takes it for lost. A node that notices its
 // deadline late was itself short of processor time, or suspended, and may not have read
-// its connections either; it gives them lateGrace.
+// its connections either; it gives them lateGrace. A leader doesn't wait: its heartbeats are
+// late already.
 func (n *Node) collectLate(ctx context.Context, deadline time.Time) []event {
-	if n.now().Sub(deadline) > lateTolerance {
+	if !n.leadership.Load().leads && n.now().Sub(deadline) > lateTolerance {
 		grace := time.NewTimer(lateGrace)
 		defer grace.Stop()
 		select {
