Metrics by customer: those without a limit count, those without tokens show zero

Cause: a customer without a limit had no operations in customer usage, and the gauge of a customer that no longer held tokens kept its last value. Change: every admitted operation of a customer counts; the gauges of all known customers are set. Result: TestTokensOfIdleCustomersAreZero; the package's tests pass.

--- a/internal/traffic/session/limit.go
+++ b/internal/traffic/session/limit.go
@@ -32,8 +32,6 @@
 	}
 
 	customerCounters struct {
-		// label is the value of the customer's label.
-		label                                                    string
 		admitted, waited, refusedLimit, refusedKey, refusedRight gometrics.Counter
 	}
 )
@@ -44,7 +42,7 @@
 			return metrics.Counter(registry, metrics.CustomerOperations, metrics.LabelCustomer, label, metrics.LabelOutcome, outcome)
 		}
 		return &customerCounters{
-			label: label, admitted: counter(metrics.OutcomeAdmitted), waited: metrics.Counter(registry, metrics.CustomerOperationsWaited, metrics.LabelCustomer, label),
+			admitted: counter(metrics.OutcomeAdmitted), waited: metrics.Counter(registry, metrics.CustomerOperationsWaited, metrics.LabelCustomer, label),
 			refusedLimit: counter(metrics.OutcomeRefusedLimit), refusedKey: counter(metrics.OutcomeRefusedKey), refusedRight: counter(metrics.OutcomeRefusedRight),
 		}
 	})}
@@ -64,11 +62,12 @@
 	}
 	held := map[string]int64{}
 	for _, s := range holder.States(now) {
-		held[m.get(s.Customer).label] += int64(s.Available)
-	}
-	for label, count := range held {
-		metrics.Gauge(m.registry, metrics.CustomerTokensHeld, metrics.LabelCustomer, label).Update(count)
+		_, label := m.counters.Get(string(s.Customer))
+		held[label] += int64(s.Available)
 	}
+	m.counters.Each(func(label string, _ *customerCounters) {
+		metrics.Gauge(m.registry, metrics.CustomerTokensHeld, metrics.LabelCustomer, label).Update(held[label])
+	})
 }
 
 // limitedCustomer returns the customer whose limit the session's operations count
@@ -86,11 +85,15 @@
 // proxy's own attempts and the later statements of a transaction take no further one.
 func (e *execution) admit() *statement.Answer {
 	c, holder := e.customer, e.session.manager.options.Quota
-	if holder == nil || c == nil || !c.IsLimited() {
+	if holder == nil || c == nil {
 		return nil
 	}
 	manager := e.session.manager
 	counters := manager.customerMetrics.get(c.Name)
+	if !c.IsLimited() {
+		counters.admitted.Inc(1)
+		return nil
+	}
 	arrived := manager.options.Now()
 	d := holder.Take(c, arrived)
 	if d.Verdict == quota.Wait {
--- a/internal/traffic/session/limit_test.go
+++ b/internal/traffic/session/limit_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/burdockwood/burdockwood/internal/fleet/allowance"
 	"github.com/burdockwood/burdockwood/internal/model/customer"
+	"github.com/burdockwood/burdockwood/internal/ops/metrics"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
 	"github.com/burdockwood/burdockwood/internal/traffic/quota"
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
@@ -68,3 +69,16 @@
 		})
 	}
 }
+
+// TestTokensOfIdleCustomersAreZero reads the gauge of a customer that held tokens before.
+func TestTokensOfIdleCustomersAreZero(t *testing.T) {
+	registry, now := metrics.NewRegistry(), time.Now()
+	m := newCustomerMetrics(registry)
+	m.get("harbour-hotel").admitted.Inc(1)
+	gauge := metrics.Gauge(registry, metrics.CustomerTokensHeld, metrics.LabelCustomer, "harbour-hotel")
+	gauge.Update(5)
+	m.updateHeld(quota.New("proxy-1", 1, now), now)
+	if got := gauge.Value(); got != 0 {
+		t.Errorf("tokens held: got %d, want 0", got)
+	}
+}
