Tests of responses use a client that doesn't run

Cause: under -race, TestPartialResponses and TestSamplesAreShared called applyRenewal while the loops of the client that they had started ran too: a race of the tests. Change: they use a client that doesn't run; what they check is as it was.

--- a/internal/traffic/controlclient/client_test.go
+++ b/internal/traffic/controlclient/client_test.go
@@ -93,6 +93,13 @@
 
 // startWith is start with other options.
 func startWith(t *testing.T, change func(*Options), seeds ...netip.AddrPort) (*Client, *session.Manager, *lease.Holder) {
+	c, sessions, holder := newClient(change, seeds...)
+	runGroup(t, c.Run)
+	return c, sessions, holder
+}
+
+// newClient returns a client that doesn't run.
+func newClient(change func(*Options), seeds ...netip.AddrPort) (*Client, *session.Manager, *lease.Holder) {
 	holder := lease.New()
 	m := upstream.New(upstream.Options{Now: time.Now, Logger: logr.Discard()})
 	sessions := session.NewManager(session.Options{Lease: holder, Pools: m, Now: time.Now, Logger: logr.Discard()})
@@ -103,9 +110,7 @@
 		},
 	}
 	change(&options)
-	c := New(options)
-	runGroup(t, c.Run)
-	return c, sessions, holder
+	return New(options), sessions, holder
 }
 
 // waitFor polls until a condition holds, and fails the test after 20 s.
@@ -269,7 +274,7 @@
 		{"part without a server, from a leader that may not know all", &fleetpb.RenewResponse{Warming: true, PartialServers: true, PartialPeers: true, Parts: part(server("a", 6))}, "a b", "x y"},
 		{"part without a server", &fleetpb.RenewResponse{PartialServers: true, PartialPeers: true, Parts: part(server("a", 7))}, "a", "x y"},
 	}
-	c, _, _ := start(t, serve(t, &fakeControl{leader: "none"}))
+	c, _, _ := newClient(func(*Options) {})
 	for _, step := range steps {
 		step.response.Changed, step.response.Granted, step.response.LeaseMs = true, true, 60_000
 		listed, err := unpackParts(step.response)
@@ -297,7 +302,7 @@
 // TestSamplesAreShared records samples in a client and applies those of a response,
 // and checks the ages that are sent and the times that are recorded.
 func TestSamplesAreShared(t *testing.T) {
-	c, sessions, _ := start(t, serve(t, &fakeControl{leader: "none"}))
+	c, sessions, _ := newClient(func(*Options) {})
 	now := time.Now()
 	own := freshness.Sample{SentAt: now.Add(-100 * time.Millisecond), Term: 3, Position: cluster.LogPosition{Term: 2, Position: 9}}
 	sessions.RecordSharedSample("other", own)
