--- a/internal/cli/iostreams/iostreams.go
+++ b/internal/cli/iostreams/iostreams.go
@@ -20,6 +20,9 @@
 	"golang.org/x/term"
 )
 
+// ClearScreen clears a terminal and moves its cursor to the upper left corner.
+const ClearScreen = "\x1b[H\x1b[2J"
+
 // Streams are the standard streams of a command.
 type Streams struct {
 	In  io.Reader
--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -18,6 +18,7 @@
 	"github.com/burdockwood/burdockwood/internal/cli/completion"
 	"github.com/burdockwood/burdockwood/internal/cli/config"
 	"github.com/burdockwood/burdockwood/internal/cli/control"
+	"github.com/burdockwood/burdockwood/internal/cli/customer"
 	"github.com/burdockwood/burdockwood/internal/cli/dev"
 	"github.com/burdockwood/burdockwood/internal/cli/doctor"
 	"github.com/burdockwood/burdockwood/internal/cli/exit"
@@ -74,6 +75,7 @@
 		export.NewCmdExport(f),
 		group.NewCmdGroup(f),
 		selector.NewCmdSelector(f),
+		customer.NewCmdCustomer(f),
 		server.NewCmdServer(f),
 		session.NewCmdSession(f),
 		config.NewCmdConfig(f),
--- a/internal/cli/top/top.go
+++ b/internal/cli/top/top.go
@@ -13,9 +13,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"net/http"
-	"net/netip"
 	"regexp"
 	"slices"
 	"strings"
@@ -26,15 +23,14 @@
 	"github.com/burdockwood/burdockwood/internal/cli/command"
 	"github.com/burdockwood/burdockwood/internal/cli/exit"
 	"github.com/burdockwood/burdockwood/internal/cli/factory"
+	"github.com/burdockwood/burdockwood/internal/cli/iostreams"
 	"github.com/burdockwood/burdockwood/internal/cli/output"
+	"github.com/burdockwood/burdockwood/internal/cli/scrape"
 	"github.com/burdockwood/burdockwood/internal/config/settings"
 	"github.com/burdockwood/burdockwood/internal/model/pause"
 )
 
 const (
-	readTimeout       = 2 * time.Second
-	maxResponseBytes  = 8 << 20
-	clearScreen       = "\x1b[H\x1b[2J"
 	requestTimeMetric = "request-time"
 	totalStage        = "total"
 )
@@ -109,11 +105,7 @@
 	if len(o.Admins) == 0 {
 		problems = append(problems, settings.Problem{Setting: "--admin", Text: "is missing", Fix: "give the admin address of at least one proxy"})
 	}
-	for _, admin := range o.Admins {
-		if _, err := netip.ParseAddrPort(admin); err != nil {
-			problems = append(problems, settings.Problem{Setting: "--admin", Text: fmt.Sprintf("%q is not IP:port", admin)})
-		}
-	}
+	problems = append(problems, scrape.CheckAddresses(o.Admins)...)
 	if o.Interval < time.Millisecond {
 		problems = append(problems, settings.Problem{Setting: "--interval", Text: "is too short", Fix: "write at least 1ms"})
 	}
@@ -133,7 +125,7 @@
 		}
 		current.addRates(previous)
 		if f.Streams.IsTerminal && options.JSON == "" {
-			fmt.Fprint(f.Streams.Out, clearScreen)
+			fmt.Fprint(f.Streams.Out, iostreams.ClearScreen)
 		}
 		if err := output.Write(f.Streams, columns, current.rows, options.JSON); err != nil {
 			return err
@@ -158,25 +150,14 @@
 }
 
 func fetchRows(ctx context.Context, admin string) ([]row, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+"/metrics.json", nil)
+	metrics, err := scrape.Fetch(ctx, admin)
 	if err != nil {
 		return nil, err
 	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	var metrics map[string]json.RawMessage
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&metrics); err != nil {
-		return nil, err
-	}
 	return parseRows(admin, metrics), nil
 }
 
-func parseRows(admin string, metrics map[string]json.RawMessage) []row {
+func parseRows(admin string, metrics scrape.Metrics) []row {
 	var rows []row
 	for name, value := range metrics {
 		if !strings.HasPrefix(name, requestTimeMetric) {
--- a/internal/ops/metrics/metrics.go
+++ b/internal/ops/metrics/metrics.go
@@ -1,11 +1,12 @@
-// Package metrics keeps latency histograms per tenant and stage in a go-metrics
-// registry and writes a registry as Prometheus text or JSON.
+// Package metrics keeps latency histograms per tenant or customer and stage in a
+// go-metrics registry and writes a registry as Prometheus text or JSON.
 //
 // # Usage
 //
 //	registry := metrics.NewRegistry()
 //	tenants := metrics.NewTenantHistograms(registry, metrics.DefaultMaxTenants)
 //	tenants.Observe("payroll", metrics.StageWait, 3*time.Millisecond)
+//	customers := metrics.NewCustomerHistograms(registry, metrics.DefaultMaxTenants)
 //	err := metrics.WritePrometheus(w, registry)
 //
 // Names are kebab-case, with labels in braces: request-time{stage="wait"}. In
@@ -53,6 +54,7 @@
 	reservoirSize   = 256
 	reservoirAlpha  = 0.015
 	requestTimeName = "request-time"
+	labelTenant     = "tenant"
 )
 
 var stageNames = [stageCount]string{"wait", "service", "confirm", "total"}
@@ -64,11 +66,13 @@
 	// Registry holds metrics by name.
 	Registry = gometrics.Registry
 
-	// TenantHistograms holds latency histograms for a limited number of tenants.
+	// TenantHistograms holds latency histograms for a limited number of tenants, or
+	// of customers.
 	// All methods are safe for concurrent use. Observe takes no lock for a
 	// tenant that it has seen before.
 	TenantHistograms struct {
 		registry   Registry
+		label      string
 		maxTenants int
 		// tenants points to a map that is replaced, never modified.
 		tenants atomic.Pointer[map[string]*tenantStages]
@@ -141,7 +145,17 @@
 // NewTenantHistograms returns histograms for up to maxTenants tenants, and one set
 // that all further tenants share.
 func NewTenantHistograms(registry Registry, maxTenants int) *TenantHistograms {
-	t := &TenantHistograms{registry: registry, maxTenants: maxTenants}
+	return newHistograms(registry, labelTenant, maxTenants)
+}
+
+// NewCustomerHistograms returns the same for customers. An operation is observed under
+// its tenant and its customer.
+func NewCustomerHistograms(registry Registry, maxCustomers int) *TenantHistograms {
+	return newHistograms(registry, LabelCustomer, maxCustomers)
+}
+
+func newHistograms(registry Registry, label string, maxTenants int) *TenantHistograms {
+	t := &TenantHistograms{registry: registry, label: label, maxTenants: maxTenants}
 	t.tenants.Store(&map[string]*tenantStages{})
 	t.other = t.newTenant(OtherTenant)
 	return t
@@ -186,7 +200,7 @@
 func (t *TenantHistograms) newTenant(name string) *tenantStages {
 	var added tenantStages
 	for stage, stageName := range stageNames {
-		added.stages[stage] = Histogram(t.registry, requestTimeName, "tenant", name, "stage", stageName)
+		added.stages[stage] = Histogram(t.registry, requestTimeName, t.label, name, "stage", stageName)
 	}
 	return &added
 }
--- a/internal/ops/metrics/metrics_test.go
+++ b/internal/ops/metrics/metrics_test.go
@@ -34,6 +34,20 @@
 	}
 }
 
+func TestCustomerHistogramsHaveTheirOwnLabel(t *testing.T) {
+	registry := metrics.NewRegistry()
+	metrics.NewTenantHistograms(registry, 1).Observe("a", metrics.StageTotal, time.Millisecond)
+	metrics.NewCustomerHistograms(registry, 1).Observe("a", metrics.StageTotal, time.Millisecond)
+	name := metrics.Name("request-time", "customer", "a", "stage", "total")
+	if got := registry.Get(name); got == nil || got.(gometrics.Histogram).Count() != 1 {
+		t.Errorf("histogram of the customer: got %v, want one with 1 operation", got)
+	}
+	base, labels := metrics.ParseName(name)
+	if base != "request-time" || len(labels) != 2 || labels["customer"] != "a" || labels["stage"] != "total" {
+		t.Errorf("ParseName: got %q %v, want the base and both labels", base, labels)
+	}
+}
+
 func TestWritePrometheus(t *testing.T) {
 	registry := metrics.NewRegistry()
 	metrics.Counter(registry, "refused-requests", "reason", `queue "full"`).Inc(7)
--- a/internal/ops/metrics/write.go
+++ b/internal/ops/metrics/write.go
@@ -26,6 +26,11 @@
 	// families maps Prometheus names to metric families.
 	families map[string]*dto.MetricFamily
 
+	label struct {
+		key   string
+		value string
+	}
+
 	// jsonSummary is the JSON form of a histogram, in microseconds.
 	jsonSummary struct {
 		Count int64   `json:"count"`
@@ -152,18 +157,35 @@
 	}
 }
 
+// ParseName splits a name that Name returned into its base and its labels.
+func ParseName(name string) (base string, labels map[string]string) {
+	base, pairs := cutLabels(name)
+	labels = make(map[string]string, len(pairs))
+	for _, pair := range pairs {
+		labels[pair.key] = pair.value
+	}
+	return base, labels
+}
+
 // splitName splits a name of the registry into the Prometheus name and labels.
 func splitName(name string) (string, []*dto.LabelPair) {
-	base, rest, _ := strings.Cut(name, "{")
+	base, pairs := cutLabels(name)
 	var labels []*dto.LabelPair
+	for _, pair := range pairs {
+		labels = append(labels, &dto.LabelPair{Name: proto.String(prometheusName(pair.key)), Value: proto.String(pair.value)})
+	}
+	return prometheusName(NamePrefix + base), labels
+}
+
+func cutLabels(name string) (string, []label) {
+	base, rest, _ := strings.Cut(name, "{")
+	var labels []label
 	for _, match := range labelPattern.FindAllStringSubmatch(rest, -1) {
-		value, err := strconv.Unquote(match[2])
-		if err != nil {
-			continue
+		if value, err := strconv.Unquote(match[2]); err == nil {
+			labels = append(labels, label{key: match[1], value: value})
 		}
-		labels = append(labels, &dto.LabelPair{Name: proto.String(prometheusName(match[1])), Value: proto.String(value)})
 	}
-	return prometheusName(NamePrefix + base), labels
+	return base, labels
 }
 
 // prometheusName replaces the characters that Prometheus doesn't allow in names with
