Limits: floors of buckets are replicated ahead of use

Cause: a new leader began with empty buckets. Change: the leader has lower bounds of its buckets replicated before it gives out more, a new one begins with them (allowance.Floors); what proxies hold was never part of them, so the bound on a window stays as it was. Until a bucket was full or a window is over, a refusal is called "not known yet" (Allotment.Uncertain). The replay has a fourth kind of seeds, which lose all power twice.

--- a/internal/fleet/allowance/allowance.go
+++ b/internal/fleet/allowance/allowance.go
@@ -5,9 +5,13 @@
 //
 // # Usage
 //
-//	l := allowance.New(settings, epoch, proxies, now)
+//	l := allowance.New(settings, epoch, proxies, floors, now)
 //	l.SetCustomers(customers, now)
 //	allotments, err := l.Exchange(request, now)
+//	if floors := l.NextFloors(now); floors != nil {
+//		... // replicate them
+//		l.CommitFloors(floors)
+//	}
 //
 // # Bound
 //
@@ -22,10 +26,11 @@
 // request is on its way. Tokens of a proxy that is silent for longer than they are valid
 // count as spent: it may have spent them all.
 //
-// A new leader doesn't know how full the buckets are. It begins with empty ones and adds
-// what the rate gives. Until each proxy that may hold tokens of an earlier leader has
-// reported or its tokens have expired, a bucket and what this leader gave out of it is at
-// most the part of the capacity that leaders never give out (see maxHeld). A report names
+// A new leader doesn't know how full the buckets are. It begins with their floors, which
+// the leader before replicated (see Floors), and adds what the rate gives. Until each proxy
+// that may hold tokens of an earlier leader has reported or its tokens have expired, a bucket
+// and what this leader gave out of it is at most its floor or, if that is more, the part of
+// the capacity that leaders never give out (see maxHeld). A report names
 // this leader's epoch: it was certainly sent after the election. If all have
 // reported, what they spent in the last seconds shows how much a bucket contains at least
 // (see bucket.estimate).
@@ -139,6 +144,9 @@
 		// RetryAfter is when the next token is due for the proxy; zero: the limit isn't
 		// used up.
 		RetryAfter time.Duration
+		// Uncertain is true if the limit may not be used up after all: the leader is new
+		// and doesn't know yet how full the bucket is.
+		Uncertain bool
 		// Generation changes whenever the bucket becomes full.
 		Generation uint64
 	}
@@ -158,6 +166,10 @@
 		unreported map[cluster.ProxyName]struct{}
 		// uptime is the shortest of those that have reported.
 		uptime time.Duration
+		// inherited are the replicated floors. floorsDue is true if NextFloors has to be
+		// called soon.
+		inherited Floors
+		floorsDue bool
 	}
 
 	memberKey struct {
@@ -200,8 +212,8 @@
 )
 
 // New returns the ledger of a leader that was just elected. The proxies may hold tokens
-// of earlier leaders.
-func New(settings Settings, epoch uint64, proxies []cluster.ProxyName, now time.Time) *Ledger {
+// of earlier leaders, and floors are those that were replicated.
+func New(settings Settings, epoch uint64, proxies []cluster.ProxyName, floors Floors, now time.Time) *Ledger {
 	if settings.Window <= 0 {
 		settings.Window = defaultWindow
 	}
@@ -213,6 +225,7 @@
 	for _, name := range proxies {
 		l.unreported[name] = struct{}{}
 	}
+	l.inherit(floors)
 	return l
 }
 
@@ -229,16 +242,12 @@
 			continue
 		}
 		listed[c.Name] = struct{}{}
-		b, known := l.buckets[c.Name]
-		if !known {
-			b = &bucket{filledAt: now}
-			l.buckets[c.Name] = b
-		}
-		b.refill(l.isRecovering(now), now)
-		b.setLimit(c.Limit, l.settings)
-		if !known && !now.Before(l.startedAt.Add(l.settings.ValidFor+l.settings.Margin)) {
-			b.level = b.capacity
+		if b, known := l.buckets[c.Name]; known {
+			b.refill(l.isRecovering(now), now)
+			b.setLimit(c.Limit, l.settings)
+			continue
 		}
+		l.buckets[c.Name] = l.newBucket(c, now)
 	}
 	for name, b := range l.buckets {
 		_, isListed := listed[name]
@@ -252,6 +261,21 @@
 	}
 }
 
+// newBucket returns the bucket of a customer that was added. It is full unless an earlier
+// leader may have served the customer.
+func (l *Ledger) newBucket(c *customer.Customer, now time.Time) *bucket {
+	b := &bucket{filledAt: now}
+	b.setLimit(c.Limit, l.settings)
+	if !now.Before(l.startedAt.Add(l.settings.ValidFor + l.settings.Margin)) {
+		b.level = b.capacity
+		return b
+	}
+	b.floor, b.nextDrop = l.inherited[c.Name], inheritedDrop
+	b.level = min(float64(b.floor), b.capacity)
+	b.knownAt = l.startedAt.Add(l.settings.Window)
+	return b
+}
+
 // isRecovering reports whether proxies may hold tokens that the ledger doesn't know of.
 func (l *Ledger) isRecovering(now time.Time) bool {
 	if len(l.unreported) > 0 && !now.Before(l.startedAt.Add(l.settings.ValidFor+l.settings.Margin)) {
@@ -308,6 +332,7 @@
 	}
 	b.refill(recovering, now)
 	a := b.exchange(h, reported, now)
+	l.floorsDue = l.floorsDue || b.isNearFloor()
 	if h.held+h.advance+h.asked == 0 {
 		b.remove(h, recovering, now)
 		delete(m.holdings, reported.Customer)
--- a/internal/fleet/allowance/allowance_test.go
+++ b/internal/fleet/allowance/allowance_test.go
@@ -21,7 +21,7 @@
 
 // newLedger returns a ledger with a full bucket of 30 tokens.
 func newLedger(proxies ...cluster.ProxyName) *Ledger {
-	l := New(testSettings, 7, proxies, start.Add(-time.Hour))
+	l := New(testSettings, 7, proxies, nil, start.Add(-time.Hour))
 	l.SetCustomers([]customer.Customer{{Name: acme, Limit: testLimit}, {Name: "unlimited"}}, start)
 	return l
 }
@@ -112,7 +112,7 @@
 // TestNewLeaderGivesOutWhatHasRefilled begins with proxies that hold an earlier leader's
 // tokens.
 func TestNewLeaderGivesOutWhatHasRefilled(t *testing.T) {
-	l := New(testSettings, 7, []cluster.ProxyName{"a", "b"}, start)
+	l := New(testSettings, 7, []cluster.ProxyName{"a", "b"}, nil, start)
 	l.SetCustomers([]customer.Customer{{Name: acme, Limit: testLimit}}, start)
 	if got := call(t, l, "a", 1, Holding{Held: 12, Waiting: 21}, 0); got.Held != 12 || got.RetryAfter == 0 {
 		t.Errorf("at the election: got %+v, want the 12 tokens that the proxy holds, and a time", got)
@@ -144,7 +144,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			l := New(testSettings, 7, []cluster.ProxyName{"a", "b"}, start)
+			l := New(testSettings, 7, []cluster.ProxyName{"a", "b"}, nil, start)
 			l.SetCustomers([]customer.Customer{{Name: acme, Limit: testLimit}}, start)
 			for i, proxy := range []cluster.ProxyName{"a", "b"} {
 				held := c.held * (1 - i)
@@ -201,7 +201,7 @@
 func BenchmarkExchange(b *testing.B) {
 	for _, proxies := range []int{69, 300, 3000} {
 		b.Run(fmt.Sprint("proxies-", proxies), func(b *testing.B) {
-			l := New(testSettings, 7, nil, start.Add(-time.Hour))
+			l := New(testSettings, 7, nil, nil, start.Add(-time.Hour))
 			customers, holdings := make([]customer.Customer, 80), make([]Holding, 30)
 			for i := range customers {
 				customers[i] = customer.Customer{Name: customer.Name(fmt.Sprintf("customer-%04d", i)), Limit: testLimit}
--- a/internal/fleet/allowance/bucket.go
+++ b/internal/fleet/allowance/bucket.go
@@ -18,6 +18,10 @@
 	filledAt      time.Time
 	held, carried int
 	holders       int
+	// floor is what level isn't reduced below; see Floors. nextDrop is by how many units
+	// it is lowered next.
+	floor    int
+	nextDrop int
 	// advance and asked are the sums over all holdings.
 	advance, asked int
 	// isFull is true if the bucket was full when it was last refilled, and nothing was
@@ -28,6 +32,9 @@
 	// leader, as in Holding.Recent, spent those since.
 	recent [RecentSteps]int
 	spent  int
+	// knownAt is when the level is known at the latest: a new leader knows only what the
+	// bucket contains at least, until it is full or a window is over.
+	knownAt time.Time
 	// nextDue is when the first token is due that no refused operation was told of.
 	nextDue time.Time
 	// removed is true if the configuration doesn't list the customer any more.
@@ -69,6 +76,9 @@
 		if !b.isFull {
 			b.generation++
 		}
+		if !recovering {
+			b.knownAt = time.Time{}
+		}
 	}
 	b.level, b.isFull = next, full
 }
@@ -141,8 +151,9 @@
 	short := max(0, asked-(held-min(kept, target)))
 	b.setAsked(h, short)
 	a := Allotment{Held: held, Target: target, Generation: b.generation}
-	if short > 0 {
+	if short > 0 && !b.isWithheld() {
 		a.RetryAfter = b.retryAfter(r.Waiting, now)
+		a.Uncertain = now.Before(b.knownAt)
 	}
 	return a
 }
@@ -175,7 +186,7 @@
 }
 
 // available returns the number of tokens that can be given out.
-func (b *bucket) available() int { return max(0, min(int(b.level), b.maxHeld()-b.held)) }
+func (b *bucket) available() int { return max(0, min(int(b.level)-b.floor, b.maxHeld()-b.held)) }
 
 // fairShare returns how many of the tokens that it lacks a proxy gets at once. If proxies
 // lack more than there is, they get it in proportion.
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -303,7 +303,7 @@
 		peerLog:      changelog.New[cluster.ProxyName](maxRemembered),
 		primaryLog:   changelog.New[cluster.GroupName](maxRemembered),
 		samples:      samples.New(),
-		limits:       c.newLimits(proxies, now),
+		limits:       c.newLimits(proxies, view.LimitFloors, now),
 		view:         view,
 		ended:        make(chan struct{}),
 	}
@@ -328,6 +328,7 @@
 	group.Go(func() error { return c.watchState(groupCtx, l) })
 	group.Go(func() error { return c.saveServers(groupCtx, l) })
 	group.Go(func() error { return c.writePrimaries(groupCtx, l) })
+	group.Go(func() error { return c.saveLimitFloors(groupCtx, l) })
 	group.Go(func() error { return c.scheduleGroups(groupCtx, l, group) })
 	if err := group.Wait(); err != nil && ctx.Err() == nil {
 		c.options.Logger.Error(err, "leadership ended with an error", "epoch", epoch)
--- a/internal/fleet/coordinator/limits.go
+++ b/internal/fleet/coordinator/limits.go
@@ -12,13 +12,19 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/burdockwood/burdockwood/internal/fleet/allowance"
+	"github.com/burdockwood/burdockwood/internal/fleet/state"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/model/customer"
+	"github.com/burdockwood/burdockwood/internal/model/pause"
 )
 
-// limitsClockMargin is by how much the clocks of two VMs may differ in the time for which
-// a proxy's tokens are valid: 2%, far more than clocks drift.
-const limitsClockMargin = 70 * time.Millisecond
+const (
+	// limitsClockMargin is by how much the clocks of two VMs may differ in the time for
+	// which a proxy's tokens are valid: 2%, far more than clocks drift.
+	limitsClockMargin = 70 * time.Millisecond
+	// floorsInterval is the interval in which floors of limits are raised.
+	floorsInterval = 500 * time.Millisecond
+)
 
 // ErrNoLease is returned for an exchange of a proxy without a lease. The replicated state
 // might not name the proxy, and the next leader wouldn't wait for its tokens.
@@ -30,6 +36,9 @@
 		ledger *allowance.Ledger
 		// customers are those that the ledger was given last.
 		customers *customer.Directory
+		// floorsDue receives a value when floors have to be lowered before more can be
+		// given out.
+		floorsDue chan struct{}
 	}
 
 	// Exchanged is the response to an allowance.Request.
@@ -48,8 +57,43 @@
 
 // newLimits returns the limits of a new leadership. Its epoch differs from those of
 // earlier leaderships of this node in the same consensus term.
-func (c *Coordinator) newLimits(proxies []cluster.ProxyName, now time.Time) *limits {
-	return &limits{ledger: allowance.New(c.options.Limits, uint64(rand.Uint32())|1, proxies, now)}
+func (c *Coordinator) newLimits(proxies []cluster.ProxyName, floors allowance.Floors, now time.Time) *limits {
+	return &limits{
+		ledger:    allowance.New(c.options.Limits, uint64(rand.Uint32())|1, proxies, floors, now),
+		floorsDue: make(chan struct{}, 1),
+	}
+}
+
+// saveLimitFloors replicates the floors of the limits until ctx ends: at intervals, and at
+// once when one has to be lowered.
+func (c *Coordinator) saveLimitFloors(ctx context.Context, l *leadership) error {
+	ticker := time.NewTicker(floorsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-l.limits.floorsDue:
+		case <-ticker.C:
+		}
+		c.mu.Lock()
+		floors := l.limits.ledger.NextFloors(c.options.Now())
+		c.mu.Unlock()
+		if floors == nil {
+			continue
+		}
+		if _, err := c.propose(ctx, state.Command{LimitFloors: floors}); err != nil {
+			if ctx.Err() == nil {
+				c.options.Logger.Info("saving how much is left of customers' limits failed; trying again", "error", err.Error())
+				pause.For(ctx, saveRetryDelay)
+			}
+			continue
+		}
+		c.mu.Lock()
+		l.limits.ledger.CommitFloors(floors)
+		c.mu.Unlock()
+		pause.For(ctx, entryInterval)
+	}
 }
 
 // Exchange records what a proxy holds of customers' limits and returns what it holds from
@@ -81,6 +125,12 @@
 		l.limits.ledger.SetCustomers(customers.All(), now)
 	}
 	allotments, err := l.limits.ledger.Exchange(r, now)
+	if l.limits.ledger.FloorsDue() {
+		select {
+		case l.limits.floorsDue <- struct{}{}:
+		default:
+		}
+	}
 	isResync := errors.Is(err, allowance.ErrResync)
 	if err != nil && !isResync {
 		return Exchanged{}, err
--- a/internal/fleet/protoconv/exchange.go
+++ b/internal/fleet/protoconv/exchange.go
@@ -52,7 +52,7 @@
 	pb := make([]*fleetpb.Allotment, len(list))
 	for i, a := range list {
 		pb[i] = &fleetpb.Allotment{
-			Held: uint32(a.Held), Target: uint32(a.Target), Generation: a.Generation,
+			Held: uint32(a.Held), Target: uint32(a.Target), Generation: a.Generation, Uncertain: a.Uncertain,
 			RetryAfterMs: uint32((a.RetryAfter + time.Millisecond - 1) / time.Millisecond),
 		}
 	}
@@ -64,7 +64,7 @@
 	list := make([]allowance.Allotment, len(pb))
 	for i, a := range pb {
 		list[i] = allowance.Allotment{
-			Held: int(a.GetHeld()), Target: int(a.GetTarget()), Generation: a.GetGeneration(),
+			Held: int(a.GetHeld()), Target: int(a.GetTarget()), Generation: a.GetGeneration(), Uncertain: a.GetUncertain(),
 			RetryAfter: time.Duration(a.GetRetryAfterMs()) * time.Millisecond,
 		}
 	}
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -29,6 +29,7 @@
 	"github.com/burdockwood/burdockwood/internal/control/consensus"
 	"github.com/burdockwood/burdockwood/internal/model/broadcast"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 )
 
 const (
@@ -117,6 +118,9 @@
 		// Departed are the servers that left; see ServerChanges. A late
 		// announcement of such a process doesn't register it again.
 		Departed map[cluster.ServerName]int64 `json:"departed,omitempty"`
+		// LimitFloors are lower bounds of what is left of customers' limits; see
+		// allowance.Floors. A customer that isn't listed has none.
+		LimitFloors map[customer.Name]int `json:"limit-floors,omitempty"`
 	}
 
 	// Command is a change of the state. Exactly one of its fields is set.
@@ -127,6 +131,8 @@
 		Servers       *ServerChanges      `json:"servers,omitempty"`
 		AddProxies    []cluster.ProxyName `json:"join,omitempty"`
 		RemoveProxies []cluster.ProxyName `json:"leave,omitempty"`
+		// LimitFloors replaces the floors of the customers that it lists; 0 removes one.
+		LimitFloors map[customer.Name]int `json:"limit-floors,omitempty"`
 	}
 
 	// PrimaryChange replaces the record of a group's primary by To if it is
@@ -233,6 +239,8 @@
 		return s.changeServers(*c.Servers)
 	case len(c.AddProxies) > 0:
 		return s.setProxies(c.AddProxies, true)
+	case len(c.LimitFloors) > 0:
+		return s.setLimitFloors(c.LimitFloors)
 	default:
 		return s.setProxies(c.RemoveProxies, false)
 	}
@@ -298,6 +306,16 @@
 	return changed
 }
 
+// setLimitFloors replaces the floors of some customers.
+func (s *State) setLimitFloors(floors map[customer.Name]int) bool {
+	next := make(map[customer.Name]int, len(s.LimitFloors)+len(floors))
+	maps.Copy(next, s.LimitFloors)
+	maps.Copy(next, floors)
+	maps.DeleteFunc(next, func(_ customer.Name, floor int) bool { return floor <= 0 })
+	s.LimitFloors = next
+	return true
+}
+
 // Snapshot returns the encoded state.
 func (m *Machine) Snapshot() ([]byte, error) {
 	encoded, err := json.Marshal(snapshot{Format: snapshotFormatVersion, State: m.current.Load()})
--- a/internal/traffic/quota/bound_test.go
+++ b/internal/traffic/quota/bound_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -34,6 +35,8 @@
 	calm kind = iota
 	changing
 	faulty
+	// powerless replays lose all proxies and control at once, twice.
+	powerless
 	kinds
 )
 
@@ -44,6 +47,8 @@
 	phaseFirstSecond
 	phaseLater
 	phaseFaulty
+	// phaseReturn begins 0.3 s after the election that follows a loss of power of all.
+	phaseReturn
 	phases
 )
 
@@ -58,10 +63,13 @@
 		now    time.Time
 		events map[time.Time][]func()
 		// leader is nil between two leaders.
-		leader  *allowance.Ledger
-		proxies []*replayProxy
-		traffic []*traffic
-		kind    kind
+		leader *allowance.Ledger
+		// floors are replicated; floorsDue is when the leader has them replicated next.
+		floors    allowance.Floors
+		floorsDue time.Time
+		proxies   []*replayProxy
+		traffic   []*traffic
+		kind      kind
 		// calls, and if measures is true the bytes of their requests and responses.
 		calls, bytes int
 		measures     bool
@@ -110,6 +118,8 @@
 		// below counts the operations that were below the limit, by phase, refused
 		// those of them that were refused.
 		below, refused [phases]int
+		// told counts those of them that were told that the limit is used up.
+		told int
 	}
 
 	timedLimit struct {
@@ -129,7 +139,7 @@
 
 // newCalmReplay returns a replay in which nothing happens to customers of the rates.
 func newCalmReplay(seed uint64, proxies int, rates []int) *replay {
-	r := &replay{random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), events: map[time.Time][]func(){}}
+	r := &replay{random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), events: map[time.Time][]func(){}, floors: allowance.Floors{}}
 	names := make([]cluster.ProxyName, proxies)
 	for i := range names {
 		names[i] = cluster.ProxyName(fmt.Sprintf("proxy-%d", i))
@@ -146,7 +156,7 @@
 	}
 	r.moveDemand()
 	// The ledger begins in the middle of a leader's time: with full buckets.
-	r.leader = allowance.New(replaySettings, 1, nil, r.now.Add(-time.Minute))
+	r.leader = allowance.New(replaySettings, 1, nil, nil, r.now.Add(-time.Minute))
 	r.setCustomers()
 	return r
 }
@@ -197,6 +207,8 @@
 		return phaseFaulty
 	case r.leader == nil:
 		return phaseNoLeader
+	case r.kind == powerless && since > 300*time.Millisecond && since < 2*time.Second:
+		return phaseReturn
 	case since < time.Second:
 		return phaseFirstSecond
 	case since < 5*time.Second:
@@ -226,9 +238,13 @@
 		return
 	}
 	for range 2 {
+		if r.kind == powerless {
+			r.at(some(), r.losePower)
+			continue
+		}
 		r.at(some(), r.changeLeader)
 	}
-	if r.kind == changing {
+	if r.kind != faulty {
 		return
 	}
 	for range 1 + r.random.IntN(4) {
@@ -265,12 +281,30 @@
 	p.downUntil = r.now.Add(time.Duration(200+r.random.IntN(800)) * time.Millisecond)
 }
 
-func (r *replay) changeLeader() {
+// losePower stops all proxies and control nodes, and starts them 1.5 s later.
+func (r *replay) losePower() {
 	if r.leader == nil {
 		return
 	}
+	back := 1500 * time.Millisecond
+	for _, p := range r.proxies {
+		r.startProxy(p)
+		p.downUntil = r.now.Add(back)
+		r.at(back, func() { r.startProxy(p) })
+	}
+	r.replaceLeader(back + time.Duration(200+r.random.IntN(500))*time.Millisecond)
+}
+
+func (r *replay) changeLeader() {
+	if r.leader != nil {
+		r.replaceLeader(time.Duration(300+r.random.IntN(1200)) * time.Millisecond)
+	}
+}
+
+// replaceLeader ends the leader, and elects one after a time.
+func (r *replay) replaceLeader(after time.Duration) {
 	r.leader, r.electedAt = nil, r.now
-	r.at(time.Duration(300+r.random.IntN(1200))*time.Millisecond, func() {
+	r.at(after, func() {
 		names := make([]cluster.ProxyName, len(r.proxies))
 		for i, p := range r.proxies {
 			names[i] = p.name
@@ -278,7 +312,7 @@
 			r.at(time.Duration(r.random.IntN(100))*time.Millisecond, func() { r.learnLeader(p, holder) })
 		}
 		r.electedAt = r.now
-		r.leader = allowance.New(replaySettings, r.random.Uint64()|1, names, r.now)
+		r.leader = allowance.New(replaySettings, r.random.Uint64()|1, names, r.floors, r.now)
 		r.setCustomers()
 	})
 }
@@ -302,6 +336,7 @@
 		for _, event := range events {
 			event()
 		}
+		r.replicateFloors()
 		for _, t := range r.traffic {
 			r.arrive(t)
 		}
@@ -312,6 +347,28 @@
 	}
 }
 
+// replicateFloors has the leader's floors replicated when they are due, which takes a step,
+// and in which the leader may be lost.
+func (r *replay) replicateFloors() {
+	leader := r.leader
+	if leader == nil || !leader.FloorsDue() && r.now.Before(r.floorsDue) {
+		return
+	}
+	r.floorsDue = r.now.Add(500 * time.Millisecond)
+	floors := leader.NextFloors(r.now)
+	isKept := r.random.IntN(2) == 0
+	r.at(step, func() {
+		if r.leader != leader && !isKept {
+			return
+		}
+		r.floors = maps.Clone(r.floors)
+		maps.Copy(r.floors, floors)
+		if r.leader == leader {
+			leader.CommitFloors(floors)
+		}
+	})
+}
+
 // arrive lets the operations of a step arrive.
 func (r *replay) arrive(t *traffic) {
 	mean := t.usual * step.Seconds()
@@ -367,6 +424,9 @@
 	t.below[r.phase()]++
 	if d.Verdict == quota.Refused {
 		t.refused[r.phase()]++
+		if d.OverLimit {
+			t.told++
+		}
 	}
 }
 
@@ -469,10 +529,11 @@
 }
 
 // TestNoWindowExceedsTheLimit replays 500 times the load that the package's documentation
-// names: a third of them without faults, a third with changes of leader, a third with cuts,
-// kills, and lost and late messages besides.
+// names: a quarter of them without faults, a quarter with changes of leader, a quarter with
+// cuts, kills, and lost and late messages besides, a quarter with losses of power of all.
 func TestNoWindowExceedsTheLimit(t *testing.T) {
 	var below, refused [4][phases]int
+	var told int
 	worst, names := math.Inf(-1), []string{"smallest", "small", "medium", "largest"}
 	for seed := range uint64(500) {
 		r := newReplay(seed, kind(seed%uint64(kinds)))
@@ -483,6 +544,9 @@
 			if got > 0.5 {
 				t.Errorf("seed %d, %s customer: got %.2f of what is allowed above the limit in a window, want at most 0.50", seed, names[i], got)
 			}
+			if r.kind == powerless {
+				told += c.told
+			}
 			for phase := range phases {
 				below[i][phase] += c.below[phase]
 				refused[i][phase] += c.refused[phase]
@@ -490,10 +554,11 @@
 		}
 	}
 	t.Logf("largest overshoot: %.3f of what is allowed above the limit", worst)
+	t.Logf("operations below the limit that were told otherwise on days with losses of power: %d", told)
 	for i, name := range names {
 		share := func(phase int) float64 { return 100 * float64(refused[i][phase]) / float64(max(1, below[i][phase])) }
-		t.Logf("%s customer, refused below its limit: %.4f%% of %d, without a leader %.1f%%, in its first second %.2f%%, to the fifth %.3f%%, with all faults %.1f%%",
-			name, share(phaseCalm), below[i][phaseCalm], share(phaseNoLeader), share(phaseFirstSecond), share(phaseLater), share(phaseFaulty))
+		t.Logf("%s customer, refused below its limit: %.4f%% of %d, without a leader %.1f%%, in its first second %.2f%%, to the fifth %.3f%%, with all faults %.1f%%, after a loss of power %.2f%% of %d",
+			name, share(phaseCalm), below[i][phaseCalm], share(phaseNoLeader), share(phaseFirstSecond), share(phaseLater), share(phaseFaulty), share(phaseReturn), below[i][phaseReturn])
 		if share(phaseCalm) > 0.1 {
 			t.Errorf("%s customer: got %.4f%% refused below its limit, want at most 0.1%%", name, share(phaseCalm))
 		}
--- a/internal/traffic/quota/quota.go
+++ b/internal/traffic/quota/quota.go
@@ -78,9 +78,10 @@
 		Token Token
 		// RetryAfter is set if the verdict is Refused.
 		RetryAfter time.Duration
-		// Asked is true if the leader has answered since the operation arrived, or has
-		// named a time that isn't over; a refusal is then the limit's.
-		Asked bool
+		// OverLimit is true if a refusal is the limit's: the leader has answered since the
+		// operation arrived, or has named a time that isn't over, and is certain. Otherwise
+		// control couldn't be asked in time, or is new and doesn't know.
+		OverLimit bool
 	}
 
 	// Token is what an operation spent. The zero Token is that of a customer without a
@@ -148,6 +149,8 @@
 		// operations refused since.
 		refusedUntil time.Time
 		refusals     int
+		// uncertain is Allotment.Uncertain of the last answer.
+		uncertain bool
 		// refused is the number of operations refused since startedAt; the last at
 		// lastRefusal. logged is true once the start was returned by Transitions.
 		refused                int
@@ -235,8 +238,8 @@
 	}
 	h.endWait(a)
 	d := a.refuse(c, now)
-	d.Asked = a.answeredAt.After(arrived)
-	if !d.Asked {
+	if !a.answeredAt.After(arrived) {
+		d.OverLimit = false
 		d.RetryAfter += defaultRetryAfter
 	}
 	return d
@@ -287,7 +290,7 @@
 	}
 	a.refused++
 	a.lastRefusal, a.limit = now, c.Limit
-	d := Decision{Verdict: Refused, Asked: true}
+	d := Decision{Verdict: Refused, OverLimit: !a.uncertain}
 	perToken := time.Second / time.Duration(max(1, c.Limit.Rate))
 	d.RetryAfter = max(perToken, a.refusedUntil.Sub(now)) + min(maxSpread, time.Duration(a.refusals)*perToken)
 	a.refusals++
@@ -467,7 +470,7 @@
 			a.generation = answer.Generation
 			a.changeEra()
 		}
-		a.answeredAt, a.refusedUntil, a.refusals = now, time.Time{}, 0
+		a.answeredAt, a.refusedUntil, a.refusals, a.uncertain = now, time.Time{}, 0, answer.Uncertain
 		if answer.RetryAfter > 0 {
 			a.refusedUntil = now.Add(answer.RetryAfter)
 		}
--- a/internal/traffic/quota/quota_test.go
+++ b/internal/traffic/quota/quota_test.go
@@ -73,11 +73,11 @@
 
 func TestWaitingOperation(t *testing.T) {
 	cases := []struct {
-		name      string
-		answer    *allowance.Allotment // nil: none yet
-		at        time.Duration
-		want      Verdict
-		wantAsked bool
+		name          string
+		answer        *allowance.Allotment // nil: none yet
+		at            time.Duration
+		want          Verdict
+		wantOverLimit bool
 	}{
 		{"no answer yet", nil, giveUp - 1, Wait, false},
 		{"no answer in time", nil, giveUp, Refused, false},
@@ -97,8 +97,8 @@
 				h.Apply([]allowance.Allotment{*c.answer}, validFor, start, start.Add(time.Millisecond))
 			}
 			got := h.Resume(acme, start, start.Add(giveUp), start.Add(c.at))
-			if got.Verdict != c.want || got.Asked != c.wantAsked {
-				t.Errorf("got %+v, want the verdict %v, asked %v", got, c.want, c.wantAsked)
+			if got.Verdict != c.want || got.OverLimit != c.wantOverLimit {
+				t.Errorf("got %+v, want the verdict %v, asked %v", got, c.want, c.wantOverLimit)
 			}
 		})
 	}
--- a/internal/traffic/session/limit.go
+++ b/internal/traffic/session/limit.go
@@ -108,7 +108,7 @@
 	counters.refusedLimit.Inc(1)
 	e.cause = causeLimit
 	reason := fmt.Sprintf("customer %q is over its limit of %d operations a second and bursts of %d", c.Name, c.Limit.Rate, c.Limit.Burst)
-	if !d.Asked {
+	if !d.OverLimit {
 		e.cause = causeLimitUnknown
 		reason = fmt.Sprintf("control didn't say in time whether customer %q is within its limit", c.Name)
 	}
