Limits: operations are held while no leader answers

Cause: an operation without a token gave up after an eighth of its target once an exchange had failed, or after half of it while one was on its way to a frozen leader, and its caller was told to come back after 0.5 to 2 s. On a proxy that is cut off, callers were sent away for as long, though their next try reaches another proxy. Change: quota.Holder.GiveUpAt decides how long an operation waits: as late work may wait (3/8 of its timeout) while the leader hasn't answered for less than an election takes, not at all on a proxy that no control node has answered for a second, a quarter of the usual time in between.

--- a/internal/traffic/controlclient/exchange.go
+++ b/internal/traffic/controlclient/exchange.go
@@ -169,7 +169,7 @@
 	sent := c.options.Now()
 	request := holder.Begin(sent)
 	if !target.IsValid() {
-		holder.Fail()
+		holder.Fail(sent)
 		c.exchanges.pace.Record(0, true, sent)
 		return errNoLeader
 	}
@@ -184,15 +184,16 @@
 	// A node that names the leader answers at once, and the leader is asked next.
 	c.exchanges.pace.Record(now.Sub(sent), !served && !c.exchanges.named.IsValid(), now)
 	if err != nil {
-		holder.Fail()
+		holder.Fail(now)
 		return err
 	}
 	if !served {
-		holder.Fail()
+		holder.Heard(now)
+		holder.Fail(now)
 		return errExchangeRejected
 	}
 	if response.GetResync() {
-		holder.Resync(response.GetEpoch())
+		holder.Resync(response.GetEpoch(), now)
 		return nil
 	}
 	validFor := time.Duration(response.GetValidMs()) * time.Millisecond
--- a/internal/traffic/quota/bound_test.go
+++ b/internal/traffic/quota/bound_test.go
@@ -23,8 +23,6 @@
 const (
 	step         = 5 * time.Millisecond
 	replayTime   = 16 * time.Second
-	usualWait    = 75 * time.Millisecond
-	wayDown      = 20 * time.Millisecond
 	callTimeout  = 300 * time.Millisecond
 	callInterval = 300 * time.Millisecond
 )
@@ -52,6 +50,9 @@
 	phases
 )
 
+// waits are those of an operation with a target of 150 ms and a timeout of 800 ms.
+var waits = quota.Waits{Usual: 75 * time.Millisecond, Hold: 300 * time.Millisecond}
+
 var replaySettings = allowance.Settings{
 	Window: 5 * time.Second, Overage: 0.1, Slack: 20, ValidFor: 3500 * time.Millisecond, Margin: 70 * time.Millisecond,
 }
@@ -323,7 +324,7 @@
 		return
 	}
 	if p.inFlight != 0 {
-		holder.Fail()
+		holder.Fail(r.now)
 	}
 	p.inFlight, p.announce, p.due = 0, true, r.now
 }
@@ -434,12 +435,9 @@
 func (r *replay) resume(p *replayProxy) {
 	list := p.waiting
 	p.waiting = nil
-	wait := usualWait
-	if p.holder.IsFailing() {
-		wait = wayDown
-	}
 	for _, w := range list {
-		r.decide(p, w, p.holder.Resume(&w.traffic.customer, w.arrived, w.arrived.Add(wait), r.now))
+		c := &w.traffic.customer
+		r.decide(p, w, p.holder.Resume(c, w.arrived, p.holder.GiveUpAt(c, waits, w.arrived, r.now), r.now))
 	}
 }
 
@@ -474,7 +472,7 @@
 			}
 			p.inFlight = 0
 			if err != nil {
-				holder.Resync(epoch)
+				holder.Resync(epoch, r.now)
 				p.announce, p.due = true, r.now
 				return
 			}
@@ -486,7 +484,7 @@
 	r.at(callTimeout, func() {
 		if p.holder == holder && p.inFlight == call {
 			p.inFlight = 0
-			holder.Fail()
+			holder.Fail(r.now)
 			p.due = r.now.Add(time.Duration(25+r.random.IntN(25)) * time.Millisecond)
 		}
 	})
--- a/internal/traffic/quota/quota.go
+++ b/internal/traffic/quota/quota.go
@@ -6,13 +6,14 @@
 //
 //	d := h.Take(c, now)
 //	for d.Verdict == quota.Wait {
-//		... // until h.Changed() is closed or the operation's time is over
+//		giveUpAt := h.GiveUpAt(c, waits, arrived, now)
+//		... // until h.Changed() is closed or giveUpAt
 //		d = h.Resume(c, arrived, giveUpAt, now)
 //	}
 //	h.Return(d.Token, now) // if the operation reached no server
 //
 //	request := h.Begin(now) // by the loop that exchanges
-//	h.Apply(allotments, validFor, sentAt, now) // or h.Fail(), or h.Resync(epoch)
+//	h.Apply(allotments, validFor, sentAt, now) // or h.Fail(now), or h.Resync(epoch, now)
 //
 // # Load pattern
 //
@@ -56,9 +57,6 @@
 	listInterval = time.Second
 	// missedTime bounds the missed operations that are reported to those of this time.
 	missedTime = 100 * time.Millisecond
-	// defaultRetryAfter is added to the advice to callers while control doesn't answer: the
-	// time of an election.
-	defaultRetryAfter = 500 * time.Millisecond
 	// maxSpread bounds by how much the advice to callers is spread.
 	maxSpread = time.Second
 	// calmTime is the time without a refusal after which a customer counts as within its
@@ -110,8 +108,12 @@
 		// validUntil is when all tokens expire.
 		validUntil time.Time
 		answeredAt time.Time
-		failing    bool
-		accounts   map[customer.Name]*account
+		// failing is true if the last exchange failed, failingSince when the first one of
+		// a row did. heardAt is when any control node answered last.
+		failing      bool
+		failingSince time.Time
+		heardAt      time.Time
+		accounts     map[customer.Name]*account
 		// waiting is the number of operations that wait.
 		waiting int
 		changed broadcast.Signal
@@ -220,7 +222,8 @@
 	return Decision{Verdict: Wait}
 }
 
-// Resume decides again on an operation that waits. It waits no longer than until giveUpAt.
+// Resume decides again on an operation that waits. It waits no longer than until giveUpAt,
+// as GiveUpAt returned it.
 func (h *Holder) Resume(c *customer.Customer, arrived, giveUpAt, now time.Time) Decision {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -240,7 +243,7 @@
 	d := a.refuse(c, now)
 	if !a.answeredAt.After(arrived) {
 		d.OverLimit = false
-		d.RetryAfter += defaultRetryAfter
+		d.RetryAfter = h.unansweredRetryAfter(d.RetryAfter, a.refusals-1, now)
 	}
 	return d
 }
@@ -362,13 +365,6 @@
 	return idle
 }
 
-// IsFailing reports whether the last exchange failed.
-func (h *Holder) IsFailing() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.failing
-}
-
 // Age returns the time since control answered last.
 func (h *Holder) Age(now time.Time) time.Duration {
 	h.mu.Lock()
@@ -435,13 +431,13 @@
 
 // Resync records that the leader of the epoch doesn't know what the proxy holds. The next
 // request lists it all.
-func (h *Holder) Resync(epoch uint64) {
+func (h *Holder) Resync(epoch uint64, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, a := range h.accounts {
 		a.changeEra()
 	}
-	h.epoch, h.hasToReport, h.inFlight, h.failing = epoch, true, nil, false
+	h.epoch, h.hasToReport, h.inFlight, h.failing, h.heardAt = epoch, true, nil, false, now
 	h.requestExchange()
 }
 
@@ -458,7 +454,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if len(allotments) != len(h.inFlight) {
-		h.fail()
+		h.fail(now)
 		return
 	}
 	h.hasToReport = false
@@ -475,7 +471,7 @@
 			a.refusedUntil = now.Add(answer.RetryAfter)
 		}
 	}
-	h.inFlight, h.failing, h.answeredAt = nil, false, now
+	h.inFlight, h.failing, h.answeredAt, h.heardAt = nil, false, now, now
 	if until := sentAt.Add(validFor); until.After(h.validUntil) {
 		h.validUntil = until
 	}
@@ -490,13 +486,16 @@
 
 // Fail records that the last request wasn't answered. What it offered may have been taken
 // back.
-func (h *Holder) Fail() {
+func (h *Holder) Fail(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.fail()
+	h.fail(now)
 }
 
-func (h *Holder) fail() {
+func (h *Holder) fail(now time.Time) {
+	if !h.failing {
+		h.failingSince = now
+	}
 	h.inFlight, h.failing = nil, true
 	h.changed.Notify()
 }
--- a/internal/traffic/quota/quota_test.go
+++ b/internal/traffic/quota/quota_test.go
@@ -114,7 +114,7 @@
 		t.Errorf("got %+v, want 5 tokens, 3 of them offered, 1 spent", got)
 	}
 	h.Return(second.Token, start)
-	h.Fail() // the offered tokens may be gone
+	h.Fail(start) // the offered tokens may be gone
 	got = h.Begin(start).Holdings[0]
 	if got.Held != 2 || got.Offered != 0 || got.Spent != 1 || got.Returned != 1 || got.Generation != 3 {
 		t.Errorf("after a lost response: got %+v, want 2 tokens, 1 spent, 1 returned", got)
--- a/internal/traffic/session/limit.go
+++ b/internal/traffic/session/limit.go
@@ -18,8 +18,8 @@
 
 const (
 	// limitWaitDivisor divides a route's latency target to bound how long an operation
-	// waits for a token; downWaitDivisor does while control doesn't answer.
-	limitWaitDivisor, downWaitDivisor = 2, 8
+	// waits for a token.
+	limitWaitDivisor = 2
 	// maxLimitWait bounds that wait on routes with a long target.
 	maxLimitWait = 300 * time.Millisecond
 )
@@ -116,16 +116,14 @@
 	return &refusal
 }
 
-// awaitToken waits for a token, for a part of the route's latency target.
+// awaitToken waits for a token: for a part of the route's latency target or, while the leader
+// doesn't answer, for as long as late work may wait.
 func (e *execution) awaitToken(holder *quota.Holder, c *customer.Customer, arrived time.Time) quota.Decision {
 	now := e.session.manager.options.Now
+	waits := quota.Waits{Usual: min(e.route.LatencyTarget/limitWaitDivisor, maxLimitWait), Hold: e.holdTime()}
 	for {
 		changed := holder.Changed()
-		wait := min(e.route.LatencyTarget/limitWaitDivisor, maxLimitWait)
-		if holder.IsFailing() {
-			wait = min(e.route.LatencyTarget/downWaitDivisor, maxLimitWait)
-		}
-		giveUpAt := arrived.Add(wait)
+		giveUpAt := holder.GiveUpAt(c, waits, arrived, now())
 		if e.callerContext.Err() != nil {
 			giveUpAt = arrived
 		}
