Causes: a caller that closed its connection is caller-gone

Change: backend.ErrCallerClosed, which says as much of the request as ErrConnectionLost and is logged as caller-gone.

--- a/internal/traffic/backend/backend.go
+++ b/internal/traffic/backend/backend.go
@@ -38,9 +38,14 @@
 	ErrConnectionLost = eris.New("the connection to the backend server broke")
 	// ErrNotSent is returned if the connection is lost before anything was sent.
 	ErrNotSent = eris.New("the connection to the backend server was closed before the request was sent")
+	// ErrCallerClosed is returned if the caller closed its connection before the answer;
+	// what was sent may have run. It is an ErrConnectionLost.
+	ErrCallerClosed error = callerClosed{}
 )
 
 type (
+	callerClosed struct{}
+
 	// Conn is one connection to a server. It isn't safe for concurrent use.
 	Conn interface {
 		// Do sends a request and returns the server's answer. After an error
@@ -65,3 +70,9 @@
 	// ErrConnectionLimit, ErrConnectionLost.
 	Dial func(server registry.Server, on customer.Name, timeout time.Duration) (Conn, error)
 )
+
+// Error returns the error's text.
+func (callerClosed) Error() string { return "the caller closed its connection before the answer" }
+
+// Is reports whether what is known of a request is the same as after another error.
+func (callerClosed) Is(target error) bool { return target == ErrConnectionLost }
--- a/internal/traffic/forward/owners.go
+++ b/internal/traffic/forward/owners.go
@@ -227,7 +227,7 @@
 	response, err := client.Execute(ctx, c.newRequest(request, remaining))
 	if err != nil && request.CallerContext != nil && request.CallerContext.Err() != nil {
 		c.handle = 0
-		return statement.Answer{}, false, eris.Wrap(backend.ErrConnectionLost, "the caller closed its connection")
+		return statement.Answer{}, false, backend.ErrCallerClosed
 	}
 	if err != nil {
 		err = c.callError(err)
--- a/internal/traffic/session/cause.go
+++ b/internal/traffic/session/cause.go
@@ -56,6 +56,7 @@
 	{keyright.ErrUnknownKey, causeUnknownKey},
 	{upstream.ErrAcquireTimeout, causeNoConnection},
 	{upstream.ErrCallerGone, causeCallerGone},
+	{backend.ErrCallerClosed, causeCallerGone},
 	{backend.ErrConnectionLimit, causeNoConnection},
 	{backend.ErrTimeout, causeSilent},
 }
