--- a/internal/fleet/fleetrpc/document.go
+++ b/internal/fleet/fleetrpc/document.go
@@ -1,13 +1,12 @@
 package fleetrpc
 
 import (
-	"bytes"
-	"compress/gzip"
 	"slices"
 	"sync"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/burdockwood/burdockwood/internal/fleet/packing"
 	"github.com/burdockwood/burdockwood/internal/fleet/patch"
 	"github.com/burdockwood/burdockwood/internal/fleet/state"
 )
@@ -46,7 +45,7 @@
 		return encoded, held, err
 	}
 	if e.compressed == nil {
-		e.compressed, err = compress(e.newest.Body)
+		e.compressed, err = packing.Pack(e.newest.Body)
 	}
 	return e.compressed, 0, err
 }
@@ -89,16 +88,3 @@
 	e.patches[version] = encoded
 	return encoded, nil
 }
-
-// compress returns the gzip-compressed body of a document.
-func compress(body []byte) ([]byte, error) {
-	var buffer bytes.Buffer
-	w := gzip.NewWriter(&buffer)
-	if _, err := w.Write(body); err != nil {
-		return nil, eris.Wrap(err, "compress a document")
-	}
-	if err := w.Close(); err != nil {
-		return nil, eris.Wrap(err, "compress a document")
-	}
-	return buffer.Bytes(), nil
-}
--- a/internal/fleet/fleetrpc/fleetrpc.go
+++ b/internal/fleet/fleetrpc/fleetrpc.go
@@ -39,6 +39,7 @@
 
 	"github.com/burdockwood/burdockwood/internal/fleet/coordinator"
 	"github.com/burdockwood/burdockwood/internal/fleet/leases"
+	"github.com/burdockwood/burdockwood/internal/fleet/packing"
 	"github.com/burdockwood/burdockwood/internal/fleet/protoconv"
 	"github.com/burdockwood/burdockwood/internal/fleet/state"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
@@ -257,11 +258,18 @@
 
 // Document returns the newest configuration document, confirmed by a quorum; see
 // fleetpb.Fleet.
-func (s *Service) Document(ctx context.Context, _ *fleetpb.DocumentRequest) (*fleetpb.DocumentResponse, error) {
+func (s *Service) Document(ctx context.Context, request *fleetpb.DocumentRequest) (*fleetpb.DocumentResponse, error) {
 	d, err := s.options.Coordinator.Document(ctx)
 	if err != nil {
 		return nil, unavailableError(err)
 	}
+	if request.GetAcceptsPacked() {
+		packed, err := packing.Pack(d.Body)
+		if err != nil {
+			return nil, twirp.InternalErrorWith(err)
+		}
+		return &fleetpb.DocumentResponse{Version: d.Version, Packed: packed}, nil
+	}
 	return &fleetpb.DocumentResponse{Version: d.Version, Document: d.Body}, nil
 }
 
@@ -297,9 +305,13 @@
 // with a quorum, after the call began, that it still leads. Errors: ErrNoLeader.
 func (s *Service) NewestDocument(ctx context.Context) (state.Document, error) {
 	response, err := callLeader(ctx, s, func(ctx context.Context, f fleetpb.Fleet) (*fleetpb.DocumentResponse, error) {
-		return f.Document(ctx, &fleetpb.DocumentRequest{})
+		return f.Document(ctx, &fleetpb.DocumentRequest{AcceptsPacked: true})
 	})
-	return state.Document{Version: response.GetVersion(), Body: response.GetDocument()}, err
+	d := state.Document{Version: response.GetVersion(), Body: response.GetDocument()}
+	if err == nil && len(response.GetPacked()) > 0 {
+		d.Body, err = packing.Unpack(response.GetPacked())
+	}
+	return d, err
 }
 
 // callLeader calls the leader and retries after an error until ctx ends. The call
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -44,7 +44,13 @@
 	Promoting
 )
 
-const snapshotFormatVersion = 1
+const (
+	// snapshotFormatVersion is the format of the snapshots that are written;
+	// unpackedFormatVersion is that of releases that don't pack documents, which is read,
+	// too.
+	snapshotFormatVersion = 2
+	unpackedFormatVersion = 1
+)
 
 // ErrSnapshot is returned for a snapshot that can't be decoded.
 var ErrSnapshot = eris.New("the snapshot of the replicated state can't be decoded")
@@ -53,13 +59,6 @@
 	// Phase is the progress of a change of primary.
 	Phase uint8
 
-	// Document is the operators' configuration as they submitted it.
-	Document struct {
-		// Version is 0 if no document has been stored yet.
-		Version uint64 `json:"version"`
-		Body    []byte `json:"body"`
-	}
-
 	// GroupPrimary is a group's primary and its term, or the pending change of
 	// primary.
 	GroupPrimary struct {
@@ -328,8 +327,8 @@
 	if err := json.Unmarshal(encoded, &decoded); err != nil {
 		return eris.Wrapf(ErrSnapshot, "%v", err)
 	}
-	if decoded.Format != snapshotFormatVersion || decoded.State == nil {
-		return eris.Wrapf(ErrSnapshot, "format %d, this release reads %d", decoded.Format, snapshotFormatVersion)
+	if decoded.Format != snapshotFormatVersion && decoded.Format != unpackedFormatVersion || decoded.State == nil {
+		return eris.Wrapf(ErrSnapshot, "format %d, this release reads %d and %d", decoded.Format, unpackedFormatVersion, snapshotFormatVersion)
 	}
 	m.publish(decoded.State)
 	return nil
--- a/internal/fleet/state/state_test.go
+++ b/internal/fleet/state/state_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/model/customer"
 )
 
 func apply(t *testing.T, m *Machine, c Command) Result {
@@ -67,6 +68,8 @@
 	apply(t, m, Command{RemoveProxies: []cluster.ProxyName{"b"}})
 	apply(t, m, Command{Servers: &ServerChanges{Put: map[cluster.ServerName]Server{"p": {Group: "g", Slots: 2}, "q": {Group: "g"}}}})
 	apply(t, m, Command{Servers: &ServerChanges{Drop: []cluster.ServerName{"q"}}})
+	apply(t, m, Command{LimitFloors: map[customer.Name]int{"kept": 7, "removed": 5}})
+	apply(t, m, Command{LimitFloors: map[customer.Name]int{"removed": 0}})
 	encoded, err := m.Snapshot()
 	if err != nil {
 		t.Fatal(err)
@@ -88,6 +91,9 @@
 	if got := restored.View().Servers["p"].Slots; got != 2 {
 		t.Errorf("got %d slots, want 2", got)
 	}
+	if got := restored.View().LimitFloors; len(got) != 1 || got["kept"] != 7 {
+		t.Errorf("got the floors %v, want the kept one", got)
+	}
 }
 
 func TestMalformedInput(t *testing.T) {
--- a/internal/traffic/controlclient/fetch.go
+++ b/internal/traffic/controlclient/fetch.go
@@ -1,15 +1,11 @@
 package controlclient
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
-	"io"
 	"net/netip"
 	"time"
 
-	"github.com/rotisserie/eris"
-
+	"github.com/burdockwood/burdockwood/internal/fleet/packing"
 	"github.com/burdockwood/burdockwood/internal/fleet/patch"
 	"github.com/burdockwood/burdockwood/internal/model/pause"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
@@ -27,9 +23,6 @@
 	fetchTimePerByte = time.Microsecond
 	// fetchRetryDelay is the delay before the next control node is tried.
 	fetchRetryDelay = 50 * time.Millisecond
-	// maxDocumentBytes bounds a decompressed configuration document: several
-	// times the size that operators may submit.
-	maxDocumentBytes = 16 << 20
 )
 
 // requestConfig requests that a version of the configuration be fetched if it is
@@ -133,21 +126,11 @@
 // fetched next.
 func (c *Client) decodeDocument(response *fleetpb.FetchResponse) ([]byte, error) {
 	if response.GetFromVersion() == 0 {
-		return decompress(response.GetDocument())
+		return packing.Unpack(response.GetDocument())
 	}
-	body, err := patch.Decode(c.heldDocument, response.GetDocument(), maxDocumentBytes)
+	body, err := patch.Decode(c.heldDocument, response.GetDocument(), packing.MaxBytes)
 	if err != nil {
 		c.heldVersion, c.heldDocument = 0, nil
 	}
 	return body, err
 }
-
-// decompress returns the first maxDocumentBytes of a gzip-compressed document.
-func decompress(compressed []byte) ([]byte, error) {
-	r, err := gzip.NewReader(bytes.NewReader(compressed))
-	if err != nil {
-		return nil, eris.Wrap(err, "decompress the configuration document")
-	}
-	body, err := io.ReadAll(io.LimitReader(r, maxDocumentBytes))
-	return body, eris.Wrap(err, "decompress the configuration document")
-}
