--- a/internal/traffic/admission/queue.go
+++ b/internal/traffic/admission/queue.go
@@ -63,13 +63,11 @@
 		// scheduled are the items that schedule works on.
 		scheduled []planned
 		// pace is the moving average of the time between two items that left the
-		// queue while others waited; zero: not measured since it was empty. isMoving is
-		// true once one has left since then.
-		pace     time.Duration
-		isMoving bool
+		// queue while others waited; zero: not measured since it was empty.
+		pace time.Duration
 		// lastPop is when the last item left, or when the first one was added to
-		// the empty queue. lastLatePop is since when no item has left that couldn't be
-		// in time any more, although others did.
+		// the empty queue. lastLatePop is the same for items that couldn't be in
+		// time any more.
 		lastPop, lastLatePop time.Time
 		// meanService is the moving average of Item.Service of the items that
 		// left.
@@ -123,7 +121,7 @@
 // Add adds an item.
 func (q *Queue[T]) Add(item Item[T], now time.Time) {
 	if len(q.items) == 0 {
-		q.pace, q.isMoving, q.lastPop, q.lastLatePop = 0, false, now, now
+		q.pace, q.lastPop, q.lastLatePop = 0, now, now
 		q.shares.forgetIdle()
 	}
 	q.insert(q.newQueued(item))
@@ -178,15 +176,12 @@
 // take removes the item at an index and returns its value.
 func (q *Queue[T]) take(first int, now time.Time) T {
 	item := q.items[first]
-	if !item.inTime || !q.isMoving {
+	if !item.inTime {
 		q.lastLatePop = now
 	}
 	q.items = slices.Delete(q.items, first, first+1)
 	q.shares.remove(item.account, item.work)
-	if q.isMoving {
-		q.pace = WeightedAverage(q.pace, now.Sub(q.lastPop), paceWeight)
-	}
-	q.isMoving = true
+	q.pace = WeightedAverage(q.pace, now.Sub(q.lastPop), paceWeight)
 	if item.Service > 0 {
 		q.meanService = WeightedAverage(q.meanService, item.Service, paceWeight)
 	}
@@ -227,12 +222,11 @@
 	if inTime || item.HoldUntil.IsZero() {
 		return d
 	}
-	if q.lastPop.After(q.lastLatePop) {
+	if len(q.items) > 0 {
 		// While work that can be in time keeps the server busy, late work
 		// doesn't run.
 		d.Expected = max(d.Expected, time.Duration(lateAhead+1)*now.Sub(q.lastLatePop))
 	}
-	d.Expected += q.untilFirst(interval, now)
 	if now.Add(d.Expected).After(item.HoldUntil) {
 		d.Wait = false
 		d.RetryAfter = min(max(time.Duration(len(q.items)+1)*interval, minRetryAfter), maxRetryAfter)
@@ -257,25 +251,14 @@
 	return d, lateAhead
 }
 
-// untilFirst returns for how much longer than an interval the first item is expected to wait
-// if none has left since the queue was empty: half as long again as it has waited. A
-// connection that all owners open at once after a restart takes many times as long as a
-// statement on it, so that this time is no measure of those that follow.
-func (q *Queue[T]) untilFirst(interval time.Duration, now time.Time) time.Duration {
-	if len(q.items) == 0 || q.isMoving {
-		return 0
-	}
-	return max(0, now.Sub(q.lastPop)-interval) / 2
-}
-
 // interval returns the time to expect between two items that leave the queue. If none
-// has left for longer than usual since one did, it is that time.
+// has left for longer than usual, it is that time.
 func (q *Queue[T]) interval(pace Pace, now time.Time) time.Duration {
 	interval := pace.Interval
 	if q.pace > 0 {
 		interval = q.pace
 	}
-	if len(q.items) > 0 && q.isMoving {
+	if len(q.items) > 0 {
 		interval = max(interval, now.Sub(q.lastPop))
 	}
 	return interval
