Limits: a floor binds a customer that is added again; unknown isn't over the limit

Cause: a customer that was removed and added again before its floor was removed from the replicated state got a bucket without a floor, so that the next leader could begin with tokens that had been given out. And a customer that the leader doesn't know yet was told that it was over its limit. Change: each new bucket has the floor that is, or may be, replicated (Ledger.floors); an unknown customer's refusal is uncertain.

--- a/internal/fleet/allowance/allowance.go
+++ b/internal/fleet/allowance/allowance.go
@@ -47,6 +47,7 @@
 
 import (
 	"container/list"
+	"maps"
 	"math"
 	"time"
 
@@ -166,9 +167,9 @@
 		unreported map[cluster.ProxyName]struct{}
 		// uptime is the shortest of those that have reported.
 		uptime time.Duration
-		// inherited are the replicated floors. floorsDue is true if NextFloors has to be
-		// called soon.
-		inherited Floors
+		// floors are the replicated floors, or higher ones that may have been. floorsDue is
+		// true if NextFloors has to be called soon.
+		floors    Floors
 		floorsDue bool
 	}
 
@@ -220,12 +221,12 @@
 	l := &Ledger{
 		settings: settings, epoch: epoch, startedAt: now, buckets: map[customer.Name]*bucket{},
 		members: map[memberKey]*member{}, order: list.New(), unreported: map[cluster.ProxyName]struct{}{},
-		uptime: RecentSteps * RecentStep,
+		uptime: RecentSteps * RecentStep, floors: Floors{},
 	}
 	for _, name := range proxies {
 		l.unreported[name] = struct{}{}
 	}
-	l.inherit(floors)
+	maps.Copy(l.floors, floors)
 	return l
 }
 
@@ -264,13 +265,12 @@
 // newBucket returns the bucket of a customer that was added. It is full unless an earlier
 // leader may have served the customer.
 func (l *Ledger) newBucket(c *customer.Customer, now time.Time) *bucket {
-	b := &bucket{filledAt: now}
+	b := &bucket{filledAt: now, floor: l.floors[c.Name], nextDrop: inheritedDrop}
 	b.setLimit(c.Limit, l.settings)
 	if !now.Before(l.startedAt.Add(l.settings.ValidFor + l.settings.Margin)) {
 		b.level = b.capacity
 		return b
 	}
-	b.floor, b.nextDrop = l.inherited[c.Name], inheritedDrop
 	b.level = min(float64(b.floor), b.capacity)
 	b.knownAt = l.startedAt.Add(l.settings.Window)
 	return b
@@ -320,7 +320,7 @@
 			delete(m.holdings, reported.Customer)
 		}
 		// The proxy keeps what it doesn't offer until that expires.
-		return Allotment{Held: reported.Held - min(reported.Offered, reported.Held), RetryAfter: unknownRetryAfter}
+		return Allotment{Held: reported.Held - min(reported.Offered, reported.Held), RetryAfter: unknownRetryAfter, Uncertain: true}
 	}
 	if h == nil {
 		h = &holding{bucket: b, rounding: m.rounding, held: reported.Held, carried: reported.Held, spent: reported.Spent}
--- a/internal/fleet/allowance/floor.go
+++ b/internal/fleet/allowance/floor.go
@@ -3,7 +3,6 @@
 // This file holds what of the ledger survives its leader.
 
 import (
-	"maps"
 	"time"
 
 	"github.com/burdockwood/burdockwood/internal/model/customer"
@@ -35,13 +34,14 @@
 	for name, b := range l.buckets {
 		b.refill(l.isRecovering(now), now)
 		next := b.nextFloor()
-		if next == b.floor && next == l.inherited[name] {
+		if next == b.floor {
 			continue
 		}
 		changes[name] = next
 		b.floor = max(b.floor, next)
+		l.floors[name] = b.floor
 	}
-	for name := range l.inherited {
+	for name := range l.floors {
 		if _, isKnown := l.buckets[name]; !isKnown && len(l.buckets) > 0 {
 			changes[name] = 0
 		}
@@ -56,9 +56,9 @@
 // CommitFloors records that floors were replicated.
 func (l *Ledger) CommitFloors(committed Floors) {
 	for name, floor := range committed {
-		l.inherited[name] = floor
+		l.floors[name] = floor
 		if floor == 0 {
-			delete(l.inherited, name)
+			delete(l.floors, name)
 		}
 		if b := l.buckets[name]; b != nil {
 			b.floor = floor
@@ -69,14 +69,6 @@
 // FloorsDue reports whether a bucket can soon give out nothing before its floor is lowered.
 func (l *Ledger) FloorsDue() bool { return l.floorsDue }
 
-// inherit sets the floors that an earlier leader replicated.
-func (l *Ledger) inherit(floors Floors) {
-	l.inherited = maps.Clone(floors)
-	if l.inherited == nil {
-		l.inherited = Floors{}
-	}
-}
-
 // floorUnit returns the unit in which the floor is moved.
 func (b *bucket) floorUnit() float64 { return max(1, b.capacity/floorUnits) }
 
--- a/internal/fleet/allowance/floor_test.go
+++ b/internal/fleet/allowance/floor_test.go
@@ -29,7 +29,7 @@
 			for _, waiting := range c.waiting {
 				take(t, l, &sequence, &held, waiting)
 			}
-			floors := l.inherited
+			floors := l.floors
 			if got := floors[acme]; got != c.wantFloor {
 				t.Errorf("floor: got %d, want %d", got, c.wantFloor)
 			}
@@ -103,6 +103,26 @@
 	}
 }
 
+// TestFloorOfACustomerThatIsAddedAgain removes a customer and adds it again before its floor
+// is removed: what is replicated still binds.
+func TestFloorOfACustomerThatIsAddedAgain(t *testing.T) {
+	l := newLedger()
+	floor := replicate(l)[acme]
+	l.SetCustomers(nil, start)
+	l.SetCustomers([]customer.Customer{{Name: acme, Limit: testLimit}}, start)
+	if got := call(t, l, "a", 1, Holding{Waiting: 9}, 0); got.Held > 30-floor {
+		t.Errorf("got %d tokens, want at most the %d above the floor", got.Held, 30-floor)
+	}
+}
+
+// TestUnknownCustomerIsNotOverItsLimit asks for a customer of a newer configuration.
+func TestUnknownCustomerIsNotOverItsLimit(t *testing.T) {
+	l := newLedger()
+	if got := call(t, l, "a", 1, Holding{Customer: "new", Waiting: 1}, 0); got.RetryAfter == 0 || !got.Uncertain {
+		t.Errorf("got %+v, want a time and no certainty", got)
+	}
+}
+
 // TestNewLeaderBecomesCertain refuses at a new leader, and again when it knows the bucket.
 func TestNewLeaderBecomesCertain(t *testing.T) {
 	l := New(testSettings, 7, nil, Floors{acme: 3}, start)
