--- a/internal/traffic/quota/quota_test.go
+++ b/internal/traffic/quota/quota_test.go
@@ -98,7 +98,7 @@
 			}
 			got := h.Resume(acme, start, start.Add(giveUp), start.Add(c.at))
 			if got.Verdict != c.want || got.OverLimit != c.wantOverLimit {
-				t.Errorf("got %+v, want the verdict %v, asked %v", got, c.want, c.wantOverLimit)
+				t.Errorf("got %+v, want the verdict %v, over its limit %v", got, c.want, c.wantOverLimit)
 			}
 		})
 	}
