Scripts: a repeated statement that ran already is judged by what its tries were told

After an unknown outcome the violation only says that the statement ran. After "not run" it is a broken promise, which the script didn't tell from the other. Change: a row or table that is there already ends the tries: with success if the outcome of one is unknown, else as a broken promise; whatever fails, the errors of all tries are shown.

--- a/internal/scenario/script/sql_test.go
+++ b/internal/scenario/script/sql_test.go
@@ -10,7 +10,9 @@
 	"os"
 	"os/exec"
 	"regexp"
+	"slices"
 	"strings"
+	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -22,7 +24,24 @@
 	retryPause       = 20 * time.Millisecond
 )
 
+// The SQLSTATEs that judge knows.
+const (
+	uniqueViolation = "23505"
+	duplicateTable  = "42P07"
+	notCommitted    = "08006"
+)
+
+// errBrokenPromise is returned if a statement ran that was answered with "not run".
+var errBrokenPromise = errors.New("it ran though all tries before were answered with \"not run\"")
+
 type (
+	// tries are those of one statement: the distinct errors, and whether the outcome of
+	// any is unknown.
+	tries struct {
+		errors  []string
+		unknown bool
+	}
+
 	// sqlOptions are the flags of the script command sql.
 	sqlOptions struct {
 		database  string
@@ -51,14 +70,48 @@
 func executeSQL(ts *testscript.TestScript, neg bool, args []string) {
 	options := parseSQL(ts, args)
 	expected := expectation{want: options.want, within: options.within}
+	var t tries
 	err := expected.retryUntilMatch(func() (string, error) {
 		output, err := runSQL(ts, options)
 		writeResult(ts, "sql", output, err)
+		if neg {
+			return output, err
+		}
+		err = t.judge(err)
+		if errors.Is(err, errBrokenPromise) {
+			ts.Fatalf("sql %s %q: %v, after: %s", options.address, options.statement, err, t.errors)
+		}
 		return output, err
 	}, neg)
 	if err != nil {
-		ts.Fatalf("sql %s %q: %v", options.address, options.statement, err)
+		ts.Fatalf("sql %s %q: %v, after: %s", options.address, options.statement, err, t.errors)
+	}
+}
+
+// judge returns what the error of a try means, given those of the tries before. That a row or
+// table is there already means that an earlier try ran: that is a success if the outcome of
+// one is unknown, and else a broken promise, because all others were answered with "not run".
+func (t *tries) judge(err error) error {
+	if err == nil {
+		return nil
 	}
+	var pgErr *pgconn.PgError
+	isAnswer := errors.As(err, &pgErr)
+	if isAnswer && (pgErr.Code == uniqueViolation || pgErr.Code == duplicateTable) {
+		switch {
+		case t.unknown:
+			return nil
+		case len(t.errors) > 0:
+			return fmt.Errorf("%w: %s", errBrokenPromise, describeError(err))
+		}
+		return err
+	}
+	var connectErr *pgconn.ConnectError
+	t.unknown = t.unknown || !errors.As(err, &connectErr) && !(isAnswer && (pgErr.Detail == "not run" || pgErr.Code == notCommitted))
+	if text := describeError(err); !slices.Contains(t.errors, text) {
+		t.errors = append(t.errors, text)
+	}
+	return err
 }
 
 // parseSQL parses the arguments of the script command sql.
@@ -238,3 +291,30 @@
 	ts.Check(os.WriteFile(ts.MkAbs(name+".out"), []byte(output), 0o644))
 	ts.Check(os.WriteFile(ts.MkAbs(name+".err"), []byte(text), 0o644))
 }
+
+func TestTriesOfAStatement(t *testing.T) {
+	notRun, unknown := &pgconn.PgError{Code: "57P03", Detail: "not run"}, &pgconn.PgError{Code: "08007", Detail: "unknown"}
+	violation, table := &pgconn.PgError{Code: uniqueViolation}, &pgconn.PgError{Code: duplicateTable}
+	cases := []struct {
+		name   string
+		errors []error
+		want   error // of the last try; nil: a success
+	}{
+		{"succeeds", []error{notRun, nil}, nil},
+		{"was there before the first try", []error{violation}, violation},
+		{"ran in a try whose outcome is unknown", []error{notRun, unknown, violation}, nil},
+		{"the connection broke", []error{io.ErrUnexpectedEOF, table}, nil},
+		{"ran though it was answered with not run", []error{notRun, notRun, violation}, errBrokenPromise},
+		{"ran though it was not committed", []error{&pgconn.PgError{Code: notCommitted}, table}, errBrokenPromise},
+	}
+	for _, c := range cases {
+		var tries tries
+		var got error
+		for _, err := range c.errors {
+			got = tries.judge(err)
+		}
+		if !errors.Is(got, c.want) {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
