Limits: a control node that didn't answer isn't asked again for half a second

Change: the node that was silent isn't asked, nor taken from a follower's word, for 0.5 s, in which the others elect a leader. Result: TestSilentNodeIsNotAskedAgain, which fails without it for one place of the frozen node in five.

--- a/internal/traffic/controlclient/exchange.go
+++ b/internal/traffic/controlclient/exchange.go
@@ -26,6 +26,9 @@
 	// exchangeTimeout bounds one exchange. It is many times its usual time, and leaves
 	// time for another one before tokens expire.
 	exchangeTimeout = 300 * time.Millisecond
+	// silentTime is how long a control node that didn't answer isn't asked: the time in
+	// which the others elect another leader.
+	silentTime = 500 * time.Millisecond
 )
 
 var (
@@ -52,6 +55,10 @@
 	askAround  bool
 	nextMember int
 	named      netip.AddrPort
+	// silent is the node that didn't answer last, which isn't asked until silentUntil
+	// although the others may still take it for the leader.
+	silent      netip.AddrPort
+	silentUntil time.Time
 }
 
 // noteLeader wakes exchangeLoop if a renewal's revision is that of another leader than the
@@ -108,19 +115,26 @@
 		return c.leader
 	}
 	s.nextMember++
+	if s.isSilent(c.members[s.nextMember%len(c.members)], c.options.Now()) {
+		s.nextMember++
+	}
 	return c.members[s.nextMember%len(c.members)]
 }
 
+// isSilent reports whether a control node didn't answer a moment ago.
+func (s *exchangeState) isSilent(node netip.AddrPort, now time.Time) bool {
+	return node == s.silent && now.Before(s.silentUntil)
+}
+
 // recordTarget records whether a control node served an exchange, and the leader that it
 // named if it didn't.
 func (c *Client) recordTarget(asked netip.AddrPort, served bool, leader string) {
 	s := &c.exchanges
-	s.askAround = !served
-	if served {
+	if s.askAround = !served; served {
 		return
 	}
 	named, err := netip.ParseAddrPort(leader)
-	if s.named = named; err != nil || named == asked {
+	if s.named = named; err != nil || named == asked || s.isSilent(named, c.options.Now()) {
 		s.named = netip.AddrPort{}
 	}
 }
@@ -181,6 +195,9 @@
 	now := c.options.Now()
 	served := err == nil && response.GetGranted()
 	c.recordTarget(target, served, response.GetLeader())
+	if err != nil {
+		c.exchanges.silent, c.exchanges.silentUntil = target, now.Add(silentTime)
+	}
 	// A node that names the leader answers at once, and the leader is asked next.
 	c.exchanges.pace.Record(now.Sub(sent), !served && !c.exchanges.named.IsValid(), now)
 	if err != nil {
--- a/internal/traffic/controlclient/exchange_test.go
+++ b/internal/traffic/controlclient/exchange_test.go
@@ -165,3 +165,38 @@
 	}
 	return d.Verdict == quota.Admitted
 }
+
+// TestSilentNodeIsNotAskedAgain has the leader freeze, wherever it stands among the members.
+// The others are asked, who name the frozen one until they have elected another leader, and
+// then that is. If none is elected, the silent one is asked again.
+func TestSilentNodeIsNotAskedAgain(t *testing.T) {
+	address := func(i int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
+	}
+	for frozen := range 5 {
+		now := time.Unix(1000, 0)
+		c := &Client{leader: address(frozen), options: Options{Now: func() time.Time { return now }}}
+		for i := range 5 {
+			c.members = append(c.members, address(i))
+		}
+		c.recordTarget(c.exchangeTarget(), false, "")
+		c.exchanges.silent, c.exchanges.silentUntil = address(frozen), now.Add(silentTime)
+		for range 8 {
+			asked := c.exchangeTarget()
+			if asked == address(frozen) {
+				t.Errorf("member %d is frozen: got it asked again", frozen)
+			}
+			c.recordTarget(asked, false, address(frozen).String())
+		}
+		elected := address((frozen + 2) % 5)
+		c.recordTarget(address((frozen+1)%5), false, elected.String())
+		if got := c.exchangeTarget(); got != elected {
+			t.Errorf("member %d is frozen: got %v asked, want the leader %v that was named", frozen, got, elected)
+		}
+		now = now.Add(silentTime)
+		c.recordTarget(elected, false, address(frozen).String())
+		if got := c.exchangeTarget(); got != address(frozen) {
+			t.Errorf("member %d answers again: got %v asked, want it, which was named", frozen, got)
+		}
+	}
+}
