Limits: the log doesn't promise another try, a comment in one piece

Cause: a raise of a floor that couldn't be replicated isn't repeated until the level moves; the line said that it is tried again. Change: the text; a doc comment's broken line.

--- a/internal/fleet/coordinator/limits.go
+++ b/internal/fleet/coordinator/limits.go
@@ -84,7 +84,7 @@
 		}
 		if _, err := c.propose(ctx, state.Command{LimitFloors: floors}); err != nil {
 			if ctx.Err() == nil {
-				c.options.Logger.Info("saving how much is left of customers' limits failed; trying again", "error", err.Error())
+				c.options.Logger.Info("saving how much is left of customers' limits failed", "error", err.Error())
 				pause.For(ctx, saveRetryDelay)
 			}
 			continue
--- a/internal/traffic/quota/patience.go
+++ b/internal/traffic/quota/patience.go
@@ -58,8 +58,7 @@
 
 // unansweredRetryAfter returns when the caller of an operation that the leader hasn't
 // answered for should come back, after a number of others. usual is when it should if the
-// leader had refused it.
-// h.mu is held.
+// leader had refused it. h.mu is held.
 func (h *Holder) unansweredRetryAfter(usual time.Duration, refusals int, now time.Time) time.Duration {
 	if h.isCutOff(now) {
 		return elsewhereRetryAfter + elsewhereRetryAfter*time.Duration(refusals)%elsewhereSpread
