Forward: a handle of an earlier process reaches no transaction

Each process of an owner counted the handles of other proxies' transactions from 1, so after a restart an old handle met whatever transaction had its number now. Change: handles are drawn at random; this needs nothing of the proxy that sends them. A proxy sends a transaction to an owner whose responses lack unique_handles, an earlier build, on one TCP connection of its own, which ends with the owner's process. The owner logs a statement whose transaction it doesn't know.

--- a/internal/rpc/transport/transport.go
+++ b/internal/rpc/transport/transport.go
@@ -27,6 +27,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -52,6 +53,10 @@
 	authScheme      = "Bearer "
 )
 
+// ErrConnectionEnded is returned by a client of OverOneConnection once its connection has
+// ended. The request wasn't sent.
+var ErrConnectionEnded = eris.New("the client's only connection has ended")
+
 // unreadHeaders are headers of twirp's clients that no server reads.
 var unreadHeaders = []string{"Accept", "Twirp-Version"}
 
@@ -157,6 +162,49 @@
 	return &http.Client{Transport: &rpcRoundTripper{keyring: keyring, next: next}}
 }
 
+// OverOneConnection returns a client like client that opens only one connection, to the
+// first address that it calls. All its calls therefore reach the same process, also if
+// another one listens at the address later: they fail then, with ErrConnectionEnded at the
+// latest once the client has seen the end of its connection. Close the connection with
+// CloseIdleConnections after the last call.
+func OverOneConnection(client *http.Client) *http.Client {
+	if rpc, ok := client.Transport.(*rpcRoundTripper); ok {
+		return &http.Client{Transport: &rpcRoundTripper{keyring: rpc.keyring, next: overOneConnection(rpc.next)}}
+	}
+	return &http.Client{Transport: overOneConnection(client.Transport)}
+}
+
+// overOneConnection returns a copy of an HTTP transport, nil for the default one, that
+// opens only one connection.
+func overOneConnection(roundTripper http.RoundTripper) *http.Transport {
+	original, ok := roundTripper.(*http.Transport)
+	if !ok {
+		original = http.DefaultTransport.(*http.Transport)
+	}
+	single := original.Clone()
+	single.MaxConnsPerHost = 1
+	dial := single.DialContext
+	if dial == nil {
+		dial = newDialFunc(Options{})
+	}
+	var dialed atomic.Bool
+	single.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if dialed.Swap(true) {
+			return nil, ErrConnectionEnded
+		}
+		return dial(ctx, network, address)
+	}
+	return single
+}
+
+// CloseIdleConnections closes the connections of the wrapped transport that aren't in use;
+// http.Client.CloseIdleConnections calls it.
+func (t *rpcRoundTripper) CloseIdleConnections() {
+	if closer, ok := t.next.(interface{ CloseIdleConnections() }); ok {
+		closer.CloseIdleConnections()
+	}
+}
+
 // newDialFunc returns a function that opens connections as options say.
 func newDialFunc(options Options) func(ctx context.Context, network, address string) (net.Conn, error) {
 	timeout := options.DialTimeout
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -454,3 +455,175 @@
 func (f brokerFunc) Execute(_ context.Context, r *fleetpb.ExecuteRequest) (*fleetpb.ExecuteResponse, error) {
 	return f(r), nil
 }
+
+// restartableOwner is a proxy that owns connections to the server "s". restart replaces
+// its process by a new one at the same address.
+type restartableOwner struct {
+	mu      sync.Mutex
+	service fleetpb.Broker
+}
+
+func (o *restartableOwner) Execute(ctx context.Context, r *fleetpb.ExecuteRequest) (*fleetpb.ExecuteResponse, error) {
+	o.mu.Lock()
+	service := o.service
+	o.mu.Unlock()
+	return service.Execute(ctx, r)
+}
+
+// restart starts the process anew; the server rolls back the transactions of the old one.
+func (o *restartableOwner) restart(t *testing.T, server *fakeServer) {
+	service, _, _ := startOwner(t, server, 4)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.service = service
+}
+
+// TestHandleOfAnEarlierProcess guards against a statement that runs in another caller's
+// transaction: the owner restarts while a transaction rests, and its new process opens as
+// many transactions as the old one had.
+func TestHandleOfAnEarlierProcess(t *testing.T) {
+	const transactions = 3
+	tests := []struct {
+		name string
+		last statement.Request
+	}{
+		{"commit", request(statement.Commit, "COMMIT")},
+		{"write", request(statement.Write, "WRITE 2 y")},
+		{"rollback", request(statement.Rollback, "")},
+	}
+	for _, test := range tests {
+		owner, server := &restartableOwner{}, &fakeServer{}
+		owner.restart(t, server)
+		host := httptest.NewServer(fleetpb.NewBrokerServer(owner))
+		t.Cleanup(host.Close)
+		peer := ownership.Peer{Name: "owner", Address: netip.MustParseAddrPort(strings.TrimPrefix(host.URL, "http://"))}
+		openTransactions := func() []backend.Conn {
+			var conns []backend.Conn
+			client := NewOwnerClient(&http.Client{}, &leaderclock.Clock{}, logr.Discard())
+			for range transactions {
+				conn := client.Connect("s", []ownership.Peer{peer})
+				for _, r := range []statement.Request{request(statement.Begin, ""), request(statement.Write, "WRITE 1 x")} {
+					if answer, err := do(t, conn, r); err != nil || answer.Code != statement.OK {
+						t.Fatalf("%s: got %+v, %v", test.name, answer, err)
+					}
+				}
+				conns = append(conns, conn)
+			}
+			return conns
+		}
+		earlier := openTransactions()
+		owner.restart(t, server)
+		openTransactions()
+		received := len(server.receivedStatements)
+		for _, conn := range earlier {
+			if answer, err := do(t, conn, test.last); !errors.Is(err, backend.ErrNotSent) {
+				t.Errorf("%s: got %+v, %v for a transaction that ended with its owner, want %v", test.name, answer, err, backend.ErrNotSent)
+			}
+		}
+		if got := server.receivedStatements[received:]; len(got) != 0 {
+			t.Errorf("%s: got %q run inside other transactions, want nothing", test.name, got)
+		}
+	}
+}
+
+// earlierBuild is an owner whose handles count from 1 in each process, as those of the
+// builds before unique_handles do.
+type earlierBuild struct {
+	service *Service
+	mu      sync.Mutex
+	handles []uint64
+}
+
+func (b *earlierBuild) Execute(ctx context.Context, r *fleetpb.ExecuteRequest) (*fleetpb.ExecuteResponse, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n := r.GetHandle(); n != 0 {
+		if n > uint64(len(b.handles)) {
+			return faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, errNoTransaction), nil
+		}
+		r.Handle = b.handles[n-1]
+	}
+	response, err := b.service.Execute(ctx, r)
+	if response.GetHandle() != 0 {
+		b.handles = append(b.handles, response.GetHandle())
+		response.Handle = uint64(len(b.handles))
+	}
+	response.UniqueHandles = false
+	return response, err
+}
+
+// TestOwnerOfAnEarlierBuildRestarts is TestHandleOfAnEarlierProcess with an owner that
+// runs an earlier build, as while VMs are replaced: its new process gives the handles of
+// the old one again. The owner may have run this build before, as on the way back.
+func TestOwnerOfAnEarlierBuildRestarts(t *testing.T) {
+	tests := []struct {
+		name      string
+		ranBefore bool
+	}{
+		{"earlier build", false},
+		{"back from this build", true},
+	}
+	for _, test := range tests {
+		server := &fakeServer{}
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := listener.Addr().String()
+		start := func(service fleetpb.Broker, on net.Listener) *httptest.Server {
+			host := &httptest.Server{Listener: on, Config: &http.Server{Handler: fleetpb.NewBrokerServer(service)}}
+			host.Start()
+			return host
+		}
+		restart := func(old *httptest.Server) *httptest.Server {
+			old.CloseClientConnections()
+			old.Close()
+			service, _, _ := startOwner(t, server, 4)
+			next, err := net.Listen("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return start(&earlierBuild{service: service}, next)
+		}
+		service, _, _ := startOwner(t, server, 4)
+		host := start(service, listener)
+		client := NewOwnerClient(&http.Client{}, &leaderclock.Clock{}, logr.Discard())
+		peers := []ownership.Peer{{Name: "owner", Address: netip.MustParseAddrPort(address)}}
+		if test.ranBefore {
+			if _, err := do(t, client.Connect("s", peers), request(statement.Read, "READ 1")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		host = restart(host)
+		openTransaction := func() backend.Conn {
+			for range 2 {
+				conn := client.Connect("s", peers)
+				if _, err := do(t, conn, request(statement.Begin, "")); err != nil {
+					t.Fatal(err)
+				}
+				if _, err := do(t, conn, request(statement.Write, "WRITE 1 x")); err == nil {
+					return conn
+				}
+			}
+			t.Fatalf("%s: got no transaction opened in two tries", test.name)
+			return nil
+		}
+		first, kept := openTransaction(), openTransaction()
+		if answer, err := do(t, kept, request(statement.Commit, "COMMIT")); err != nil || answer.Code != statement.OK {
+			t.Errorf("%s: got %+v, %v for a commit without a restart, want success", test.name, answer, err)
+		}
+		host = restart(host)
+		openTransaction()
+		server.mu.Lock()
+		received := len(server.receivedStatements)
+		server.mu.Unlock()
+		if answer, err := do(t, first, request(statement.Commit, "COMMIT")); err == nil {
+			t.Errorf("%s: got %+v for a transaction that ended with its owner, want an error", test.name, answer)
+		}
+		if got := server.receivedStatements[received:]; len(got) != 0 {
+			t.Errorf("%s: got %q run inside other transactions, want nothing", test.name, got)
+		}
+		host.CloseClientConnections()
+		host.Close()
+	}
+}
--- a/internal/traffic/forward/owners.go
+++ b/internal/traffic/forward/owners.go
@@ -66,6 +66,9 @@
 		avoidUntil map[cluster.ProxyName]time.Time
 		// lastResponse is when each owner last answered.
 		lastResponse map[cluster.ProxyName]time.Time
+		// uniqueHandles holds, for each owner, whether its last response said that
+		// no other process gives the same handles.
+		uniqueHandles map[cluster.ProxyName]bool
 		// transit is the moving average of the time that a call and its response
 		// are on the network.
 		transit time.Duration
@@ -83,6 +86,10 @@
 		// that handle identifies; a zero handle means that it holds none.
 		owner  ownership.Peer
 		handle uint64
+		// transactionClient calls the owner in a transaction whose handle a later
+		// process of the owner may give again, so that the calls reach no other
+		// process; nil: the client of all calls is used.
+		transactionClient *http.Client
 		// deferredBegin begins a transaction. It is sent with the next
 		// statement.
 		deferredBegin *statement.Request
@@ -98,7 +105,7 @@
 // NewOwnerClient returns a client that calls owners through an HTTP client, with
 // deadlines on the leader's clock.
 func NewOwnerClient(client *http.Client, clock *leaderclock.Clock, logger logr.Logger) *OwnerClient {
-	return &OwnerClient{httpClient: client, clock: clock, logger: logger, avoidUntil: map[cluster.ProxyName]time.Time{}, lastResponse: map[cluster.ProxyName]time.Time{}}
+	return &OwnerClient{httpClient: client, clock: clock, logger: logger, avoidUntil: map[cluster.ProxyName]time.Time{}, lastResponse: map[cluster.ProxyName]time.Time{}, uniqueHandles: map[cluster.ProxyName]bool{}}
 }
 
 // Connect returns a connection that forwards statements for a server to its
@@ -128,17 +135,25 @@
 	return c.assignment.Choose(name, digest, usable)
 }
 
-// recordResponse records that an owner responded. took is the time of the call, and
-// elapsed the part of it that the owner reports; zero: unknown.
-func (c *OwnerClient) recordResponse(name cluster.ProxyName, took, elapsed time.Duration, now time.Time) {
+// recordResponse records an owner's response. took is the time of the call.
+func (c *OwnerClient) recordResponse(name cluster.ProxyName, response *fleetpb.ExecuteResponse, took time.Duration, now time.Time) {
+	// Zero: the owner doesn't report it.
+	elapsed := time.Duration(response.GetElapsedUs()) * time.Microsecond
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lastResponse[name] = now
+	c.lastResponse[name], c.uniqueHandles[name] = now, response.GetUniqueHandles()
 	if elapsed > 0 && elapsed <= took {
 		c.transit += time.Duration(transitWeight * float64(took-elapsed-c.transit))
 	}
 }
 
+// givesUniqueHandles reports whether an owner's handles are known to be unique.
+func (c *OwnerClient) givesUniqueHandles(name cluster.ProxyName) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.uniqueHandles[name]
+}
+
 // softDeadlineLeft returns the time that an owner has for a statement, so that its
 // response arrives by the soft deadline. The whole transit is subtracted: the way there
 // is still to come as well.
@@ -217,14 +232,17 @@
 	inTransaction := c.handle != 0
 	if !inTransaction {
 		c.owner = c.pickOwner(request.Customer, request.Digest(), now)
+		if c.deferredBegin != nil && !c.client.givesUniqueHandles(c.owner.Name) {
+			c.transactionClient = transport.OverOneConnection(c.client.httpClient)
+		}
 	}
+	defer c.endTransactionClient()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(callGrace))
 	defer cancel()
 	if request.CallerContext != nil {
 		defer context.AfterFunc(request.CallerContext, cancel)()
 	}
-	client := fleetpb.NewBrokerProtobufClient(transport.URL(c.owner.Address), c.client.httpClient)
-	response, err := client.Execute(ctx, c.newRequest(request, remaining))
+	response, err := c.broker().Execute(ctx, c.newRequest(request, remaining))
 	if err != nil && request.CallerContext != nil && request.CallerContext.Err() != nil {
 		c.handle = 0
 		return statement.Answer{}, false, backend.ErrCallerClosed
@@ -234,7 +252,7 @@
 		return statement.Answer{}, !inTransaction && errors.Is(err, backend.ErrNotSent), err
 	}
 	arrived := time.Now()
-	c.client.recordResponse(c.owner.Name, arrived.Sub(now), time.Duration(response.GetElapsedUs())*time.Microsecond, arrived)
+	c.client.recordResponse(c.owner.Name, response, arrived.Sub(now), arrived)
 	if response.GetNotOwner() {
 		c.client.avoid(c.owner.Name, notOwnerBackoff, time.Now())
 		answer, err = c.faultResult(response)
@@ -250,6 +268,10 @@
 		// Without a handle, the next statement would run outside the transaction.
 		return statement.Answer{}, false, eris.Wrap(backend.ErrConnectionLost, "the owner of the connection ended the transaction")
 	}
+	if c.handle != 0 && !response.GetUniqueHandles() && c.transactionClient == nil {
+		err := eris.Wrap(backend.ErrConnectionLost, "the owner's handles aren't unique any more: an older build runs there")
+		return statement.Answer{}, false, errors.Join(err, c.Close())
+	}
 	return statement.Answer{
 		Code: statement.Code(response.GetCode()), Detail: response.GetDetail(), Rows: response.GetRows(),
 		Signature: response.GetSignature(), State: statement.TxState(response.GetState()),
@@ -257,6 +279,23 @@
 	}, false, nil
 }
 
+// broker returns the client for calls to the owner.
+func (c *connection) broker() fleetpb.Broker {
+	client := c.client.httpClient
+	if c.transactionClient != nil {
+		client = c.transactionClient
+	}
+	return fleetpb.NewBrokerProtobufClient(transport.URL(c.owner.Address), client)
+}
+
+// endTransactionClient closes the connection of a transaction that has ended.
+func (c *connection) endTransactionClient() {
+	if c.transactionClient != nil && c.handle == 0 {
+		c.transactionClient.CloseIdleConnections()
+		c.transactionClient = nil
+	}
+}
+
 // newRequest returns the RPC request. remaining is the time until the deadline. In the
 // RPC, the aim is the soft deadline, answer_ms the response timeout, a shape the query of
 // a prepared statement, and values are session settings.
@@ -346,8 +385,8 @@
 	c.handle = 0
 	ctx, cancel := context.WithTimeout(context.Background(), rollbackTimeout)
 	defer cancel()
-	client := fleetpb.NewBrokerProtobufClient(transport.URL(c.owner.Address), c.client.httpClient)
-	if _, err := client.Execute(ctx, request); err != nil {
+	defer c.endTransactionClient()
+	if _, err := c.broker().Execute(ctx, request); err != nil {
 		return eris.Wrapf(err, "roll back transaction %d at %s", handle, c.owner.Name)
 	}
 	return nil
--- a/internal/traffic/forward/service.go
+++ b/internal/traffic/forward/service.go
@@ -23,6 +23,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -64,11 +65,9 @@
 	Service struct {
 		options Options
 		mu      sync.Mutex
-		// lastHandle is the last handle that was given to a transaction. A
-		// handle identifies the transaction in later requests; zero: none.
-		lastHandle uint64
 		// transactions are the open transactions by handle, except those that
-		// are running a statement.
+		// are running a statement. A handle identifies the transaction in later
+		// requests; zero: none.
 		transactions map[uint64]*openTransaction
 	}
 
@@ -122,6 +121,7 @@
 	response, err := s.execute(ctx, r)
 	if response != nil {
 		response.ElapsedUs = uint32(time.Since(arrived).Microseconds())
+		response.UniqueHandles = true
 	}
 	return response, err
 }
@@ -137,6 +137,8 @@
 	if r.GetHandle() != 0 {
 		conn := s.takeTransaction(r.GetHandle())
 		if conn == nil {
+			s.options.Logger.Info("forwarded statement refused", "request-id", r.GetId(), "server", r.GetServer(),
+				"verb", statement.Verb(r.GetVerb()).String(), "reason", errNoTransaction.Error())
 			return faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, errNoTransaction), nil
 		}
 		if err := conn.ApplySettings(settings, fingerprint, deadline); err != nil {
@@ -329,13 +331,17 @@
 }
 
 // keepTransaction stores the connection of an open transaction and returns its
-// handle.
+// handle. Handles are random: another proxy may still use one that an earlier process at
+// this address gave it, and must not reach a transaction of this process with it.
 func (s *Service) keepTransaction(conn *upstream.Conn) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lastHandle++
-	s.transactions[s.lastHandle] = &openTransaction{conn: conn, idleSince: time.Now()}
-	return s.lastHandle
+	handle := rand.Uint64()
+	for handle == 0 || s.transactions[handle] != nil {
+		handle = rand.Uint64()
+	}
+	s.transactions[handle] = &openTransaction{conn: conn, idleSince: time.Now()}
+	return handle
 }
 
 // takeTransaction removes an open transaction and returns its connection, or nil if
