--- a/internal/traffic/forward/service.go
+++ b/internal/traffic/forward/service.go
@@ -69,6 +69,8 @@
 		// are running a statement. A handle identifies the transaction in later
 		// requests; zero: none.
 		transactions map[uint64]*openTransaction
+		// executing is the number of calls of Execute.
+		executing int
 	}
 
 	// openTransaction is an open transaction between two statements.
@@ -114,10 +116,20 @@
 	}
 }
 
+// Active returns the number of statements of other proxies that are queued or running, and
+// of their open transactions.
+func (s *Service) Active() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.transactions) + s.executing
+}
+
 // Execute runs a statement of another proxy; see fleetpb.Broker. Failures are
 // reported as faults of the response.
 func (s *Service) Execute(ctx context.Context, r *fleetpb.ExecuteRequest) (*fleetpb.ExecuteResponse, error) {
 	arrived := time.Now()
+	s.addExecuting(1)
+	defer s.addExecuting(-1)
 	response, err := s.execute(ctx, r)
 	if response != nil {
 		response.ElapsedUs = uint32(time.Since(arrived).Microseconds())
@@ -126,6 +138,12 @@
 	return response, err
 }
 
+func (s *Service) addExecuting(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.executing += n
+}
+
 // execute is Execute without the measurement of its time.
 func (s *Service) execute(ctx context.Context, r *fleetpb.ExecuteRequest) (*fleetpb.ExecuteResponse, error) {
 	deadline := s.deadline(r)
--- a/internal/traffic/session/execution.go
+++ b/internal/traffic/session/execution.go
@@ -121,7 +121,7 @@
 		primaryOnly:  writes || route.Consistency == routing.Strong,
 		softDeadline: waitingSince.Add(route.LatencyTarget - min(answerTransit, route.LatencyTarget/4)),
 		customer:     s.limitedCustomer(),
-		deadline:     start.Add(route.StatementTimeout), excluded: map[cluster.ServerName]bool{},
+		deadline:     s.manager.statementDeadline(start.Add(route.StatementTimeout)), excluded: map[cluster.ServerName]bool{},
 	}
 }
 
@@ -139,6 +139,9 @@
 	callerContext, endWatch := e.session.watchCaller()
 	defer endWatch()
 	e.callerContext = callerContext
+	if !time.Now().Before(e.deadline) {
+		return e.retryLater(statement.Busy, "this proxy is shutting down", busyBackoff)
+	}
 	if refusal := e.admit(); refusal != nil {
 		return *refusal
 	}
--- a/internal/traffic/session/limit.go
+++ b/internal/traffic/session/limit.go
@@ -124,7 +124,7 @@
 	for {
 		changed := holder.Changed()
 		giveUpAt := holder.GiveUpAt(c, waits, arrived, now())
-		if e.callerContext.Err() != nil {
+		if e.callerContext.Err() != nil || !time.Now().Before(e.deadline) {
 			giveUpAt = arrived
 		}
 		d := holder.Resume(c, arrived, giveUpAt, now())
--- a/internal/traffic/session/manager.go
+++ b/internal/traffic/session/manager.go
@@ -84,6 +84,19 @@
 		Quota *quota.Holder
 	}
 
+	// Drain is how sessions end while the proxy shuts down.
+	Drain struct {
+		// IdleTimeout is how long a session may be idle outside a transaction.
+		IdleTimeout time.Duration
+		// AnswerBy is when statements that are received from now on are answered at
+		// the latest, on the clock of time.Now. The process may exit soon after.
+		AnswerBy time.Time
+		// AfterAnswer ends each session after the answer to its running statement, or
+		// else to its next one, also in a transaction. Transactions without a running
+		// statement end at once, and none begins.
+		AfterAnswer bool
+	}
+
 	// Manager holds the sessions of a proxy and what they share. It is safe for
 	// concurrent use.
 	Manager struct {
@@ -96,12 +109,8 @@
 		// trackers hold, for each group, samples of the log position of its
 		// primary. They determine which position a read must see.
 		trackers map[cluster.GroupName]*freshness.Tracker
-		// idleTimeout is how long a session outside a transaction may be idle
-		// before it is closed, in nanoseconds; zero: no limit.
-		idleTimeout atomic.Int64
-		// aborting is true once AbortTransactions was called: sessions with an
-		// open transaction are closed too.
-		aborting atomic.Bool
+		// drain is how sessions end; nil: the proxy doesn't shut down.
+		drain    atomic.Pointer[Drain]
 		sessions map[*session]struct{}
 	}
 )
@@ -193,30 +202,44 @@
 	return len(m.sessions)
 }
 
-// CloseIdle makes sessions close from now on once they have been idle outside a
-// transaction for the given time. Sessions in use continue, because a request may
-// be on its way when the connection of a busy caller is closed.
-func (m *Manager) CloseIdle(idle time.Duration) {
-	m.idleTimeout.Store(int64(idle))
+// Drain makes sessions end from now on as d says.
+//
+// A caller that has received an answer and the end of its connection together has no
+// request on its way. With a pause in between, it may have, unless the pause is long.
+func (m *Manager) Drain(d Drain) {
+	m.drain.Store(&d)
 	m.interruptAll()
 }
 
-// AbortTransactions closes the sessions with an open transaction, as soon as no
-// statement of theirs is running. The transactions are rolled back.
-func (m *Manager) AbortTransactions() {
-	m.aborting.Store(true)
-	m.interruptAll()
+// endsAfterAnswer reports whether sessions end after their next answer.
+func (m *Manager) endsAfterAnswer() bool {
+	d := m.drain.Load()
+	return d != nil && d.AfterAnswer
 }
 
-// CloseAll closes the connections of all callers at once.
-func (m *Manager) CloseAll() {
+// statementDeadline returns the deadline of a statement that would otherwise be that of
+// its route.
+func (m *Manager) statementDeadline(byRoute time.Time) time.Time {
+	if d := m.drain.Load(); d != nil && d.AnswerBy.Before(byRoute) {
+		return d.AnswerBy
+	}
+	return byRoute
+}
+
+// CloseAll closes the connections of all callers at once. It returns how many of them
+// were waiting for an answer.
+func (m *Manager) CloseAll() (unanswered int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for s := range m.sessions {
+		if s.executing.Load() {
+			unanswered++
+		}
 		if err := s.caller.Close(); err != nil {
 			m.options.Logger.V(1).Info("closing a session failed", "error", err.Error())
 		}
 	}
+	return unanswered
 }
 
 // interruptAll makes all waiting sessions compute their idle deadline again.
--- a/internal/traffic/session/session.go
+++ b/internal/traffic/session/session.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
@@ -24,11 +25,13 @@
 )
 
 type (
-	// session is the session of one caller. Except for caller, only its own
-	// goroutine uses it.
+	// session is the session of one caller. Except for caller and executing, only its
+	// own goroutine uses it.
 	session struct {
-		manager  *Manager
-		caller   Caller
+		manager *Manager
+		caller  Caller
+		// executing is true from the receipt of a statement to the end of its answer.
+		executing atomic.Bool
 		database string
 		// key is the digest of the caller's key; zero: it has none. identity is what
 		// the configuration in force at the last statement says of it.
@@ -106,8 +109,10 @@
 			}
 			continue
 		}
+		s.executing.Store(true)
 		s.outcomeLogged, s.rejectionCause = false, ""
 		answer := s.execute(next)
+		last := s.manager.endsAfterAnswer()
 		if answer.Code != statement.OK && !s.outcomeLogged {
 			logger := s.manager.options.Logger
 			if s.rejectionCause != "" {
@@ -120,9 +125,15 @@
 		if err := s.caller.Answer(answer); err != nil {
 			return err
 		}
+		s.executing.Store(false)
 		if answer.Code == statement.UnknownKey {
 			return errKeyWithdrawn
 		}
+		if last {
+			// The caller has to receive the end of the connection together with the
+			// answer, before it sends its next statement.
+			return s.caller.Close()
+		}
 	}
 }
 
@@ -135,8 +146,8 @@
 		return time.Now().Add(noLeaseIdleTimeout)
 	}
 	current := s.manager.Config()
-	if limit := s.manager.idleTimeout.Load(); limit > 0 && s.tx == nil {
-		return time.Now().Add(time.Duration(limit))
+	if d := s.manager.drain.Load(); d != nil && s.tx == nil {
+		return time.Now().Add(d.IdleTimeout)
 	}
 	if s.tx == nil || s.tx.conn == nil || current == nil || current.Limits.TransactionIdleTimeout == 0 {
 		return time.Time{}
@@ -155,7 +166,7 @@
 		return true, errKeyWithdrawn
 	}
 	if errors.Is(err, ErrInterrupted) {
-		return s.tx != nil && s.manager.aborting.Load(), nil
+		return s.tx != nil && s.manager.endsAfterAnswer(), nil
 	}
 	if s.tx == nil {
 		return true, nil
@@ -236,6 +247,9 @@
 	if !ok {
 		return s.reject(statement.NoDatabase, s.database)
 	}
+	if s.manager.endsAfterAnswer() {
+		return s.reject(statement.Busy, "this proxy is shutting down; connect again")
+	}
 	s.tx = &transaction{readOnly: next.Verb == statement.BeginRead, route: route, bootStart: s.manager.options.Now()}
 	return s.success()
 }
--- a/internal/traffic/session/session_test.go
+++ b/internal/traffic/session/session_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -551,6 +552,50 @@
 	}
 }
 
+// TestDrain checks what is left of a caller's statements while the proxy shuts down: what
+// it has accepted is answered, and nothing begins that it couldn't finish.
+func TestDrain(t *testing.T) {
+	soon, later := time.Now().Add(-time.Millisecond), time.Now().Add(time.Minute)
+	tests := []struct {
+		name    string
+		drain   Drain
+		texts   []string
+		want    []string
+		wantRan string
+	}{
+		{"sessions in use go on", Drain{AnswerBy: later}, []string{"WRITE 1 x", "BEGIN", "WRITE 2 y", "COMMIT"}, []string{"ok I", "ok T", "ok T", "ok I"}, "WRITE 1 x; begin; WRITE 2 y; COMMIT"},
+		{"the session ends after an answer", Drain{AnswerBy: later, AfterAnswer: true}, []string{"WRITE 1 x", "WRITE 2 y"}, []string{"ok I"}, "WRITE 1 x"},
+		{"no transaction begins", Drain{AnswerBy: later, AfterAnswer: true}, []string{"BEGIN", "WRITE 1 x"}, []string{"busy I"}, ""},
+		{"too late to be answered by a server", Drain{AnswerBy: soon, AfterAnswer: true}, []string{"WRITE 1 x"}, []string{"busy I"}, ""},
+		{"too late in a transaction", Drain{AnswerBy: soon}, []string{"BEGIN", "WRITE 1 x", "COMMIT"}, []string{"ok T", "busy E", "aborted I"}, ""},
+	}
+	for _, test := range tests {
+		f := newFixture(t)
+		f.manager.Drain(test.drain)
+		if got := f.run("primary", test.texts...); !slices.Equal(got, test.want) {
+			t.Errorf("%s: got answers %q, want %q", test.name, got, test.want)
+		}
+		if got := f.statementsRunOn("p"); got != test.wantRan {
+			t.Errorf("%s: got %q run, want %q", test.name, got, test.wantRan)
+		}
+	}
+}
+
+// TestDrainBoundsTheWaitForAPrimary guards against a statement that waits for a new primary
+// beyond the time by which a proxy that shuts down has to answer it.
+func TestDrainBoundsTheWaitForAPrimary(t *testing.T) {
+	f := newFixture(t)
+	f.setPrimary(4, "")
+	f.manager.Drain(Drain{AnswerBy: time.Now().Add(20 * time.Millisecond)})
+	start := time.Now()
+	if got := f.run("primary", "WRITE 1 x"); !slices.Equal(got, []string{"busy I"}) {
+		t.Errorf("got answers %q, want the write refused", got)
+	}
+	if took := time.Since(start); took > 100*time.Millisecond {
+		t.Errorf("got the answer after %v, want it within 20 ms", took)
+	}
+}
+
 // TestStatementOfAGoneCallerIsWithdrawn queues a write behind a transaction that holds
 // the only connection, and closes the caller's connection meanwhile. The write must not
 // reach the server once the connection is free: under overload, such statements kept a
--- a/internal/traffic/session/target.go
+++ b/internal/traffic/session/target.go
@@ -47,11 +47,12 @@
 	return e.wait(recorded, freshness.FetchTimeout)
 }
 
-// wait waits for a channel, and reports whether it was closed within timeout.
+// wait waits for a channel, and reports whether it was closed within timeout and before
+// the statement's deadline.
 func (e *execution) wait(closed <-chan struct{}, timeout time.Duration) bool {
 	began := time.Now()
 	defer func() { e.waitTime += time.Since(began) }()
-	timer := time.NewTimer(timeout)
+	timer := time.NewTimer(min(timeout, time.Until(e.deadline)))
 	defer timer.Stop()
 	select {
 	case <-closed:
--- a/internal/traffic/session/transaction.go
+++ b/internal/traffic/session/transaction.go
@@ -170,7 +170,7 @@
 	if e.stmt.Verb != statement.Commit {
 		// An answer that takes longer than half of the statement timeout fails
 		// the transaction, which leaves the caller time to repeat it.
-		limit = e.start.Add(e.route.StatementTimeout / 2)
+		limit = s.manager.statementDeadline(e.start.Add(e.route.StatementTimeout / 2))
 	}
 	request, err := s.prepareRequest(tx.conn, e.stmt, limit)
 	if err != nil {
