PostgreSQL: requests left at the end of the drain time are answered

Cause: the one of the planned stop, on a related path. drainCallers cancelled the requests that were left and closed their callers' connections in the same moment; a request that ran at a server wasn't cancelled. Change: requests are cancelled 0.5 s before the end of the drain time, at most a quarter of it; the end of a request's context interrupts the wait for its server's answer. Result: TestShutdownAnswersRequestsInFlight got "conn closed" for the request that ran and for the one that waited, and an exit after 4.9 s instead of 1 s; now 08007, a refusal, and an exit in time.

--- a/internal/proxy/caller/attempt.go
+++ b/internal/proxy/caller/attempt.go
@@ -200,6 +200,7 @@
 	if err := execute.Send(acquired.conn, &s.plan); err != nil {
 		return execute.Result{}, err
 	}
+	defer interruptOn(ctx, acquired.conn)()
 	answer := execute.Answer{Buf: s.answer.data, FlushLimit: flushLimit}
 	answer.Flush = func() error { return s.flushPartial(ctx, acquired, &answer, since) }
 	result, err := execute.Run(acquired.conn, &s.plan, &answer)
@@ -210,6 +211,21 @@
 	return result, err
 }
 
+// interruptOn makes reads from a connection time out once ctx has ended, until the function
+// that it returns is called.
+func interruptOn(ctx context.Context, c *conn.Conn) (stop func()) {
+	done := make(chan struct{})
+	stopWatch := context.AfterFunc(ctx, func() {
+		defer close(done)
+		c.SetDeadline(time.Now())
+	})
+	return func() {
+		if !stopWatch() {
+			<-done
+		}
+	}
+}
+
 // cancelAtServer sends a cancel request for a request whose answer is no longer
 // awaited, so that the server doesn't spend more time on it. The connection
 // isn't reused.
--- a/internal/proxy/daemon/accept.go
+++ b/internal/proxy/daemon/accept.go
@@ -101,17 +101,16 @@
 	_, _ = startup.Conn.Write(fatal.Append(nil))
 }
 
-// drainCallers waits until all callers have disconnected. At the end of the drain time it
-// cancels the requests and transactions that are still in flight and closes their
-// callers' connections.
+// drainCallers waits until all callers have disconnected. In the last part of the drain
+// time, it cancels the requests and transactions that are still in flight, so that their
+// callers are sent what is known of them, and at its end it closes the connections that
+// are left.
 func (p *Proxy) drainCallers(cancelRequests context.CancelFunc) error {
 	p.shared.SetDraining(true)
 	deadline := time.Now().Add(p.options.DrainTime)
-	for p.callerCount.Load() > 0 && time.Now().Before(deadline) {
-		p.shared.Sessions.Each((*caller.Session).Drain)
-		time.Sleep(drainPollInterval)
-	}
+	p.awaitCallers(deadline.Add(-min(answerTime, p.options.DrainTime/4)))
 	cancelRequests()
+	p.awaitCallers(deadline)
 	if remaining := p.callerCount.Load(); remaining > 0 {
 		p.log.Info("drain time is over; closing the remaining callers' connections", "callers", remaining)
 		p.shared.Sessions.Each((*caller.Session).Abort)
@@ -119,6 +118,15 @@
 	return p.sessions.Wait()
 }
 
+// awaitCallers closes idle sessions until all callers have disconnected, or until a
+// deadline.
+func (p *Proxy) awaitCallers(deadline time.Time) {
+	for p.callerCount.Load() > 0 && time.Now().Before(deadline) {
+		p.shared.Sessions.Each((*caller.Session).Drain)
+		time.Sleep(drainPollInterval)
+	}
+}
+
 // authenticate authenticates the caller and removes the deadline that
 // handshake.Accept has set on the connection.
 func (p *Proxy) authenticate(startup *handshake.Startup) error {
--- a/internal/proxy/daemon/daemon.go
+++ b/internal/proxy/daemon/daemon.go
@@ -58,6 +58,9 @@
 	// drainPollInterval is the time between two checks for callers that have
 	// become idle.
 	drainPollInterval = 20 * time.Millisecond
+	// answerTime is the end of the drain time, in which the callers of requests that
+	// are cancelled get their answers.
+	answerTime = 500 * time.Millisecond
 	// unreadyDelay is how long a proxy that shuts down still accepts callers,
 	// so that the load balancer can see that it isn't ready.
 	unreadyDelay = 100 * time.Millisecond
--- a/internal/proxy/daemon/failure_test.go
+++ b/internal/proxy/daemon/failure_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/burdockwood/burdockwood/internal/config/settings"
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
+	"github.com/burdockwood/burdockwood/internal/proxy/outcome"
 	"github.com/burdockwood/burdockwood/internal/rpc/controlpb"
 )
 
@@ -219,6 +220,48 @@
 	})
 }
 
+// TestShutdownAnswersRequestsInFlight guards against requests that are broken off without
+// an answer at the end of the drain time: one runs at the server for longer, one waits for
+// the only connection.
+func TestShutdownAnswersRequestsInFlight(t *testing.T) {
+	g := newFakeGroup(t, 1)
+	p, stop := startProxy(t, "p1", g, newFakeControl(t, responseGrantingConnections(g, 1)), func(options *settings.Proxy) {
+		options.DrainTime = time.Second
+	})
+	running, waiting := connect(t, p, ""), connect(t, p, "")
+	var group errgroup.Group
+	group.Go(func() error {
+		// The statement runs for 5 s.
+		if _, err := running.Exec(testContext(t), "select sleep"); sqlState(err) != outcome.StateUnknown {
+			t.Errorf("got %v for the request that runs, want %s", err, outcome.StateUnknown)
+		}
+		return nil
+	})
+	waitFor(t, "the first request runs", func() bool {
+		s := g.servers[0]
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.sleepingStatements) > 0
+	})
+	group.Go(func() error {
+		if _, err := waiting.Exec(testContext(t), "insert into kv values ('a', '1')"); sqlState(err) != outcome.StateNoServer && sqlState(err) != outcome.StateRefused {
+			t.Errorf("got %v for the request that waits, want a refusal", err)
+		}
+		return nil
+	})
+	time.Sleep(50 * time.Millisecond)
+	start := time.Now()
+	if err := stop(); err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(start); took > 3*time.Second {
+		t.Errorf("got a shutdown of %v, want about the drain time", took)
+	}
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
 // An operator's drain disconnects idle callers. After its end the proxy serves
 // callers again.
 func TestOperatorDrain(t *testing.T) {
