--- a/internal/traffic/session/session.go
+++ b/internal/traffic/session/session.go
@@ -32,7 +32,7 @@
 		caller  Caller
 		// executing is true from the receipt of a statement to the end of its answer.
 		executing atomic.Bool
-		database string
+		database  string
 		// key is the digest of the caller's key; zero: it has none. identity is what
 		// the configuration in force at the last statement says of it.
 		key      customer.Digest
