Leases: an expired lease needs the primaries confirmed again

Cause: a proxy whose lease had expired while its VM was frozen was granted another one by a response that only asked for digests, and went on using a primary that had been replaced, until the next renewal. Change: after its lease has expired, a proxy uses only primaries that a response names or says to be unchanged; permits from before aren't valid until then. The leader doesn't extend an expired lease with a response that asks for digests, which covers proxies of earlier builds.

--- a/internal/fleet/coordinator/requests.go
+++ b/internal/fleet/coordinator/requests.go
@@ -88,7 +88,7 @@
 	// Grant is the response to a Renewal.
 	Grant struct {
 		// LeaseDuration is how long the lease is valid from the moment at
-		// which the proxy sent the renewal.
+		// which the proxy sent the renewal; zero: it isn't extended.
 		LeaseDuration time.Duration
 		// Revision identifies the state that this grant describes.
 		Revision string
@@ -151,11 +151,17 @@
 	if err := c.confirmLeadership(ctx); err != nil {
 		return Grant{}, err
 	}
-	c.recordRenewal(l, r)
+	expired := c.recordRenewal(l, r)
 	if err := c.awaitChange(ctx, l, r); err != nil {
 		return Grant{}, err
 	}
-	return c.newGrant(l, r, received), nil
+	grant := c.newGrant(l, r, received)
+	if expired && grant.DigestsWanted {
+		// Primaries may have been replaced without this proxy, and the grant
+		// doesn't say which.
+		grant.LeaseDuration = 0
+	}
+	return grant, nil
 }
 
 // registerProxy adds a proxy to the replicated state before its first lease, so
@@ -168,8 +174,9 @@
 	return err
 }
 
-// recordRenewal renews or ends a proxy's lease and records what the proxy reports.
-func (c *Coordinator) recordRenewal(l *leadership, r Renewal) {
+// recordRenewal renews or ends a proxy's lease and records what the proxy reports. It
+// returns whether the lease had expired before.
+func (c *Coordinator) recordRenewal(l *leadership, r Renewal) (expired bool) {
 	now := c.options.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -177,12 +184,14 @@
 	if r.Leaving {
 		l.leases.End(r.Proxy, r.Incarnation)
 		l.wakeReleasing()
-		return
+		return false
 	}
+	expired = !l.leases.HasLease(r.Proxy, now)
 	l.leases.Renew(r.Proxy, r.Incarnation, r.MinUsableTerms, now)
 	l.recordObservations(r.Proxy, r.Observations, now)
 	l.recordSamples(r, now)
 	l.wakeReleasing()
+	return expired
 }
 
 // wakeReleasing has the scheduler look at the groups whose change of primary waits for
--- a/internal/fleet/coordinator/scale_test.go
+++ b/internal/fleet/coordinator/scale_test.go
@@ -149,6 +149,35 @@
 	}
 }
 
+// TestExpiredLeaseIsNotExtendedWithoutPrimaries renews without digests. A proxy whose lease
+// has expired isn't granted another one then: the grant doesn't name the primaries that may
+// have been replaced meanwhile, and a proxy of an earlier build would go on using its own.
+func TestExpiredLeaseIsNotExtendedWithoutPrimaries(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.announceGroups()
+	renewal := Renewal{Proxy: "proxy-1", Incarnation: 7, AcceptsPartial: true, AcceptsParts: true, Revision: "999.1"}
+	tests := []struct {
+		name    string
+		digests []uint64
+		want    bool
+	}{
+		{"the lease has expired, without digests", nil, false},
+		{"the same with digests", make([]uint64, parts.Count), true},
+		{"the lease is valid, without digests", nil, true},
+	}
+	for _, test := range tests {
+		renewal.Digests = test.digests
+		g, err := f.coordinator.Renew(t.Context(), renewal)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := g.LeaseDuration > 0; got != test.want {
+			t.Errorf("%s: got a lease of %v, want one granted: %v", test.name, g.LeaseDuration, test.want)
+		}
+	}
+}
+
 // announceServer announces a server, or its departure.
 func (f *fixture) announceServer(s registry.Server, leaving bool) {
 	f.t.Helper()
--- a/internal/traffic/controlclient/apply.go
+++ b/internal/traffic/controlclient/apply.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/burdockwood/burdockwood/internal/fleet/leaderclock"
+	"github.com/burdockwood/burdockwood/internal/fleet/parts"
 	"github.com/burdockwood/burdockwood/internal/fleet/protoconv"
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/fleet/samples"
@@ -84,6 +85,7 @@
 	c.closeReplaced(primaries)
 	leaseTime := time.Duration(response.GetLeaseMs()) * time.Millisecond
 	c.options.Lease.Renew(sentAt.Add(leaseTime), primaries, now)
+	c.options.Lease.Confirm(confirmedBy(response))
 	// The servers follow the primaries, because the first connection to a server
 	// yields a sample only if the server is known to be the primary.
 	if response.GetChanged() {
@@ -116,6 +118,15 @@
 	}
 }
 
+// confirmedBy returns whether a response says of a group that it doesn't name that its
+// primary is unchanged.
+func confirmedBy(response *fleetpb.RenewResponse) func(cluster.GroupName) bool {
+	next := int(response.GetNextPart())
+	return func(group cluster.GroupName) bool {
+		return !response.GetDigestsWanted() && (next == 0 || parts.Of(group) < next)
+	}
+}
+
 // closeReplaced closes the connections to primaries that are being replaced because
 // they are unresponsive, so that the statements that wait for them end.
 func (c *Client) closeReplaced(primaries map[cluster.GroupName]lease.GroupPrimary) {
--- a/internal/traffic/controlclient/client_test.go
+++ b/internal/traffic/controlclient/client_test.go
@@ -441,3 +441,48 @@
 		t.Error("got ready after the right has ended")
 	}
 }
+
+// TestRenewalAfterAFreeze guards against writes at a primary that was replaced while this
+// VM was suspended: after its lease has expired, a response lets it use only the primaries
+// that the response names or confirms.
+func TestRenewalAfterAFreeze(t *testing.T) {
+	const leaseMs = 3500
+	group := cluster.GroupName("g")
+	part := uint32(parts.Of(group))
+	named := []*fleetpb.Primacy{{Group: "g", Term: 3, Primary: "p"}}
+	tests := []struct {
+		name     string
+		frozen   time.Duration
+		response *fleetpb.RenewResponse
+		want     bool
+	}{
+		{"the lease hasn't expired", time.Second, &fleetpb.RenewResponse{DigestsWanted: true}, true},
+		{"nothing changed", time.Minute, &fleetpb.RenewResponse{}, true},
+		{"differences without this group", time.Minute, &fleetpb.RenewResponse{Changed: true, PartialServers: true, PartialPeers: true}, true},
+		{"digests wanted", time.Minute, &fleetpb.RenewResponse{Changed: true, PartialServers: true, DigestsWanted: true}, false},
+		{"digests wanted, but named", time.Minute, &fleetpb.RenewResponse{Changed: true, PartialServers: true, DigestsWanted: true, Primacies: named}, true},
+		{"all parts are equal", time.Minute, &fleetpb.RenewResponse{Changed: true, PartialServers: true}, true},
+		{"the group's part is equal", time.Minute, &fleetpb.RenewResponse{Changed: true, PartialServers: true, NextPart: part + 1}, true},
+		{"the group's part may differ", time.Minute, &fleetpb.RenewResponse{Changed: true, PartialServers: true, NextPart: part}, false},
+		{"replaced", time.Minute, &fleetpb.RenewResponse{Changed: true, PartialServers: true, Primacies: []*fleetpb.Primacy{{Group: "g", Term: 4, Primary: "q"}}}, false},
+	}
+	for _, test := range tests {
+		now := time.Unix(1000, 0)
+		c, _, holder := newClient(func(o *Options) { o.Now = func() time.Time { return now } })
+		c.applyRenewal(&fleetpb.RenewResponse{Granted: true, LeaseMs: leaseMs, Changed: true, Primacies: named}, nil, now)
+		permit, err := holder.BeginUse(group, now)
+		if err != nil {
+			t.Fatalf("%s: %v", test.name, err)
+		}
+		now = now.Add(test.frozen)
+		test.response.Granted, test.response.LeaseMs = true, leaseMs
+		c.applyRenewal(test.response, nil, now)
+		if got := holder.Valid(permit, now); got != test.want {
+			t.Errorf("%s: got the earlier permit valid %v, want %v", test.name, got, test.want)
+		}
+		current, err := holder.BeginUse(group, now)
+		if got := err == nil && current.Primary == "p"; got != test.want {
+			t.Errorf("%s: got %+v, %v, want the earlier primary usable %v", test.name, current, err, test.want)
+		}
+	}
+}
--- a/internal/traffic/lease/lease.go
+++ b/internal/traffic/lease/lease.go
@@ -4,6 +4,9 @@
 //
 // # Usage
 //
+//	holder.Renew(expiresAt, primaries, now)
+//	holder.Confirm(isUnchanged)
+//
 //	permit, err := holder.BeginUse(group, now)
 //	answer := ... // from the server permit.Primary
 //	if !holder.Valid(permit, time.Now()) {
@@ -22,6 +25,10 @@
 // The proxy reports the released terms to the control plane, which announces the new
 // primary once every proxy has released the old term or its lease has expired.
 //
+// A lease that expired says nothing of the primaries that were known: the control plane
+// doesn't wait for this proxy any more. Until a response names or confirms a primary again,
+// BeginUse returns no permit for its group, and the earlier ones aren't valid.
+//
 // All times must be read from a clock that includes the time for which the VM is
 // suspended.
 package lease
@@ -101,6 +108,9 @@
 		usabilityChangedAt time.Time
 		// uses is the number of permits of the term that are in use.
 		uses int
+		// confirmed is true if the control plane has named or confirmed the
+		// announced state since the lease last expired.
+		confirmed bool
 	}
 )
 
@@ -110,7 +120,8 @@
 }
 
 // Renew applies a renewal by the control plane: the end of the lease, and the primaries
-// that the response contains. A renewal never shortens the lease.
+// that the response contains. A renewal never shortens the lease. If the lease had expired,
+// the primaries that the response doesn't contain can't be used until Confirm.
 func (h *Holder) Renew(expiresAt time.Time, primaries map[cluster.GroupName]GroupPrimary, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -119,6 +130,11 @@
 	if expiresAt.After(h.expiresAt) {
 		h.expiresAt = expiresAt
 	}
+	if expired {
+		for _, g := range h.groups {
+			g.confirmed = false
+		}
+	}
 	for name, p := range primaries {
 		g := h.groups[name]
 		if g == nil {
@@ -136,11 +152,32 @@
 	}
 }
 
+// Confirm records for which groups the response that was applied last says that their
+// primaries are as they were announced before.
+func (h *Holder) Confirm(isUnchanged func(cluster.GroupName) bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	usable := false
+	for name, g := range h.groups {
+		if !g.confirmed && isUnchanged(name) {
+			g.confirmed, usable = true, true
+		}
+	}
+	if usable {
+		h.primaryUsable.Notify()
+	}
+}
+
 // apply applies the announced primary and reports whether a primary became usable.
 func (g *group) apply(p GroupPrimary, now time.Time) bool {
-	if p.Term < g.announced.Term || p == g.announced {
+	if p.Term < g.announced.Term {
 		return false
 	}
+	confirmed := g.confirmed
+	g.confirmed = true
+	if p == g.announced {
+		return !confirmed
+	}
 	newTerm := p.Term > g.announced.Term
 	g.announced = p
 	if p.Primary != "" {
@@ -210,20 +247,20 @@
 	if g == nil {
 		return Permit{}, ErrNoPrimary
 	}
-	if g.announced.Primary == "" || g.announced.Term != g.term {
+	if g.announced.Primary == "" || g.announced.Term != g.term || !g.confirmed {
 		return Permit{}, ErrPrimaryChanging
 	}
 	g.uses++
 	return Permit{Group: name, Term: g.term, Primary: g.primary}, nil
 }
 
-// Valid reports whether the lease hasn't expired and the permit's term hasn't been
-// released.
+// Valid reports whether the lease hasn't expired, the permit's term hasn't been released,
+// and the control plane has confirmed the primary since the lease last expired.
 func (h *Holder) Valid(permit Permit, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	g := h.groups[permit.Group]
-	return now.Before(h.expiresAt) && g != nil && g.term == permit.Term && g.primary == permit.Primary
+	return now.Before(h.expiresAt) && g != nil && g.confirmed && g.term == permit.Term && g.primary == permit.Primary
 }
 
 // EndUse ends the use of a permit.
--- a/internal/traffic/lease/lease_test.go
+++ b/internal/traffic/lease/lease_test.go
@@ -164,3 +164,60 @@
 		}
 	}
 }
+
+// TestExpiredLeaseNeedsConfirmation guards against the use of a primary that was replaced
+// while this proxy was suspended: the response that grants the next lease may not say
+// which primaries are in force.
+func TestExpiredLeaseNeedsConfirmation(t *testing.T) {
+	all, none := func(cluster.GroupName) bool { return true }, func(cluster.GroupName) bool { return false }
+	tests := []struct {
+		name string
+		// renewedAt is when the next response is applied, to a lease that ends at
+		// 5000.
+		renewedAt int
+		next      map[cluster.GroupName]GroupPrimary
+		confirm   func(cluster.GroupName) bool
+		wantErr   error
+		wantValid bool
+	}{
+		{"before the end, nothing said", 4999, nil, none, nil, true},
+		{"at the end, nothing said", 5000, nil, none, ErrPrimaryChanging, false},
+		{"after the end, nothing said", 9000, nil, none, ErrPrimaryChanging, false},
+		{"after the end, confirmed", 9000, nil, all, nil, true},
+		{"after the end, named again", 9000, primaries(3, "p", false), none, nil, true},
+		{"after the end, replaced", 9000, primaries(4, "q", false), none, nil, false},
+		{"after the end, being replaced", 9000, primaries(4, "", true), all, ErrPrimaryChanging, false},
+		{"after the end, from a leader that is behind", 9000, primaries(2, "o", false), none, ErrPrimaryChanging, false},
+	}
+	for _, test := range tests {
+		holder := New()
+		holder.Renew(at(5000), primaries(3, "p", false), at(0))
+		permit, err := holder.BeginUse(testGroup, at(1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		holder.Renew(at(test.renewedAt+5000), test.next, at(test.renewedAt))
+		holder.Confirm(test.confirm)
+		if got := holder.Valid(permit, at(test.renewedAt+1)); got != test.wantValid {
+			t.Errorf("%s: got the earlier permit valid %v, want %v", test.name, got, test.wantValid)
+		}
+		if _, err := holder.BeginUse(testGroup, at(test.renewedAt+1)); !errors.Is(err, test.wantErr) {
+			t.Errorf("%s: got %v, want %v", test.name, err, test.wantErr)
+		}
+	}
+}
+
+// TestConfirmationNotifies checks that statements that wait for a primary go on once it is
+// confirmed.
+func TestConfirmationNotifies(t *testing.T) {
+	holder := New()
+	holder.Renew(at(5000), primaries(3, "p", false), at(0))
+	holder.Renew(at(15000), nil, at(9000))
+	usable := holder.PrimaryUsable()
+	holder.Confirm(func(cluster.GroupName) bool { return true })
+	select {
+	case <-usable:
+	default:
+		t.Error("got no notification, want one: the primary is usable again")
+	}
+}
