--- a/internal/fleet/coordinator/coordinator_test.go
+++ b/internal/fleet/coordinator/coordinator_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,6 +27,9 @@
 	testLog struct {
 		*singlenode.Log
 		changes chan struct{}
+		// suspended is the time in nanoseconds for which the VM is suspended after
+		// each confirmation of the leadership.
+		suspended atomic.Int64
 	}
 
 	// fakePlatform implements Backends and Promoter for the servers of one
@@ -44,6 +48,7 @@
 	fixture struct {
 		t           testing.TB
 		coordinator *Coordinator
+		log         *testLog
 		machine     *state.Machine
 		platform    *fakePlatform
 		sequence    uint64
@@ -52,6 +57,12 @@
 
 func (l *testLog) Changes() <-chan struct{} { return l.changes }
 
+func (l *testLog) ConfirmLeadership(ctx context.Context) error {
+	err := l.Log.ConfirmLeadership(ctx)
+	time.Sleep(time.Duration(l.suspended.Load()))
+	return err
+}
+
 func (p *fakePlatform) Status(_ context.Context, s registry.Server) (cluster.ServerStatus, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -113,7 +124,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.coordinator = c
+	f.coordinator, f.log = c, log
 	f.platform.setStatus("p", cluster.RolePrimary, 1, 10)
 	f.platform.setStatus("r1", cluster.RoleReplica, 1, 10)
 	f.platform.setStatus("r2", cluster.RoleReplica, 1, 9)
@@ -229,6 +240,27 @@
 	})
 }
 
+// TestSuspendedLeaderDoesNotPromote guards against a promotion by a leader that was
+// suspended after its leadership had been confirmed: the next leader counts on its calls
+// having ended.
+func TestSuspendedLeaderDoesNotPromote(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.announceAll()
+	f.log.suspended.Store(int64(firstPromotionDelay - minPromoteTimeout/2))
+	f.announce("p", cluster.RolePrimary, true)
+	f.waitUntil("a target is chosen", func() bool { return f.primary().Target != "" })
+	time.Sleep(3 * firstPromotionDelay)
+	f.platform.mu.Lock()
+	promoted := len(f.platform.promoted)
+	f.platform.mu.Unlock()
+	if promoted > 0 {
+		t.Errorf("got %d promotions by a leader that is suspended after each confirmation, want none", promoted)
+	}
+	f.log.suspended.Store(0)
+	f.waitUntil("the replica is the primary", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r1" })
+}
+
 func TestRefusedTargetIsSkipped(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t)
--- a/internal/fleet/coordinator/group.go
+++ b/internal/fleet/coordinator/group.go
@@ -23,11 +23,13 @@
 	// serverCallTimeout bounds a call to a backend server. It allows for many
 	// round trips and for waiting until a busy server has a free slot.
 	serverCallTimeout = 300 * time.Millisecond
-	// promoteTimeout bounds a call to the platform.
-	promoteTimeout = 700 * time.Millisecond
+	// promoteTimeout bounds a call to the platform. No call is made if less than
+	// minPromoteTimeout is left for it.
+	promoteTimeout    = 700 * time.Millisecond
+	minPromoteTimeout = 200 * time.Millisecond
 	// firstPromotionDelay is the time after an election in which the new
-	// leader promotes no server. It is longer than promoteTimeout, so that
-	// any call of the previous leader has ended.
+	// leader promotes no server. Any call of the previous leader has ended
+	// then: it ends within that time after the leadership was confirmed.
 	firstPromotionDelay = time.Second
 	// chooseInterval is the pause before the servers' status is queried again
 	// if no target could be chosen.
@@ -326,11 +328,18 @@
 	if wait := firstPromotionDelay - g.coordinator.options.Now().Sub(g.leadership.startedAt); wait > 0 {
 		return wait
 	}
+	confirmedAfter := g.coordinator.options.Now()
 	if err := g.coordinator.confirmLeadership(ctx); err != nil {
 		return tickInterval
 	}
 	initial, _ := g.findServer(p.Target)
-	callCtx, cancel := context.WithTimeout(ctx, promoteTimeout)
+	// The next leader may have been elected since then, and counts on this call having
+	// ended when it promotes a server.
+	timeout := min(promoteTimeout, firstPromotionDelay-g.coordinator.options.Now().Sub(confirmedAfter))
+	if timeout < minPromoteTimeout {
+		return 0
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	err := g.coordinator.options.Promoter.Promote(callCtx, g.group, p.Target, Fence{Holder: g.coordinator.options.Name, Token: g.leadership.epoch})
 	cancel()
 	g.logger.Info("promotion requested", "server", p.Target, "term", p.Term, "error", logging.ErrorText(err))
