Prepared statements: a query with a blank runs as itself

Change: the proxy numbers the statements of each connection. Names stay short, also for long queries.

--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -155,9 +155,9 @@
 				{Statement: statement.Statement{Verb: statement.Prepare, Name: "n", Query: "q", Writes: true}},
 				{Statement: statement.Statement{ID: "id", Verb: statement.Execute, Name: "n", Text: "1 x"}},
 			},
-			// The owner names the statement after its query, here q, with the
-			// prefix w for a write.
-			"set a=1; prepare wq; execute wq",
+			// The owner numbers the statements of a connection, with the prefix w
+			// for a write.
+			"set a=1; prepare w1; execute w1",
 		},
 		{
 			"a setting set in a transaction is applied again after a rollback",
--- a/internal/traffic/session/session_test.go
+++ b/internal/traffic/session/session_test.go
@@ -295,9 +295,9 @@
 		{"commit without begin", "primary", nil, []string{"COMMIT"}, []string{"bad-statement I"}, ""},
 		{"no route", "none", nil, []string{"READ 1"}, []string{"no-database I"}, ""},
 		{"unknown prepared name", "primary", nil, []string{"EXECUTE s 1"}, []string{"not-prepared I"}, ""},
-		// The proxy names the statement after its query, here q, with the prefix r
-		// for a read.
-		{"prepared statement", "primary", nil, []string{"PREPARE s q", "EXECUTE s 1"}, []string{"ok I", "ok I"}, "prepare rq; execute rq"},
+		// The proxy numbers the statements of a connection, with the prefix r for a
+		// read.
+		{"prepared statement", "primary", nil, []string{"PREPARE s q", "EXECUTE s 1"}, []string{"ok I", "ok I"}, "prepare r1; execute r1"},
 		{"session setting", "primary", nil, []string{"SET a 1", "READ 1"}, []string{"ok I", "ok I"}, "set a=1; READ 1"},
 		{"lost answer to a write", "primary", func(f *fixture) {
 			f.scriptResponses("p", "WRITE 1 x", scriptedResponse{err: backend.ErrConnectionLost})
--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"maps"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -32,9 +33,11 @@
 	settings    map[string]string
 	fingerprint string
 	// prepared maps queries, prefixed by "r" for reads and "w" for writes, to
-	// the names of prepared statements on this connection.
-	prepared  map[string]string
-	idleSince time.Time
+	// the names of prepared statements on this connection. preparedCount is how
+	// many were prepared in all.
+	prepared      map[string]string
+	preparedCount int
+	idleSince     time.Time
 	// sentAt is when the outstanding request was sent; zero: none is
 	// outstanding. It is guarded by the pool's mutex.
 	sentAt time.Time
@@ -188,14 +191,15 @@
 }
 
 // Prepare returns the name of the prepared statement for a query on this
-// connection, and prepares it first if needed. The name is derived from the query,
-// so that the names that callers choose can't collide. Errors: those of
-// backend.Conn.
+// connection, and prepares it first if needed. The proxy numbers the queries of a
+// connection: names that callers choose would collide, and their queries may hold
+// what the protocol doesn't allow in a name. Errors: those of backend.Conn.
 func (c *Conn) Prepare(query string, writes bool, deadline time.Time) (string, error) {
-	key := "r" + query
+	access := "r"
 	if writes {
-		key = "w" + query
+		access = "w"
 	}
+	key := access + query
 	if name, ok := c.prepared[key]; ok {
 		return name, nil
 	}
@@ -206,12 +210,14 @@
 			return "", err
 		}
 	}
-	err := c.runInternal(statement.Statement{Verb: statement.Prepare, Name: key, Query: query, Writes: writes}, deadline)
+	c.preparedCount++
+	name := access + strconv.Itoa(c.preparedCount)
+	err := c.runInternal(statement.Statement{Verb: statement.Prepare, Name: name, Query: query, Writes: writes}, deadline)
 	if err != nil {
 		return "", err
 	}
-	c.prepared[key] = key
-	return key, nil
+	c.prepared[key] = name
+	return name, nil
 }
 
 // InvalidateSessionState marks the session settings and prepared statements of the
--- a/internal/traffic/upstream/upstream_test.go
+++ b/internal/traffic/upstream/upstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -399,6 +400,42 @@
 	}
 }
 
+// FuzzPreparedNames guards against a query that is run instead of another one: callers
+// choose queries freely, with blanks, and the server splits what it is sent at blanks.
+func FuzzPreparedNames(f *testing.F) {
+	f.Add("x READ y", "x")
+	f.Add("q", "q READ q")
+	f.Add("1", "11")
+	f.Fuzz(func(t *testing.T, first, second string) {
+		servers := &fakeServers{limit: 4}
+		_, pool := newManager(servers, 1)
+		conn, err := pool.Acquire(options(time.Second))
+		if err != nil {
+			t.Fatal(err)
+		}
+		names := map[string]bool{}
+		for _, writes := range []bool{false, true} {
+			for _, query := range []string{first, second} {
+				name, err := conn.Prepare(query, writes, time.Now().Add(time.Second))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if strings.ContainsAny(name, " \r\n") {
+					t.Errorf("got name %q for query %q, want one word", name, query)
+				}
+				names[name] = true
+			}
+		}
+		want := 4
+		if first == second {
+			want = 2
+		}
+		if len(names) != want {
+			t.Errorf("got %d names for queries %q and %q, want %d", len(names), first, second, want)
+		}
+	})
+}
+
 func TestCloseUnresponsive(t *testing.T) {
 	f := &fakeServers{limit: 4}
 	m, pool := newManager(f, 1)
