Settings: fingerprints differ whatever bytes the settings hold

Cause: the fingerprint of session settings separated names and values by characters that callers may use, so two sessions with different settings could be taken for one (the review's report). Change: each part carries its length.

--- a/internal/traffic/statement/statement.go
+++ b/internal/traffic/statement/statement.go
@@ -16,8 +16,9 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -217,19 +218,23 @@
 func (s Statement) Digest() uint64 {
 	var d xxhash.Digest
 	d.Reset()
+	var length [binary.MaxVarintLen64]byte
 	for _, part := range []string{s.Verb.String(), s.Query, s.Text} {
-		_, _ = d.WriteString(part) // never fails
-		_, _ = d.Write([]byte{0})
+		_, _ = d.Write(length[:binary.PutUvarint(length[:], uint64(len(part)))]) // never fails
+		_, _ = d.WriteString(part)
 	}
 	return d.Sum64()
 }
 
-// Fingerprint returns a text that is the same for equal sets of session settings.
+// Fingerprint returns a text that is the same for equal sets of session settings, and
+// differs between others, whatever bytes they hold. It is empty if there are none.
 func Fingerprint(settings map[string]string) string {
-	parts := make([]string, 0, len(settings))
-	for name, value := range settings {
-		parts = append(parts, name+"\x00"+value)
+	var text []byte
+	for _, name := range slices.Sorted(maps.Keys(settings)) {
+		for _, part := range []string{name, settings[name]} {
+			text = binary.AppendUvarint(text, uint64(len(part)))
+			text = append(text, part...)
+		}
 	}
-	slices.Sort(parts)
-	return strings.Join(parts, "\x01")
+	return string(text)
 }
