Forward: a number that this build doesn't know ends no process

Cause: codes, states and verbs of other proxies' messages were used as they came. The name of an unknown one was looked up out of range, which ended the process; a number over 255 lost its higher bits, so code 256 was a success. A newer build beside this one may send such numbers. Change: unknown codes count as "may have run", unknown states as a lost connection; unknown verbs are refused.

--- a/internal/traffic/forward/owners.go
+++ b/internal/traffic/forward/owners.go
@@ -264,7 +264,12 @@
 		answer, err = c.faultResult(response)
 		return answer, false, err
 	}
-	if c.handle == 0 && statement.TxState(response.GetState()) != statement.Idle {
+	state, known := statement.ParseTxState(response.GetState())
+	if !known {
+		err := eris.Wrapf(backend.ErrConnectionLost, "the owner of the connection answered with the unknown state %d", response.GetState())
+		return statement.Answer{}, false, err
+	}
+	if c.handle == 0 && state != statement.Idle {
 		// Without a handle, the next statement would run outside the transaction.
 		return statement.Answer{}, false, eris.Wrap(backend.ErrConnectionLost, "the owner of the connection ended the transaction")
 	}
@@ -273,8 +278,8 @@
 		return statement.Answer{}, false, errors.Join(err, c.Close())
 	}
 	return statement.Answer{
-		Code: statement.Code(response.GetCode()), Detail: response.GetDetail(), Rows: response.GetRows(),
-		Signature: response.GetSignature(), State: statement.TxState(response.GetState()),
+		Code: statement.ParseCode(response.GetCode()), Detail: response.GetDetail(), Rows: response.GetRows(),
+		Signature: response.GetSignature(), State: state,
 		Position: newPosition(response.GetMarkTerm(), response.GetMarkPosition()),
 	}, false, nil
 }
--- a/internal/traffic/forward/service.go
+++ b/internal/traffic/forward/service.go
@@ -150,13 +150,16 @@
 	if !time.Now().Before(deadline) {
 		return faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, errTooLate), nil
 	}
+	if !isForwardable(r) {
+		return faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, eris.Wrapf(errUnknownVerb, "verb %d, begin %d", r.GetVerb(), r.GetBegin())), nil
+	}
 	settings := settingsFromProto(r.GetValues())
 	fingerprint := statement.Fingerprint(settings)
 	if r.GetHandle() != 0 {
 		conn := s.takeTransaction(r.GetHandle())
 		if conn == nil {
 			s.options.Logger.Info("forwarded statement refused", "request-id", r.GetId(), "server", r.GetServer(),
-				"verb", statement.Verb(r.GetVerb()).String(), "reason", errNoTransaction.Error())
+				"verb", statement.ParseVerb(r.GetVerb()).String(), "reason", errNoTransaction.Error())
 			return faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, errNoTransaction), nil
 		}
 		if err := conn.ApplySettings(settings, fingerprint, deadline); err != nil {
@@ -178,7 +181,7 @@
 		Customer: customer.Name(r.GetCustomer()), Forwarded: true,
 		Fingerprint: fingerprint, Priority: int(r.GetPriority()),
 		SoftDeadline: time.Now().Add(milliseconds(r.GetAimMs())), Deadline: deadline, CallerContext: ctx,
-		Digest:  statement.Statement{Verb: statement.Verb(r.GetVerb()), Query: r.GetShape(), Text: r.GetText()}.Digest(),
+		Digest:  statement.Statement{Verb: statement.ParseVerb(r.GetVerb()), Query: r.GetShape(), Text: r.GetText()}.Digest(),
 		HoldFor: milliseconds(r.GetHoldMs()), Kind: r.GetKind(),
 	})
 	if err != nil {
@@ -227,8 +230,21 @@
 	errNoTransaction = eris.New("the transaction isn't open here any more")
 	errNotOwner      = eris.New("this proxy doesn't own connections to the server")
 	errTooLate       = eris.New("the request arrived after its deadline")
+	errUnknownVerb   = eris.New("this proxy doesn't run such statements for others")
 )
 
+// isForwardable reports whether a request has a verb that proxies forward, and begins a
+// transaction by a verb that does so, if by any.
+func isForwardable(r *fleetpb.ExecuteRequest) bool {
+	switch statement.ParseVerb(r.GetVerb()) {
+	case statement.Read, statement.Write, statement.Execute, statement.Commit, statement.Rollback:
+	default:
+		return false
+	}
+	begin := statement.ParseVerb(r.GetBegin())
+	return r.GetBegin() == 0 || begin == statement.Begin || begin == statement.BeginRead
+}
+
 // acquireFault returns the response for a failed acquisition of a connection.
 func acquireFault(err error) *fleetpb.ExecuteResponse {
 	var refused *upstream.RefusedError
@@ -254,7 +270,7 @@
 	if r.GetBegin() == 0 {
 		return nil
 	}
-	request := statement.Request{Statement: statement.Statement{Verb: statement.Verb(r.GetBegin())}}
+	request := statement.Request{Statement: statement.Statement{Verb: statement.ParseVerb(r.GetBegin())}}
 	request.MinPosition = newPosition(r.GetBeginAfterTerm(), r.GetBeginAfterPosition())
 	answer, err := conn.Do(request, deadline)
 	if err != nil {
@@ -315,7 +331,7 @@
 // query on the connection if needed.
 func prepareRequest(conn *upstream.Conn, r *fleetpb.ExecuteRequest, deadline time.Time) (statement.Request, error) {
 	request := keyed(r, statement.Request{
-		Statement:   statement.Statement{ID: r.GetId(), Verb: statement.Verb(r.GetVerb()), Text: r.GetText()},
+		Statement:   statement.Statement{ID: r.GetId(), Verb: statement.ParseVerb(r.GetVerb()), Text: r.GetText()},
 		MinPosition: newPosition(r.GetAfterTerm(), r.GetAfterPosition()),
 	})
 	if request.Verb != statement.Execute {
--- a/internal/traffic/statement/statement.go
+++ b/internal/traffic/statement/statement.go
@@ -19,6 +19,7 @@
 	"encoding/binary"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -104,6 +105,17 @@
 	FailedTransaction
 )
 
+var (
+	codeNames = [...]string{
+		"ok", "busy", "aborted", "behind", "read-only", "wrong-server", "connection-limit", "not-prepared",
+		"failed", "timed-out", "unknown", "no-database", "bad-statement", "unknown-key",
+	}
+	verbNames = [...]string{
+		"malformed", "begin", "begin-read", "commit", "rollback", "read", "write", "set", "prepare", "execute",
+		"deallocate", "reset",
+	}
+)
+
 type (
 	// Verb is the kind of a statement.
 	Verb uint8
@@ -197,19 +209,41 @@
 }
 
 // String returns the code's name in logs and metrics.
-func (c Code) String() string {
-	return [...]string{
-		"ok", "busy", "aborted", "behind", "read-only", "wrong-server", "connection-limit", "not-prepared",
-		"failed", "timed-out", "unknown", "no-database", "bad-statement", "unknown-key",
-	}[c]
-}
+func (c Code) String() string { return nameOf(codeNames[:], c) }
 
 // String returns the verb's name in logs.
-func (v Verb) String() string {
-	return [...]string{
-		"malformed", "begin", "begin-read", "commit", "rollback", "read", "write", "set", "prepare", "execute",
-		"deallocate", "reset",
-	}[v]
+func (v Verb) String() string { return nameOf(verbNames[:], v) }
+
+// nameOf returns the name of a value, or its number if it has none.
+func nameOf[T ~uint8](names []string, value T) string {
+	if int(value) < len(names) {
+		return names[value]
+	}
+	return strconv.Itoa(int(value))
+}
+
+// ParseCode returns the code with a number that another process sent, and Unknown for a
+// number that this build doesn't know.
+func ParseCode(number uint32) Code {
+	if number < uint32(len(codeNames)) {
+		return Code(number)
+	}
+	return Unknown
+}
+
+// ParseTxState returns the state with a number that another process sent, and false for a
+// number that this build doesn't know.
+func ParseTxState(number uint32) (state TxState, known bool) {
+	return TxState(number), number <= uint32(FailedTransaction)
+}
+
+// ParseVerb returns the verb with a number that another process sent, and Malformed for a
+// number that this build doesn't know.
+func ParseVerb(number uint32) Verb {
+	if number < uint32(len(verbNames)) {
+		return Verb(number)
+	}
+	return Malformed
 }
 
 // Digest returns a hash of what the statement does: its verb, the query that it
