Forward: an owner keeps a transaction as long as callers may rest

Cause: an owner closed other proxies' transactions after 6 s without a statement, whatever the configuration allows; one that allows more than that had them undone while their callers rested. Found by reading. Change: the limit is twice the configured idle timeout if that is more. Result: TestRestingTransactionIsKept (30 s allowed) got "not sent" for the commit before, and passes.

--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -326,6 +326,24 @@
 	}
 }
 
+// TestRestingTransactionIsKept guards against a transaction that its owner gives up although
+// the configuration lets callers rest for longer.
+func TestRestingTransactionIsKept(t *testing.T) {
+	const idleTimeout = 30 * time.Second
+	server := &fakeServer{}
+	service, conn, _ := startOwner(t, server, 1)
+	service.options.TransactionIdleTimeout = func() time.Duration { return idleTimeout }
+	for _, r := range []statement.Request{request(statement.Begin, ""), request(statement.Write, "WRITE 1 x")} {
+		if _, err := do(t, conn, r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	service.closeAbandoned(time.Now().Add(idleTimeout))
+	if answer, err := do(t, conn, request(statement.Commit, "COMMIT")); err != nil || answer.Code != statement.OK {
+		t.Errorf("got %+v, %v for a commit within the idle timeout, want success", answer, err)
+	}
+}
+
 func TestCloseRollsBackTheTransaction(t *testing.T) {
 	server := &fakeServer{}
 	service, conn, _ := startOwner(t, server, 1)
--- a/internal/traffic/forward/service.go
+++ b/internal/traffic/forward/service.go
@@ -43,9 +43,8 @@
 )
 
 const (
-	// maxTransactionIdle is how long a transaction may be idle at the owner. It
-	// is longer than the idle timeout of the proxy that serves the caller, so
-	// that only transactions of crashed proxies are closed here.
+	// maxTransactionIdle is how long a transaction may be idle at the owner, unless
+	// callers' transactions may be idle for longer than half of that.
 	maxTransactionIdle = 6 * time.Second
 	// sweepInterval is the interval of the checks for abandoned transactions.
 	sweepInterval = time.Second
@@ -58,7 +57,11 @@
 		// LeaderClock is the clock of the deadlines in requests; nil: they count
 		// from the request's arrival.
 		LeaderClock *leaderclock.Clock
-		Logger      logr.Logger
+		// TransactionIdleTimeout returns how long a caller's transaction may be
+		// idle, by the configuration in force; zero: it says nothing of that. Nil:
+		// always zero.
+		TransactionIdleTimeout func() time.Duration
+		Logger                 logr.Logger
 	}
 
 	// Service implements fleetpb.Broker. It is safe for concurrent use.
@@ -87,6 +90,9 @@
 	if options.LeaderClock == nil {
 		options.LeaderClock = &leaderclock.Clock{}
 	}
+	if options.TransactionIdleTimeout == nil {
+		options.TransactionIdleTimeout = func() time.Duration { return 0 }
+	}
 	return &Service{options: options, transactions: map[uint64]*openTransaction{}}
 }
 
@@ -98,13 +104,14 @@
 	return nil
 }
 
-// closeAbandoned closes the connections of transactions that have been idle for more
-// than maxTransactionIdle; the server rolls them back.
+// closeAbandoned closes the connections of transactions that have been idle for so long
+// that the proxy which serves the caller must have crashed; the server rolls them back.
 func (s *Service) closeAbandoned(now time.Time) {
+	limit := max(maxTransactionIdle, 2*s.options.TransactionIdleTimeout())
 	s.mu.Lock()
 	var stale []*openTransaction
 	for handle, tx := range s.transactions {
-		if now.Sub(tx.idleSince) > maxTransactionIdle {
+		if now.Sub(tx.idleSince) > limit {
 			stale = append(stale, tx)
 			delete(s.transactions, handle)
 		}
--- a/internal/traffic/session/manager.go
+++ b/internal/traffic/session/manager.go
@@ -161,6 +161,15 @@
 // Config returns the configuration in force, or nil if there is none yet.
 func (m *Manager) Config() *routing.Config { return m.config.Load() }
 
+// TransactionIdleTimeout returns how long a transaction may be idle, by the configuration
+// in force; zero: it has no limit, or there is no configuration yet.
+func (m *Manager) TransactionIdleTimeout() time.Duration {
+	if current := m.config.Load(); current != nil {
+		return current.Limits.TransactionIdleTimeout
+	}
+	return 0
+}
+
 // CheckStart reports whether a session for a database may start with a key: OK,
 // NoDatabase or UnknownKey.
 func (m *Manager) CheckStart(database string, key customer.Digest) statement.Code {
--- a/internal/traffic/session/session.go
+++ b/internal/traffic/session/session.go
@@ -145,14 +145,14 @@
 	if s.refusedWithoutLease && s.tx == nil {
 		return time.Now().Add(noLeaseIdleTimeout)
 	}
-	current := s.manager.Config()
 	if d := s.manager.drain.Load(); d != nil && s.tx == nil {
 		return time.Now().Add(d.IdleTimeout)
 	}
-	if s.tx == nil || s.tx.conn == nil || current == nil || current.Limits.TransactionIdleTimeout == 0 {
+	limit := s.manager.TransactionIdleTimeout()
+	if s.tx == nil || s.tx.conn == nil || limit == 0 {
 		return time.Time{}
 	}
-	return time.Now().Add(current.Limits.TransactionIdleTimeout)
+	return time.Now().Add(limit)
 }
 
 // handleNextError handles an error of Caller.Next, and reports whether the session
