Leases: the simulation has responses that name no primary

Cause: the orders of freezes, elections, changes of primary and late messages were shown by hand only.

--- a/internal/fleet/leases/simulation_test.go
+++ b/internal/fleet/leases/simulation_test.go
@@ -211,10 +211,13 @@
 		if s.settled {
 			primary.Primary = s.primary
 		}
+		named := map[cluster.GroupName]lease.GroupPrimary{simGroup: primary}
+		if s.random.IntN(4) == 0 {
+			// The leader doesn't know what the proxy holds, and asks for digests.
+			named = nil
+		}
 		s.schedule(s.messageDelay(), func() {
-			s.whenRunning(p, incarnation, func() {
-				p.lease.Renew(sent.Add(simLease), map[cluster.GroupName]lease.GroupPrimary{simGroup: primary}, s.now)
-			})
+			s.whenRunning(p, incarnation, func() { p.lease.Renew(sent.Add(simLease), named, s.now) })
 		})
 	})
 }
