Data folders: a refused one is left as it is

Cause: no test said that a build which goes back leaves a folder of a newer format alone. Result: passes for all rows, newer formats and kinds of entries among them.

--- a/internal/control/wal/wal_test.go
+++ b/internal/control/wal/wal_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"path/filepath"
@@ -202,10 +203,15 @@
 			if test.node != "" {
 				node = quorum.ID{Node: "control-2"}.Node
 			}
+			before := contents(fs)
 			_, recovered, err := Open(fs, node)
 			if !eris.Is(err, test.wantErr) {
 				t.Fatalf("got error %v, want %v", err, test.wantErr)
 			}
+			// A build that goes back must leave what a newer one wrote as it is.
+			if after := contents(fs); err != nil && !maps.Equal(before, after) {
+				t.Errorf("got a folder of %d files changed by an Open that failed, want %d files as they were", len(after), len(before))
+			}
 			if got := recovered.TruncatedBytes > 0; got != test.wantTruncated {
 				t.Errorf("got %d bytes truncated, want a truncation: %v", recovered.TruncatedBytes, test.wantTruncated)
 			}
@@ -213,6 +219,15 @@
 	}
 }
 
+// contents returns the contents of all files by name.
+func contents(fs *memoryFS) map[string]string {
+	files := map[string]string{}
+	for name, file := range fs.names {
+		files[name] = string(file.data)
+	}
+	return files
+}
+
 // flipBit flips a bit of a file; a negative offset counts from its end.
 func flipBit(name string, at int) func(*memoryFS) {
 	return func(fs *memoryFS) {
