--- a/internal/rpc/transport/transport.go
+++ b/internal/rpc/transport/transport.go
@@ -71,6 +71,9 @@
 		// ByteCounter counts the bytes of all connections; nil: they aren't
 		// counted.
 		ByteCounter *ByteCounter
+		// ResetOnClose makes each connection end with a reset, also if the process
+		// is killed, so that a request that is held up on its way is lost.
+		ResetOnClose bool
 	}
 
 	// ByteCounter counts the bytes sent and received on connections.
@@ -217,6 +220,11 @@
 		if err != nil {
 			return nil, err
 		}
+		if tcp, ok := conn.(*net.TCPConn); ok && options.ResetOnClose {
+			if err := tcp.SetLinger(0); err != nil {
+				return nil, errors.Join(err, conn.Close())
+			}
+		}
 		if options.ByteCounter != nil {
 			conn = &countingConn{Conn: conn, counter: options.ByteCounter}
 		}
