Forward: what a response says is taken over in one place

Cause: sendOnce called an owner and read its whole response, 75 lines. Change: takeResponse has the second half; no line of it does anything else than before. Result: the package's tests pass three times, with the race detector.

--- a/internal/traffic/forward/owners.go
+++ b/internal/traffic/forward/owners.go
@@ -258,30 +258,35 @@
 		answer, err = c.faultResult(response)
 		return answer, !inTransaction, err
 	}
+	answer, err = c.takeResponse(response)
+	return answer, false, err
+}
+
+// takeResponse takes over the handle in an owner's response, and returns the answer or
+// error that the response holds.
+func (c *connection) takeResponse(response *fleetpb.ExecuteResponse) (statement.Answer, error) {
 	c.handle, c.deferredBegin = response.GetHandle(), nil
 	if response.GetFault() != fleetpb.ExecuteResponse_FAULT_NONE {
 		c.handle = 0
-		answer, err = c.faultResult(response)
-		return answer, false, err
+		return c.faultResult(response)
 	}
 	state, known := statement.ParseTxState(response.GetState())
 	if !known {
-		err := eris.Wrapf(backend.ErrConnectionLost, "the owner of the connection answered with the unknown state %d", response.GetState())
-		return statement.Answer{}, false, err
+		return statement.Answer{}, eris.Wrapf(backend.ErrConnectionLost, "the owner of the connection answered with the unknown state %d", response.GetState())
 	}
 	if c.handle == 0 && state != statement.Idle {
 		// Without a handle, the next statement would run outside the transaction.
-		return statement.Answer{}, false, eris.Wrap(backend.ErrConnectionLost, "the owner of the connection ended the transaction")
+		return statement.Answer{}, eris.Wrap(backend.ErrConnectionLost, "the owner of the connection ended the transaction")
 	}
 	if c.handle != 0 && !response.GetUniqueHandles() && c.transactionClient == nil {
 		err := eris.Wrap(backend.ErrConnectionLost, "the owner's handles aren't unique any more: an older build runs there")
-		return statement.Answer{}, false, errors.Join(err, c.Close())
+		return statement.Answer{}, errors.Join(err, c.Close())
 	}
 	return statement.Answer{
 		Code: statement.ParseCode(response.GetCode()), Detail: response.GetDetail(), Rows: response.GetRows(),
 		Signature: response.GetSignature(), State: state,
 		Position: newPosition(response.GetMarkTerm(), response.GetMarkPosition()),
-	}, false, nil
+	}, nil
 }
 
 // broker returns the client for calls to the owner.
