--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/burdockwood/burdockwood/internal/cli/apply"
@@ -33,6 +32,7 @@
 	"github.com/burdockwood/burdockwood/internal/cli/session"
 	"github.com/burdockwood/burdockwood/internal/cli/top"
 	"github.com/burdockwood/burdockwood/internal/cli/version"
+	"github.com/burdockwood/burdockwood/internal/ops/build"
 )
 
 const programName = "burdockwood"
@@ -41,7 +41,7 @@
 func Main() int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	f := factory.New(buildVersion())
+	f := factory.New(build.Version())
 	return int(Run(ctx, f, os.Args[1:]))
 }
 
@@ -89,11 +89,3 @@
 	}
 	return root.LinkParents()
 }
-
-func buildVersion() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
-	}
-	return info.Main.Version
-}
