--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
 	"time"
 )
@@ -234,36 +236,33 @@
 }
 
 // foreignHeartbeat: a heartbeat of another writer, without the fields zone, version and
-// coldRemainingMs, names a replica. Later the replica announces that it will shut down.
+// coldRemainingMs, names the primary. Later the primary announces that it will shut down,
+// and does so 2 s after the time that it has to go on serving.
 func foreignHeartbeat(s *scene) ([]string, error) {
 	if err := s.begin(0); err != nil {
 		return nil, err
 	}
 	time.Sleep(2 * time.Second)
-	leaving := s.group.servers[1]
+	leaving := s.group.servers[0]
 	if s.trouble {
 		beat := map[string]any{
-			"service": serviceName, "address": s.serverAddress(leaving.place), "slots": slots, "state": "ready", "databaseRole": "replica",
+			"service": serviceName, "address": s.serverAddress(leaving.place), "slots": slots, "state": "ready", "databaseRole": "primary",
 			"sequence": 1000000, "born": leaving.born,
 		}
-		for _, target := range s.controlAddresses() {
-			answer, status, err := s.group.post(target, "/Instances.Heartbeat/"+leaving.id, beat)
-			s.record.say("another writer's heartbeat to %s: %d %s %v", target, status, answer, err)
-		}
+		answer, status, err := s.group.post(s.controlAddress(0), "/Instances.Heartbeat/"+leaving.id, beat)
+		s.record.say("another writer's heartbeat without zone, version and coldRemainingMs: %d %s %v", status, bytes.TrimSpace(answer), err)
 	}
 	time.Sleep(2 * time.Second)
-	s.set(func() { leaving.draining = true })
-	beat := map[string]any{
-		"service": serviceName, "address": s.serverAddress(leaving.place), "zone": fmt.Sprintf("zone-%d", leaving.place%3), "version": "v1",
-		"slots": slots, "state": "draining", "coldRemainingMs": 0, "databaseRole": "replica", "born": leaving.born,
-	}
-	s.set(func() { leaving.sequence++; beat["sequence"] = leaving.sequence })
-	if !leaving.call("/Instances.Heartbeat/"+leaving.id, beat, true) {
-		return nil, errNotServing
+	s.drain(leaving)
+	acknowledged, err := s.awaitDrainAcknowledged(leaving)
+	if err != nil {
+		return nil, err
 	}
-	acknowledged := time.Now()
-	s.record.say("%s drains, which is acknowledged", leaving.id)
-	time.Sleep(drainTimeout + 4*time.Second)
+	s.record.say("the control nodes have acknowledged that %s drains", leaving.id)
+	time.Sleep(time.Until(acknowledged.Add(drainTimeout + 2*time.Second)))
+	from := time.Now()
+	s.leave(leaving)
+	time.Sleep(3 * time.Second)
 	late := 0
 	s.set(func() {
 		for _, r := range leaving.ran {
@@ -273,10 +272,23 @@
 			}
 		}
 	})
-	s.group.crash(leaving)
-	time.Sleep(2 * time.Second)
+	succeeded, sent := s.callers.served(from, from.Add(time.Second))
+	s.record.say("in the second after %s ended %d of %d requests were served", leaving.id, succeeded, sent)
 	if late > 0 {
 		return []string{fmt.Sprintf("DRAIN: %d requests reached %s later than %v after the acknowledgement that it drains", late, leaving.id, drainTimeout)}, nil
 	}
 	return nil, nil
 }
+
+// awaitDrainAcknowledged waits until a server's announcement that it drains is
+// acknowledged, and returns when that was.
+func (s *scene) awaitDrainAcknowledged(leaving *server) (time.Time, error) {
+	for until := time.Now().Add(startPatience); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		var at time.Time
+		s.set(func() { at = leaving.drainAcknowledged })
+		if !at.IsZero() {
+			return at, nil
+		}
+	}
+	return time.Time{}, errors.New("no control node acknowledged that the server drains")
+}
--- a/review/rig/group.go
+++ b/review/rig/group.go
@@ -78,6 +78,9 @@
 		conns    map[net.Conn]struct{}
 		changed  chan struct{}
 		ended    chan struct{}
+		// drainAcknowledged is when a control node first acknowledged that the server
+		// drains; zero: none has.
+		drainAcknowledged time.Time
 		// ran are the requests that reached this server, and when.
 		ran []run
 	}
@@ -347,6 +350,11 @@
 		}
 		if always {
 			s.group.record.printf("server %s: %s state %v sequence %v acknowledged by %s", s.id, path, body["state"], body["sequence"], target)
+			s.group.mu.Lock()
+			if s.drainAcknowledged.IsZero() && body["state"] == "draining" {
+				s.drainAcknowledged = time.Now()
+			}
+			s.group.mu.Unlock()
 		}
 		return true
 	}
