Failover: a target that is the primary already ends the change

A primary was back before its failover, twice; from then on its group had no primary, also after a restart of all processes (0 of 72 requests). Cause: a target counted as promoted only after an announced change of its role or with a log term above the recorded one. The platform's primary shows neither when it is promoted again: "the call returns 200, and nothing changes". control requested that promotion for ever. On a related path, a promotion that took effect but whose response was late was requested again without looking at the target. Evidence: the record shows promotions of one server, all answered with 200. TestRestartedPrimaryIsPromotedAgain, TestHungChangeOfPrimaryEnds and TestPromotionWithoutResponseEnds timed out after 20 s before the fix. The line "promoted" names the evidence. The record is as before, so a change that an earlier build left hanging ends. Changes that ended before wait no longer than before.

--- a/internal/fleet/coordinator/coordinator_test.go
+++ b/internal/fleet/coordinator/coordinator_test.go
@@ -38,8 +38,12 @@
 		mu             sync.Mutex
 		statuses       map[cluster.ServerName]cluster.ServerStatus
 		refusedTargets map[cluster.ServerName]bool
-		promoted       []cluster.ServerName
-		demoted        []cluster.ServerName
+		// primary is the platform's primary; promoting it changes nothing.
+		primary  cluster.ServerName
+		promoted []cluster.ServerName
+		demoted  []cluster.ServerName
+		// loseResponses has promotions take effect without a response.
+		loseResponses bool
 		// promotesAtOnce is true if a server becomes the primary as soon as
 		// its promotion is requested.
 		promotesAtOnce bool
@@ -87,9 +91,12 @@
 		return ErrPromotionRefused
 	}
 	p.promoted = append(p.promoted, s)
-	if p.promotesAtOnce {
+	if p.promotesAtOnce && s != p.primary {
 		p.makePrimary(s)
 	}
+	if p.loseResponses {
+		return context.DeadlineExceeded
+	}
 	return nil
 }
 
@@ -103,6 +110,17 @@
 	status := p.statuses[s]
 	status.Role, status.Promised = cluster.RolePrimary, highest+1
 	p.statuses[s] = status
+	p.primary = s
+}
+
+// restartPrimary ends the platform's primary and starts a server under another name
+// with its log, which is the primary still.
+func (p *fakePlatform) restartPrimary(next cluster.ServerName) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.statuses[next] = p.statuses[p.primary]
+	delete(p.statuses, p.primary)
+	p.primary = next
 }
 
 func (p *fakePlatform) setStatus(s cluster.ServerName, role cluster.Role, term cluster.Term, position cluster.Position) {
@@ -114,7 +132,7 @@
 func newFixture(t testing.TB) *fixture {
 	f := &fixture{
 		t: t, machine: state.New(),
-		platform: &fakePlatform{statuses: map[cluster.ServerName]cluster.ServerStatus{}, refusedTargets: map[cluster.ServerName]bool{}, promotesAtOnce: true},
+		platform: &fakePlatform{statuses: map[cluster.ServerName]cluster.ServerStatus{}, refusedTargets: map[cluster.ServerName]bool{}, primary: "p", promotesAtOnce: true},
 	}
 	log := &testLog{Log: singlenode.New(f.machine, "control-1", netip.MustParseAddrPort("127.0.0.1:1")), changes: make(chan struct{})}
 	c, err := New(Options{
@@ -303,6 +321,58 @@
 	f.waitUntil("the target is the primary", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r1" })
 }
 
+// TestRestartedPrimaryIsPromotedAgain guards against a change of primary that never ends:
+// a primary that is back under another name before its failover is the platform's primary
+// already, so that its promotion doesn't raise its log term.
+func TestRestartedPrimaryIsPromotedAgain(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.announceAll()
+	f.platform.setStatus("p", cluster.RolePrimary, 1, 12)
+	name := cluster.ServerName("p")
+	for _, next := range []cluster.ServerName{"p-2", "p-3", "p-4"} {
+		f.platform.restartPrimary(next)
+		f.announce(next, cluster.RolePrimary, false)
+		observations := []Observation{{Server: name, FailingFor: time.Second, Refused: true, SinceResponse: time.Second}}
+		f.waitUntil("the restarted primary "+string(next)+" is the primary", func() bool {
+			if err := f.coordinator.Report(Renewal{Proxy: "proxy-1", Observations: observations}); err != nil {
+				t.Fatal(err)
+			}
+			return f.primary().Phase == state.Settled && f.primary().Primary == next
+		})
+		name = next
+	}
+}
+
+// TestHungChangeOfPrimaryEnds starts from a record that a build before
+// failover.FindPromotion left behind: it requested the promotion of the platform's
+// primary again and again.
+func TestHungChangeOfPrimaryEnds(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.announceAll()
+	f.platform.restartPrimary("p-2")
+	f.announce("p-2", cluster.RolePrimary, false)
+	hung := state.GroupPrimary{Term: 9, Phase: state.Promoting, Primary: "p", Target: "p-2", LogTerm: 1}
+	if _, err := f.coordinator.propose(t.Context(), state.Command{Primary: &state.PrimaryChange{Group: testGroup, From: f.primary(), To: hung}}); err != nil {
+		t.Fatal(err)
+	}
+	f.waitUntil("the change ends", func() bool { return f.primary() == state.GroupPrimary{Term: 9, Primary: "p-2", LogTerm: 1} })
+}
+
+// TestPromotionWithoutResponseEnds guards against a change of primary that never ends
+// while the platform promotes, but responds too late.
+func TestPromotionWithoutResponseEnds(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.announceAll()
+	f.platform.mu.Lock()
+	f.platform.loseResponses = true
+	f.platform.mu.Unlock()
+	f.announce("p", cluster.RolePrimary, true)
+	f.waitUntil("the replica is the primary", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r1" })
+}
+
 func TestServersAreSavedForNextLeader(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t)
--- a/internal/fleet/coordinator/group.go
+++ b/internal/fleet/coordinator/group.go
@@ -87,6 +87,10 @@
 	releaseStart time.Time
 	// choiceStart is when the old term was released by all proxies.
 	choiceStart time.Time
+	// initialTarget is the target of the term initialTerm as it was registered before
+	// its promotion was first requested.
+	initialTarget registry.Server
+	initialTerm   cluster.Term
 	// reason is why the pending change of primary was started, for the log.
 	reason string
 	// background runs the demotion of old primaries.
@@ -332,7 +336,10 @@
 	if err := g.coordinator.confirmLeadership(ctx); err != nil {
 		return tickInterval
 	}
-	initial, _ := g.findServer(p.Target)
+	if g.initialTerm != p.Term {
+		g.initialTerm = p.Term
+		g.initialTarget, _ = g.findServer(p.Target)
+	}
 	// The next leader may have been elected since then, and counts on this call having
 	// ended when it promotes a server.
 	timeout := min(promoteTimeout, firstPromotionDelay-g.coordinator.options.Now().Sub(confirmedAfter))
@@ -351,12 +358,16 @@
 	if err != nil {
 		return g.handleUnconfirmedPromotion(ctx, p)
 	}
-	term, promoted := g.awaitPromotion(ctx, p, initial)
-	if !promoted {
-		return g.handleUnconfirmedPromotion(ctx, p)
+	if promotion, promoted := g.awaitPromotion(ctx, p); promoted {
+		return g.settle(ctx, p, promotion)
 	}
-	settled := state.GroupPrimary{Term: p.Term, Primary: p.Target, LogTerm: term}
-	if !g.commit(ctx, p, settled, g.reason) {
+	return g.handleUnconfirmedPromotion(ctx, p)
+}
+
+// settle ends a change of primary: the target has become the primary.
+func (g *groupController) settle(ctx context.Context, p state.GroupPrimary, promotion failover.Promotion) time.Duration {
+	g.logger.Info("promoted", "server", p.Target, "term", p.Term, "log-term", promotion.LogTerm, "evidence", promotion.Evidence)
+	if !g.commit(ctx, p, state.GroupPrimary{Term: p.Term, Primary: p.Target, LogTerm: promotion.LogTerm}, g.reason) {
 		return 0
 	}
 	g.reason = ""
@@ -372,11 +383,16 @@
 // handleUnconfirmedPromotion decides whether the promotion of the target is
 // requested again. Another target is chosen only if this one is unreachable,
 // drains or isn't registered any more, because its promotion may still take
-// effect.
+// effect. It may also have taken effect although the platform's response is lost
+// or late.
 func (g *groupController) handleUnconfirmedPromotion(ctx context.Context, p state.GroupPrimary) time.Duration {
 	server, known := g.findServer(p.Target)
 	if known && !server.Draining {
-		if _, err := g.queryStatus(ctx, server); err == nil {
+		statuses := g.queryStatuses(ctx, []registry.Server{server})
+		if promotion, promoted := g.findPromotion(p, server, statuses, time.Time{}); promoted {
+			return g.settle(ctx, p, promotion)
+		}
+		if len(statuses) > 0 {
 			return tickInterval
 		}
 	}
@@ -395,39 +411,42 @@
 	g.commit(ctx, p, next, reason)
 }
 
-// awaitPromotion waits until the target has become the primary, at most for
-// becomePrimaryTimeout. It returns the log term of the target, as far as it is
-// known, and whether the target is the primary. That is the case if the target
-// announces a change of its role from replica to primary, or if its status says
-// that it is the primary of a higher log term than the old primary. A target that
-// just reports the role of primary may be a former primary that hasn't been
-// demoted yet. initial is the target as it was registered before the promotion was
-// requested.
-func (g *groupController) awaitPromotion(ctx context.Context, p state.GroupPrimary, initial registry.Server) (cluster.Term, bool) {
+// findPromotion calls failover.FindPromotion for the target of p. server is the target
+// as it is registered now.
+func (g *groupController) findPromotion(p state.GroupPrimary, server registry.Server, statuses []failover.Status, acceptedAt time.Time) (failover.Promotion, bool) {
+	return failover.FindPromotion(failover.PromotionState{
+		Initial: g.initialTarget, Current: server, Statuses: statuses, LogTerm: p.LogTerm, AcceptedAt: acceptedAt,
+	}, g.coordinator.options.Now())
+}
+
+// awaitPromotion waits until the target has become the primary after the platform
+// accepted its promotion, at most for becomePrimaryTimeout. It reports whether it has.
+func (g *groupController) awaitPromotion(ctx context.Context, p state.GroupPrimary) (failover.Promotion, bool) {
 	start := g.coordinator.options.Now()
 	queryAt := start.Add(targetPollInterval)
 	for now := start; now.Sub(start) < becomePrimaryTimeout && ctx.Err() == nil; now = g.coordinator.options.Now() {
 		g.coordinator.mu.Lock()
 		changed := g.leadership.changed.Next()
+		servers := g.leadership.registry.Group(g.group)
+		server, known := g.leadership.registry.Get(p.Target)
 		g.coordinator.mu.Unlock()
-		server, known := g.findServer(p.Target)
 		if !known {
-			return p.LogTerm, false
-		}
-		if initial.Role == cluster.RoleReplica && server.Role == cluster.RolePrimary && server.StartedAt.Equal(initial.StartedAt) {
-			return p.LogTerm, true
+			return failover.Promotion{}, false
 		}
-		if now.Before(queryAt) {
-			g.wait(ctx, changed, queryAt.Sub(now))
-			continue
+		var statuses []failover.Status
+		if !now.Before(queryAt) {
+			queryAt = now.Add(targetPollInterval)
+			if now.Sub(start) < failover.PresentPrimaryDelay {
+				servers = []registry.Server{server}
+			}
+			statuses = g.queryStatuses(ctx, servers)
 		}
-		queryAt = now.Add(targetPollInterval)
-		status, err := g.queryStatus(ctx, server)
-		if err == nil && status.Role == cluster.RolePrimary && status.Promised > p.LogTerm {
-			return status.Promised, true
+		if promotion, promoted := g.findPromotion(p, server, statuses, start); promoted {
+			return promotion, true
 		}
+		g.wait(ctx, changed, queryAt.Sub(g.coordinator.options.Now()))
 	}
-	return p.LogTerm, false
+	return failover.Promotion{}, false
 }
 
 // wait waits until changed is closed, at most for d.
