Failover: planned stops lose no acknowledged commit while a replica lags

With one synchronous replica, 276 of 470 acknowledged writes were gone after planned stops of a replica and the primary while the third server received nothing. Cause: a draining primary was replaced at once, and 1.5 s later the best server that doesn't drain was promoted. ChooseTarget asked that every replica answered, but didn't compare the target with what the draining replica and the old primary answered to have received. Evidence: the record shows the promotion of a server that had received nothing for 4.5 s, while both others answered. Before, TestPlannedStopsKeepAcknowledgedCommits got the lagging replica promoted, TestDrainingPrimaryServesUntilAReplicaFollows the term released, TestDrainingReplicaBridgesACrash the lagging replica. Change: with synchronous replication the target has what the old primary has received, or else any other server, draining ones and those that answered before among them. A draining server that alone has it is promoted while proxies may use one. A draining primary stays until a replica follows it, as long as proxies may use it.

--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -148,6 +148,9 @@
 		// group. If Group is nil, all groups are known and replicate
 		// asynchronously.
 		Group func(cluster.GroupName) (syncReplication, known bool)
+		// MaxDrainAge is how long after it has begun to drain a server may be the
+		// primary. If it is zero, a draining primary is replaced at once.
+		MaxDrainAge time.Duration
 		// Customers returns the customers of the newest document, nil if it holds
 		// none; see Exchange. If Customers is nil, no customer has a limit.
 		Customers func() *customer.Directory
@@ -176,9 +179,11 @@
 		registry     *registry.Registry
 		observations map[cluster.ServerName]map[cluster.ProxyName]failover.Observation
 		// prunedAt is when old observations were last removed.
-		prunedAt     time.Time
-		probes       map[cluster.GroupName]failover.ProbeResult
-		settledTerms map[cluster.GroupName]settledTerm
+		prunedAt time.Time
+		probes   map[cluster.GroupName]failover.ProbeResult
+		// replicaChecks are the results of the last checks of replicas.
+		replicaChecks map[cluster.GroupName]failover.ReplicaCheck
+		settledTerms  map[cluster.GroupName]settledTerm
 		// unsaved are the servers whose changes aren't in the replicated state
 		// yet.
 		unsaved unsavedServers
@@ -287,25 +292,26 @@
 	proxies := slices.Sorted(maps.Keys(view.Proxies))
 	l := &leadership{
 		epoch: epoch, startedAt: now, registry: registry.New(),
-		leases:       leases.New(proxies, now, c.options.LeaseDuration),
-		observations: map[cluster.ServerName]map[cluster.ProxyName]failover.Observation{},
-		probes:       map[cluster.GroupName]failover.ProbeResult{},
-		settledTerms: map[cluster.GroupName]settledTerm{},
-		unsaved:      newUnsavedServers(),
-		dirty:        map[cluster.GroupName]struct{}{},
-		failing:      map[cluster.GroupName]time.Time{},
-		releasing:    map[cluster.GroupName]struct{}{},
-		writer:       newPrimaryWriter(),
-		revisions:    newRevisionPacer(),
-		peers:        map[cluster.ProxyName]Peer{},
-		changedPeers: map[cluster.ProxyName]struct{}{},
-		serverLog:    changelog.New[cluster.ServerName](maxRemembered),
-		peerLog:      changelog.New[cluster.ProxyName](maxRemembered),
-		primaryLog:   changelog.New[cluster.GroupName](maxRemembered),
-		samples:      samples.New(),
-		limits:       c.newLimits(proxies, view.LimitFloors, now),
-		view:         view,
-		ended:        make(chan struct{}),
+		leases:        leases.New(proxies, now, c.options.LeaseDuration),
+		observations:  map[cluster.ServerName]map[cluster.ProxyName]failover.Observation{},
+		probes:        map[cluster.GroupName]failover.ProbeResult{},
+		replicaChecks: map[cluster.GroupName]failover.ReplicaCheck{},
+		settledTerms:  map[cluster.GroupName]settledTerm{},
+		unsaved:       newUnsavedServers(),
+		dirty:         map[cluster.GroupName]struct{}{},
+		failing:       map[cluster.GroupName]time.Time{},
+		releasing:     map[cluster.GroupName]struct{}{},
+		writer:        newPrimaryWriter(),
+		revisions:     newRevisionPacer(),
+		peers:         map[cluster.ProxyName]Peer{},
+		changedPeers:  map[cluster.ProxyName]struct{}{},
+		serverLog:     changelog.New[cluster.ServerName](maxRemembered),
+		peerLog:       changelog.New[cluster.ProxyName](maxRemembered),
+		primaryLog:    changelog.New[cluster.GroupName](maxRemembered),
+		samples:       samples.New(),
+		limits:        c.newLimits(proxies, view.LimitFloors, now),
+		view:          view,
+		ended:         make(chan struct{}),
 	}
 	l.restoreServers(view, now)
 	for group, p := range view.Primaries {
--- a/internal/fleet/coordinator/coordinator_test.go
+++ b/internal/fleet/coordinator/coordinator_test.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockwood/burdockwood/internal/control/singlenode"
+	"github.com/burdockwood/burdockwood/internal/fleet/failover"
 	"github.com/burdockwood/burdockwood/internal/fleet/leases"
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/fleet/state"
@@ -129,16 +130,21 @@
 	p.statuses[s] = cluster.ServerStatus{Role: role, Promised: term, Received: cluster.LogPosition{Term: term, Position: position}}
 }
 
-func newFixture(t testing.TB) *fixture {
+// newFixture returns a fixture whose coordinator's options were changed by change.
+func newFixture(t testing.TB, change ...func(*Options)) *fixture {
 	f := &fixture{
 		t: t, machine: state.New(),
 		platform: &fakePlatform{statuses: map[cluster.ServerName]cluster.ServerStatus{}, refusedTargets: map[cluster.ServerName]bool{}, primary: "p", promotesAtOnce: true},
 	}
 	log := &testLog{Log: singlenode.New(f.machine, "control-1", netip.MustParseAddrPort("127.0.0.1:1")), changes: make(chan struct{})}
-	c, err := New(Options{
+	options := Options{
 		Name: "control-1", ConsensusLog: log, Machine: f.machine, Backends: f.platform, Promoter: f.platform,
 		Logger: logr.Discard(), Now: time.Now, LongPoll: 20 * time.Millisecond,
-	})
+	}
+	for _, c := range change {
+		c(&options)
+	}
+	c, err := New(options)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -373,6 +379,69 @@
 	f.waitUntil("the replica is the primary", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r1" })
 }
 
+// synchronous has commits acknowledged only once a replica has received them.
+func synchronous(o *Options) {
+	o.Group = func(cluster.GroupName) (syncReplication, known bool) { return true, true }
+}
+
+// TestPlannedStopsKeepAcknowledgedCommits guards against the loss of acknowledged commits
+// that a draining primary and a draining replica have, but the replica that stays hasn't.
+func TestPlannedStopsKeepAcknowledgedCommits(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, synchronous)
+	f.announceAll()
+	f.platform.setStatus("r2", cluster.RoleReplica, 1, 4)
+	f.announce("r1", cluster.RoleReplica, true)
+	f.announce("p", cluster.RolePrimary, true)
+	f.waitUntil("the release of the term is requested", func() bool { return f.primary().Phase == state.Releasing })
+	time.Sleep(2 * chooseTimeout)
+	if p := f.primary(); p.Target != "" || p.Primary != "p" {
+		t.Fatalf("got primary %+v while the replica that stays lacks commits, want no target", p)
+	}
+	f.platform.setStatus("r2", cluster.RoleReplica, 1, 10)
+	f.waitUntil("the replica that has all commits is the primary", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r2" })
+}
+
+// TestDrainingPrimaryServesUntilAReplicaFollows guards against a group without a primary
+// while the draining one still serves and no replica can take over.
+func TestDrainingPrimaryServesUntilAReplicaFollows(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, synchronous, func(o *Options) { o.MaxDrainAge = time.Minute })
+	f.announceAll()
+	f.platform.setStatus("r1", cluster.RoleReplica, 1, 9)
+	f.announce("p", cluster.RolePrimary, true)
+	time.Sleep(4 * failover.ReplicaCheckInterval)
+	if p := f.primary(); p.Phase != state.Settled || p.Primary != "p" {
+		t.Fatalf("got primary %+v while no replica follows, want the draining one", p)
+	}
+	f.platform.setStatus("r1", cluster.RoleReplica, 1, 10)
+	f.waitUntil("the replica is the primary", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r1" })
+}
+
+// TestDrainingReplicaBridgesACrash has the primary crash while only a draining replica has
+// all acknowledged commits. That one is the primary until another one has them.
+func TestDrainingReplicaBridgesACrash(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, synchronous, func(o *Options) { o.MaxDrainAge = time.Minute })
+	f.announceAll()
+	f.platform.setStatus("r2", cluster.RoleReplica, 1, 4)
+	f.announce("r1", cluster.RoleReplica, true)
+	f.platform.mu.Lock()
+	delete(f.platform.statuses, "p")
+	f.platform.mu.Unlock()
+	observations := []Observation{{Server: "p", FailingFor: time.Second, Refused: true, SinceResponse: time.Second}}
+	f.waitUntil("the draining replica is the primary", func() bool {
+		if err := f.coordinator.Report(Renewal{Proxy: "proxy-1", Observations: observations}); err != nil {
+			t.Fatal(err)
+		}
+		return f.primary().Phase == state.Settled && f.primary().Primary == "r1"
+	})
+	f.announce("r1", cluster.RolePrimary, true)
+	f.platform.setStatus("r1", cluster.RolePrimary, 2, 20)
+	f.platform.setStatus("r2", cluster.RoleReplica, 2, 20)
+	f.waitUntil("the other replica is the primary", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r2" })
+}
+
 func TestServersAreSavedForNextLeader(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t)
--- a/internal/fleet/coordinator/group.go
+++ b/internal/fleet/coordinator/group.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -87,6 +88,11 @@
 	releaseStart time.Time
 	// choiceStart is when the old term was released by all proxies.
 	choiceStart time.Time
+	// answered holds the last status of each server that answered in the pending
+	// change of primary, and when it did.
+	answered map[cluster.ServerName]answeredStatus
+	// choiceReason is why no target was chosen at the last try, for the log.
+	choiceReason string
 	// initialTarget is the target of the term initialTerm as it was registered before
 	// its promotion was first requested.
 	initialTarget registry.Server
@@ -97,6 +103,12 @@
 	background *errgroup.Group
 }
 
+// answeredStatus is the status of a server and when it was returned.
+type answeredStatus struct {
+	failover.Status
+	at time.Time
+}
+
 // newGroupController returns a controller of a group, for the scheduler to run.
 func newGroupController(c *Coordinator, l *leadership, group cluster.GroupName, background *errgroup.Group, ineligible map[cluster.ServerName]time.Time) *groupController {
 	return &groupController{
@@ -162,7 +174,7 @@
 	}
 	return failover.GroupState{
 		PrimaryState: p, SettledSince: settled.since, DiscoveryDone: l.discoveryDone(now), Observations: maps.Clone(l.observations[p.Primary]),
-		Servers: l.registry.Group(group), Probe: l.probes[group],
+		Servers: l.registry.Group(group), Probe: l.probes[group], Replicas: l.replicaChecks[group], MaxDrainAge: c.options.MaxDrainAge,
 	}
 }
 
@@ -181,6 +193,8 @@
 	case failover.ProbePrimary:
 		g.probePrimary(ctx, p, decision.Reason)
 		return 0, false
+	case failover.CheckReplicas:
+		return g.checkReplicas(ctx, p, decision.Reason), false
 	}
 	return 0, true
 }
@@ -229,6 +243,30 @@
 	g.coordinator.mu.Unlock()
 }
 
+// checkReplicas checks whether a replica follows the primary and stores the result for
+// the next decision. It returns the time until that is due.
+func (g *groupController) checkReplicas(ctx context.Context, p state.GroupPrimary, reason string) time.Duration {
+	g.coordinator.mu.Lock()
+	last := g.leadership.replicaChecks[g.group]
+	servers := g.leadership.registry.Group(g.group)
+	g.coordinator.mu.Unlock()
+	sinceLast := g.coordinator.options.Now().Sub(last.CheckedAt)
+	if last.Primary == p.Primary && sinceLast < failover.ReplicaCheckInterval {
+		return failover.ReplicaCheckInterval - sinceLast
+	}
+	statuses, busy := g.queryStatuses(ctx, servers)
+	next := last.Next(p.Primary, servers, statuses, slices.Contains(busy, p.Primary), g.coordinator.options.Now())
+	g.coordinator.mu.Lock()
+	g.leadership.replicaChecks[g.group] = next
+	g.coordinator.mu.Unlock()
+	g.logger.Info("checked the replicas", "server", p.Primary, "reason", reason, "follows", next.Follows,
+		"primary-answers", next.PrimaryAnswers, "received", next.Received.String())
+	if next.Follows || !next.PrimaryAnswers {
+		return 0
+	}
+	return failover.ReplicaCheckInterval
+}
+
 func (g *groupController) findServer(name cluster.ServerName) (registry.Server, bool) {
 	g.coordinator.mu.Lock()
 	defer g.coordinator.mu.Unlock()
@@ -260,20 +298,26 @@
 		g.logger.Info("the old term is released", "term", p.Term, "waited-ms", now.Sub(g.releaseStart).Milliseconds())
 	}
 	eligible := slices.DeleteFunc(slices.Clone(servers), func(s registry.Server) bool { return now.Before(g.ineligibleUntil[s.Name]) })
-	statuses := g.queryStatuses(ctx, g.withoutUnreachablePrimary(p, servers, now))
+	statuses, _ := g.queryStatuses(ctx, g.withoutUnreachablePrimary(p, servers, now))
 	syncReplication, _ := g.coordinator.options.Group(g.group)
-	target, ok := failover.ChooseTarget(statuses, eligible, failover.TargetRule{
+	now = g.coordinator.options.Now()
+	choice := failover.ChooseTarget(statuses, eligible, failover.TargetRule{
 		OldPrimary: p.Primary, SyncReplication: syncReplication,
-		CanWait: g.coordinator.options.Now().Sub(g.choiceStart) < chooseTimeout,
-	})
-	if !ok {
+		CanWait: now.Sub(g.choiceStart) < chooseTimeout,
+		Earlier: g.recordAnswers(statuses, now), MaxDrainAge: g.coordinator.options.MaxDrainAge,
+	}, now)
+	if choice.Reason != g.choiceReason {
+		g.choiceReason = choice.Reason
+		g.logger.Info("choosing a target", "term", p.Term, "target", choice.Target, "reason", choice.Reason)
+	}
+	if choice.Target == "" {
 		return chooseInterval
 	}
 	for _, s := range statuses {
 		g.logger.Info("status", "server", s.Server, "role", s.Role.String(), "received", s.Received.String(), "term", p.Term)
 	}
 	next := p
-	next.Phase, next.Target = state.Promoting, target
+	next.Phase, next.Target = state.Promoting, choice.Target
 	for _, s := range statuses {
 		if s.Server == p.Primary {
 			next.LogTerm = max(next.LogTerm, s.Promised)
@@ -285,6 +329,25 @@
 	return 0
 }
 
+// recordAnswers records the statuses of the servers that answered at now. It returns
+// those of servers that answered before and don't any more: until a silent server would
+// have been removed, it may be back, and the log of one that left may move to another
+// server.
+func (g *groupController) recordAnswers(statuses []failover.Status, now time.Time) (earlier []failover.Status) {
+	if g.answered == nil {
+		g.answered = map[cluster.ServerName]answeredStatus{}
+	}
+	for _, s := range statuses {
+		g.answered[s.Server] = answeredStatus{Status: s, at: now}
+	}
+	for _, a := range g.answered {
+		if a.at.Before(now) && now.Sub(a.at) < announcementTimeout {
+			earlier = append(earlier, a.Status)
+		}
+	}
+	return earlier
+}
+
 // withoutUnreachablePrimary removes the old primary from servers if a recent probe
 // of it failed, so that the status query doesn't wait for its timeout.
 func (g *groupController) withoutUnreachablePrimary(p state.GroupPrimary, servers []registry.Server, now time.Time) []registry.Server {
@@ -298,31 +361,30 @@
 }
 
 // queryStatuses queries the status of all servers concurrently. It omits servers
-// that don't answer.
-func (g *groupController) queryStatuses(ctx context.Context, servers []registry.Server) []failover.Status {
-	answers := make([]*failover.Status, len(servers))
+// that don't answer. busy are those of them that run, but are too busy to answer.
+func (g *groupController) queryStatuses(ctx context.Context, servers []registry.Server) (statuses []failover.Status, busy []cluster.ServerName) {
+	var mu sync.Mutex
 	var group errgroup.Group
-	for i, server := range servers {
+	for _, server := range servers {
 		group.Go(func() error {
 			status, err := g.queryStatus(ctx, server)
-			if err != nil {
-				g.logger.V(1).Info("status query failed", "server", server.Name, "error", err.Error())
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err == nil:
+				statuses = append(statuses, failover.Status{ServerStatus: status, Server: server.Name})
 				return nil
+			case errors.Is(err, ErrServerBusy):
+				busy = append(busy, server.Name)
 			}
-			answers[i] = &failover.Status{ServerStatus: status, Server: server.Name}
+			g.logger.V(1).Info("status query failed", "server", server.Name, "error", err.Error())
 			return nil
 		})
 	}
 	if err := group.Wait(); err != nil {
 		g.logger.Error(err, "querying the status of the servers failed")
 	}
-	var list []failover.Status
-	for _, a := range answers {
-		if a != nil {
-			list = append(list, *a)
-		}
-	}
-	return list
+	return statuses, busy
 }
 
 // promoteTarget requests the promotion of the target from the platform and waits
@@ -370,7 +432,7 @@
 	if !g.commit(ctx, p, state.GroupPrimary{Term: p.Term, Primary: p.Target, LogTerm: promotion.LogTerm}, g.reason) {
 		return 0
 	}
-	g.reason = ""
+	g.reason, g.choiceReason, g.answered = "", "", nil
 	if old, known := g.findServer(p.Primary); known && p.Primary != p.Target {
 		g.background.Go(func() error {
 			g.demoteOldPrimary(ctx, old, p.Target)
@@ -382,13 +444,13 @@
 
 // handleUnconfirmedPromotion decides whether the promotion of the target is
 // requested again. Another target is chosen only if this one is unreachable,
-// drains or isn't registered any more, because its promotion may still take
+// has begun to drain or isn't registered any more, because its promotion may still take
 // effect. It may also have taken effect although the platform's response is lost
 // or late.
 func (g *groupController) handleUnconfirmedPromotion(ctx context.Context, p state.GroupPrimary) time.Duration {
 	server, known := g.findServer(p.Target)
-	if known && !server.Draining {
-		statuses := g.queryStatuses(ctx, []registry.Server{server})
+	if known && (!server.Draining || g.initialTarget.Draining) {
+		statuses, _ := g.queryStatuses(ctx, []registry.Server{server})
 		if promotion, promoted := g.findPromotion(p, server, statuses, time.Time{}); promoted {
 			return g.settle(ctx, p, promotion)
 		}
@@ -401,7 +463,7 @@
 	// without control noticing.
 	pause.For(ctx, unknownOutcomeDelay)
 	g.ineligibleUntil[p.Target] = g.coordinator.options.Now().Add(becomePrimaryTimeout)
-	g.restartChoice(ctx, p, "the target is unreachable, draining or not registered")
+	g.restartChoice(ctx, p, "the target is unreachable, has begun to drain or isn't registered")
 	return tickInterval
 }
 
@@ -439,7 +501,7 @@
 			if now.Sub(start) < failover.PresentPrimaryDelay {
 				servers = []registry.Server{server}
 			}
-			statuses = g.queryStatuses(ctx, servers)
+			statuses, _ = g.queryStatuses(ctx, servers)
 		}
 		if promotion, promoted := g.findPromotion(p, server, statuses, start); promoted {
 			return promotion, true
--- a/internal/fleet/failover/failover.go
+++ b/internal/fleet/failover/failover.go
@@ -8,7 +8,8 @@
 //		// Wait until no proxy may use the old primary any more, then query the
 //		// status of all servers.
 //	}
-//	target, ok := failover.ChooseTarget(statuses, servers, rule)
+//	choice := failover.ChooseTarget(statuses, servers, rule, now)
+//	promotion, promoted := failover.FindPromotion(promotionState, now)
 //
 // A term is the time in which one server is the primary of a group. A proxy
 // releases a term by reporting that it no longer uses the term's primary.
@@ -18,7 +19,8 @@
 // # When a primary is replaced
 //
 // A primary that drains, because it is about to shut down, is replaced while it
-// still serves, so that callers wait only for milliseconds. A primary that no proxy
+// still serves, so that callers wait only for milliseconds. It goes on serving until
+// a replica follows it closely, as long as proxies may use it. A primary that no proxy
 // can reach is replaced as soon as a probe by the leading control node fails too.
 // A primary that responds to some proxies is replaced only if many others have been
 // unable to reach it for a long time, because a failover loses the commits that no
@@ -26,8 +28,6 @@
 package failover
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
@@ -46,6 +46,9 @@
 	ProbePrimary
 	// ReplacePrimary starts a change of primary.
 	ReplacePrimary
+	// CheckReplicas requests a check of whether a replica follows the primary, whose
+	// result is needed for a decision.
+	CheckReplicas
 )
 
 const (
@@ -133,6 +136,9 @@
 		// Observations are the reports on the primary, by proxy.
 		Observations map[cluster.ProxyName]Observation
 		Probe        ProbeResult
+		Replicas     ReplicaCheck
+		// MaxDrainAge is how long a draining server may be the primary.
+		MaxDrainAge time.Duration
 	}
 
 	// Decision is what has to be done about the primary of a group, and why.
@@ -173,7 +179,7 @@
 	case !known && s.DiscoveryDone:
 		return Decision{Action: ReplacePrimary, Reason: "the primary isn't registered: it shut down or sent no announcement in time"}
 	case known && primary.Draining:
-		return Decision{Action: ReplacePrimary, Planned: true, Reason: "the primary drains"}
+		return decideDraining(s, primary, now)
 	case known && hasLostPrimaryRole(s, primary, now):
 		return Decision{Action: ReplacePrimary, Reason: "the primary announces itself as a replica"}
 	}
@@ -337,62 +343,6 @@
 	return list
 }
 
-// TargetRule contains the conditions under which ChooseTarget chooses a server.
-type TargetRule struct {
-	// OldPrimary is the primary that is being replaced.
-	OldPrimary cluster.ServerName
-	// SyncReplication is true if a commit is acknowledged only once at least
-	// one replica has received it. No acknowledged commit may then be lost.
-	SyncReplication bool
-	// CanWait is true if there is time left to query the servers again for a
-	// better target.
-	CanWait bool
-}
-
-// ChooseTarget returns the server to promote: of the eligible servers that
-// answered, the one that has received most of the log. It returns false if the
-// servers have to be queried again.
-func ChooseTarget(statuses []Status, servers []registry.Server, rule TargetRule) (cluster.ServerName, bool) {
-	oldPrimary, oldPrimaryAnswered := findStatus(statuses, rule.OldPrimary)
-	eligible := eligibleServers(servers, rule.OldPrimary)
-	var answered []Status
-	for _, s := range eligible {
-		if status, ok := findStatus(statuses, s.Name); ok {
-			answered = append(answered, status)
-		}
-	}
-	if len(answered) == 0 {
-		return "", false
-	}
-	best := slices.MaxFunc(answered, func(a, b Status) int {
-		return cmp.Or(a.Received.Compare(b.Received), cmp.Compare(b.Server, a.Server))
-	})
-	hasAllEntries := oldPrimaryAnswered && best.Received.Compare(oldPrimary.Received) >= 0
-	// conclusive is true if querying the servers again can't yield a better
-	// target.
-	conclusive := hasAllEntries || (!oldPrimaryAnswered && len(answered) == len(eligible))
-	if rule.CanWait && !conclusive {
-		return "", false
-	}
-	// With synchronous replication, an acknowledged commit may be only on a
-	// replica that hasn't answered.
-	if rule.SyncReplication && !hasAllEntries && !allReplicasAnswered(statuses, servers, rule.OldPrimary) {
-		return "", false
-	}
-	return best.Server, true
-}
-
-// allReplicasAnswered reports whether every server except the old primary has
-// returned its status, including servers that drain.
-func allReplicasAnswered(statuses []Status, servers []registry.Server, old cluster.ServerName) bool {
-	for _, s := range servers {
-		if _, ok := findStatus(statuses, s.Name); !ok && s.Name != old {
-			return false
-		}
-	}
-	return true
-}
-
 func findStatus(statuses []Status, name cluster.ServerName) (Status, bool) {
 	for _, s := range statuses {
 		if s.Server == name {
--- a/internal/fleet/failover/failover_test.go
+++ b/internal/fleet/failover/failover_test.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -101,29 +102,44 @@
 
 func TestChooseTarget(t *testing.T) {
 	draining := testServers()
-	draining[1].Draining = true
+	draining[1].Draining, draining[1].DrainingSince = true, now.Add(-time.Second)
+	bothDrain := slices.Clone(draining)
+	bothDrain[0].Draining, bothDrain[0].DrainingSince = true, now
+	departed := testServers()[:2]
+	departed[0].Draining = true
+	sync := TargetRule{OldPrimary: "p", SyncReplication: true, MaxDrainAge: 3 * time.Second}
+	syncCanWait, drainsTooLong, departedEarlier := sync, sync, sync
+	syncCanWait.CanWait = true
+	drainsTooLong.MaxDrainAge = time.Second
+	departedEarlier.Earlier = []Status{status("gone", 9)}
 	tests := []struct {
 		name     string
 		statuses []Status
 		servers  []registry.Server
 		rule     TargetRule
 		want     cluster.ServerName
-		wantOK   bool
 	}{
-		{"no server answers", nil, testServers(), TargetRule{OldPrimary: "p"}, "", false},
-		{"server that received most of the log", []Status{status("r1", 4), status("r2", 5)}, testServers(), TargetRule{OldPrimary: "p", CanWait: true}, "r2", true},
-		{"waits until a replica has all entries of the old primary", []Status{status("p", 6), status("r1", 4), status("r2", 5)}, testServers(), TargetRule{OldPrimary: "p", CanWait: true}, "", false},
-		{"best replica if it can't wait any longer", []Status{status("p", 6), status("r1", 4), status("r2", 5)}, testServers(), TargetRule{OldPrimary: "p"}, "r2", true},
-		{"replica that has all entries of the old primary", []Status{status("p", 5), status("r2", 5)}, testServers(), TargetRule{OldPrimary: "p", CanWait: true}, "r2", true},
-		{"waits for the answer of the other replica", []Status{status("r1", 4)}, testServers(), TargetRule{OldPrimary: "p", CanWait: true}, "", false},
-		{"never a draining server", []Status{status("r1", 9), status("r2", 5)}, draining, TargetRule{OldPrimary: "p"}, "r2", true},
-		{"synchronous replication: acknowledged commits may be on the unresponsive replica", []Status{status("r1", 4)}, testServers(), TargetRule{OldPrimary: "p", SyncReplication: true}, "", false},
-		{"synchronous replication: all replicas answered", []Status{status("r1", 4), status("r2", 5)}, testServers(), TargetRule{OldPrimary: "p", SyncReplication: true}, "r2", true},
+		{"no server answers", nil, testServers(), TargetRule{OldPrimary: "p"}, ""},
+		{"server that received most of the log", []Status{status("r1", 4), status("r2", 5)}, testServers(), TargetRule{OldPrimary: "p", CanWait: true}, "r2"},
+		{"waits until a replica has all entries of the old primary", []Status{status("p", 6), status("r1", 4), status("r2", 5)}, testServers(), TargetRule{OldPrimary: "p", CanWait: true}, ""},
+		{"best replica if it can't wait any longer", []Status{status("p", 6), status("r1", 4), status("r2", 5)}, testServers(), TargetRule{OldPrimary: "p"}, "r2"},
+		{"replica that has all entries of the old primary", []Status{status("p", 5), status("r2", 5)}, testServers(), TargetRule{OldPrimary: "p", CanWait: true}, "r2"},
+		{"waits for the answer of the other replica", []Status{status("r1", 4)}, testServers(), TargetRule{OldPrimary: "p", CanWait: true}, ""},
+		{"never a draining server", []Status{status("r1", 9), status("r2", 5)}, draining, TargetRule{OldPrimary: "p"}, "r2"},
+		{"synchronous replication: acknowledged commits may be on the unresponsive replica", []Status{status("r1", 4)}, testServers(), sync, ""},
+		{"synchronous replication: all replicas answered", []Status{status("r1", 4), status("r2", 5)}, testServers(), sync, "r2"},
+		{"synchronous replication: a replica has all entries of the old primary", []Status{status("p", 5), status("r2", 5)}, testServers(), sync, "r2"},
+		{"synchronous replication: the old primary and a draining replica have more", []Status{status("p", 9), status("r1", 9), status("r2", 4)}, bothDrain, syncCanWait, ""},
+		{"synchronous replication: the draining replica alone has all entries, and no other one can wait for them", []Status{status("p", 9), status("r1", 9), status("r2", 4)}, bothDrain, sync, "r1"},
+		{"synchronous replication: the draining replica ends soon", []Status{status("p", 9), status("r1", 9), status("r2", 4)}, bothDrain, drainsTooLong, ""},
+		{"synchronous replication: the primary crashed, a draining replica has more", []Status{status("r1", 9), status("r2", 4)}, draining, syncCanWait, "r1"},
+		{"synchronous replication: the replica that had received more has left, the old primary answers", []Status{status("p", 9), status("r1", 4)}, departed, sync, ""},
+		{"synchronous replication: a server that answered before had received more", []Status{status("r1", 4)}, departed, departedEarlier, ""},
+		{"synchronous replication: the old primary lost its log", []Status{status("p", 0), status("r1", 4)}, testServers(), sync, ""},
 	}
 	for _, test := range tests {
-		got, ok := ChooseTarget(test.statuses, test.servers, test.rule)
-		if got != test.want || ok != test.wantOK {
-			t.Errorf("%s: got %q %v, want %q %v", test.name, got, ok, test.want, test.wantOK)
+		if got := ChooseTarget(test.statuses, test.servers, test.rule, now); got.Target != test.want {
+			t.Errorf("%s: got %+v, want target %q", test.name, got, test.want)
 		}
 	}
 }
--- /dev/null
+++ b/internal/fleet/failover/replicas.go
@@ -0,0 +1,62 @@
+package failover
+
+import (
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/fleet/registry"
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+// ReplicaCheckInterval is the pause between two checks of whether a replica follows the
+// primary.
+const ReplicaCheckInterval = 250 * time.Millisecond
+
+// ReplicaCheck is the result of the last check of whether a replica follows the primary
+// closely enough for a planned change. The zero value means that there was no check.
+type ReplicaCheck struct {
+	Primary   cluster.ServerName
+	CheckedAt time.Time
+	// Received is the primary's position as of the last check in which it answered. It
+	// is known if Known is true.
+	Received cluster.LogPosition
+	Known    bool
+	// PrimaryAnswers is true if the primary answered, also if it was busy.
+	PrimaryAnswers bool
+	// Follows is true if a server that can take over has received what the primary
+	// had at this check or at the one before.
+	Follows bool
+}
+
+// Next returns the result of the next check. statuses are those of the servers that
+// answered; busy is true if the primary is reachable, but too busy to answer.
+func (c ReplicaCheck) Next(primary cluster.ServerName, servers []registry.Server, statuses []Status, busy bool, now time.Time) ReplicaCheck {
+	current, answered := findStatus(statuses, primary)
+	next := ReplicaCheck{Primary: primary, CheckedAt: now, PrimaryAnswers: answered || busy}
+	before := current.Received
+	if c.Primary == primary && c.Known {
+		before = c.Received
+	}
+	next.Received, next.Known = before, answered || c.Primary == primary && c.Known
+	if answered {
+		next.Received = current.Received
+	}
+	best, found := mostAdvanced(statusesOf(statuses, eligibleServers(servers, primary)))
+	next.Follows = next.Known && found && best.Received.Compare(before) >= 0
+	return next
+}
+
+// decideDraining replaces a draining primary. While it serves and proxies may use it, it
+// stays until a replica follows it: a change without such a replica would lose commits or
+// leave the group without a primary meanwhile.
+func decideDraining(s GroupState, primary registry.Server, now time.Time) Decision {
+	replace := Decision{Action: ReplacePrimary, Planned: true, Reason: "the primary drains"}
+	if now.Sub(primary.DrainingSince) >= s.MaxDrainAge || countObservations(s.Observations, now).unreachable > 0 {
+		return replace
+	}
+	check := s.Replicas
+	isRecent := check.Primary == primary.Name && now.Sub(check.CheckedAt) <= maxProbeAge
+	if isRecent && (check.Follows || !check.PrimaryAnswers) {
+		return replace
+	}
+	return Decision{Action: CheckReplicas, Reason: "the primary drains"}
+}
