Failover: a busy target is kept, and all logs count

With one synchronous replica, 185 of 376 acknowledged writes were gone after a crash of the primary beside a slow platform: the promoted server's slots were taken, and another was promoted. Cause: a target that answered BUSY counted as unreachable, and servers whose promotion failed lately were left out of the question of what the group has received. Evidence: the record shows two promotions 1.5 s apart, the second of a replica that lacked everything. Change: BUSY keeps the target. All servers are asked; those whose promotion failed lately aren't targets, but with synchronous replication the target has what they have.

--- a/internal/fleet/coordinator/coordinator_test.go
+++ b/internal/fleet/coordinator/coordinator_test.go
@@ -38,6 +38,7 @@
 	fakePlatform struct {
 		mu             sync.Mutex
 		statuses       map[cluster.ServerName]cluster.ServerStatus
+		busy           map[cluster.ServerName]bool
 		refusedTargets map[cluster.ServerName]bool
 		// primary is the platform's primary; promoting it changes nothing.
 		primary  cluster.ServerName
@@ -45,6 +46,8 @@
 		demoted  []cluster.ServerName
 		// loseResponses has promotions take effect without a response.
 		loseResponses bool
+		// fillsOnPromotion has all slots of a server be taken once it was promoted.
+		fillsOnPromotion bool
 		// promotesAtOnce is true if a server becomes the primary as soon as
 		// its promotion is requested.
 		promotesAtOnce bool
@@ -72,8 +75,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	status, ok := p.statuses[s.Name]
-	if !ok {
+	switch {
+	case !ok:
 		return cluster.ServerStatus{}, errors.New("the server is unreachable")
+	case p.busy[s.Name]:
+		return cluster.ServerStatus{}, ErrServerBusy
 	}
 	return status, nil
 }
@@ -95,6 +101,7 @@
 	if p.promotesAtOnce && s != p.primary {
 		p.makePrimary(s)
 	}
+	p.busy[s] = p.fillsOnPromotion
 	if p.loseResponses {
 		return context.DeadlineExceeded
 	}
@@ -134,7 +141,10 @@
 func newFixture(t testing.TB, change ...func(*Options)) *fixture {
 	f := &fixture{
 		t: t, machine: state.New(),
-		platform: &fakePlatform{statuses: map[cluster.ServerName]cluster.ServerStatus{}, refusedTargets: map[cluster.ServerName]bool{}, primary: "p", promotesAtOnce: true},
+		platform: &fakePlatform{
+			statuses: map[cluster.ServerName]cluster.ServerStatus{}, busy: map[cluster.ServerName]bool{},
+			refusedTargets: map[cluster.ServerName]bool{}, primary: "p", promotesAtOnce: true,
+		},
 	}
 	log := &testLog{Log: singlenode.New(f.machine, "control-1", netip.MustParseAddrPort("127.0.0.1:1")), changes: make(chan struct{})}
 	options := Options{
@@ -442,6 +452,67 @@
 	f.waitUntil("the other replica is the primary", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r2" })
 }
 
+// TestBusyTargetIsKept guards against the loss of acknowledged commits by a second
+// promotion: the first one took effect, but the platform's response was lost, and all slots
+// of the target are taken.
+func TestBusyTargetIsKept(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, synchronous)
+	f.announceAll()
+	f.platform.setStatus("r2", cluster.RoleReplica, 1, 4)
+	f.platform.mu.Lock()
+	f.platform.loseResponses, f.platform.fillsOnPromotion = true, true
+	delete(f.platform.statuses, "p")
+	f.platform.mu.Unlock()
+	f.announce("p", cluster.RolePrimary, true)
+	f.waitUntil("the target is busy", func() bool {
+		f.platform.mu.Lock()
+		defer f.platform.mu.Unlock()
+		return f.platform.busy["r1"]
+	})
+	chosen := f.primary()
+	time.Sleep(2 * unknownOutcomeDelay)
+	if got := f.primary(); got != chosen || got.Target != "r1" {
+		t.Fatalf("got primary %+v while the target is busy, want %+v", got, chosen)
+	}
+	f.platform.mu.Lock()
+	f.platform.fillsOnPromotion, f.platform.busy["r1"] = false, false
+	f.platform.mu.Unlock()
+	f.waitUntil("the target is the primary", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r1" })
+	f.platform.mu.Lock()
+	defer f.platform.mu.Unlock()
+	if slices.Contains(f.platform.promoted, "r2") {
+		t.Errorf("got the promotions %v, want none of r2, which lacks commits", f.platform.promoted)
+	}
+}
+
+// TestRefusedTargetIsWaitedFor guards against the promotion of a server that lacks
+// acknowledged commits because the platform refused the one that has them for a moment.
+func TestRefusedTargetIsWaitedFor(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, synchronous)
+	f.announceAll()
+	f.platform.setStatus("r2", cluster.RoleReplica, 1, 4)
+	f.platform.mu.Lock()
+	f.platform.refusedTargets["r1"] = true
+	f.platform.mu.Unlock()
+	f.announce("p", cluster.RolePrimary, true)
+	f.waitUntil("the platform has refused the target", func() bool { return f.primary().Term > 2 })
+	f.platform.mu.Lock()
+	refused := f.platform.statuses["r1"]
+	delete(f.platform.statuses, "r1")
+	delete(f.platform.statuses, "p")
+	f.platform.mu.Unlock()
+	time.Sleep(2 * chooseTimeout)
+	if got := f.primary(); got.Phase != state.Releasing {
+		t.Fatalf("got primary %+v while the server that has all commits is down, want no target", got)
+	}
+	f.platform.mu.Lock()
+	f.platform.statuses["r1"], f.platform.refusedTargets["r1"] = refused, false
+	f.platform.mu.Unlock()
+	f.waitUntil("the server that has all commits is the primary", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r1" })
+}
+
 func TestServersAreSavedForNextLeader(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t)
--- a/internal/fleet/coordinator/group.go
+++ b/internal/fleet/coordinator/group.go
@@ -297,14 +297,14 @@
 		g.choiceStart = now
 		g.logger.Info("the old term is released", "term", p.Term, "waited-ms", now.Sub(g.releaseStart).Milliseconds())
 	}
-	eligible := slices.DeleteFunc(slices.Clone(servers), func(s registry.Server) bool { return now.Before(g.ineligibleUntil[s.Name]) })
-	statuses, _ := g.queryStatuses(ctx, g.withoutUnreachablePrimary(p, servers, now))
+	statuses, busy := g.queryStatuses(ctx, g.withoutUnreachablePrimary(p, servers, now))
 	syncReplication, _ := g.coordinator.options.Group(g.group)
 	now = g.coordinator.options.Now()
-	choice := failover.ChooseTarget(statuses, eligible, failover.TargetRule{
-		OldPrimary: p.Primary, SyncReplication: syncReplication,
-		CanWait: now.Sub(g.choiceStart) < chooseTimeout,
-		Earlier: g.recordAnswers(statuses, now), MaxDrainAge: g.coordinator.options.MaxDrainAge,
+	choice := failover.ChooseTarget(statuses, servers, failover.TargetRule{
+		OldPrimary: p.Primary, OldPrimaryBusy: slices.Contains(busy, p.Primary), SyncReplication: syncReplication,
+		CanWait:    now.Sub(g.choiceStart) < chooseTimeout,
+		Ineligible: func(s cluster.ServerName) bool { return now.Before(g.ineligibleUntil[s]) },
+		Earlier:    g.recordAnswers(statuses, now), MaxDrainAge: g.coordinator.options.MaxDrainAge,
 	}, now)
 	if choice.Reason != g.choiceReason {
 		g.choiceReason = choice.Reason
@@ -445,16 +445,16 @@
 // handleUnconfirmedPromotion decides whether the promotion of the target is
 // requested again. Another target is chosen only if this one is unreachable,
 // has begun to drain or isn't registered any more, because its promotion may still take
-// effect. It may also have taken effect although the platform's response is lost
+// effect; a busy one is reachable. It may also have taken effect although the platform's response is lost
 // or late.
 func (g *groupController) handleUnconfirmedPromotion(ctx context.Context, p state.GroupPrimary) time.Duration {
 	server, known := g.findServer(p.Target)
 	if known && (!server.Draining || g.initialTarget.Draining) {
-		statuses, _ := g.queryStatuses(ctx, []registry.Server{server})
+		statuses, busy := g.queryStatuses(ctx, []registry.Server{server})
 		if promotion, promoted := g.findPromotion(p, server, statuses, time.Time{}); promoted {
 			return g.settle(ctx, p, promotion)
 		}
-		if len(statuses) > 0 {
+		if len(statuses)+len(busy) > 0 {
 			return tickInterval
 		}
 	}
--- a/internal/fleet/failover/failover_test.go
+++ b/internal/fleet/failover/failover_test.go
@@ -112,6 +112,10 @@
 	syncCanWait.CanWait = true
 	drainsTooLong.MaxDrainAge = time.Second
 	departedEarlier.Earlier = []Status{status("gone", 9)}
+	busyPrimary, refused := TargetRule{OldPrimary: "p", OldPrimaryBusy: true, CanWait: true}, TargetRule{OldPrimary: "p", CanWait: true}
+	refused.Ineligible = func(s cluster.ServerName) bool { return s == "r1" }
+	syncRefused, syncBusyPrimary := sync, syncCanWait
+	syncRefused.Ineligible, syncBusyPrimary.OldPrimaryBusy = refused.Ineligible, true
 	tests := []struct {
 		name     string
 		statuses []Status
@@ -135,6 +139,11 @@
 		{"synchronous replication: the primary crashed, a draining replica has more", []Status{status("r1", 9), status("r2", 4)}, draining, syncCanWait, "r1"},
 		{"synchronous replication: the replica that had received more has left, the old primary answers", []Status{status("p", 9), status("r1", 4)}, departed, sync, ""},
 		{"synchronous replication: a server that answered before had received more", []Status{status("r1", 4)}, departed, departedEarlier, ""},
+		{"the old primary is busy", []Status{status("r1", 4), status("r2", 4)}, testServers(), busyPrimary, ""},
+		{"synchronous replication: the old primary is busy", []Status{status("r1", 4), status("r2", 4)}, testServers(), syncBusyPrimary, ""},
+		{"the promotion of the most advanced server has just failed", []Status{status("r1", 9), status("r2", 4)}, testServers(), refused, "r2"},
+		{"synchronous replication: the promotion of the most advanced server has just failed", []Status{status("r1", 9), status("r2", 4)}, testServers(), syncRefused, ""},
+		{"synchronous replication: a server whose promotion has just failed doesn't answer", []Status{status("r2", 4)}, testServers(), syncRefused, ""},
 		{"synchronous replication: the old primary lost its log", []Status{status("p", 0), status("r1", 4)}, testServers(), sync, ""},
 	}
 	for _, test := range tests {
--- a/internal/fleet/failover/target.go
+++ b/internal/fleet/failover/target.go
@@ -14,6 +14,13 @@
 	TargetRule struct {
 		// OldPrimary is the primary that is being replaced.
 		OldPrimary cluster.ServerName
+		// OldPrimaryBusy is true if the old primary runs, but was too busy to return
+		// its status.
+		OldPrimaryBusy bool
+		// Ineligible reports whether a server isn't promoted although it may answer,
+		// because its promotion has just failed; nil: none. What it has received
+		// counts nevertheless.
+		Ineligible func(cluster.ServerName) bool
 		// SyncReplication is true if a commit is acknowledged only once at least
 		// one replica has received it. No acknowledged commit may then be lost.
 		SyncReplication bool
@@ -45,13 +52,13 @@
 // planned.
 func ChooseTarget(statuses []Status, servers []registry.Server, rule TargetRule, now time.Time) Choice {
 	oldPrimary, oldPrimaryAnswered := findStatus(statuses, rule.OldPrimary)
-	eligible := eligibleServers(servers, rule.OldPrimary)
+	eligible := rule.withoutIneligible(eligibleServers(servers, rule.OldPrimary))
 	answered := statusesOf(statuses, eligible)
 	best, found := mostAdvanced(answered)
 	hasAllEntries := found && oldPrimaryAnswered && best.Received.Compare(oldPrimary.Received) >= 0
 	// conclusive is true if querying the servers again can't yield a better
 	// target.
-	conclusive := hasAllEntries || (!oldPrimaryAnswered && len(answered) == len(eligible))
+	conclusive := hasAllEntries || (!oldPrimaryAnswered && !rule.OldPrimaryBusy && len(answered) == len(eligible))
 	switch {
 	case rule.SyncReplication:
 		return chooseWithAllCommits(statuses, servers, best, conclusive, rule, now)
@@ -77,12 +84,10 @@
 		return Choice{Target: best.Server, Reason: "has all acknowledged commits"}
 	}
 	_, oldPrimaryAnswers := findStatus(statuses, rule.OldPrimary)
-	usable := slices.DeleteFunc(slices.Clone(servers), func(s registry.Server) bool {
-		return s.Name == rule.OldPrimary || !s.Draining || now.Sub(s.DrainingSince) >= rule.MaxDrainAge
-	})
-	draining, found := mostAdvanced(statusesOf(statuses, usable))
 	// Others can still receive the rest of the log while the old primary runs.
-	if found && draining.Received.Compare(required) >= 0 && (!oldPrimaryAnswers || !rule.CanWait) {
+	othersCanFollow := (oldPrimaryAnswers || rule.OldPrimaryBusy) && rule.CanWait
+	draining, found := mostAdvanced(statusesOf(statuses, rule.withoutIneligible(rule.drainingServers(servers, now))))
+	if found && !othersCanFollow && draining.Received.Compare(required) >= 0 {
 		return Choice{Target: draining.Server, Reason: "drains, but is the only one that has all acknowledged commits"}
 	}
 	return Choice{Reason: "waiting for a server that has all acknowledged commits, up to " + required.String()}
@@ -110,6 +115,18 @@
 	return highest, allAnswered
 }
 
+// withoutIneligible returns the servers that may be promoted now.
+func (r TargetRule) withoutIneligible(servers []registry.Server) []registry.Server {
+	return slices.DeleteFunc(slices.Clone(servers), func(s registry.Server) bool { return r.Ineligible != nil && r.Ineligible(s.Name) })
+}
+
+// drainingServers returns the servers that drain, but may still be the primary.
+func (r TargetRule) drainingServers(servers []registry.Server, now time.Time) []registry.Server {
+	return slices.DeleteFunc(slices.Clone(servers), func(s registry.Server) bool {
+		return s.Name == r.OldPrimary || !s.Draining || now.Sub(s.DrainingSince) >= r.MaxDrainAge
+	})
+}
+
 // statusesOf returns the statuses of those of the servers that answered.
 func statusesOf(statuses []Status, servers []registry.Server) []Status {
 	var list []Status
