Failover: a log of an older term isn't promoted over a newer one

A former primary came back with its log while the primary of the next log term was cut off, and was promoted: rolled-back commits were in force again, newer ones were gone. Cause: the choice knew positions only, not the log term in which callers had been served. A promotion that was found by the target's announcement left that term unrecorded. TestOlderLogIsNotPromoted got the older log promoted before the fix. Change: GroupPrimary.LogTerm follows from the statuses before a promotion and from the proxies' samples. Servers that know it go first; if none does, the change waits for those that may, returns to the old primary if it leads still, and loses a term only once no registered server has it (loses-term, lost-log-terms). The same return serves changes that only the old primary can end. Several claims to be the first primary are settled by the logs. No new field is stored. PresentPrimaryDelay is 0.75 s, since the recorded term is now close. TestPrimaryOfEarlierTermIsNotAccepted promoted an older log while the newer one answered; now that one leaves first, and the check is as before.

--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -30,6 +30,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -167,6 +168,9 @@
 		mu sync.Mutex
 		// current is nil while this node doesn't lead.
 		current *leadership
+		// lostLogTerms counts the promotions of servers whose log ended before the log
+		// term of the old primary.
+		lostLogTerms atomic.Int64
 	}
 
 	// leadership is what this node keeps in memory from its election until
@@ -216,6 +220,8 @@
 		primaryLog *changelog.Log[cluster.GroupName]
 		// samples are the newest log positions that proxies have sent.
 		samples *samples.Table
+		// logTerms are the newest log terms in which primaries answered proxies.
+		logTerms map[cluster.GroupName]observedLogTerm
 		// limits holds the customers' limits.
 		limits *limits
 		// discovered is true once the end of the discovery was sent to the
@@ -235,6 +241,12 @@
 		ended chan struct{}
 	}
 
+	// observedLogTerm is the log term in which the primary of a group's term answered a
+	// proxy.
+	observedLogTerm struct {
+		term, logTerm cluster.Term
+	}
+
 	// settledTerm is a group's term and when this leader first saw it without
 	// a pending change of primary.
 	settledTerm struct {
@@ -309,6 +321,7 @@
 		peerLog:       changelog.New[cluster.ProxyName](maxRemembered),
 		primaryLog:    changelog.New[cluster.GroupName](maxRemembered),
 		samples:       samples.New(),
+		logTerms:      map[cluster.GroupName]observedLogTerm{},
 		limits:        c.newLimits(proxies, view.LimitFloors, now),
 		view:          view,
 		ended:         make(chan struct{}),
@@ -526,6 +539,7 @@
 	set("control-leads", map[bool]int64{true: 1}[leads])
 	set("control-index", int64(c.options.ConsensusLog.AppliedIndex()))
 	set("control-members", int64(len(c.options.ConsensusLog.Members())))
+	set("lost-log-terms", c.lostLogTerms.Load())
 	set("configuration-version", int64(c.options.Machine.View().Document.Version))
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/fleet/coordinator/coordinator_test.go
+++ b/internal/fleet/coordinator/coordinator_test.go
@@ -40,10 +40,12 @@
 		statuses       map[cluster.ServerName]cluster.ServerStatus
 		busy           map[cluster.ServerName]bool
 		refusedTargets map[cluster.ServerName]bool
-		// primary is the platform's primary; promoting it changes nothing.
-		primary  cluster.ServerName
-		promoted []cluster.ServerName
-		demoted  []cluster.ServerName
+		// primary is the platform's primary; promoting it changes nothing. newestTerm
+		// is the newest log term of any server.
+		primary    cluster.ServerName
+		newestTerm cluster.Term
+		promoted   []cluster.ServerName
+		demoted    []cluster.ServerName
 		// loseResponses has promotions take effect without a response.
 		loseResponses bool
 		// fillsOnPromotion has all slots of a server be taken once it was promoted.
@@ -111,12 +113,9 @@
 // makePrimary makes a server the primary of the next log term, the number by which
 // the servers themselves distinguish primaries. p.mu must be held.
 func (p *fakePlatform) makePrimary(s cluster.ServerName) {
-	highest := cluster.Term(0)
-	for _, status := range p.statuses {
-		highest = max(highest, status.Promised)
-	}
+	p.newestTerm++
 	status := p.statuses[s]
-	status.Role, status.Promised = cluster.RolePrimary, highest+1
+	status.Role, status.Promised = cluster.RolePrimary, p.newestTerm
 	p.statuses[s] = status
 	p.primary = s
 }
@@ -134,6 +133,7 @@
 func (p *fakePlatform) setStatus(s cluster.ServerName, role cluster.Role, term cluster.Term, position cluster.Position) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.newestTerm = max(p.newestTerm, term)
 	p.statuses[s] = cluster.ServerStatus{Role: role, Promised: term, Received: cluster.LogPosition{Term: term, Position: position}}
 }
 
@@ -322,6 +322,14 @@
 		return err == nil && f.primary() == first
 	})
 	f.announce("p", cluster.RolePrimary, true)
+	f.waitUntil("the change begins", func() bool { return f.primary().Phase == state.Releasing })
+	// As long as the newer log can be had, it is waited for.
+	f.platform.mu.Lock()
+	delete(f.platform.statuses, "p")
+	f.platform.mu.Unlock()
+	if err := f.coordinator.Announce(t.Context(), registry.Server{Name: "p"}, true); err != nil {
+		t.Fatal(err)
+	}
 	f.waitUntil("the promotion is requested", func() bool {
 		f.platform.mu.Lock()
 		defer f.platform.mu.Unlock()
@@ -513,6 +521,50 @@
 	f.waitUntil("the server that has all commits is the primary", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r1" })
 }
 
+// TestOlderLogIsNotPromoted guards against commits that come back after a promotion rolled
+// them back, and against the loss of those that followed: a former primary is back with
+// its log while the primary of the newer log term can't be reached.
+func TestOlderLogIsNotPromoted(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.announceAll()
+	f.announce("p", cluster.RolePrimary, true)
+	f.waitUntil("the replica is the primary", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r1" })
+	if got := f.primary().LogTerm; got != 2 {
+		t.Errorf("got the log term %d, want 2", got)
+	}
+	f.announce("r1", cluster.RolePrimary, false)
+	f.announce("r2", cluster.RoleReplica, false)
+	f.announce("p-2", cluster.RoleReplica, false)
+	f.platform.setStatus("p-2", cluster.RoleReplica, 1, 20)
+	f.platform.mu.Lock()
+	delete(f.platform.statuses, "p")
+	delete(f.platform.statuses, "r1")
+	f.platform.promoted = nil
+	f.platform.mu.Unlock()
+	if err := f.coordinator.Announce(t.Context(), registry.Server{Name: "p"}, true); err != nil {
+		t.Fatal(err)
+	}
+	observations := []Observation{{Server: "r1", FailingFor: time.Second, Refused: true, SinceResponse: time.Second}}
+	f.waitUntil("the change begins", func() bool {
+		if err := f.coordinator.Report(Renewal{Proxy: "proxy-1", Observations: observations}); err != nil {
+			t.Fatal(err)
+		}
+		return f.primary().Phase == state.Releasing
+	})
+	time.Sleep(2 * chooseTimeout)
+	if got := f.primary(); got.Phase != state.Releasing {
+		t.Fatalf("got primary %+v while the primary of the newer log term may be back, want no target", got)
+	}
+	f.platform.setStatus("r1", cluster.RolePrimary, 2, 15)
+	f.waitUntil("the primary of the newer log term is the primary again", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r1" })
+	f.platform.mu.Lock()
+	defer f.platform.mu.Unlock()
+	if slices.Contains(f.platform.promoted, "p-2") {
+		t.Errorf("got the promotions %v, want none of the server whose log ends in an older term", f.platform.promoted)
+	}
+}
+
 func TestServersAreSavedForNextLeader(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t)
--- a/internal/fleet/coordinator/group.go
+++ b/internal/fleet/coordinator/group.go
@@ -91,8 +91,11 @@
 	// answered holds the last status of each server that answered in the pending
 	// change of primary, and when it did.
 	answered map[cluster.ServerName]answeredStatus
-	// choiceReason is why no target was chosen at the last try, for the log.
-	choiceReason string
+	// choice is the result of the last choice of a target in the pending change.
+	choice failover.Choice
+	// newLogTerm is the lowest log term that the target of the term initialTerm can have
+	// once it was promoted; zero: unknown.
+	newLogTerm cluster.Term
 	// initialTarget is the target of the term initialTerm as it was registered before
 	// its promotion was first requested.
 	initialTarget registry.Server
@@ -187,7 +190,7 @@
 		g.commit(ctx, p, state.GroupPrimary{Term: p.Term + 1, Primary: decision.Server}, decision.Reason)
 	case failover.ReplacePrimary:
 		g.reason = decision.Reason
-		next := state.GroupPrimary{Term: p.Term + 1, Phase: state.Releasing, Primary: p.Primary, Planned: decision.Planned, LogTerm: p.LogTerm}
+		next := state.GroupPrimary{Term: p.Term + 1, Phase: state.Releasing, Primary: p.Primary, Planned: decision.Planned, LogTerm: max(p.LogTerm, g.observedLogTerm(p))}
 		g.commit(ctx, p, next, decision.Reason)
 		return 0, false
 	case failover.ProbePrimary:
@@ -222,6 +225,18 @@
 		"planned", next.Planned, "reason", reason, "applied", applied, "error", logging.ErrorText(err))
 }
 
+// observedLogTerm returns the log term in which the primary of p answered a proxy, as far
+// as it is known.
+func (g *groupController) observedLogTerm(p state.GroupPrimary) cluster.Term {
+	g.coordinator.mu.Lock()
+	defer g.coordinator.mu.Unlock()
+	observed := g.leadership.logTerms[g.group]
+	if observed.term != p.Term {
+		return 0
+	}
+	return observed.logTerm
+}
+
 // probePrimary queries the primary's status and stores the result for the next
 // decision. A busy primary counts as alive. An unregistered primary counts as
 // dead.
@@ -297,24 +312,31 @@
 		g.choiceStart = now
 		g.logger.Info("the old term is released", "term", p.Term, "waited-ms", now.Sub(g.releaseStart).Milliseconds())
 	}
-	statuses, busy := g.queryStatuses(ctx, g.withoutUnreachablePrimary(p, servers, now))
+	queried := servers
+	if !g.choice.NeedsOldPrimary {
+		queried = g.withoutUnreachablePrimary(p, servers, now)
+	}
+	statuses, busy := g.queryStatuses(ctx, queried)
 	syncReplication, _ := g.coordinator.options.Group(g.group)
 	now = g.coordinator.options.Now()
 	choice := failover.ChooseTarget(statuses, servers, failover.TargetRule{
-		OldPrimary: p.Primary, OldPrimaryBusy: slices.Contains(busy, p.Primary), SyncReplication: syncReplication,
+		OldPrimary: p.Primary, OldPrimaryBusy: slices.Contains(busy, p.Primary), LogTerm: p.LogTerm, SyncReplication: syncReplication,
 		CanWait:    now.Sub(g.choiceStart) < chooseTimeout,
 		Ineligible: func(s cluster.ServerName) bool { return now.Before(g.ineligibleUntil[s]) },
 		Earlier:    g.recordAnswers(statuses, now), MaxDrainAge: g.coordinator.options.MaxDrainAge,
 	}, now)
-	if choice.Reason != g.choiceReason {
-		g.choiceReason = choice.Reason
-		g.logger.Info("choosing a target", "term", p.Term, "target", choice.Target, "reason", choice.Reason)
+	if choice != g.choice {
+		g.choice = choice
+		g.logger.Info("choosing a target", "term", p.Term, "target", choice.Target, "reason", choice.Reason, "log-term", p.LogTerm, "loses-term", choice.LosesTerm)
 	}
 	if choice.Target == "" {
 		return chooseInterval
 	}
+	if choice.LosesTerm {
+		g.coordinator.lostLogTerms.Add(1)
+	}
 	for _, s := range statuses {
-		g.logger.Info("status", "server", s.Server, "role", s.Role.String(), "received", s.Received.String(), "term", p.Term)
+		g.logger.Info("status", "server", s.Server, "role", s.Role.String(), "received", s.Received.String(), "log-term", s.Promised, "term", p.Term)
 	}
 	next := p
 	next.Phase, next.Target = state.Promoting, choice.Target
@@ -325,6 +347,10 @@
 	}
 	if g.commit(ctx, p, next, g.reason) {
 		g.releaseStart, g.choiceStart = time.Time{}, time.Time{}
+		g.choice = failover.Choice{}
+		g.newLogTerm = failover.NewLogTerm(statuses, choice.Target, p.LogTerm)
+		g.initialTerm = p.Term
+		g.initialTarget, _ = g.findServer(choice.Target)
 	}
 	return 0
 }
@@ -399,7 +425,7 @@
 		return tickInterval
 	}
 	if g.initialTerm != p.Term {
-		g.initialTerm = p.Term
+		g.initialTerm, g.newLogTerm = p.Term, 0
 		g.initialTarget, _ = g.findServer(p.Target)
 	}
 	// The next leader may have been elected since then, and counts on this call having
@@ -432,7 +458,7 @@
 	if !g.commit(ctx, p, state.GroupPrimary{Term: p.Term, Primary: p.Target, LogTerm: promotion.LogTerm}, g.reason) {
 		return 0
 	}
-	g.reason, g.choiceReason, g.answered = "", "", nil
+	g.reason, g.answered = "", nil
 	if old, known := g.findServer(p.Primary); known && p.Primary != p.Target {
 		g.background.Go(func() error {
 			g.demoteOldPrimary(ctx, old, p.Target)
@@ -477,7 +503,7 @@
 // as it is registered now.
 func (g *groupController) findPromotion(p state.GroupPrimary, server registry.Server, statuses []failover.Status, acceptedAt time.Time) (failover.Promotion, bool) {
 	return failover.FindPromotion(failover.PromotionState{
-		Initial: g.initialTarget, Current: server, Statuses: statuses, LogTerm: p.LogTerm, AcceptedAt: acceptedAt,
+		Initial: g.initialTarget, Current: server, Statuses: statuses, LogTerm: p.LogTerm, NewLogTerm: g.newLogTerm, AcceptedAt: acceptedAt,
 	}, g.coordinator.options.Now())
 }
 
--- a/internal/fleet/coordinator/requests.go
+++ b/internal/fleet/coordinator/requests.go
@@ -228,6 +228,9 @@
 // known only from the clock reading that the proxy returns, because the renewal may
 // have been delayed.
 func (l *leadership) recordSamples(r Renewal, now time.Time) {
+	for _, s := range r.Samples {
+		l.recordLogTerm(s.Sample)
+	}
 	if _, known := l.parseRevision(r.Revision); !known || r.Clock <= 0 {
 		return
 	}
@@ -241,6 +244,19 @@
 	}
 }
 
+// recordLogTerm stores the log term in which a group's present primary answered.
+func (l *leadership) recordLogTerm(s samples.Sample) {
+	if s.Term != l.view.Primaries[s.Group].Term {
+		return
+	}
+	observed := l.logTerms[s.Group]
+	if observed.term != s.Term {
+		observed = observedLogTerm{term: s.Term}
+	}
+	observed.logTerm = max(observed.logTerm, s.Position.Term)
+	l.logTerms[s.Group] = observed
+}
+
 // recordObservations stores a proxy's newest observations of servers.
 func (l *leadership) recordObservations(proxy cluster.ProxyName, observations []Observation, now time.Time) {
 	for _, o := range observations {
--- a/internal/fleet/failover/failover.go
+++ b/internal/fleet/failover/failover.go
@@ -186,15 +186,21 @@
 	return decideByObservations(s, primary, known, now)
 }
 
-// decideFirstPrimary adopts a server that reports to be the primary. If there is
-// none once discovery is done, one of the servers has to be promoted.
+// decideFirstPrimary adopts a server that reports to be the primary. If several do, or
+// none does once discovery is done, the one with the newest log has to be promoted.
 func decideFirstPrimary(s GroupState) Decision {
+	var primaries []cluster.ServerName
 	for _, server := range s.Servers {
 		if server.Role == cluster.RolePrimary && !server.Draining {
-			return Decision{Action: AdoptPrimary, Server: server.Name, Reason: "first primary of the group"}
+			primaries = append(primaries, server.Name)
 		}
 	}
-	if !s.DiscoveryDone || len(s.Servers) == 0 {
+	switch {
+	case len(primaries) == 1:
+		return Decision{Action: AdoptPrimary, Server: primaries[0], Reason: "first primary of the group"}
+	case len(primaries) > 1:
+		return Decision{Action: ReplacePrimary, Reason: "several servers report to be the primary"}
+	case !s.DiscoveryDone || len(s.Servers) == 0:
 		return Decision{Action: KeepPrimary}
 	}
 	return Decision{Action: ReplacePrimary, Reason: "no server reports to be the primary"}
--- a/internal/fleet/failover/failover_test.go
+++ b/internal/fleet/failover/failover_test.go
@@ -78,6 +78,7 @@
 }
 
 func TestDecideFirstPrimary(t *testing.T) {
+	nothing := func(*registry.Server) {}
 	tests := []struct {
 		name       string
 		groupState GroupState
@@ -85,6 +86,7 @@
 	}{
 		{"no server announced", GroupState{}, KeepPrimary},
 		{"primary announced", GroupState{Servers: testServers()}, AdoptPrimary},
+		{"two primaries announced", GroupState{Servers: testServers(nothing, func(s *registry.Server) { s.Role = cluster.RolePrimary })}, ReplacePrimary},
 		{"only replicas announced, discovery not done", GroupState{Servers: testServers()[1:]}, KeepPrimary},
 		{"only replicas announced, discovery done", GroupState{DiscoveryDone: true, Servers: testServers()[1:]}, ReplacePrimary},
 	}
@@ -116,6 +118,14 @@
 	refused.Ineligible = func(s cluster.ServerName) bool { return s == "r1" }
 	syncRefused, syncBusyPrimary := sync, syncCanWait
 	syncRefused.Ineligible, syncBusyPrimary.OldPrimaryBusy = refused.Ineligible, true
+	inTerm := func(name cluster.ServerName, role cluster.Role, term cluster.Term, received cluster.LogPosition) Status {
+		return Status{Server: name, ServerStatus: cluster.ServerStatus{Role: role, Promised: term, Received: received}}
+	}
+	older, newer := cluster.LogPosition{Term: 1, Position: 187}, cluster.LogPosition{Term: 2, Position: 139}
+	replica, primary := cluster.RoleReplica, cluster.RolePrimary
+	term2 := TargetRule{OldPrimary: "p", LogTerm: 2}
+	term2CanWait, syncTerm2 := term2, sync
+	term2CanWait.CanWait, syncTerm2.LogTerm = true, 2
 	tests := []struct {
 		name     string
 		statuses []Status
@@ -123,6 +133,17 @@
 		rule     TargetRule
 		want     cluster.ServerName
 	}{
+		{"older log term: the old primary may be back", []Status{inTerm("r1", replica, 1, older), inTerm("r2", replica, 1, older)}, testServers(), term2, ""},
+		{"older log term: the old primary has gone", []Status{inTerm("r1", replica, 1, older), inTerm("r2", replica, 1, older)}, testServers()[1:], term2, "r1"},
+		{"older log term: another server doesn't answer", []Status{inTerm("r1", replica, 1, older)}, testServers()[1:], term2, ""},
+		{"older log term: another server knows the newer one", []Status{inTerm("r1", replica, 1, older), inTerm("r2", replica, 2, newer)}, testServers(), term2, "r2"},
+		{"older log term: a server without entries of the newer one follows it", []Status{inTerm("r1", replica, 1, older), inTerm("r2", replica, 2, cluster.LogPosition{Term: 1, Position: 136})}, testServers(), term2, "r2"},
+		{"older log term: the old primary answers, others can still get its log", []Status{inTerm("p", primary, 2, newer), inTerm("r1", replica, 1, older), inTerm("r2", replica, 1, older)}, testServers(), term2CanWait, ""},
+		{"older log term: the old primary answers, others didn't get its log", []Status{inTerm("p", primary, 2, newer), inTerm("r1", replica, 1, older), inTerm("r2", replica, 1, older)}, testServers(), term2, "p"},
+		{"older log term: the draining old primary answers", []Status{inTerm("p", primary, 2, newer), inTerm("r1", replica, 1, older), inTerm("r2", replica, 1, older)}, testServers(func(s *registry.Server) { s.Draining = true }), term2, ""},
+		{"synchronous replication, older log term", []Status{inTerm("r1", replica, 1, older), inTerm("r2", replica, 1, older)}, testServers(), syncTerm2, ""},
+		{"synchronous replication: the old primary answers, others lack commits", []Status{inTerm("p", primary, 1, older), status("r1", 4), status("r2", 5)}, testServers(), sync, "p"},
+		{"only the old primary answers", []Status{inTerm("p", primary, 2, newer)}, testServers(), term2, "p"},
 		{"no server answers", nil, testServers(), TargetRule{OldPrimary: "p"}, ""},
 		{"server that received most of the log", []Status{status("r1", 4), status("r2", 5)}, testServers(), TargetRule{OldPrimary: "p", CanWait: true}, "r2"},
 		{"waits until a replica has all entries of the old primary", []Status{status("p", 6), status("r1", 4), status("r2", 5)}, testServers(), TargetRule{OldPrimary: "p", CanWait: true}, ""},
--- a/internal/fleet/failover/promotion.go
+++ b/internal/fleet/failover/promotion.go
@@ -8,10 +8,15 @@
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 )
 
-// PresentPrimaryDelay is the time after an accepted promotion from which a target whose
-// log term hasn't changed is taken for the platform's primary already. A promotion that
-// changes anything takes effect within several hundred ms.
-const PresentPrimaryDelay = 1500 * time.Millisecond
+const (
+	// PresentPrimaryDelay is the time after an accepted promotion from which a target
+	// whose log term hasn't changed is taken for the platform's primary already. A
+	// promotion that changes anything takes effect within 300 to 600 ms.
+	PresentPrimaryDelay = 750 * time.Millisecond
+	// lowTermDelay is the same for a target whose log term is below the recorded one.
+	// It bounds the harm of a record that is too high.
+	lowTermDelay = 3 * time.Second
+)
 
 type (
 	// PromotionState is the leading control node's information about a promotion that
@@ -27,6 +32,9 @@
 		Statuses []Status
 		// LogTerm is state.GroupPrimary.LogTerm.
 		LogTerm cluster.Term
+		// NewLogTerm is the lowest log term that the target can have once its promotion
+		// took effect, by what the servers answered before; zero: unknown.
+		NewLogTerm cluster.Term
 		// AcceptedAt is when the platform accepted the request; zero: it is unknown
 		// whether it has.
 		AcceptedAt time.Time
@@ -52,7 +60,7 @@
 //     restart under another name, so that the request changed nothing.
 func FindPromotion(s PromotionState, now time.Time) (Promotion, bool) {
 	if s.Initial.Role == cluster.RoleReplica && s.Current.Role == cluster.RolePrimary && s.Current.StartedAt.Equal(s.Initial.StartedAt) {
-		return Promotion{LogTerm: s.LogTerm, Evidence: "announced"}, true
+		return Promotion{LogTerm: max(s.LogTerm, s.NewLogTerm), Evidence: "announced"}, true
 	}
 	target, answered := findStatus(s.Statuses, s.Current.Name)
 	if !answered || target.Role != cluster.RolePrimary {
@@ -61,10 +69,27 @@
 	if target.Promised > s.LogTerm {
 		return Promotion{LogTerm: target.Promised, Evidence: "higher log term"}, true
 	}
-	accepted := !s.AcceptedAt.IsZero() && now.Sub(s.AcceptedAt) >= PresentPrimaryDelay
+	delay := PresentPrimaryDelay
+	if target.Promised < s.LogTerm {
+		delay = lowTermDelay
+	}
 	newerExists := slices.ContainsFunc(s.Statuses, func(other Status) bool { return other.Promised > target.Promised })
-	if !accepted || target.Promised < s.LogTerm || newerExists {
+	if s.AcceptedAt.IsZero() || now.Sub(s.AcceptedAt) < delay || newerExists {
 		return Promotion{}, false
 	}
 	return Promotion{LogTerm: target.Promised, Evidence: "primary already"}, true
 }
+
+// NewLogTerm returns the lowest log term that a target can have once its promotion took
+// effect, by the statuses of the servers before and the recorded log term.
+func NewLogTerm(statuses []Status, target cluster.ServerName, recorded cluster.Term) cluster.Term {
+	highest := recorded
+	for _, s := range statuses {
+		highest = max(highest, s.Promised)
+	}
+	if s, answered := findStatus(statuses, target); !answered || s.Role != cluster.RoleReplica {
+		// It may be the platform's primary already, whose log term stays.
+		return highest
+	}
+	return highest + 1
+}
--- a/internal/fleet/failover/promotion_test.go
+++ b/internal/fleet/failover/promotion_test.go
@@ -22,7 +22,7 @@
 	replica := registry.Server{Name: "t", Role: cluster.RoleReplica, StartedAt: now}
 	primary := registry.Server{Name: "t", Role: cluster.RolePrimary, StartedAt: now}
 	restarted := registry.Server{Name: "t", Role: cluster.RolePrimary, StartedAt: now.Add(time.Second)}
-	justNow, before := now.Add(-100*time.Millisecond), now.Add(-PresentPrimaryDelay)
+	justNow, before, longBefore := now.Add(-100*time.Millisecond), now.Add(-PresentPrimaryDelay), now.Add(-lowTermDelay)
 	tests := []struct {
 		name  string
 		state PromotionState
@@ -37,6 +37,8 @@
 		{"primary already, accepted before", PromotionState{Initial: primary, Current: primary, LogTerm: 2, AcceptedAt: before, Statuses: []Status{leads("t", 2), follows("r", 2)}}, "primary already"},
 		{"primary already, not known to be accepted", PromotionState{Initial: primary, Current: primary, LogTerm: 2, Statuses: []Status{leads("t", 2)}}, ""},
 		{"primary of an earlier log term", PromotionState{Initial: primary, Current: primary, LogTerm: 2, AcceptedAt: before, Statuses: []Status{leads("t", 1)}}, ""},
+		{"primary of an earlier log term, another server knows the recorded one", PromotionState{Initial: primary, Current: primary, LogTerm: 2, AcceptedAt: longBefore, Statuses: []Status{leads("t", 1), leads("p", 2)}}, ""},
+		{"primary of an earlier log term than the recorded one, which no server knows", PromotionState{Initial: primary, Current: primary, LogTerm: 2, AcceptedAt: longBefore, Statuses: []Status{leads("t", 1)}}, "primary already"},
 		{"another server knows a newer log term", PromotionState{Initial: primary, Current: primary, LogTerm: 2, AcceptedAt: before, Statuses: []Status{leads("t", 2), follows("r", 3)}}, ""},
 		{"replica, accepted before", PromotionState{Initial: replica, Current: replica, LogTerm: 2, AcceptedAt: before, Statuses: []Status{follows("t", 2)}}, ""},
 		{"target doesn't answer", PromotionState{Initial: primary, Current: primary, LogTerm: 2, AcceptedAt: before, Statuses: []Status{leads("r", 2)}}, ""},
@@ -48,3 +50,23 @@
 		}
 	}
 }
+
+func TestNewLogTerm(t *testing.T) {
+	tests := []struct {
+		name     string
+		statuses []Status
+		recorded cluster.Term
+		want     cluster.Term
+	}{
+		{"replica", []Status{follows("t", 2), follows("r", 2)}, 2, 3},
+		{"replica of an older log term than another server", []Status{follows("t", 2), follows("r", 4)}, 2, 5},
+		{"replica, higher log term recorded", []Status{follows("t", 2)}, 4, 5},
+		{"primary already", []Status{leads("t", 2), follows("r", 2)}, 2, 2},
+		{"no status", []Status{follows("r", 2)}, 2, 2},
+	}
+	for _, test := range tests {
+		if got := NewLogTerm(test.statuses, "t", test.recorded); got != test.want {
+			t.Errorf("%s: got %d, want %d", test.name, got, test.want)
+		}
+	}
+}
--- a/internal/fleet/failover/target.go
+++ b/internal/fleet/failover/target.go
@@ -21,6 +21,9 @@
 		// because its promotion has just failed; nil: none. What it has received
 		// counts nevertheless.
 		Ineligible func(cluster.ServerName) bool
+		// LogTerm is the log term in which callers may have had commits acknowledged by
+		// the old primary, as far as it is known.
+		LogTerm cluster.Term
 		// SyncReplication is true if a commit is acknowledged only once at least
 		// one replica has received it. No acknowledged commit may then be lost.
 		SyncReplication bool
@@ -42,6 +45,11 @@
 		Target cluster.ServerName
 		// Reason is why there is no target yet, or why it is this one, for the log.
 		Reason string
+		// NeedsOldPrimary is true if the old primary has to be queried next time, also
+		// if it didn't answer lately.
+		NeedsOldPrimary bool
+		// LosesTerm is true if the log of the target ends before TargetRule.LogTerm.
+		LosesTerm bool
 	}
 )
 
@@ -49,38 +57,50 @@
 // drain, the one that has received most of the log. With synchronous replication it
 // has to have every commit that may have been acknowledged; a draining server that has
 // them is promoted if no other one can get them any more, and is replaced later as
-// planned.
+// planned. A server whose log ends before rule.LogTerm isn't promoted as long as a
+// registered server may have a newer log: that would bring back commits that an earlier
+// promotion rolled back, and lose those that followed. If only the old primary can be the
+// primary without a loss, it becomes the primary again.
 func ChooseTarget(statuses []Status, servers []registry.Server, rule TargetRule, now time.Time) Choice {
 	oldPrimary, oldPrimaryAnswered := findStatus(statuses, rule.OldPrimary)
 	eligible := rule.withoutIneligible(eligibleServers(servers, rule.OldPrimary))
 	answered := statusesOf(statuses, eligible)
-	best, found := mostAdvanced(answered)
+	best, found := mostAdvanced(rule.preferNewest(answered))
 	hasAllEntries := found && oldPrimaryAnswered && best.Received.Compare(oldPrimary.Received) >= 0
 	// conclusive is true if querying the servers again can't yield a better
 	// target.
 	conclusive := hasAllEntries || (!oldPrimaryAnswered && !rule.OldPrimaryBusy && len(answered) == len(eligible))
+	var choice Choice
 	switch {
 	case rule.SyncReplication:
-		return chooseWithAllCommits(statuses, servers, best, conclusive, rule, now)
+		choice = chooseWithAllCommits(statuses, servers, best, rule, now)
 	case !found:
-		return Choice{Reason: "no server that may be promoted answers"}
-	case rule.CanWait && !conclusive:
-		return Choice{Reason: "waiting for a server that has received more"}
+		choice = Choice{Reason: "no server that may be promoted answers", NeedsOldPrimary: true}
+	default:
+		choice = Choice{Target: best.Server, Reason: "received most of the log"}
 	}
-	return Choice{Target: best.Server, Reason: "received most of the log"}
+	if found && choice.Target == best.Server {
+		switch {
+		case newestTerm(best) < rule.LogTerm:
+			choice = rule.chooseOlderLog(statuses, servers, best)
+		case rule.CanWait && !conclusive:
+			return Choice{Reason: "waiting for a server that has received more"}
+		}
+	}
+	if choice.Target == "" && choice.NeedsOldPrimary && rule.canReturnTo(oldPrimary, oldPrimaryAnswered, servers) {
+		return Choice{Target: rule.OldPrimary, Reason: "no other server can take over without a loss"}
+	}
+	return choice
 }
 
 // chooseWithAllCommits returns best if it has every commit that may have been
 // acknowledged, else a draining server that has them.
-func chooseWithAllCommits(statuses []Status, servers []registry.Server, best Status, conclusive bool, rule TargetRule, now time.Time) Choice {
+func chooseWithAllCommits(statuses []Status, servers []registry.Server, best Status, rule TargetRule, now time.Time) Choice {
 	required, known := acknowledgedPosition(statuses, servers, rule)
 	if !known {
-		return Choice{Reason: "acknowledged commits may be only on a server that doesn't answer"}
+		return Choice{Reason: "acknowledged commits may be only on a server that doesn't answer", NeedsOldPrimary: true}
 	}
 	if best.Server != "" && best.Received.Compare(required) >= 0 {
-		if rule.CanWait && !conclusive {
-			return Choice{Reason: "waiting for a server that has received more"}
-		}
 		return Choice{Target: best.Server, Reason: "has all acknowledged commits"}
 	}
 	_, oldPrimaryAnswers := findStatus(statuses, rule.OldPrimary)
@@ -90,9 +110,43 @@
 	if found && !othersCanFollow && draining.Received.Compare(required) >= 0 {
 		return Choice{Target: draining.Server, Reason: "drains, but is the only one that has all acknowledged commits"}
 	}
-	return Choice{Reason: "waiting for a server that has all acknowledged commits, up to " + required.String()}
+	return Choice{Reason: "waiting for a server that has all acknowledged commits", NeedsOldPrimary: true}
+}
+
+// chooseOlderLog returns best, whose log ends before the old primary's log term, once no
+// registered server can have a newer log any more.
+func (r TargetRule) chooseOlderLog(statuses []Status, servers []registry.Server, best Status) Choice {
+	newerPossible := slices.ContainsFunc(servers, func(s registry.Server) bool {
+		status, answered := findStatus(statuses, s.Name)
+		return !answered || newestTerm(status) >= r.LogTerm
+	})
+	if newerPossible {
+		return Choice{Reason: "waiting for a server whose log doesn't end in an older term", NeedsOldPrimary: true}
+	}
+	return Choice{Target: best.Server, Reason: "no server has a log of the newest term any more: its commits are lost", LosesTerm: true}
+}
+
+// canReturnTo reports whether the old primary can become the primary again: it answered,
+// is the primary still and doesn't drain, and others had the time to get its log.
+func (r TargetRule) canReturnTo(oldPrimary Status, answered bool, servers []registry.Server) bool {
+	server, registered := findServer(servers, r.OldPrimary)
+	return answered && registered && !r.CanWait && oldPrimary.Role == cluster.RolePrimary && newestTerm(oldPrimary) >= r.LogTerm &&
+		!server.Draining && (r.Ineligible == nil || !r.Ineligible(r.OldPrimary))
+}
+
+// preferNewest returns those of the statuses that know the old primary's log term, or all
+// if none does.
+func (r TargetRule) preferNewest(statuses []Status) []Status {
+	newest := slices.DeleteFunc(slices.Clone(statuses), func(s Status) bool { return newestTerm(s) < r.LogTerm })
+	if len(newest) == 0 {
+		return statuses
+	}
+	return newest
 }
 
+// newestTerm returns the newest log term that a server knows.
+func newestTerm(s Status) cluster.Term { return max(s.Promised, s.Received.Term) }
+
 // acknowledgedPosition returns a position up to which all commits that were acknowledged
 // under synchronous replication lie. It is that of the old primary or, if this one doesn't
 // answer, the highest that any other server has received. It returns false if a server
