Control: the first start goes on without a node's first disk

A control node that was killed at the first start and came back with bootstrap=false kept the system from ever starting. Cause: a cluster was created once all listed nodes saw the same disks. A node that may not create one told nothing, so the others waited for it, and it for a cluster to join. Change: such a node tells that it holds no cluster; a majority that may create one does so with it as a member. A disk that began the first start remembers the listed nodes and goes on after a restart, if they are the same. All listed nodes still have to run for the first start.

--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -31,6 +31,8 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -87,7 +89,8 @@
 		// Seed makes election timeouts repeatable; zero: random.
 		Seed uint64
 
-		// Resolve, MustJoin and TargetSize are those of quorum.Options.
+		// Resolve, MustJoin and TargetSize are those of quorum.Options. A node that
+		// began to create a cluster goes on with that also if MustJoin is true.
 		Resolve    func(cluster.NodeName) (netip.AddrPort, bool)
 		MustJoin   bool
 		TargetSize int
@@ -247,10 +250,37 @@
 			return err
 		}
 	}
-	n.consensusCore, err = quorum.New(n.coreOptions(recovered.ID), recovered.Restored, n.now())
+	mustJoin, err := n.mustJoin(recovered)
+	if err != nil {
+		return err
+	}
+	options := n.coreOptions(recovered.ID)
+	options.MustJoin = mustJoin
+	n.consensusCore, err = quorum.New(options, recovered.Restored, n.now())
 	return err
 }
 
+// mustJoin reports whether this node leaves the creation of a cluster to others. A node
+// that was to create one and was started again before it did goes on with that, as long as
+// the same nodes are listed.
+func (n *Node) mustJoin(recovered wal.Recovered) (bool, error) {
+	names := make([]string, 0, len(n.options.Peers))
+	for _, p := range n.options.Peers {
+		names = append(names, string(p.Name))
+	}
+	slices.Sort(names)
+	list := strings.Join(names, ",")
+	if !n.options.MustJoin {
+		return false, n.walLog.MarkFounder(list)
+	}
+	founders, err := n.walLog.Founders()
+	if err != nil || founders != list || recovered.Restored.HardState.ClusterID != 0 {
+		return true, err
+	}
+	n.logger.Info("continues the first start", "nodes", list)
+	return false, nil
+}
+
 func (n *Node) coreOptions(id quorum.ID) quorum.Options {
 	o := n.options
 	options := quorum.Options{
@@ -259,7 +289,6 @@
 		ElectionMax: o.ElectionMax,
 		Heartbeat:   o.Heartbeat,
 		Resolve:     o.Resolve,
-		MustJoin:    o.MustJoin,
 		TargetSize:  o.TargetSize,
 		Random:      rand.New(rand.NewPCG(o.Seed, uint64(id.Disk))),
 	}
--- a/internal/control/node/node_test.go
+++ b/internal/control/node/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -91,6 +92,51 @@
 	s.checkNoLeader(20)
 }
 
+// TestFirstStartGoesOnAfterRestarts guards against a system that never starts because its
+// nodes were killed before they had formed a cluster.
+func TestFirstStartGoesOnAfterRestarts(t *testing.T) {
+	names := []cluster.NodeName{"control-1", "control-2", "control-3"}
+	tests := []struct {
+		name string
+		// lost are the nodes whose disks are lost before they start again.
+		lost []cluster.NodeName
+		// relisted has the nodes list others when they start again.
+		relisted bool
+		wantsRun bool
+	}{
+		{"all disks kept", nil, false, true},
+		{"one disk lost", names[:1], false, true},
+		{"two disks lost", names[:2], false, false},
+		{"other nodes are listed", nil, true, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			again := false
+			s := newTestCluster(t, 3, func(o *node.Options) {
+				o.MustJoin = again
+				if again && test.relisted {
+					o.Peers = append(slices.Clone(o.Peers), node.Peer{Name: "control-4", Address: o.Address})
+				}
+			})
+			for _, name := range names {
+				s.start(name)
+				s.stop(name)
+			}
+			for _, name := range test.lost {
+				s.loseDisk(name)
+			}
+			again = true
+			s.startAll()
+			if test.wantsRun {
+				s.propose("0")
+				s.waitForCommands()
+			} else {
+				s.checkNoLeader(20)
+			}
+		})
+	}
+}
+
 func TestPartitionedLeaderCommitsNothing(t *testing.T) {
 	s := newTestCluster(t, 3, nil)
 	s.startAll()
--- a/internal/control/quorum/bootstrap.go
+++ b/internal/control/quorum/bootstrap.go
@@ -15,6 +15,9 @@
 	// discoverRounds is the number of newest discovery rounds whose responses
 	// are accepted.
 	discoverRounds = 4
+	// joinerDigest is reported in place of a digest of members by a node that holds no
+	// cluster and leaves its creation to others. Digests of members are odd.
+	joinerDigest = 2
 )
 
 var digestTable = crc64.MakeTable(crc64.ECMA)
@@ -30,6 +33,8 @@
 	// agreedNodes holds the nodes that reported the same digest of members as
 	// this node's.
 	agreedNodes map[cluster.NodeName]bool
+	// joiners holds the nodes that reported joinerDigest.
+	joiners map[cluster.NodeName]bool
 }
 
 // discoveredDisk is a disk and the newest round that it responded to.
@@ -42,6 +47,7 @@
 	d.round = firstRound
 	d.disks = map[cluster.NodeName]discoveredDisk{}
 	d.agreedNodes = map[cluster.NodeName]bool{}
+	d.joiners = map[cluster.NodeName]bool{}
 }
 
 // record records the ID from a response of the given round. It reports whether
@@ -58,6 +64,7 @@
 	d.disks[id.Node] = discoveredDisk{disk: id.Disk, round: max(round, old.round)}
 	if changed {
 		clear(d.agreedNodes)
+		clear(d.joiners)
 	}
 	return true, changed
 }
@@ -100,8 +107,9 @@
 	if changed {
 		c.discoverDue = now
 	}
-	if digest := c.discoveredDigest(); current && digest != 0 && m.MembersDigest == digest {
-		c.discoveryState.agreedNodes[m.From.Node] = true
+	if digest := c.discoveredDigest(); current && digest != 0 {
+		c.discoveryState.agreedNodes[m.From.Node] = m.MembersDigest == digest
+		c.discoveryState.joiners[m.From.Node] = m.MembersDigest == joinerDigest
 	}
 	c.tryBootstrap(now)
 }
@@ -154,11 +162,15 @@
 	return true
 }
 
-// discoveredDigest returns the digest of all listed nodes with their disks; zero
-// if the disk of one is unknown or this node doesn't take part in bootstrap.
+// discoveredDigest returns the digest of all listed nodes with their disks, or
+// joinerDigest if this node takes no part in creating a cluster; zero if the disk of one
+// is unknown.
 func (c *Core) discoveredDigest() uint64 {
-	if c.hasCluster() || c.options.MustJoin {
+	switch {
+	case c.hasCluster():
 		return 0
+	case c.options.MustJoin:
+		return joinerDigest
 	}
 	members, complete := c.discoveredMembers()
 	if !complete {
@@ -198,7 +210,7 @@
 	return crc64.Checksum(text, digestTable) | 1
 }
 
-// tryBootstrap creates a cluster once all listed nodes agree on the same IDs.
+// tryBootstrap creates a cluster once all listed nodes agree.
 func (c *Core) tryBootstrap(now time.Time) {
 	if c.hasCluster() || c.options.MustJoin || !c.allAgree() {
 		return
@@ -210,13 +222,21 @@
 	c.bootstrap(Configuration{Members: slices.Clone(members)}, now)
 }
 
+// allAgree reports whether a majority of the listed nodes sees the same IDs as this one,
+// and all others hold no cluster. A node that lost its disk may have been a member of a
+// cluster, but then one of the others is, too, unless a majority lost its disks. Two lists
+// with a node in common can't both have a majority that sees them.
 func (c *Core) allAgree() bool {
+	agreed := 1
 	for _, name := range c.otherNodes() {
-		if !c.discoveryState.agreedNodes[name] {
+		switch {
+		case c.discoveryState.agreedNodes[name]:
+			agreed++
+		case !c.discoveryState.joiners[name]:
 			return false
 		}
 	}
-	return true
+	return agreed >= cluster.Majority(len(c.options.Nodes))
 }
 
 // bootstrap begins the log with the initial configuration. That entry is the same
--- a/internal/control/quorum/membership_test.go
+++ b/internal/control/quorum/membership_test.go
@@ -27,17 +27,23 @@
 }
 
 func newDynamicCluster(t *testing.T, size int, seed uint64) *dynamicCluster {
+	c := newListedCluster(t, 3, size, seed)
+	for i := range 3 {
+		c.start(i, false)
+	}
+	return c
+}
+
+// newListedCluster returns a cluster of listed nodes, none of which was started.
+func newListedCluster(t *testing.T, listed, size int, seed uint64) *dynamicCluster {
 	c := &dynamicCluster{
 		t: t, now: time.Unix(1000, 0), nodes: map[cluster.NodeName]*Core{}, targetSize: size,
 		down: map[cluster.NodeName]bool{}, applied: map[uint64]string{}, random: rand.New(rand.NewPCG(seed, 0)),
 	}
-	for i := range 3 {
+	for i := range listed {
 		name, address := dynamicNode(i)
 		c.listedNodes = append(c.listedNodes, Member{ID: ID{Node: name}, Address: address})
 	}
-	for i := range 3 {
-		c.start(i, false)
-	}
 	return c
 }
 
--- a/internal/control/quorum/types.go
+++ b/internal/control/quorum/types.go
@@ -198,9 +198,8 @@
 		// Resolve returns the address of a node that Nodes doesn't list,
 		// and whether the node may join; nil: only listed nodes may.
 		Resolve func(cluster.NodeName) (netip.AddrPort, bool)
-		// MustJoin is true if this node may only join an existing cluster
-		// and takes no part in creating one, because its disk is new, or
-		// empty after a loss.
+		// MustJoin is true if this node may only join a cluster that others
+		// have created, because its disk is new, or empty after a loss.
 		MustJoin bool
 		// TargetSize is the number of members above which a member that
 		// has timed out is removed; zero: members are never removed or
--- a/internal/control/wal/doc.go
+++ b/internal/control/wal/doc.go
@@ -17,6 +17,8 @@
 //
 //   - "identity" holds the node's name and the ID of its disk. It is the last file
 //     written when the folder is created. A folder without it is new.
+//   - "founders" holds the nodes with which this disk may create a cluster. A disk
+//     that came later doesn't have it.
 //   - "log-<sequence>" is a segment: a header, then frames. Its first frame is
 //     a base: the hard state, the index of the snapshot and the entries after
 //     it. Each further frame is one Save.
--- a/internal/control/wal/frame.go
+++ b/internal/control/wal/frame.go
@@ -17,6 +17,7 @@
 	segmentMagic  = "BWK-LOG\x01"
 	snapshotMagic = "BWK-SNP\x01"
 	identityMagic = "BWK-IDN\x01"
+	foundersMagic = "BWK-FND\x01"
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
--- a/internal/control/wal/replay.go
+++ b/internal/control/wal/replay.go
@@ -177,7 +177,7 @@
 // isLogFile reports whether this package writes and removes files of that name.
 func isLogFile(name string) bool {
 	return strings.HasPrefix(name, segmentPrefix) || strings.HasPrefix(name, snapshotPrefix) ||
-		name == identityName+tempSuffix
+		name == identityName+tempSuffix || name == foundersName+tempSuffix
 }
 
 // parseSequences returns the hexadecimal numbers in the names with a prefix, in
--- a/internal/control/wal/wal.go
+++ b/internal/control/wal/wal.go
@@ -16,6 +16,7 @@
 
 const (
 	identityName   = "identity"
+	foundersName   = "founders"
 	segmentPrefix  = "log-"
 	snapshotPrefix = "snapshot-"
 	tempSuffix     = ".tmp"
@@ -133,6 +134,30 @@
 	return id, nil
 }
 
+// MarkFounder records durably that this disk takes part in creating a cluster of the
+// listed nodes. It does nothing if that is recorded already.
+func (l *Log) MarkFounder(list string) error {
+	stored, err := l.Founders()
+	if err != nil || stored == list {
+		return err
+	}
+	return l.writeFile(foundersName, foundersMagic, []byte(list))
+}
+
+// Founders returns the list that MarkFounder recorded; empty: none. Errors: ErrCorrupt,
+// ErrVersion, and those of the file system.
+func (l *Log) Founders() (string, error) {
+	names, err := l.fs.List()
+	if err != nil {
+		return "", eris.Wrap(err, "list the data folder")
+	}
+	if !slices.Contains(names, foundersName) {
+		return "", nil
+	}
+	payload, err := l.readFile(foundersName, foundersMagic)
+	return string(payload), err
+}
+
 // Save makes the hard state and the entries durable. The entries replace all stored
 // ones from the index of the first one on. Errors: ErrFailed.
 func (l *Log) Save(state quorum.HardState, entries []quorum.Entry) error {
