Failover: no wait for an old primary that can't lead by itself

Cause: found by reading the rule on log terms. It returned to an old primary only if that still reported to be the primary, so that one that was back as a replica with the newest log was waited for without end; it didn't ask whether the old primary still has what others have received; a server that announces itself but never answers was waited for without end. Change: the old primary is promoted again whatever role it reports, if no server has more of the newest log term. The rule on log terms also holds for a draining target.

--- a/internal/fleet/coordinator/group.go
+++ b/internal/fleet/coordinator/group.go
@@ -321,7 +321,7 @@
 	now = g.coordinator.options.Now()
 	choice := failover.ChooseTarget(statuses, servers, failover.TargetRule{
 		OldPrimary: p.Primary, OldPrimaryBusy: slices.Contains(busy, p.Primary), LogTerm: p.LogTerm, SyncReplication: syncReplication,
-		CanWait:    now.Sub(g.choiceStart) < chooseTimeout,
+		CanWait: now.Sub(g.choiceStart) < chooseTimeout, GivesUp: now.Sub(g.choiceStart) >= announcementTimeout,
 		Ineligible: func(s cluster.ServerName) bool { return now.Before(g.ineligibleUntil[s]) },
 		Earlier:    g.recordAnswers(statuses, now), MaxDrainAge: g.coordinator.options.MaxDrainAge,
 	}, now)
--- a/internal/fleet/failover/failover_test.go
+++ b/internal/fleet/failover/failover_test.go
@@ -124,8 +124,9 @@
 	older, newer := cluster.LogPosition{Term: 1, Position: 187}, cluster.LogPosition{Term: 2, Position: 139}
 	replica, primary := cluster.RoleReplica, cluster.RolePrimary
 	term2 := TargetRule{OldPrimary: "p", LogTerm: 2}
-	term2CanWait, syncTerm2 := term2, sync
-	term2CanWait.CanWait, syncTerm2.LogTerm = true, 2
+	term2CanWait, term2GivesUp, syncTerm2, syncGivesUp := term2, term2, sync, sync
+	term2CanWait.CanWait, term2GivesUp.GivesUp, syncTerm2.LogTerm = true, true, 2
+	syncGivesUp.LogTerm, syncGivesUp.GivesUp = 2, true
 	tests := []struct {
 		name     string
 		statuses []Status
@@ -143,6 +144,12 @@
 		{"older log term: the draining old primary answers", []Status{inTerm("p", primary, 2, newer), inTerm("r1", replica, 1, older), inTerm("r2", replica, 1, older)}, testServers(func(s *registry.Server) { s.Draining = true }), term2, ""},
 		{"synchronous replication, older log term", []Status{inTerm("r1", replica, 1, older), inTerm("r2", replica, 1, older)}, testServers(), syncTerm2, ""},
 		{"synchronous replication: the old primary answers, others lack commits", []Status{inTerm("p", primary, 1, older), status("r1", 4), status("r2", 5)}, testServers(), sync, "p"},
+		{"synchronous replication: the old primary is back without its log", []Status{inTerm("p", primary, 1, cluster.LogPosition{Term: 1}), inTerm("r1", replica, 1, older)}, testServers(), sync, ""},
+		{"older log term: the old primary is back as a replica", []Status{inTerm("p", replica, 2, newer), inTerm("r1", replica, 1, older), inTerm("r2", replica, 1, older)}, testServers(), term2, "p"},
+		{"older log term: the old primary is back without its log", []Status{inTerm("p", replica, 0, cluster.LogPosition{}), inTerm("r1", replica, 1, older), inTerm("r2", replica, 1, older)}, testServers(), term2, "r1"},
+		{"older log term: the old primary had no commits in it", []Status{inTerm("p", primary, 2, cluster.LogPosition{Term: 1, Position: 136}), inTerm("r1", replica, 1, older), inTerm("r2", replica, 1, older)}, testServers(), term2, "p"},
+		{"older log term: a server never answers", []Status{inTerm("r1", replica, 1, older)}, testServers(), term2GivesUp, "r1"},
+		{"synchronous replication, older log term: a server never answers", []Status{inTerm("r1", replica, 1, older), inTerm("r2", replica, 1, older)}, testServers(), syncGivesUp, ""},
 		{"only the old primary answers", []Status{inTerm("p", primary, 2, newer)}, testServers(), term2, "p"},
 		{"no server answers", nil, testServers(), TargetRule{OldPrimary: "p"}, ""},
 		{"server that received most of the log", []Status{status("r1", 4), status("r2", 5)}, testServers(), TargetRule{OldPrimary: "p", CanWait: true}, "r2"},
--- a/internal/fleet/failover/target.go
+++ b/internal/fleet/failover/target.go
@@ -30,6 +30,10 @@
 		// CanWait is true if there is time left to query the servers again for a
 		// better target.
 		CanWait bool
+		// GivesUp is true once the change has waited as long as a silent server stays
+		// registered. Without synchronous replication, the log term LogTerm is then
+		// given up.
+		GivesUp bool
 		// Earlier are the last statuses of servers that answered before in this
 		// change of primary, but don't answer now. With synchronous replication, the
 		// target must have received as much as they had: they may be back, or their
@@ -57,10 +61,10 @@
 // drain, the one that has received most of the log. With synchronous replication it
 // has to have every commit that may have been acknowledged; a draining server that has
 // them is promoted if no other one can get them any more, and is replaced later as
-// planned. A server whose log ends before rule.LogTerm isn't promoted as long as a
-// registered server may have a newer log: that would bring back commits that an earlier
-// promotion rolled back, and lose those that followed. If only the old primary can be the
-// primary without a loss, it becomes the primary again.
+// planned. A server whose log ends before rule.LogTerm isn't promoted while a registered
+// server may have a newer log: that would bring back commits that an earlier promotion
+// rolled back, and lose those that followed. If only the old primary can be the primary
+// without a loss, it is promoted again.
 func ChooseTarget(statuses []Status, servers []registry.Server, rule TargetRule, now time.Time) Choice {
 	oldPrimary, oldPrimaryAnswered := findStatus(statuses, rule.OldPrimary)
 	eligible := rule.withoutIneligible(eligibleServers(servers, rule.OldPrimary))
@@ -79,15 +83,12 @@
 	default:
 		choice = Choice{Target: best.Server, Reason: "received most of the log"}
 	}
-	if found && choice.Target == best.Server {
-		switch {
-		case newestTerm(best) < rule.LogTerm:
-			choice = rule.chooseOlderLog(statuses, servers, best)
-		case rule.CanWait && !conclusive:
-			return Choice{Reason: "waiting for a server that has received more"}
-		}
+	if target, chosen := findStatus(statuses, choice.Target); chosen && newestTerm(target) < rule.LogTerm {
+		choice = rule.chooseOlderLog(statuses, servers, target)
+	} else if chosen && target.Server == best.Server && rule.CanWait && !conclusive {
+		return Choice{Reason: "waiting for a server that has received more"}
 	}
-	if choice.Target == "" && choice.NeedsOldPrimary && rule.canReturnTo(oldPrimary, oldPrimaryAnswered, servers) {
+	if choice.NeedsOldPrimary && oldPrimaryAnswered && rule.canReturnTo(oldPrimary, statuses, servers) {
 		return Choice{Target: rule.OldPrimary, Reason: "no other server can take over without a loss"}
 	}
 	return choice
@@ -113,25 +114,28 @@
 	return Choice{Reason: "waiting for a server that has all acknowledged commits", NeedsOldPrimary: true}
 }
 
-// chooseOlderLog returns best, whose log ends before the old primary's log term, once no
+// chooseOlderLog returns target, whose log ends before the old primary's log term, once no
 // registered server can have a newer log any more.
-func (r TargetRule) chooseOlderLog(statuses []Status, servers []registry.Server, best Status) Choice {
+func (r TargetRule) chooseOlderLog(statuses []Status, servers []registry.Server, target Status) Choice {
 	newerPossible := slices.ContainsFunc(servers, func(s registry.Server) bool {
 		status, answered := findStatus(statuses, s.Name)
 		return !answered || newestTerm(status) >= r.LogTerm
 	})
-	if newerPossible {
+	if newerPossible && (r.SyncReplication || !r.GivesUp) {
 		return Choice{Reason: "waiting for a server whose log doesn't end in an older term", NeedsOldPrimary: true}
 	}
-	return Choice{Target: best.Server, Reason: "no server has a log of the newest term any more: its commits are lost", LosesTerm: true}
+	return Choice{Target: target.Server, Reason: "no server that can be promoted has a log of the newest term: its commits are lost", LosesTerm: true}
 }
 
-// canReturnTo reports whether the old primary can become the primary again: it answered,
-// is the primary still and doesn't drain, and others had the time to get its log.
-func (r TargetRule) canReturnTo(oldPrimary Status, answered bool, servers []registry.Server) bool {
+// canReturnTo reports whether the old primary can be promoted again: it doesn't drain, has
+// as much as any other server of the newest log term, and others had the time to get that.
+func (r TargetRule) canReturnTo(oldPrimary Status, statuses []Status, servers []registry.Server) bool {
 	server, registered := findServer(servers, r.OldPrimary)
-	return answered && registered && !r.CanWait && oldPrimary.Role == cluster.RolePrimary && newestTerm(oldPrimary) >= r.LogTerm &&
-		!server.Draining && (r.Ineligible == nil || !r.Ineligible(r.OldPrimary))
+	if r.CanWait || !registered || server.Draining || newestTerm(oldPrimary) < r.LogTerm {
+		return false
+	}
+	most, _ := mostAdvanced(r.preferNewest(slices.Concat(statuses, r.Earlier)))
+	return oldPrimary.Received.Compare(most.Received) >= 0 && len(r.withoutIneligible([]registry.Server{server})) > 0
 }
 
 // preferNewest returns those of the statuses that know the old primary's log term, or all
