Failover: earlier names of a restarted server aren't waited for

Cause: a server that is back at its address under another name leaves its earlier name registered for 12 s. The choice of a target waited for that one's answer, 1.5 s, or with synchronous replication until it was removed. Change: a server is left out if a later process has answered at its address. An announcement alone isn't enough, as it may come from another writer. Result: the new cases of TestChooseTarget waited before and pass.

--- a/internal/fleet/failover/failover_test.go
+++ b/internal/fleet/failover/failover_test.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -118,6 +119,12 @@
 	refused.Ineligible = func(s cluster.ServerName) bool { return s == "r1" }
 	syncRefused, syncBusyPrimary := sync, syncCanWait
 	syncRefused.Ineligible, syncBusyPrimary.OldPrimaryBusy = refused.Ineligible, true
+	// back is r1 under another name.
+	superseded := testServers()
+	superseded[1].Address = netip.MustParseAddrPort("10.0.0.1:8080")
+	back := superseded[1]
+	back.Name, back.StartedAt = "back", now
+	superseded = append(superseded, back)
 	inTerm := func(name cluster.ServerName, role cluster.Role, term cluster.Term, received cluster.LogPosition) Status {
 		return Status{Server: name, ServerStatus: cluster.ServerStatus{Role: role, Promised: term, Received: received}}
 	}
@@ -150,6 +157,9 @@
 		{"older log term: the old primary had no commits in it", []Status{inTerm("p", primary, 2, cluster.LogPosition{Term: 1, Position: 136}), inTerm("r1", replica, 1, older), inTerm("r2", replica, 1, older)}, testServers(), term2, "p"},
 		{"older log term: a server never answers", []Status{inTerm("r1", replica, 1, older)}, testServers(), term2GivesUp, "r1"},
 		{"synchronous replication, older log term: a server never answers", []Status{inTerm("r1", replica, 1, older), inTerm("r2", replica, 1, older)}, testServers(), syncGivesUp, ""},
+		{"a server is back under another name", []Status{status("back", 5), status("r2", 4)}, superseded, TargetRule{OldPrimary: "p", CanWait: true}, "back"},
+		{"synchronous replication: a server is back under another name", []Status{status("back", 5), status("r2", 4)}, superseded, syncCanWait, "back"},
+		{"synchronous replication: a server is said to be back, but doesn't answer", []Status{status("r2", 4)}, superseded, sync, ""},
 		{"only the old primary answers", []Status{inTerm("p", primary, 2, newer)}, testServers(), term2, "p"},
 		{"no server answers", nil, testServers(), TargetRule{OldPrimary: "p"}, ""},
 		{"server that received most of the log", []Status{status("r1", 4), status("r2", 5)}, testServers(), TargetRule{OldPrimary: "p", CanWait: true}, "r2"},
--- a/internal/fleet/failover/target.go
+++ b/internal/fleet/failover/target.go
@@ -66,6 +66,7 @@
 // rolled back, and lose those that followed. If only the old primary can be the primary
 // without a loss, it is promoted again.
 func ChooseTarget(statuses []Status, servers []registry.Server, rule TargetRule, now time.Time) Choice {
+	servers = withoutSuperseded(servers, statuses)
 	oldPrimary, oldPrimaryAnswered := findStatus(statuses, rule.OldPrimary)
 	eligible := rule.withoutIneligible(eligibleServers(servers, rule.OldPrimary))
 	answered := statusesOf(statuses, eligible)
@@ -185,6 +186,17 @@
 	})
 }
 
+// withoutSuperseded returns the servers whose address isn't that of a later process that
+// answered there: they have ended, and their logs are with that one.
+func withoutSuperseded(servers []registry.Server, statuses []Status) []registry.Server {
+	return slices.DeleteFunc(slices.Clone(servers), func(old registry.Server) bool {
+		return slices.ContainsFunc(servers, func(s registry.Server) bool {
+			_, answered := findStatus(statuses, s.Name)
+			return answered && s.Address.IsValid() && s.Address == old.Address && s.StartedAt.After(old.StartedAt)
+		})
+	})
+}
+
 // statusesOf returns the statuses of those of the servers that answered.
 func statusesOf(statuses []Status, servers []registry.Server) []Status {
 	var list []Status
