Control: a member doesn't read the list of founders

Cause: found by reading. A damaged file of founders would have ended each start of a node whose cluster exists. Change: the file is read and written only on a disk without a cluster. Result: the tests of internal/control/node pass.

--- a/internal/control/node/node.go
+++ b/internal/control/node/node.go
@@ -264,6 +264,9 @@
 // that was to create one and was started again before it did goes on with that, as long as
 // the same nodes are listed.
 func (n *Node) mustJoin(recovered wal.Recovered) (bool, error) {
+	if recovered.Restored.HardState.ClusterID != 0 {
+		return n.options.MustJoin, nil
+	}
 	names := make([]string, 0, len(n.options.Peers))
 	for _, p := range n.options.Peers {
 		names = append(names, string(p.Name))
@@ -274,7 +277,7 @@
 		return false, n.walLog.MarkFounder(list)
 	}
 	founders, err := n.walLog.Founders()
-	if err != nil || founders != list || recovered.Restored.HardState.ClusterID != 0 {
+	if err != nil || founders != list {
 		return true, err
 	}
 	n.logger.Info("continues the first start", "nodes", list)
--- a/internal/fleet/coordinator/group.go
+++ b/internal/fleet/coordinator/group.go
@@ -470,9 +470,9 @@
 
 // handleUnconfirmedPromotion decides whether the promotion of the target is
 // requested again. Another target is chosen only if this one is unreachable,
-// has begun to drain or isn't registered any more, because its promotion may still take
-// effect; a busy one is reachable. It may also have taken effect although the platform's response is lost
-// or late.
+// has begun to drain or isn't registered any more, because its promotion may
+// still take effect; a busy one is reachable. The promotion may also have taken
+// effect although the platform's response is lost or late.
 func (g *groupController) handleUnconfirmedPromotion(ctx context.Context, p state.GroupPrimary) time.Duration {
 	server, known := g.findServer(p.Target)
 	if known && (!server.Draining || g.initialTarget.Draining) {
