Coordinator: its tests share their waits

Cause: the new tests repeated the wait for a primary and the report of a refused connection. Change: waitForPrimary, isPrimary and reportRefused of the fixture; the checks are the same.

--- a/internal/fleet/coordinator/coordinator_test.go
+++ b/internal/fleet/coordinator/coordinator_test.go
@@ -210,6 +210,29 @@
 	f.t.Fatalf("timed out waiting until %s; primary %+v", description, f.primary())
 }
 
+// waitForPrimary waits until a change of primary has ended with the given server.
+func (f *fixture) waitForPrimary(name cluster.ServerName) {
+	f.t.Helper()
+	f.waitUntil(string(name)+" is the primary", func() bool { return f.isPrimary(name) })
+}
+
+func (f *fixture) isPrimary(name cluster.ServerName) bool {
+	p := f.primary()
+	return p.Phase == state.Settled && p.Primary == name
+}
+
+// reportRefused reports that a server refuses connections until condition returns true.
+func (f *fixture) reportRefused(server cluster.ServerName, description string, condition func() bool) {
+	f.t.Helper()
+	observations := []Observation{{Server: server, FailingFor: time.Second, Refused: true, SinceResponse: time.Second}}
+	f.waitUntil(description, func() bool {
+		if err := f.coordinator.Report(Renewal{Proxy: "proxy-1", Observations: observations}); err != nil {
+			f.t.Fatal(err)
+		}
+		return condition()
+	})
+}
+
 // renew renews the lease of proxy-1, which has released the terms below minUsable.
 func (f *fixture) renew(minUsable cluster.Term) Grant {
 	f.t.Helper()
@@ -255,7 +278,7 @@
 	if err := f.coordinator.Report(Renewal{Proxy: "proxy-1", Incarnation: 7, MinUsableTerms: leases.MinUsableTerms{testGroup: 2}}); err != nil {
 		t.Fatal(err)
 	}
-	f.waitUntil("the change of primary is complete", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r1" })
+	f.waitForPrimary("r1")
 }
 
 func TestCrashedPrimaryIsReplaced(t *testing.T) {
@@ -265,13 +288,7 @@
 	f.platform.mu.Lock()
 	delete(f.platform.statuses, "p")
 	f.platform.mu.Unlock()
-	observations := []Observation{{Server: "p", FailingFor: time.Second, Refused: true, SinceResponse: time.Second}}
-	f.waitUntil("the most advanced replica is the primary", func() bool {
-		if err := f.coordinator.Report(Renewal{Proxy: "proxy-1", Observations: observations}); err != nil {
-			t.Fatal(err)
-		}
-		return f.primary().Phase == state.Settled && f.primary().Primary == "r1"
-	})
+	f.reportRefused("p", "the most advanced replica is the primary", func() bool { return f.isPrimary("r1") })
 }
 
 // TestSuspendedLeaderDoesNotPromote guards against a promotion by a leader that was
@@ -292,7 +309,7 @@
 		t.Errorf("got %d promotions by a leader that is suspended after each confirmation, want none", promoted)
 	}
 	f.log.suspended.Store(0)
-	f.waitUntil("the replica is the primary", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r1" })
+	f.waitForPrimary("r1")
 }
 
 func TestRefusedTargetIsSkipped(t *testing.T) {
@@ -301,7 +318,7 @@
 	f.announceAll()
 	f.platform.refusedTargets["r1"] = true
 	f.announce("p", cluster.RolePrimary, true)
-	f.waitUntil("the other replica is the primary", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r2" })
+	f.waitForPrimary("r2")
 }
 
 // TestPrimaryOfEarlierTermIsNotAccepted promotes a server that still reports the
@@ -342,7 +359,7 @@
 	f.platform.mu.Lock()
 	f.platform.makePrimary("r1")
 	f.platform.mu.Unlock()
-	f.waitUntil("the target is the primary", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r1" })
+	f.waitForPrimary("r1")
 }
 
 // TestRestartedPrimaryIsPromotedAgain guards against a change of primary that never ends:
@@ -357,13 +374,7 @@
 	for _, next := range []cluster.ServerName{"p-2", "p-3", "p-4"} {
 		f.platform.restartPrimary(next)
 		f.announce(next, cluster.RolePrimary, false)
-		observations := []Observation{{Server: name, FailingFor: time.Second, Refused: true, SinceResponse: time.Second}}
-		f.waitUntil("the restarted primary "+string(next)+" is the primary", func() bool {
-			if err := f.coordinator.Report(Renewal{Proxy: "proxy-1", Observations: observations}); err != nil {
-				t.Fatal(err)
-			}
-			return f.primary().Phase == state.Settled && f.primary().Primary == next
-		})
+		f.reportRefused(name, "the restarted primary "+string(next)+" is the primary", func() bool { return f.isPrimary(next) })
 		name = next
 	}
 }
@@ -394,7 +405,7 @@
 	f.platform.loseResponses = true
 	f.platform.mu.Unlock()
 	f.announce("p", cluster.RolePrimary, true)
-	f.waitUntil("the replica is the primary", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r1" })
+	f.waitForPrimary("r1")
 }
 
 // synchronous has commits acknowledged only once a replica has received them.
@@ -417,7 +428,7 @@
 		t.Fatalf("got primary %+v while the replica that stays lacks commits, want no target", p)
 	}
 	f.platform.setStatus("r2", cluster.RoleReplica, 1, 10)
-	f.waitUntil("the replica that has all commits is the primary", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r2" })
+	f.waitForPrimary("r2")
 }
 
 // TestDrainingPrimaryServesUntilAReplicaFollows guards against a group without a primary
@@ -433,7 +444,7 @@
 		t.Fatalf("got primary %+v while no replica follows, want the draining one", p)
 	}
 	f.platform.setStatus("r1", cluster.RoleReplica, 1, 10)
-	f.waitUntil("the replica is the primary", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r1" })
+	f.waitForPrimary("r1")
 }
 
 // TestDrainingReplicaBridgesACrash has the primary crash while only a draining replica has
@@ -447,17 +458,11 @@
 	f.platform.mu.Lock()
 	delete(f.platform.statuses, "p")
 	f.platform.mu.Unlock()
-	observations := []Observation{{Server: "p", FailingFor: time.Second, Refused: true, SinceResponse: time.Second}}
-	f.waitUntil("the draining replica is the primary", func() bool {
-		if err := f.coordinator.Report(Renewal{Proxy: "proxy-1", Observations: observations}); err != nil {
-			t.Fatal(err)
-		}
-		return f.primary().Phase == state.Settled && f.primary().Primary == "r1"
-	})
+	f.reportRefused("p", "the draining replica is the primary", func() bool { return f.isPrimary("r1") })
 	f.announce("r1", cluster.RolePrimary, true)
 	f.platform.setStatus("r1", cluster.RolePrimary, 2, 20)
 	f.platform.setStatus("r2", cluster.RoleReplica, 2, 20)
-	f.waitUntil("the other replica is the primary", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r2" })
+	f.waitForPrimary("r2")
 }
 
 // TestBusyTargetIsKept guards against the loss of acknowledged commits by a second
@@ -486,7 +491,7 @@
 	f.platform.mu.Lock()
 	f.platform.fillsOnPromotion, f.platform.busy["r1"] = false, false
 	f.platform.mu.Unlock()
-	f.waitUntil("the target is the primary", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r1" })
+	f.waitForPrimary("r1")
 	f.platform.mu.Lock()
 	defer f.platform.mu.Unlock()
 	if slices.Contains(f.platform.promoted, "r2") {
@@ -518,7 +523,7 @@
 	f.platform.mu.Lock()
 	f.platform.statuses["r1"], f.platform.refusedTargets["r1"] = refused, false
 	f.platform.mu.Unlock()
-	f.waitUntil("the server that has all commits is the primary", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r1" })
+	f.waitForPrimary("r1")
 }
 
 // TestOlderLogIsNotPromoted guards against commits that come back after a promotion rolled
@@ -529,7 +534,7 @@
 	f := newFixture(t)
 	f.announceAll()
 	f.announce("p", cluster.RolePrimary, true)
-	f.waitUntil("the replica is the primary", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r1" })
+	f.waitForPrimary("r1")
 	if got := f.primary().LogTerm; got != 2 {
 		t.Errorf("got the log term %d, want 2", got)
 	}
@@ -545,19 +550,13 @@
 	if err := f.coordinator.Announce(t.Context(), registry.Server{Name: "p"}, true); err != nil {
 		t.Fatal(err)
 	}
-	observations := []Observation{{Server: "r1", FailingFor: time.Second, Refused: true, SinceResponse: time.Second}}
-	f.waitUntil("the change begins", func() bool {
-		if err := f.coordinator.Report(Renewal{Proxy: "proxy-1", Observations: observations}); err != nil {
-			t.Fatal(err)
-		}
-		return f.primary().Phase == state.Releasing
-	})
+	f.reportRefused("r1", "the change begins", func() bool { return f.primary().Phase == state.Releasing })
 	time.Sleep(2 * chooseTimeout)
 	if got := f.primary(); got.Phase != state.Releasing {
 		t.Fatalf("got primary %+v while the primary of the newer log term may be back, want no target", got)
 	}
 	f.platform.setStatus("r1", cluster.RolePrimary, 2, 15)
-	f.waitUntil("the primary of the newer log term is the primary again", func() bool { return f.primary().Phase == state.Settled && f.primary().Primary == "r1" })
+	f.waitForPrimary("r1")
 	f.platform.mu.Lock()
 	defer f.platform.mu.Unlock()
 	if slices.Contains(f.platform.promoted, "p-2") {
