--- a/internal/control/quorum/bootstrap.go
+++ b/internal/control/quorum/bootstrap.go
@@ -224,8 +224,7 @@
 
 // allAgree reports whether a majority of the listed nodes sees the same IDs as this one,
 // and all others hold no cluster. A node that lost its disk may have been a member of a
-// cluster, but then one of the others is, too, unless a majority lost its disks. Two lists
-// with a node in common can't both have a majority that sees them.
+// cluster, but then one of the others is, too, unless a majority lost its disks.
 func (c *Core) allAgree() bool {
 	agreed := 1
 	for _, name := range c.otherNodes() {
