--- a/internal/fleet/failover/replicas.go
+++ b/internal/fleet/failover/replicas.go
@@ -32,16 +32,17 @@
 func (c ReplicaCheck) Next(primary cluster.ServerName, servers []registry.Server, statuses []Status, busy bool, now time.Time) ReplicaCheck {
 	current, answered := findStatus(statuses, primary)
 	next := ReplicaCheck{Primary: primary, CheckedAt: now, PrimaryAnswers: answered || busy}
-	before := current.Received
-	if c.Primary == primary && c.Known {
-		before = c.Received
+	if c.Primary == primary {
+		next.Received, next.Known = c.Received, c.Known
 	}
-	next.Received, next.Known = before, answered || c.Primary == primary && c.Known
+	if answered && !next.Known {
+		next.Received, next.Known = current.Received, true
+	}
+	best, found := mostAdvanced(statusesOf(statuses, eligibleServers(servers, primary)))
+	next.Follows = next.Known && found && best.Received.Compare(next.Received) >= 0
 	if answered {
 		next.Received = current.Received
 	}
-	best, found := mostAdvanced(statusesOf(statuses, eligibleServers(servers, primary)))
-	next.Follows = next.Known && found && best.Received.Compare(before) >= 0
 	return next
 }
 
--- a/internal/fleet/failover/target.go
+++ b/internal/fleet/failover/target.go
@@ -132,11 +132,11 @@
 // as much as any other server of the newest log term, and others had the time to get that.
 func (r TargetRule) canReturnTo(oldPrimary Status, statuses []Status, servers []registry.Server) bool {
 	server, registered := findServer(servers, r.OldPrimary)
-	if r.CanWait || !registered || server.Draining || newestTerm(oldPrimary) < r.LogTerm {
+	if r.CanWait || !registered || server.Draining || r.isIneligible(r.OldPrimary) || newestTerm(oldPrimary) < r.LogTerm {
 		return false
 	}
 	most, _ := mostAdvanced(r.preferNewest(slices.Concat(statuses, r.Earlier)))
-	return oldPrimary.Received.Compare(most.Received) >= 0 && len(r.withoutIneligible([]registry.Server{server})) > 0
+	return oldPrimary.Received.Compare(most.Received) >= 0
 }
 
 // preferNewest returns those of the statuses that know the old primary's log term, or all
@@ -176,7 +176,11 @@
 
 // withoutIneligible returns the servers that may be promoted now.
 func (r TargetRule) withoutIneligible(servers []registry.Server) []registry.Server {
-	return slices.DeleteFunc(slices.Clone(servers), func(s registry.Server) bool { return r.Ineligible != nil && r.Ineligible(s.Name) })
+	return slices.DeleteFunc(slices.Clone(servers), func(s registry.Server) bool { return r.isIneligible(s.Name) })
+}
+
+func (r TargetRule) isIneligible(name cluster.ServerName) bool {
+	return r.Ineligible != nil && r.Ineligible(name)
 }
 
 // drainingServers returns the servers that drain, but may still be the primary.
