--- a/review/stage/backend.go
+++ b/review/stage/backend.go
@@ -17,7 +17,8 @@
 const (
 	serviceName = "ledger"
 	serverCount = 3
-	// replicationInterval is how often replicas receive what the primary has.
+	// replicationInterval is how often replicas receive what they lack. They receive each
+	// commit at once, too.
 	replicationInterval = 5 * time.Millisecond
 	heartbeatInterval   = 1200 * time.Millisecond
 	// promoteTime is the time from a promotion to its effect.
@@ -396,6 +397,7 @@
 		s.backend.commits[w.request] = commit{at: time.Now(), by: s, term: s.term}
 		s.backend.record.logf("%s ran %s as commit %d.%d", s.id, w.request, next.term, next.number)
 	}
+	s.backend.replicate(time.Now())
 	for s.backend.receivedBy(s, next) < s.backend.syncReplicas && s.running {
 		s.backend.changed.Wait()
 	}
@@ -461,14 +463,15 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			b.mu.Lock()
 			b.replicate(now)
+			b.mu.Unlock()
 		}
 	}
 }
 
+// replicate has the other servers receive what the newest primary has. b.mu is held.
 func (b *backend) replicate(now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	if !b.newest.running {
 		return
 	}
--- a/review/stage/deployment.go
+++ b/review/stage/deployment.go
@@ -260,15 +260,16 @@
 	return p.cmd.Process.Signal(s)
 }
 
-// configuration returns a configuration with one route of each kind.
+// configuration returns a configuration with one route of each kind, and with the time-outs
+// of the example in the pages.
 func (d *deployment) configuration(version int) string {
-	route := func(name, kind, extra string) string {
-		return fmt.Sprintf(`{"name":"r-%s","host":"%s","pathPrefix":"/","routeKind":"%s","timeoutMs":4000,"targetLatencyMs":400,"priority":1,"service":"%s","maxAttempts":2%s}`,
-			name, name, kind, serviceName, extra)
+	route := func(name, kind string, timeoutMS int, extra string) string {
+		return fmt.Sprintf(`{"name":"r-%s","host":"%s","pathPrefix":"/","routeKind":"%s","timeoutMs":%d,"targetLatencyMs":400,"priority":1,"service":"%s","maxAttempts":2%s}`,
+			name, name, kind, timeoutMS, serviceName, extra)
 	}
 	return fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s],"services":[{"name":"%s","healthPath":"/health","connectionLimit":%d,"protocol":"h1","tlsEnabled":false,"syncReplicas":%d}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000,"transactionIdleMs":3000}}`,
-		version, route(strongDatabase, "primary", ""), route(ownDatabase, "read_your_writes", `,"maxStalenessMs":2500`),
-		route(boundedDatabase, "bounded_staleness", `,"maxStalenessMs":1500`), serviceName, d.connectionLimit, d.syncReplicas)
+		version, route(strongDatabase, "primary", 1000, ""), route(ownDatabase, "read_your_writes", 1000, `,"maxStalenessMs":2500`),
+		route(boundedDatabase, "bounded_staleness", 3000, `,"maxStalenessMs":1500`), serviceName, d.connectionLimit, d.syncReplicas)
 }
 
 // submit sends a configuration until a control node acknowledges it.
