--- a/review/stage/deployment.go
+++ b/review/stage/deployment.go
@@ -34,6 +34,9 @@
 	metricsPort = 9464
 )
 
+// errStopping is returned for a process that isn't started any more.
+var errStopping = errors.New("the deployment stops")
+
 type (
 	// deployment is a small system of the project's own processes on loopback.
 	deployment struct {
@@ -49,9 +52,11 @@
 		connectionLimit, syncReplicas int
 		processes                     []*process
 		promotion                     *http.Server
-		stopping                      chan struct{}
-		stopOnce                      sync.Once
-		waits                         sync.WaitGroup
+		// launchMu orders the start of processes before or after the close of stopping.
+		launchMu sync.Mutex
+		stopping chan struct{}
+		stopOnce sync.Once
+		waits    sync.WaitGroup
 	}
 
 	// process is one process of the system and the settings that it starts with.
@@ -118,9 +123,8 @@
 	return true
 }
 
-// start starts the servers, the platform's API and all processes, and submits a
-// configuration. It returns once each proxy is ready.
-func (d *deployment) start() error {
+// prepare starts the servers and the platform's API, and makes the settings of all processes.
+func (d *deployment) prepare() error {
 	if err := d.pickNetwork(); err != nil {
 		return err
 	}
@@ -148,6 +152,12 @@
 		d.add(name, "proxy", fmt.Sprintf("nodeName=%s\nipAddress=%s\nlistenAddresses.frontend=%s\nlistenAddresses.ready=%s\nlimits.memoryMb=%d\n",
 			name, d.address(2, i), d.callerAddress(i), d.readyAddress(i), d.memoryMB)+common)
 	}
+	return nil
+}
+
+// start starts all processes and submits a configuration. It returns once each proxy is
+// ready.
+func (d *deployment) start() error {
 	for _, p := range d.processes {
 		if err := d.launch(p); err != nil {
 			return err
@@ -165,6 +175,13 @@
 
 // launch starts a process as the deploy file says.
 func (d *deployment) launch(p *process) error {
+	d.launchMu.Lock()
+	defer d.launchMu.Unlock()
+	select {
+	case <-d.stopping:
+		return errStopping
+	default:
+	}
 	path := filepath.Join(d.folder, p.name+".conf")
 	if err := os.WriteFile(path, []byte(p.settings), 0o600); err != nil {
 		return err
@@ -336,25 +353,27 @@
 func (d *deployment) stop() { d.stopOnce.Do(d.stopAll) }
 
 func (d *deployment) stopAll() {
+	d.launchMu.Lock()
 	close(d.stopping)
+	d.launchMu.Unlock()
+	var running []*process
 	for _, p := range d.processes {
-		if p.cmd == nil {
+		if p.end() == nil {
 			continue
 		}
+		running = append(running, p)
 		// A process that has ended already needs no signal.
 		_ = p.signal(syscall.SIGCONT)
 		_ = p.signal(syscall.SIGTERM)
 	}
-	deadline := time.After(stopTimeout)
-	for _, p := range d.processes {
-		if p.cmd == nil {
-			continue
-		}
+	deadline := make(chan struct{})
+	time.AfterFunc(stopTimeout, func() { close(deadline) })
+	for _, p := range running {
 		select {
-		case <-p.exited:
+		case <-p.end():
 		case <-deadline:
 			_ = p.signal(syscall.SIGKILL)
-			<-p.exited
+			<-p.end()
 		}
 	}
 	if d.promotion != nil {
@@ -364,3 +383,11 @@
 	}
 	d.backend.stop()
 }
+
+// end returns the channel that is closed once the process has ended; nil: it was never
+// started.
+func (p *process) end() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.exited
+}
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -27,10 +27,13 @@
 // whether the rule was broken.
 type scripted struct {
 	syncReplicas int
+	// startsItself is true if the case starts the processes.
+	startsItself bool
 	play         func(d *deployment, trouble bool) (broken bool, err error)
 }
 
 var cases = map[string]scripted{
+	"first-start":   {startsItself: true, play: playFirstStart},
 	"left-replica":  {syncReplicas: 1, play: playLeftReplica},
 	"report":        {play: playReport},
 	"slow-platform": {play: playSlowPlatform},
@@ -83,9 +86,15 @@
 	return exitHeld
 }
 
-// play starts the deployment, plays a case and ends all processes.
+// play plays a case and ends all processes.
 func play(d *deployment, c scripted, trouble bool) (broken bool, err error) {
 	defer d.stop()
+	if err := d.prepare(); err != nil {
+		return false, err
+	}
+	if c.startsItself {
+		return c.play(d, trouble)
+	}
 	if err := d.start(); err != nil {
 		return false, err
 	}
