--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -35,6 +35,7 @@
 var cases = map[string]scripted{
 	"first-start":   {startsItself: true, play: playFirstStart},
 	"left-replica":  {syncReplicas: 1, play: playLeftReplica},
+	"lost-leader":   {syncReplicas: 1, play: playLostLeader},
 	"report":        {play: playReport},
 	"slow-platform": {play: playSlowPlatform},
 }
