Failover: the log of a server that left is waited for

One of two replicas lagged when the other one left as planned, and the primary crashed 0.3 s later.

Cause: a change of primary compared the target with the registered servers only. A server that leaves is removed from the registry at once, and nothing knew that its log moves to a new server at its address.

Change: the registry remembers group and address of a server that left. To keep this rare, the leader compares the primary with its replicas after a departure; once a replica has all that the primary had when the server had ended, the log isn't needed. A check of replicas doesn't compare with a position that is long out of date any more. The same wait applies without synchronous replication where only the departed server knew the newest log term.

TestPrimaryOfEarlierTermIsNotAccepted let the only server that knows the newer log term leave, and counted on the change going on at once. A new server without that log now starts at its address; what the test checks is the same.

--- a/internal/fleet/coordinator/coordinator_test.go
+++ b/internal/fleet/coordinator/coordinator_test.go
@@ -181,12 +181,44 @@
 // announce announces a server with a higher sequence than all announcements before.
 func (f *fixture) announce(name cluster.ServerName, role cluster.Role, draining bool) {
 	f.sequence++
-	err := f.coordinator.Announce(f.t.Context(), registry.Server{Name: name, Group: testGroup, Slots: 2, Role: role, Draining: draining, Sequence: f.sequence}, false)
+	err := f.coordinator.Announce(f.t.Context(), registry.Server{
+		Name: name, Group: testGroup, Address: addressOf(name), Slots: 2, Role: role, Draining: draining, Sequence: f.sequence,
+	}, false)
 	if err != nil {
 		f.t.Fatal(err)
 	}
 }
 
+// addressOf returns the address at which announce announces a server.
+func addressOf(name cluster.ServerName) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, name[0], name[len(name)-1]}), 8080)
+}
+
+// announceAt announces a replica whose process started just now at the given address.
+func (f *fixture) announceAt(name cluster.ServerName, address netip.AddrPort) {
+	f.t.Helper()
+	server := registry.Server{Name: name, Group: testGroup, Address: address, Slots: 2, Role: cluster.RoleReplica, StartedAt: time.Now(), Sequence: 1}
+	if err := f.coordinator.Announce(f.t.Context(), server, false); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// leave has a server leave as planned.
+func (f *fixture) leave(name cluster.ServerName) {
+	f.t.Helper()
+	f.crash(name)
+	if err := f.coordinator.Announce(f.t.Context(), registry.Server{Name: name}, true); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// crash ends a server, which says nothing.
+func (f *fixture) crash(name cluster.ServerName) {
+	f.platform.mu.Lock()
+	defer f.platform.mu.Unlock()
+	delete(f.platform.statuses, name)
+}
+
 // announceAll announces the primary p and the replicas r1 and r2 and waits until p
 // is the primary of term 1.
 func (f *fixture) announceAll() {
@@ -340,13 +372,11 @@
 	})
 	f.announce("p", cluster.RolePrimary, true)
 	f.waitUntil("the change begins", func() bool { return f.primary().Phase == state.Releasing })
-	// As long as the newer log can be had, it is waited for.
-	f.platform.mu.Lock()
-	delete(f.platform.statuses, "p")
-	f.platform.mu.Unlock()
-	if err := f.coordinator.Announce(t.Context(), registry.Server{Name: "p"}, true); err != nil {
-		t.Fatal(err)
-	}
+	// As long as the newer log can be had, it is waited for. The new server at the old
+	// primary's address hasn't got it.
+	f.leave("p")
+	f.platform.setStatus("p-2", cluster.RoleReplica, 1, 0)
+	f.announceAt("p-2", addressOf("p"))
 	f.waitUntil("the promotion is requested", func() bool {
 		f.platform.mu.Lock()
 		defer f.platform.mu.Unlock()
@@ -465,6 +495,49 @@
 	f.waitForPrimary("r2")
 }
 
+// TestDepartedReplicaIsWaitedFor guards against the loss of acknowledged commits that only
+// the primary and a replica that has left have: the primary crashes before a new server at
+// the replica's address has its log.
+func TestDepartedReplicaIsWaitedFor(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, synchronous)
+	f.announceAll()
+	f.platform.setStatus("r2", cluster.RoleReplica, 1, 4)
+	f.leave("r1")
+	f.crash("p")
+	f.reportRefused("p", "the change begins", func() bool { return f.primary().Phase == state.Releasing })
+	time.Sleep(2 * chooseTimeout)
+	if got := f.primary(); got.Phase != state.Releasing {
+		t.Fatalf("got primary %+v while the log of the replica that left isn't back, want no target", got)
+	}
+	f.platform.setStatus("r1-2", cluster.RoleReplica, 1, 10)
+	f.announceAt("r1-2", addressOf("r1"))
+	f.waitForPrimary("r1-2")
+}
+
+// TestCoveredLogIsNotWaitedFor guards against a failover that waits for the log of a replica
+// that has left although another replica has all commits of it.
+func TestCoveredLogIsNotWaitedFor(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, synchronous)
+	f.announceAll()
+	f.platform.setStatus("r2", cluster.RoleReplica, 1, 4)
+	f.leave("r1")
+	time.Sleep(maxLeaveTime)
+	f.platform.setStatus("r2", cluster.RoleReplica, 1, 10)
+	f.waitUntil("the log is covered", func() bool {
+		f.coordinator.mu.Lock()
+		defer f.coordinator.mu.Unlock()
+		return len(f.coordinator.current.missingLogs(testGroup, time.Now())) == 0
+	})
+	f.crash("p")
+	crashedAt := time.Now()
+	f.reportRefused("p", "the replica that stays is the primary", func() bool { return f.isPrimary("r2") })
+	if gap := time.Since(crashedAt); gap > announcementTimeout/4 {
+		t.Errorf("got a change of primary of %v, want less than %v", gap, announcementTimeout/4)
+	}
+}
+
 // TestBusyTargetIsKept guards against the loss of acknowledged commits by a second
 // promotion: the first one took effect, but the platform's response was lost, and all slots
 // of the target are taken.
--- a/internal/fleet/coordinator/group.go
+++ b/internal/fleet/coordinator/group.go
@@ -167,6 +167,7 @@
 
 // groupState returns this leader's information about a group.
 func (c *Coordinator) groupState(l *leadership, group cluster.GroupName, p state.GroupPrimary, now time.Time) failover.GroupState {
+	syncReplication, _ := c.options.Group(group)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	settled := l.settledTerms[group]
@@ -177,6 +178,7 @@
 	return failover.GroupState{
 		PrimaryState: p, SettledSince: settled.since, DiscoveryDone: l.discoveryDone(now), Observations: maps.Clone(l.observations[p.Primary]),
 		Servers: l.registry.Group(group), Probe: l.probes[group], Replicas: l.replicaChecks[group], MaxDrainAge: c.options.MaxDrainAge,
+		LogsMissing: syncReplication && len(l.missingLogs(group, now)) > 0,
 	}
 }
 
@@ -264,17 +266,18 @@
 	last := g.leadership.replicaChecks[g.group]
 	servers := g.leadership.registry.Group(g.group)
 	g.coordinator.mu.Unlock()
-	sinceLast := g.coordinator.options.Now().Sub(last.CheckedAt)
-	if last.Primary == p.Primary && sinceLast < failover.ReplicaCheckInterval {
+	began := g.coordinator.options.Now()
+	if sinceLast := began.Sub(last.CheckedAt); last.Primary == p.Primary && sinceLast < failover.ReplicaCheckInterval {
 		return failover.ReplicaCheckInterval - sinceLast
 	}
 	statuses, busy := g.queryStatuses(ctx, servers)
-	next := last.Next(p.Primary, servers, statuses, slices.Contains(busy, p.Primary), g.coordinator.options.Now())
+	next := last.Next(p.Primary, servers, statuses, slices.Contains(busy, p.Primary), began, g.coordinator.options.Now())
 	g.coordinator.mu.Lock()
 	g.leadership.replicaChecks[g.group] = next
+	covered := g.leadership.coverLogs(g.group, next)
 	g.coordinator.mu.Unlock()
 	g.logger.Info("checked the replicas", "server", p.Primary, "reason", reason, "follows", next.Follows,
-		"primary-answers", next.PrimaryAnswers, "received", next.Received.String())
+		"primary-answers", next.PrimaryAnswers, "received", next.Received.String(), "logs-covered", covered)
 	if next.Follows || !next.PrimaryAnswers {
 		return 0
 	}
@@ -303,6 +306,7 @@
 	g.coordinator.mu.Lock()
 	held := g.leadership.leases.Held(g.group, p.Term, now)
 	servers := g.leadership.registry.Group(g.group)
+	missing := g.leadership.missingLogs(g.group, now)
 	g.coordinator.mu.Unlock()
 	if held {
 		return tickInterval / 4
@@ -322,11 +326,11 @@
 		OldPrimary: p.Primary, OldPrimaryBusy: slices.Contains(busy, p.Primary), LogTerm: p.LogTerm, SyncReplication: syncReplication,
 		CanWait: now.Sub(g.choiceStart) < chooseTimeout, GivesUp: now.Sub(g.choiceStart) >= announcementTimeout,
 		Ineligible: func(s cluster.ServerName) bool { return now.Before(g.ineligibleUntil[s]) },
-		Earlier:    g.recordAnswers(statuses, now), MaxDrainAge: g.coordinator.options.MaxDrainAge,
+		Earlier:    g.recordAnswers(statuses, now), MissingLogs: missing, MaxDrainAge: g.coordinator.options.MaxDrainAge,
 	}, now)
 	if choice != g.choice {
 		g.choice = choice
-		g.logger.Info("choosing a target", "term", p.Term, "target", choice.Target, "reason", choice.Reason, "log-term", p.LogTerm, "loses-term", choice.LosesTerm)
+		g.logger.Info("choosing a target", "term", p.Term, "target", choice.Target, "reason", choice.Reason, "log-term", p.LogTerm, "loses-term", choice.LosesTerm, "missing-logs", missing)
 	}
 	if choice.Target == "" {
 		return chooseInterval
--- a/internal/fleet/coordinator/servers.go
+++ b/internal/fleet/coordinator/servers.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/burdockwood/burdockwood/internal/fleet/failover"
 	"github.com/burdockwood/burdockwood/internal/fleet/registry"
 	"github.com/burdockwood/burdockwood/internal/fleet/state"
 	"github.com/burdockwood/burdockwood/internal/model/broadcast"
@@ -16,6 +17,11 @@
 // server may end at any moment.
 const assumedDrainingTime = time.Hour
 
+// maxLeaveTime is how long a server may go on after its Leave was received: it waits a second
+// for the acknowledgement and then calls another control node. Until it ends, it may be the
+// only replica that receives a commit.
+const maxLeaveTime = 1500 * time.Millisecond
+
 // saveRetryDelay is the pause after changed servers couldn't be saved.
 const saveRetryDelay = 50 * time.Millisecond
 
@@ -63,6 +69,26 @@
 	}
 }
 
+// missingLogs returns the servers that left a group and whose logs are waited for. A log
+// that doesn't come is given up when a silent server would be removed.
+func (l *leadership) missingLogs(group cluster.GroupName, now time.Time) []cluster.ServerName {
+	var names []cluster.ServerName
+	for _, s := range l.registry.MissingLogs(group, now.Add(-announcementTimeout)) {
+		names = append(names, s.Name)
+	}
+	return names
+}
+
+// coverLogs records which of the servers that left a group have logs that aren't needed any
+// more, because a replica has all that the primary had when they had ended. It returns
+// their names.
+func (l *leadership) coverLogs(group cluster.GroupName, check failover.ReplicaCheck) []cluster.ServerName {
+	if !check.Follows {
+		return nil
+	}
+	return l.registry.CoverLogs(group, check.FollowsSince.Add(-maxLeaveTime))
+}
+
 // forgetDeparted removes from the replicated state the servers that left and that the
 // registry doesn't remember any more.
 func (l *leadership) forgetDeparted() {
@@ -123,8 +149,8 @@
 		s, known := l.registry.Get(name)
 		if !known {
 			change.Drop = append(change.Drop, name)
-			if startedAt, departed := l.registry.Departed(name); departed {
-				change.Departed[name] = startedAt.UnixMilli()
+			if departed, remembered := l.registry.Departed(name); remembered {
+				change.Departed[name] = departed.StartedAt.UnixMilli()
 			}
 			continue
 		}
--- a/internal/fleet/failover/failover.go
+++ b/internal/fleet/failover/failover.go
@@ -137,6 +137,10 @@
 		Observations map[cluster.ProxyName]Observation
 		Probe        ProbeResult
 		Replicas     ReplicaCheck
+		// LogsMissing is true if commits are acknowledged only once a replica has
+		// received them and a server that left may have the only copy of some; see
+		// TargetRule.MissingLogs.
+		LogsMissing bool
 		// MaxDrainAge is how long a draining server may be the primary.
 		MaxDrainAge time.Duration
 	}
@@ -183,7 +187,11 @@
 	case known && hasLostPrimaryRole(s, primary, now):
 		return Decision{Action: ReplacePrimary, Reason: "the primary announces itself as a replica"}
 	}
-	return decideByObservations(s, primary, known, now)
+	decision := decideByObservations(s, primary, known, now)
+	if decision.Action == KeepPrimary && known && s.LogsMissing {
+		return Decision{Action: CheckReplicas, Reason: "a server left, whose log may have the only copy of commits"}
+	}
+	return decision
 }
 
 // decideFirstPrimary adopts a server that reports to be the primary. If several do, or
--- a/internal/fleet/failover/failover_test.go
+++ b/internal/fleet/failover/failover_test.go
@@ -67,6 +67,9 @@
 		{"announcements missing and no proxy reports a response", GroupState{DiscoveryDone: true, Servers: testServers(func(s *registry.Server) { s.LastAnnounced = longAgo })}, ProbePrimary, false},
 		{"announcements missing, but a proxy reports a response", GroupState{DiscoveryDone: true, Servers: testServers(func(s *registry.Server) { s.LastAnnounced = longAgo }), Observations: map[cluster.ProxyName]Observation{"a": responding}}, KeepPrimary, false},
 		{"primary restarted as a replica", GroupState{SettledSince: longAgo, Servers: testServers(func(s *registry.Server) { s.Role = cluster.RoleReplica })}, ReplacePrimary, false},
+		{"log missing", GroupState{LogsMissing: true, Servers: testServers(), Observations: map[cluster.ProxyName]Observation{"a": responding}}, CheckReplicas, false},
+		{"log missing, connections refused, not probed", GroupState{LogsMissing: true, Servers: testServers(), Observations: map[cluster.ProxyName]Observation{"a": refused(200 * time.Millisecond)}}, ProbePrimary, false},
+		{"log missing, unresponsive to all, probe failed", GroupState{LogsMissing: true, Servers: testServers(), Probe: deadProbe, Observations: map[cluster.ProxyName]Observation{"a": unresponsive(time.Second)}}, ReplacePrimary, false},
 		{"primary promoted just now still announces itself as a replica", GroupState{SettledSince: now, Servers: testServers(func(s *registry.Server) { s.Role = cluster.RoleReplica })}, KeepPrimary, false},
 	}
 	for _, test := range tests {
@@ -134,6 +137,9 @@
 	term2CanWait, term2GivesUp, syncTerm2, syncGivesUp := term2, term2, sync, sync
 	term2CanWait.CanWait, term2GivesUp.GivesUp, syncTerm2.LogTerm = true, true, 2
 	syncGivesUp.LogTerm, syncGivesUp.GivesUp = 2, true
+	leftLog, syncLeftLog, syncLeftPrimary, term2LeftLog, term2LeftLogGivesUp := TargetRule{OldPrimary: "p"}, sync, sync, term2, term2GivesUp
+	leftLog.MissingLogs, syncLeftLog.MissingLogs, syncLeftPrimary.MissingLogs = []cluster.ServerName{"left"}, []cluster.ServerName{"left"}, []cluster.ServerName{"p"}
+	term2LeftLog.MissingLogs, term2LeftLogGivesUp.MissingLogs = leftLog.MissingLogs, leftLog.MissingLogs
 	tests := []struct {
 		name     string
 		statuses []Status
@@ -157,6 +163,13 @@
 		{"older log term: the old primary had no commits in it", []Status{inTerm("p", primary, 2, cluster.LogPosition{Term: 1, Position: 136}), inTerm("r1", replica, 1, older), inTerm("r2", replica, 1, older)}, testServers(), term2, "p"},
 		{"older log term: a server never answers", []Status{inTerm("r1", replica, 1, older)}, testServers(), term2GivesUp, "r1"},
 		{"synchronous replication, older log term: a server never answers", []Status{inTerm("r1", replica, 1, older), inTerm("r2", replica, 1, older)}, testServers(), syncGivesUp, ""},
+		{"synchronous replication: a replica left, its log isn't back", []Status{status("r1", 4), status("r2", 5)}, testServers(), syncLeftLog, ""},
+		{"synchronous replication: a replica left, the old primary answers", []Status{status("p", 5), status("r1", 4), status("r2", 5)}, testServers(), syncLeftLog, "r2"},
+		{"synchronous replication: a replica left, the old primary is back and has more", []Status{inTerm("p", primary, 1, older), status("r1", 4), status("r2", 5)}, testServers(), syncLeftLog, "p"},
+		{"synchronous replication: the old primary left, all replicas answered", []Status{status("r1", 4), status("r2", 5)}, testServers()[1:], syncLeftPrimary, "r2"},
+		{"a replica left without synchronous replication", []Status{status("r1", 4), status("r2", 5)}, testServers(), leftLog, "r2"},
+		{"older log term: the log of a server that left isn't back", []Status{inTerm("r1", replica, 1, older), inTerm("r2", replica, 1, older)}, testServers()[1:], term2LeftLog, ""},
+		{"older log term: the log of a server that left never comes", []Status{inTerm("r1", replica, 1, older), inTerm("r2", replica, 1, older)}, testServers()[1:], term2LeftLogGivesUp, "r1"},
 		{"a server is back under another name", []Status{status("back", 5), status("r2", 4)}, superseded, TargetRule{OldPrimary: "p", CanWait: true}, "back"},
 		{"synchronous replication: a server is back under another name", []Status{status("back", 5), status("r2", 4)}, superseded, syncCanWait, "back"},
 		{"synchronous replication: a server is said to be back, but doesn't answer", []Status{status("r2", 4)}, superseded, sync, ""},
--- a/internal/fleet/failover/replicas.go
+++ b/internal/fleet/failover/replicas.go
@@ -16,36 +16,46 @@
 type ReplicaCheck struct {
 	Primary   cluster.ServerName
 	CheckedAt time.Time
-	// Received is the primary's position as of the last check in which it answered. It
-	// is known if Known is true.
-	Received cluster.LogPosition
-	Known    bool
+	// Received is the primary's position as of the last check in which it answered, and
+	// ReceivedAt when that check began; zero: it didn't answer yet.
+	Received   cluster.LogPosition
+	ReceivedAt time.Time
 	// PrimaryAnswers is true if the primary answered, also if it was busy.
 	PrimaryAnswers bool
 	// Follows is true if a server that can take over has received what the primary
-	// had at this check or at the one before.
-	Follows bool
+	// had at this check or at the one before, that is, at FollowsSince.
+	Follows      bool
+	FollowsSince time.Time
 }
 
-// Next returns the result of the next check. statuses are those of the servers that
-// answered; busy is true if the primary is reachable, but too busy to answer.
-func (c ReplicaCheck) Next(primary cluster.ServerName, servers []registry.Server, statuses []Status, busy bool, now time.Time) ReplicaCheck {
+// Next returns the result of the next check, which began at the given time and has ended
+// at now. statuses are those of the servers that answered; busy is true if the primary is
+// reachable, but too busy to answer.
+func (c ReplicaCheck) Next(primary cluster.ServerName, servers []registry.Server, statuses []Status, busy bool, began, now time.Time) ReplicaCheck {
 	current, answered := findStatus(statuses, primary)
 	next := ReplicaCheck{Primary: primary, CheckedAt: now, PrimaryAnswers: answered || busy}
-	if c.Primary == primary {
-		next.Received, next.Known = c.Received, c.Known
+	if c.isRecent(primary, began) {
+		next.Received, next.ReceivedAt = c.Received, c.ReceivedAt
 	}
-	if answered && !next.Known {
-		next.Received, next.Known = current.Received, true
+	if answered && next.ReceivedAt.IsZero() {
+		next.Received, next.ReceivedAt = current.Received, began
 	}
 	best, found := mostAdvanced(statusesOf(statuses, eligibleServers(servers, primary)))
-	next.Follows = next.Known && found && best.Received.Compare(next.Received) >= 0
+	next.Follows = !next.ReceivedAt.IsZero() && found && best.Received.Compare(next.Received) >= 0
+	if next.Follows {
+		next.FollowsSince = next.ReceivedAt
+	}
 	if answered {
-		next.Received = current.Received
+		next.Received, next.ReceivedAt = current.Received, began
 	}
 	return next
 }
 
+// isRecent reports whether the check says something about the primary as of now.
+func (c ReplicaCheck) isRecent(primary cluster.ServerName, now time.Time) bool {
+	return c.Primary == primary && now.Sub(c.CheckedAt) <= maxProbeAge
+}
+
 // decideDraining replaces a draining primary. While it serves and proxies may use it, it
 // stays until a replica follows it: a change without such a replica would lose commits or
 // leave the group without a primary meanwhile.
@@ -54,9 +64,7 @@
 	if now.Sub(primary.DrainingSince) >= s.MaxDrainAge || countObservations(s.Observations, now).unreachable > 0 {
 		return replace
 	}
-	check := s.Replicas
-	isRecent := check.Primary == primary.Name && now.Sub(check.CheckedAt) <= maxProbeAge
-	if isRecent && (check.Follows || !check.PrimaryAnswers) {
+	if s.Replicas.isRecent(primary.Name, now) && (s.Replicas.Follows || !s.Replicas.PrimaryAnswers) {
 		return replace
 	}
 	return Decision{Action: CheckReplicas, Reason: "the primary drains"}
--- a/internal/fleet/failover/replicas_test.go
+++ b/internal/fleet/failover/replicas_test.go
@@ -33,7 +33,7 @@
 	for _, test := range tests {
 		var got ReplicaCheck
 		for _, statuses := range test.checks {
-			got = got.Next("p", test.servers, statuses, test.busy, now)
+			got = got.Next("p", test.servers, statuses, test.busy, now, now)
 		}
 		if got.Follows != test.want.Follows || got.PrimaryAnswers != test.want.PrimaryAnswers {
 			t.Errorf("%s: got %+v, want follows %v, the primary answers %v", test.name, got, test.want.Follows, test.want.PrimaryAnswers)
@@ -41,6 +41,38 @@
 	}
 }
 
+// TestReplicaCheckSince checks from when on a replica is known to have what the primary had:
+// a position that is long out of date says nothing.
+func TestReplicaCheckSince(t *testing.T) {
+	behind, level := []Status{status("p", 9), status("r1", 4)}, []Status{status("p", 9), status("r1", 9)}
+	tests := []struct {
+		name string
+		// pause is the time between two checks.
+		pause  time.Duration
+		checks [][]Status
+		// want is the number of the check since which the replica follows; -1: it doesn't.
+		want int
+	}{
+		{"level at the first check", ReplicaCheckInterval, [][]Status{level}, 0},
+		{"has what the primary had at the check before", ReplicaCheckInterval, [][]Status{behind, level}, 0},
+		{"level twice", ReplicaCheckInterval, [][]Status{level, level}, 0},
+		{"the check before was long ago", time.Minute, [][]Status{{status("p", 4)}, behind}, -1},
+		{"level again after a long time", time.Minute, [][]Status{level, level}, 1},
+	}
+	for _, test := range tests {
+		var got ReplicaCheck
+		for i, statuses := range test.checks {
+			began := now.Add(time.Duration(i) * test.pause)
+			got = got.Next("p", testServers(), statuses, false, began, began)
+		}
+		if wantFollows := test.want >= 0; got.Follows != wantFollows {
+			t.Errorf("%s: got follows %v, want %v", test.name, got.Follows, wantFollows)
+		} else if want := now.Add(time.Duration(test.want) * test.pause); wantFollows && !got.FollowsSince.Equal(want) {
+			t.Errorf("%s: got follows since %v, want %v", test.name, got.FollowsSince, want)
+		}
+	}
+}
+
 // TestDecideDraining guards against a planned change that begins while no replica could
 // take over without a loss.
 func TestDecideDraining(t *testing.T) {
--- a/internal/fleet/failover/target.go
+++ b/internal/fleet/failover/target.go
@@ -39,6 +39,10 @@
 		// target must have received as much as they had: they may be back, or their
 		// logs may move to other servers.
 		Earlier []Status
+		// MissingLogs are the servers that left the group and whose logs may hold
+		// acknowledged commits that no registered server has received, until new
+		// servers at their addresses have the logs.
+		MissingLogs []cluster.ServerName
 		// MaxDrainAge is how long a draining server may be the primary.
 		MaxDrainAge time.Duration
 	}
@@ -99,6 +103,9 @@
 // acknowledged, else a draining server that has them.
 func chooseWithAllCommits(statuses []Status, servers []registry.Server, best Status, rule TargetRule, now time.Time) Choice {
 	required, known := acknowledgedPosition(statuses, servers, rule)
+	if !known && rule.missesReplicaLog() {
+		return Choice{Reason: "waiting for the log of a server that left: acknowledged commits may be only there", NeedsOldPrimary: true}
+	}
 	if !known {
 		return Choice{Reason: "acknowledged commits may be only on a server that doesn't answer", NeedsOldPrimary: true}
 	}
@@ -115,13 +122,13 @@
 	return Choice{Reason: "waiting for a server that has all acknowledged commits", NeedsOldPrimary: true}
 }
 
-// chooseOlderLog returns target, whose log ends before the old primary's log term, once no
-// registered server can have a newer log any more.
+// chooseOlderLog returns target, whose log ends before the old primary's log term, once
+// neither a registered server nor the successor of one that left can have a newer log.
 func (r TargetRule) chooseOlderLog(statuses []Status, servers []registry.Server, target Status) Choice {
 	newerPossible := slices.ContainsFunc(servers, func(s registry.Server) bool {
 		status, answered := findStatus(statuses, s.Name)
 		return !answered || newestTerm(status) >= r.LogTerm
-	})
+	}) || len(r.MissingLogs) > 0
 	if newerPossible && (r.SyncReplication || !r.GivesUp) {
 		return Choice{Reason: "waiting for a server whose log doesn't end in an older term", NeedsOldPrimary: true}
 	}
@@ -155,8 +162,8 @@
 // acknowledgedPosition returns a position up to which all commits that were acknowledged
 // under synchronous replication lie. It is that of the old primary or, if this one doesn't
 // answer, the highest that any other server has received. It returns false if a server
-// that doesn't answer may have received more. An old primary with less than another
-// server has lost its log and doesn't count.
+// that doesn't answer, or a replica that left, may have received more. An old primary with
+// less than another server has lost its log and doesn't count.
 func acknowledgedPosition(statuses []Status, servers []registry.Server, rule TargetRule) (cluster.LogPosition, bool) {
 	var highest cluster.LogPosition
 	for _, s := range slices.Concat(statuses, rule.Earlier) {
@@ -171,7 +178,13 @@
 		_, answered := findStatus(statuses, s.Name)
 		return !answered && s.Name != rule.OldPrimary
 	})
-	return highest, allAnswered
+	return highest, allAnswered && !rule.missesReplicaLog()
+}
+
+// missesReplicaLog reports whether the log of a server that left, other than the old
+// primary, may hold commits that no registered server has received.
+func (r TargetRule) missesReplicaLog() bool {
+	return slices.ContainsFunc(r.MissingLogs, func(name cluster.ServerName) bool { return name != r.OldPrimary })
 }
 
 // withoutIneligible returns the servers that may be promoted now.
--- /dev/null
+++ b/internal/fleet/registry/departed.go
@@ -0,0 +1,135 @@
+package registry
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/burdockwood/burdockwood/internal/model/cluster"
+)
+
+type (
+	// DepartedServer is the last process of a deregistered server. Its log moves to a
+	// new server at its address.
+	DepartedServer struct {
+		Name cluster.ServerName
+		// Group and Address are those of its last announcement.
+		Group          cluster.GroupName
+		Address        netip.AddrPort
+		StartedAt      time.Time
+		DeregisteredAt time.Time
+		// LogCovered is true if no commit that callers may have had acknowledged is
+		// only in its log.
+		LogCovered bool
+	}
+
+	// departedServers are the deregistered servers that are remembered.
+	departedServers struct {
+		servers map[cluster.ServerName]DepartedServer
+		// groups holds the names of each group's servers whose logs aren't covered.
+		groups map[cluster.GroupName]map[cluster.ServerName]struct{}
+	}
+)
+
+func newDepartedServers() departedServers {
+	return departedServers{servers: map[cluster.ServerName]DepartedServer{}, groups: map[cluster.GroupName]map[cluster.ServerName]struct{}{}}
+}
+
+// addUnregistered adds a process that wasn't registered. It has no log that is known of
+// but that of an earlier process under its name.
+func (d *departedServers) addUnregistered(name cluster.ServerName, startedAt, now time.Time) {
+	s, known := d.servers[name]
+	switch {
+	case !known:
+		s = DepartedServer{Name: name, StartedAt: startedAt, DeregisteredAt: now, LogCovered: true}
+	case !startedAt.After(s.StartedAt):
+		return
+	default:
+		s.StartedAt = startedAt
+	}
+	d.add(s)
+}
+
+func (d *departedServers) add(s DepartedServer) {
+	d.remove(s.Name)
+	d.servers[s.Name] = s
+	if s.LogCovered {
+		return
+	}
+	if d.groups[s.Group] == nil {
+		d.groups[s.Group] = map[cluster.ServerName]struct{}{}
+	}
+	d.groups[s.Group][s.Name] = struct{}{}
+}
+
+func (d *departedServers) remove(name cluster.ServerName) {
+	s, known := d.servers[name]
+	if !known {
+		return
+	}
+	delete(d.servers, name)
+	delete(d.groups[s.Group], name)
+	if len(d.groups[s.Group]) == 0 {
+		delete(d.groups, s.Group)
+	}
+}
+
+func (d *departedServers) expire(now time.Time) {
+	for name, s := range d.servers {
+		if now.Sub(s.DeregisteredAt) > TombstoneTTL {
+			d.remove(name)
+		}
+	}
+}
+
+// Departed returns the last process of a deregistered server, as far as that is
+// remembered.
+func (r *Registry) Departed(name cluster.ServerName) (DepartedServer, bool) {
+	s, known := r.departed.servers[name]
+	return s, known
+}
+
+// MissingLogs returns the servers of a group that were deregistered after since and
+// whose logs may hold acknowledged commits that no registered server has received: no
+// later server of the group is registered at their address, and CoverLogs wasn't called
+// for them. They are sorted by name.
+func (r *Registry) MissingLogs(group cluster.GroupName, since time.Time) []DepartedServer {
+	var missing []DepartedServer
+	for name := range r.departed.groups[group] {
+		if s := r.departed.servers[name]; s.DeregisteredAt.After(since) && !r.hasSuccessor(s) {
+			missing = append(missing, s)
+		}
+	}
+	slices.SortFunc(missing, func(a, b DepartedServer) int { return cmp.Compare(a.Name, b.Name) })
+	return missing
+}
+
+// hasSuccessor reports whether a server that has the log of s is registered.
+func (r *Registry) hasSuccessor(s DepartedServer) bool {
+	for name := range r.groups[s.Group] {
+		if other := r.servers[name]; s.Address.IsValid() && other.Address == s.Address && other.StartedAt.After(s.StartedAt) {
+			return true
+		}
+	}
+	return false
+}
+
+// CoverLogs records that a registered server has all commits that were acknowledged
+// before the servers of a group that were deregistered until then had ended. It returns
+// the names of those whose logs weren't covered before, sorted.
+func (r *Registry) CoverLogs(group cluster.GroupName, until time.Time) []cluster.ServerName {
+	var covered []cluster.ServerName
+	for name := range r.departed.groups[group] {
+		if s := r.departed.servers[name]; !s.DeregisteredAt.After(until) {
+			covered = append(covered, name)
+		}
+	}
+	for _, name := range covered {
+		s := r.departed.servers[name]
+		s.LogCovered = true
+		r.departed.add(s)
+	}
+	slices.Sort(covered)
+	return covered
+}
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -10,6 +10,7 @@
 //	r.Deregister("server-1", startedAt, now)
 //	expired := r.Expire(timeout, now)
 //	servers := r.List()
+//	missing := r.MissingLogs("group-1", since)
 //
 // A server's announcements carry the start time of its process and a sequence
 // number. An announcement of an earlier process under the same name, or one of
@@ -70,23 +71,17 @@
 	Registry struct {
 		servers map[cluster.ServerName]Server
 		// groups holds the names of each group's servers.
-		groups     map[cluster.GroupName]map[cluster.ServerName]struct{}
-		tombstones map[cluster.ServerName]tombstone
-	}
-
-	// tombstone records the last process of a deregistered server.
-	tombstone struct {
-		startedAt      time.Time
-		deregisteredAt time.Time
+		groups   map[cluster.GroupName]map[cluster.ServerName]struct{}
+		departed departedServers
 	}
 )
 
 // New returns an empty registry.
 func New() *Registry {
 	return &Registry{
-		servers:    map[cluster.ServerName]Server{},
-		groups:     map[cluster.GroupName]map[cluster.ServerName]struct{}{},
-		tombstones: map[cluster.ServerName]tombstone{},
+		servers:  map[cluster.ServerName]Server{},
+		groups:   map[cluster.GroupName]map[cluster.ServerName]struct{}{},
+		departed: newDepartedServers(),
 	}
 }
 
@@ -94,10 +89,10 @@
 // the announcement registers a new server or changes one; an announcement that
 // only confirms a server isn't a change. Older announcements are ignored.
 func (r *Registry) Register(s Server, now time.Time) (changed bool) {
-	if t, deregistered := r.tombstones[s.Name]; deregistered && !s.StartedAt.After(t.startedAt) {
+	if d, deregistered := r.departed.servers[s.Name]; deregistered && !s.StartedAt.After(d.StartedAt) {
 		return false
 	}
-	delete(r.tombstones, s.Name)
+	r.departed.remove(s.Name)
 	old, known := r.servers[s.Name]
 	if known && !isNewer(old, s) {
 		return false
@@ -189,7 +184,11 @@
 		startedAt = s.StartedAt
 	}
 	r.remove(name)
-	r.tombstones[name] = tombstone{startedAt: startedAt, deregisteredAt: now}
+	if known {
+		r.departed.add(DepartedServer{Name: name, Group: s.Group, Address: s.Address, StartedAt: startedAt, DeregisteredAt: now})
+	} else {
+		r.departed.addUnregistered(name, startedAt, now)
+	}
 	return known
 }
 
@@ -207,7 +206,7 @@
 }
 
 // Expire removes the servers whose last announcement is older than timeout, and
-// the tombstones older than TombstoneTTL. It returns the names of the removed
+// forgets those that were deregistered more than TombstoneTTL ago. It returns the names of the removed
 // servers.
 func (r *Registry) Expire(timeout time.Duration, now time.Time) []cluster.ServerName {
 	var expired []cluster.ServerName
@@ -217,11 +216,7 @@
 			expired = append(expired, name)
 		}
 	}
-	for name, t := range r.tombstones {
-		if now.Sub(t.deregisteredAt) > TombstoneTTL {
-			delete(r.tombstones, name)
-		}
-	}
+	r.departed.expire(now)
 	return expired
 }
 
@@ -256,10 +251,3 @@
 
 // Groups returns the names of the groups that have servers, sorted.
 func (r *Registry) Groups() []cluster.GroupName { return slices.Sorted(maps.Keys(r.groups)) }
-
-// Departed returns when the last process of a deregistered server started, as far as
-// that is remembered.
-func (r *Registry) Departed(name cluster.ServerName) (startedAt time.Time, known bool) {
-	t, known := r.tombstones[name]
-	return t.startedAt, known
-}
