Failover: a new leader knows the logs of servers that left

A change of primary waited for the log of a replica that had left; then control's leader was killed, and the next one promoted a lagging replica.

Cause: that a server had left with commits was known to the leader alone. The replicated state named the server, but neither its group nor its address.

Change: the replicated state has group and address of each server that left and whether its log is covered, written in the entry that removes the server, before the Leave is acknowledged. A new leader waits as its predecessor did. An entry that an earlier build wrote without them stands for a log of any group. On related paths: with synchronous replication an announcement that changes anything is acknowledged once it is in the replicated state, and a new leader chooses no target in the second in which it may not promote one, so that servers that weren't acknowledged announce themselves again first.

--- a/internal/fleet/coordinator/announcements.go
+++ b/internal/fleet/coordinator/announcements.go
@@ -39,15 +39,18 @@
 }
 
 // AnnounceBatch records announcements of backend servers. It returns the confirmed
-// servers whose whole announcement is needed. If servers drain or leave, it returns
-// once that is in the replicated state. Errors: ErrNotLeader, and the error of ctx.
+// servers whose whole announcement is needed. If servers drain or leave, or change anything
+// in a group with synchronous replication, it returns once that is in the replicated state:
+// the next leader has to know which servers may have acknowledged commits. Errors:
+// ErrNotLeader, and the error of ctx.
 func (c *Coordinator) AnnounceBatch(ctx context.Context, announcements []Announcement, confirmations []Confirmation) (needed []cluster.ServerName, err error) {
 	l, err := c.currentLeadership()
 	if err != nil {
 		return nil, err
 	}
+	synchronous := c.synchronousGroups(announcements)
 	c.mu.Lock()
-	changed, durable := l.recordAnnouncements(announcements, c.options.Now())
+	changed, durable := l.recordAnnouncements(announcements, synchronous, c.options.Now())
 	for _, f := range confirmations {
 		if !l.registry.Confirm(f.Name, f.Sequence, f.Digest, f.Age, c.options.Now()) {
 			needed = append(needed, f.Name)
@@ -61,10 +64,22 @@
 	return needed, c.awaitSaved(ctx, l, durable)
 }
 
+// synchronousGroups returns those of the announcements' groups that replicate
+// synchronously.
+func (c *Coordinator) synchronousGroups(announcements []Announcement) map[cluster.GroupName]bool {
+	synchronous := map[cluster.GroupName]bool{}
+	for _, a := range announcements {
+		if syncReplication, _ := c.options.Group(a.Server.Group); syncReplication {
+			synchronous[a.Server.Group] = true
+		}
+	}
+	return synchronous
+}
+
 // recordAnnouncements applies announcements to the registry and returns those that
 // changed it. durable is the number of the last change that has to be saved before the
 // batch is answered; zero: none.
-func (l *leadership) recordAnnouncements(announcements []Announcement, now time.Time) (changed []Announcement, durable uint64) {
+func (l *leadership) recordAnnouncements(announcements []Announcement, synchronous map[cluster.GroupName]bool, now time.Time) (changed []Announcement, durable uint64) {
 	for _, a := range announcements {
 		old, known := l.registry.Get(a.Server.Name)
 		if a.Leaving && !l.registry.Deregister(a.Server.Name, a.Server.StartedAt, now) || !a.Leaving && !l.registry.Register(a.Server, now) {
@@ -78,7 +93,7 @@
 		if !a.Leaving {
 			l.dirty[a.Server.Group] = struct{}{}
 		}
-		if a.Leaving || a.Server.Draining {
+		if a.Leaving || a.Server.Draining || synchronous[a.Server.Group] {
 			durable = l.unsaved.changes
 		}
 	}
--- a/internal/fleet/coordinator/coordinator_test.go
+++ b/internal/fleet/coordinator/coordinator_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net/netip"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -58,10 +60,13 @@
 	fixture struct {
 		t           testing.TB
 		coordinator *Coordinator
-		log         *testLog
-		machine     *state.Machine
-		platform    *fakePlatform
-		sequence    uint64
+		options     Options
+		// stopLeader ends the work of the coordinator, as if its node were lost.
+		stopLeader func()
+		log        *testLog
+		machine    *state.Machine
+		platform   *fakePlatform
+		sequence   uint64
 	}
 )
 
@@ -154,28 +159,48 @@
 	for _, c := range change {
 		c(&options)
 	}
-	c, err := New(options)
-	if err != nil {
-		t.Fatal(err)
-	}
-	f.coordinator, f.log = c, log
+	f.options, f.log = options, log
 	f.platform.setStatus("p", cluster.RolePrimary, 1, 10)
 	f.platform.setStatus("r1", cluster.RoleReplica, 1, 10)
 	f.platform.setStatus("r2", cluster.RoleReplica, 1, 9)
-	ctx, cancel := context.WithCancel(t.Context())
+	f.startLeader()
+	return f
+}
+
+// startLeader starts a coordinator, which knows what is in the replicated state.
+func (f *fixture) startLeader() {
+	c, err := New(f.options)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.coordinator = c
+	ctx, cancel := context.WithCancel(f.t.Context())
 	var group errgroup.Group
 	group.Go(func() error { return c.Run(ctx) })
-	t.Cleanup(func() {
+	f.stopLeader = sync.OnceFunc(func() {
 		cancel()
 		if err := group.Wait(); err != nil {
-			t.Error(err)
+			f.t.Error(err)
 		}
 	})
+	f.t.Cleanup(f.stopLeader)
 	f.waitUntil("the coordinator leads", func() bool {
 		_, err := c.currentLeadership()
 		return err == nil
 	})
-	return f
+}
+
+// replaceLeader has another coordinator lead. record, if any, is what the last one left
+// behind for the group.
+func (f *fixture) replaceLeader(record ...state.GroupPrimary) {
+	f.t.Helper()
+	f.stopLeader()
+	for _, r := range record {
+		if _, err := f.coordinator.propose(f.t.Context(), state.Command{Primary: &state.PrimaryChange{Group: testGroup, From: f.primary(), To: r}}); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	f.startLeader()
 }
 
 // announce announces a server with a higher sequence than all announcements before.
@@ -212,6 +237,32 @@
 	}
 }
 
+// forgetDepartedLogs removes from the replicated state what builds before
+// state.DepartedLog don't write.
+func (f *fixture) forgetDepartedLogs() {
+	f.t.Helper()
+	f.stopLeader()
+	view := *f.machine.View()
+	view.DepartedLogs = nil
+	encoded, err := json.Marshal(struct {
+		Format int          `json:"format"`
+		State  *state.State `json:"state"`
+	}{2, &view})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := f.machine.Restore(encoded); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// leads returns when the present leader was elected.
+func (f *fixture) leads() time.Time {
+	f.coordinator.mu.Lock()
+	defer f.coordinator.mu.Unlock()
+	return f.coordinator.current.startedAt
+}
+
 // crash ends a server, which says nothing.
 func (f *fixture) crash(name cluster.ServerName) {
 	f.platform.mu.Lock()
@@ -515,6 +566,84 @@
 	f.waitForPrimary("r1-2")
 }
 
+// TestNewLeaderWaitsForDepartedReplica guards against the loss of acknowledged commits by a
+// leader that is elected while its predecessor waits for the log of a replica that has left.
+func TestNewLeaderWaitsForDepartedReplica(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name string
+		// covered is true if the other replica has all commits, as the first leader saw.
+		covered bool
+		// forget has the replicated state be as a build before state.DepartedLog left it.
+		forget bool
+	}{
+		{name: "missing"},
+		{name: "missing, of an earlier build", forget: true},
+		{name: "covered", covered: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, synchronous)
+			f.announceAll()
+			f.platform.setStatus("r2", cluster.RoleReplica, 1, 4)
+			f.leave("r1")
+			if test.covered {
+				f.platform.setStatus("r2", cluster.RoleReplica, 1, 10)
+				f.waitUntil("the log is covered", func() bool { return f.machine.View().DepartedLogs["r1"].Covered })
+			}
+			if test.forget {
+				f.forgetDepartedLogs()
+			}
+			f.crash("p")
+			f.replaceLeader(state.GroupPrimary{Term: 2, Phase: state.Releasing, Primary: "p"})
+			if test.covered {
+				f.waitForPrimary("r2")
+				if gap := time.Since(f.leads()); gap > announcementTimeout/4 {
+					t.Errorf("got a primary %v after the election, want it within %v", gap, announcementTimeout/4)
+				}
+				return
+			}
+			time.Sleep(firstPromotionDelay + 2*chooseTimeout)
+			if got := f.primary(); got.Phase != state.Releasing {
+				t.Fatalf("got primary %+v while the log of the replica that left isn't back, want no target", got)
+			}
+			f.platform.setStatus("r1-2", cluster.RoleReplica, 1, 10)
+			f.announceAt("r1-2", addressOf("r1"))
+			f.waitForPrimary("r1-2")
+		})
+	}
+}
+
+// TestRegisteredServersAreKnownToTheNextLeader guards against the loss of acknowledged commits
+// that only a server has which announced itself to a leader that was lost.
+func TestRegisteredServersAreKnownToTheNextLeader(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, synchronous)
+	for i := range 20 {
+		name := cluster.ServerName("s-" + strconv.Itoa(i))
+		f.announce(name, cluster.RoleReplica, false)
+		if _, saved := f.machine.View().Servers[name]; !saved {
+			t.Fatalf("got the announcement of %s acknowledged before it was saved, want it saved", name)
+		}
+	}
+}
+
+// TestNewLeaderWaitsForAnnouncements guards against the loss of acknowledged commits that only
+// a server has whose announcement the lost leader didn't acknowledge.
+func TestNewLeaderWaitsForAnnouncements(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, synchronous)
+	f.announce("p", cluster.RolePrimary, false)
+	f.announce("r2", cluster.RoleReplica, false)
+	f.waitForPrimary("p")
+	f.crash("p")
+	f.replaceLeader(state.GroupPrimary{Term: 2, Phase: state.Releasing, Primary: "p"})
+	time.Sleep(firstPromotionDelay / 4)
+	f.announce("r1", cluster.RoleReplica, false)
+	f.waitForPrimary("r1")
+}
+
 // TestCoveredLogIsNotWaitedFor guards against a failover that waits for the log of a replica
 // that has left although another replica has all commits of it.
 func TestCoveredLogIsNotWaitedFor(t *testing.T) {
--- a/internal/fleet/coordinator/group.go
+++ b/internal/fleet/coordinator/group.go
@@ -315,12 +315,17 @@
 		g.choiceStart = now
 		g.logger.Info("the old term is released", "term", p.Term, "waited-ms", now.Sub(g.releaseStart).Milliseconds())
 	}
+	syncReplication, _ := g.coordinator.options.Group(g.group)
+	if wait := firstPromotionDelay - now.Sub(g.leadership.startedAt); syncReplication && wait > 0 {
+		// Nothing can be promoted yet. Servers whose announcements the last leader
+		// didn't acknowledge announce themselves to this one meanwhile.
+		return wait
+	}
 	queried := servers
 	if !g.choice.NeedsOldPrimary {
 		queried = g.withoutUnreachablePrimary(p, servers, now)
 	}
 	statuses, busy := g.queryStatuses(ctx, queried)
-	syncReplication, _ := g.coordinator.options.Group(g.group)
 	now = g.coordinator.options.Now()
 	choice := failover.ChooseTarget(statuses, servers, failover.TargetRule{
 		OldPrimary: p.Primary, OldPrimaryBusy: slices.Contains(busy, p.Primary), LogTerm: p.LogTerm, SyncReplication: syncReplication,
--- a/internal/fleet/coordinator/servers.go
+++ b/internal/fleet/coordinator/servers.go
@@ -51,7 +51,10 @@
 // state, and remembers those that left.
 func (l *leadership) restoreServers(view *state.State, now time.Time) {
 	for name, startedUnixMS := range view.Departed {
-		l.registry.Deregister(name, time.UnixMilli(startedUnixMS), now)
+		log := view.DepartedLogs[name]
+		l.registry.RestoreDeparted(registry.DepartedServer{
+			Name: name, Group: log.Group, Address: log.Address, StartedAt: time.UnixMilli(startedUnixMS), DeregisteredAt: now, LogCovered: log.Covered,
+		})
 	}
 	for name, s := range view.Servers {
 		server := registry.Server{
@@ -81,12 +84,19 @@
 
 // coverLogs records which of the servers that left a group have logs that aren't needed any
 // more, because a replica has all that the primary had when they had ended. It returns
-// their names.
+// their names, and has the next leader know of them.
 func (l *leadership) coverLogs(group cluster.GroupName, check failover.ReplicaCheck) []cluster.ServerName {
 	if !check.Follows {
 		return nil
 	}
-	return l.registry.CoverLogs(group, check.FollowsSince.Add(-maxLeaveTime))
+	covered := l.registry.CoverLogs(group, check.FollowsSince.Add(-maxLeaveTime))
+	for _, name := range covered {
+		l.unsaved.add(name)
+	}
+	if len(covered) > 0 {
+		l.changed.Notify()
+	}
+	return covered
 }
 
 // forgetDeparted removes from the replicated state the servers that left and that the
@@ -144,13 +154,17 @@
 	if len(l.unsaved.names)+len(l.unsaved.forgotten) == 0 {
 		return nil, 0
 	}
-	change = &state.ServerChanges{Put: map[cluster.ServerName]state.Server{}, Forget: l.unsaved.forgotten, Departed: map[cluster.ServerName]int64{}}
+	change = &state.ServerChanges{
+		Put: map[cluster.ServerName]state.Server{}, Forget: l.unsaved.forgotten,
+		Departed: map[cluster.ServerName]int64{}, DepartedLogs: map[cluster.ServerName]state.DepartedLog{},
+	}
 	for name := range l.unsaved.names {
 		s, known := l.registry.Get(name)
 		if !known {
 			change.Drop = append(change.Drop, name)
 			if departed, remembered := l.registry.Departed(name); remembered {
 				change.Departed[name] = departed.StartedAt.UnixMilli()
+				change.DepartedLogs[name] = state.DepartedLog{Group: departed.Group, Address: departed.Address, Covered: departed.LogCovered}
 			}
 			continue
 		}
--- a/internal/fleet/registry/departed.go
+++ b/internal/fleet/registry/departed.go
@@ -14,7 +14,8 @@
 	// new server at its address.
 	DepartedServer struct {
 		Name cluster.ServerName
-		// Group and Address are those of its last announcement.
+		// Group and Address are those of its last announcement. An empty group stands
+		// for any, if the log isn't covered.
 		Group          cluster.GroupName
 		Address        netip.AddrPort
 		StartedAt      time.Time
@@ -29,11 +30,18 @@
 		servers map[cluster.ServerName]DepartedServer
 		// groups holds the names of each group's servers whose logs aren't covered.
 		groups map[cluster.GroupName]map[cluster.ServerName]struct{}
+		// coveredUntil is the last CoverLogs of each group. It counts for servers of
+		// which the group isn't known.
+		coveredUntil map[cluster.GroupName]time.Time
 	}
 )
 
 func newDepartedServers() departedServers {
-	return departedServers{servers: map[cluster.ServerName]DepartedServer{}, groups: map[cluster.GroupName]map[cluster.ServerName]struct{}{}}
+	return departedServers{
+		servers:      map[cluster.ServerName]DepartedServer{},
+		groups:       map[cluster.GroupName]map[cluster.ServerName]struct{}{},
+		coveredUntil: map[cluster.GroupName]time.Time{},
+	}
 }
 
 // addUnregistered adds a process that wasn't registered. It has no log that is known of
@@ -83,6 +91,9 @@
 	}
 }
 
+// RestoreDeparted remembers a server that an earlier leader deregistered.
+func (r *Registry) RestoreDeparted(s DepartedServer) { r.departed.add(s) }
+
 // Departed returns the last process of a deregistered server, as far as that is
 // remembered.
 func (r *Registry) Departed(name cluster.ServerName) (DepartedServer, bool) {
@@ -101,6 +112,11 @@
 			missing = append(missing, s)
 		}
 	}
+	for name := range r.departed.groups[""] {
+		if s := r.departed.servers[name]; s.DeregisteredAt.After(since) && s.DeregisteredAt.After(r.departed.coveredUntil[group]) {
+			missing = append(missing, s)
+		}
+	}
 	slices.SortFunc(missing, func(a, b DepartedServer) int { return cmp.Compare(a.Name, b.Name) })
 	return missing
 }
@@ -119,6 +135,7 @@
 // before the servers of a group that were deregistered until then had ended. It returns
 // the names of those whose logs weren't covered before, sorted.
 func (r *Registry) CoverLogs(group cluster.GroupName, until time.Time) []cluster.ServerName {
+	r.departed.coveredUntil[group] = until
 	var covered []cluster.ServerName
 	for name := range r.departed.groups[group] {
 		if s := r.departed.servers[name]; !s.DeregisteredAt.After(until) {
--- a/internal/fleet/registry/departed_test.go
+++ b/internal/fleet/registry/departed_test.go
@@ -67,3 +67,23 @@
 		}
 	}
 }
+
+// TestMissingLogOfAnyGroup checks a server of which an earlier release recorded no group: its
+// log is missing in each group until that has covered it.
+func TestMissingLogOfAnyGroup(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := New()
+	r.RestoreDeparted(DepartedServer{Name: "s", StartedAt: time.Unix(500, 0), DeregisteredAt: now})
+	if got := r.CoverLogs("g", now.Add(-time.Second)); len(got) > 0 || len(r.MissingLogs("g", now.Add(-time.Second))) != 1 {
+		t.Errorf("got the logs of %v covered, want that of s to be missing", got)
+	}
+	if got := r.CoverLogs("g", now); len(got) > 0 {
+		t.Errorf("got the logs of %v covered for all groups, want none", got)
+	}
+	if got := r.MissingLogs("g", now.Add(-time.Second)); len(got) > 0 {
+		t.Errorf("got the logs of %v missing in the group that covered it, want none", got)
+	}
+	if got := r.MissingLogs("other", now.Add(-time.Second)); len(got) != 1 {
+		t.Errorf("got %d logs missing in another group, want 1", len(got))
+	}
+}
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -106,6 +106,15 @@
 		// process in Unix milliseconds; Forget are those to remember no longer.
 		Departed map[cluster.ServerName]int64 `json:"departed,omitempty"`
 		Forget   []cluster.ServerName         `json:"forget,omitempty"`
+		// DepartedLogs says where the logs of the servers in Departed are.
+		DepartedLogs map[cluster.ServerName]DepartedLog `json:"departed-logs,omitempty"`
+	}
+
+	// DepartedLog is the log of a server that left; see registry.DepartedServer.
+	DepartedLog struct {
+		Group   cluster.GroupName `json:"group"`
+		Address netip.AddrPort    `json:"address"`
+		Covered bool              `json:"covered,omitempty"`
 	}
 
 	// State is the whole replicated state. It is immutable once published.
@@ -117,6 +126,9 @@
 		// Departed are the servers that left; see ServerChanges. A late
 		// announcement of such a process doesn't register it again.
 		Departed map[cluster.ServerName]int64 `json:"departed,omitempty"`
+		// DepartedLogs has an entry for each server in Departed, unless a release
+		// before this field wrote that: its log may be that of any group.
+		DepartedLogs map[cluster.ServerName]DepartedLog `json:"departed-logs,omitempty"`
 		// LimitFloors are lower bounds of what is left of customers' limits; see
 		// allowance.Floors. A customer that isn't listed has none.
 		LimitFloors map[customer.Name]int `json:"limit-floors,omitempty"`
@@ -277,18 +289,33 @@
 	for _, name := range c.Drop {
 		delete(s.Servers, name)
 	}
-	if len(c.Departed)+len(c.Forget) > 0 {
-		departed := make(map[cluster.ServerName]int64, len(s.Departed)+len(c.Departed))
-		maps.Copy(departed, s.Departed)
-		maps.Copy(departed, c.Departed)
-		for _, name := range c.Forget {
-			delete(departed, name)
+	s.Departed = merge(s.Departed, c.Departed, c.Forget)
+	outdated := c.Forget
+	for name := range c.Departed {
+		// A release before DepartedLogs wrote this; an entry is that of an earlier process.
+		if _, located := c.DepartedLogs[name]; !located {
+			outdated = append(outdated, name)
 		}
-		s.Departed = departed
 	}
+	s.DepartedLogs = merge(s.DepartedLogs, c.DepartedLogs, outdated)
 	return true
 }
 
+// merge returns a copy of current with the entries of put and without those of drop, or
+// current itself if nothing changes.
+func merge[K comparable, V any](current, put map[K]V, drop []K) map[K]V {
+	if len(put)+len(drop) == 0 {
+		return current
+	}
+	next := make(map[K]V, len(current)+len(put))
+	maps.Copy(next, current)
+	maps.Copy(next, put)
+	for _, key := range drop {
+		delete(next, key)
+	}
+	return next
+}
+
 // setProxies adds proxies to those that may hold a lease, or removes them, and
 // reports whether that changed anything.
 func (s *State) setProxies(names []cluster.ProxyName, present bool) bool {
--- a/internal/fleet/state/state_test.go
+++ b/internal/fleet/state/state_test.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"maps"
+	"net/netip"
 	"testing"
 
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
@@ -96,6 +98,36 @@
 	}
 }
 
+// TestDepartedLogs checks that the log of a server that left is remembered as long as the server
+// is, and that one of which an earlier release wrote nothing is told from a covered one.
+func TestDepartedLogs(t *testing.T) {
+	address := netip.MustParseAddrPort("10.0.0.1:8080")
+	missing, covered := DepartedLog{Group: "g", Address: address}, DepartedLog{Group: "g", Address: address, Covered: true}
+	m := New()
+	apply(t, m, Command{Servers: &ServerChanges{Departed: map[cluster.ServerName]int64{"earlier": 1}}})
+	for name, log := range map[cluster.ServerName]DepartedLog{"missing": missing, "covered": missing, "forgotten": missing, "earlier-again": covered} {
+		apply(t, m, Command{Servers: &ServerChanges{Departed: map[cluster.ServerName]int64{name: 2}, DepartedLogs: map[cluster.ServerName]DepartedLog{name: log}}})
+	}
+	apply(t, m, Command{Servers: &ServerChanges{
+		Departed: map[cluster.ServerName]int64{"covered": 2}, DepartedLogs: map[cluster.ServerName]DepartedLog{"covered": covered},
+		Forget: []cluster.ServerName{"forgotten"},
+	}})
+	apply(t, m, Command{Servers: &ServerChanges{Departed: map[cluster.ServerName]int64{"earlier-again": 3}}})
+	encoded, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := m.Restore(encoded); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := m.View().DepartedLogs, map[cluster.ServerName]DepartedLog{"missing": missing, "covered": covered}; !maps.Equal(got, want) {
+		t.Errorf("got the logs %v, want %v", got, want)
+	}
+	if got := len(m.View().Departed); got != 4 {
+		t.Errorf("got %d servers that left, want 4", got)
+	}
+}
+
 func TestMalformedInput(t *testing.T) {
 	m := New()
 	if got := string(m.Apply(1, []byte("{"))); got == "" {
