Failover: a server that doesn't lead covers no log

Cause: the leader compared replicas with the server that the record names as the primary, whatever that said of itself. One that restarted as a replica without its log made every replica look as if it had all commits, also those of a server that had left.

Change: a log is covered only if the server answers as the primary.

Measured: TestLogIsCoveredByThePrimaryAlone failed before.

--- a/internal/fleet/coordinator/coordinator_test.go
+++ b/internal/fleet/coordinator/coordinator_test.go
@@ -667,6 +667,21 @@
 	}
 }
 
+// TestLogIsCoveredByThePrimaryAlone guards against the loss of acknowledged commits by a
+// comparison with a primary that restarted as a replica and lost its log.
+func TestLogIsCoveredByThePrimaryAlone(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, synchronous)
+	f.announceAll()
+	f.platform.setStatus("r2", cluster.RoleReplica, 1, 4)
+	f.platform.setStatus("p", cluster.RoleReplica, 0, 0)
+	f.leave("r1")
+	time.Sleep(maxLeaveTime + 3*failover.ReplicaCheckInterval)
+	if log := f.machine.View().DepartedLogs["r1"]; log.Covered {
+		t.Errorf("got the log %+v, want it not covered", log)
+	}
+}
+
 // TestBusyTargetIsKept guards against the loss of acknowledged commits by a second
 // promotion: the first one took effect, but the platform's response was lost, and all slots
 // of the target are taken.
--- a/internal/fleet/coordinator/group.go
+++ b/internal/fleet/coordinator/group.go
@@ -274,7 +274,10 @@
 	next := last.Next(p.Primary, servers, statuses, slices.Contains(busy, p.Primary), began, g.coordinator.options.Now())
 	g.coordinator.mu.Lock()
 	g.leadership.replicaChecks[g.group] = next
-	covered := g.leadership.coverLogs(g.group, next)
+	var covered []cluster.ServerName
+	if isPrimary(statuses, p.Primary) {
+		covered = g.leadership.coverLogs(g.group, next)
+	}
 	g.coordinator.mu.Unlock()
 	g.logger.Info("checked the replicas", "server", p.Primary, "reason", reason, "follows", next.Follows,
 		"primary-answers", next.PrimaryAnswers, "received", next.Received.String(), "logs-covered", covered)
@@ -284,6 +287,12 @@
 	return failover.ReplicaCheckInterval
 }
 
+// isPrimary reports whether a server answered as the primary. One that restarted without its
+// log as a replica doesn't have all acknowledged commits.
+func isPrimary(statuses []failover.Status, name cluster.ServerName) bool {
+	return slices.ContainsFunc(statuses, func(s failover.Status) bool { return s.Server == name && s.Role == cluster.RolePrimary })
+}
+
 func (g *groupController) findServer(name cluster.ServerName) (registry.Server, bool) {
 	g.coordinator.mu.Lock()
 	defer g.coordinator.mu.Unlock()
