Failover: replicas are checked once a server that left has ended

Cause: the leader checked the replicas from the moment of a Leave, but what they have then covers nothing: the server may go on for 1.5 s.

Change: the first check is made 1.5 s after the Leave. The scheduler looks at such groups each tick, as at those of failing servers.

--- a/internal/fleet/coordinator/announcements.go
+++ b/internal/fleet/coordinator/announcements.go
@@ -90,6 +90,9 @@
 		if known {
 			l.dirty[old.Group] = struct{}{}
 		}
+		if a.Leaving {
+			l.watched[old.Group] = now
+		}
 		if !a.Leaving {
 			l.dirty[a.Server.Group] = struct{}{}
 		}
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -193,9 +193,9 @@
 		unsaved unsavedServers
 		// dirty are the groups that the scheduler has to look at.
 		dirty map[cluster.GroupName]struct{}
-		// failing are the groups of servers that a proxy reported to fail, and
-		// when it last did.
-		failing map[cluster.GroupName]time.Time
+		// watched are the groups of servers that a proxy reported to fail, or that
+		// left, and when that was.
+		watched map[cluster.GroupName]time.Time
 		// releasing are the groups whose change of primary waits for proxies
 		// to release the old term, that is, to report that they no longer use
 		// its primary.
@@ -311,7 +311,7 @@
 		settledTerms:  map[cluster.GroupName]settledTerm{},
 		unsaved:       newUnsavedServers(),
 		dirty:         map[cluster.GroupName]struct{}{},
-		failing:       map[cluster.GroupName]time.Time{},
+		watched:       map[cluster.GroupName]time.Time{},
 		releasing:     map[cluster.GroupName]struct{}{},
 		writer:        newPrimaryWriter(),
 		revisions:     newRevisionPacer(),
--- a/internal/fleet/coordinator/group.go
+++ b/internal/fleet/coordinator/group.go
@@ -178,7 +178,7 @@
 	return failover.GroupState{
 		PrimaryState: p, SettledSince: settled.since, DiscoveryDone: l.discoveryDone(now), Observations: maps.Clone(l.observations[p.Primary]),
 		Servers: l.registry.Group(group), Probe: l.probes[group], Replicas: l.replicaChecks[group], MaxDrainAge: c.options.MaxDrainAge,
-		LogsMissing: syncReplication && len(l.missingLogs(group, now)) > 0,
+		LogsUncovered: syncReplication && l.hasUncoveredLogs(group, now),
 	}
 }
 
--- a/internal/fleet/coordinator/requests.go
+++ b/internal/fleet/coordinator/requests.go
@@ -268,7 +268,7 @@
 		if o.FailingFor > 0 {
 			if server, known := l.registry.Get(o.Server); known {
 				l.dirty[server.Group] = struct{}{}
-				l.failing[server.Group] = now
+				l.watched[server.Group] = now
 			}
 		}
 		byProxy[proxy] = failover.Observation{FailingFor: o.FailingFor, Refused: o.Refused, LastResponse: now.Add(-o.SinceResponse), ReportedAt: now}
--- a/internal/fleet/coordinator/schedule.go
+++ b/internal/fleet/coordinator/schedule.go
@@ -19,9 +19,10 @@
 	// once, also without an event. What a group's primary fails to do, such as
 	// announcing itself, shows only with time.
 	sweepParts = 5
-	// failingTime is how long a group is looked at each tick after the last report
-	// of a failure. It is longer than reports count.
-	failingTime = 3 * time.Second
+	// watchTime is how long a group is looked at each tick after the last report
+	// of a failure or departure of a server. It is longer than reports count and than a
+	// server takes to end.
+	watchTime = 3 * time.Second
 	// controllerCost is a multiple of what a look costs for one group that is worked
 	// on, so that looks take a small part of the processor.
 	controllerCost = 100 * time.Microsecond
@@ -88,8 +89,8 @@
 	}
 }
 
-// nextPart returns the groups of the next part of a sweep, and those that a proxy
-// reported to be failing lately.
+// nextPart returns the groups of the next part of a sweep, and those of which a server was
+// reported to be failing or left lately.
 func (s *scheduler) nextPart() []cluster.GroupName {
 	l := s.leadership
 	now := s.coordinator.options.Now()
@@ -101,9 +102,9 @@
 			groups = append(groups, names...)
 		}
 	}
-	for group, at := range l.failing {
-		if now.Sub(at) > failingTime {
-			delete(l.failing, group)
+	for group, at := range l.watched {
+		if now.Sub(at) > watchTime {
+			delete(l.watched, group)
 			continue
 		}
 		groups = append(groups, group)
--- a/internal/fleet/coordinator/servers.go
+++ b/internal/fleet/coordinator/servers.go
@@ -82,6 +82,17 @@
 	return names
 }
 
+// hasUncoveredLogs reports whether a server that left a group has ended and its log is
+// missing, so that a check of the replicas may cover it.
+func (l *leadership) hasUncoveredLogs(group cluster.GroupName, now time.Time) bool {
+	for _, s := range l.registry.MissingLogs(group, now.Add(-announcementTimeout)) {
+		if now.Sub(s.DeregisteredAt) >= maxLeaveTime {
+			return true
+		}
+	}
+	return false
+}
+
 // coverLogs records which of the servers that left a group have logs that aren't needed any
 // more, because a replica has all that the primary had when they had ended. It returns
 // their names, and has the next leader know of them.
--- a/internal/fleet/failover/failover.go
+++ b/internal/fleet/failover/failover.go
@@ -137,10 +137,10 @@
 		Observations map[cluster.ProxyName]Observation
 		Probe        ProbeResult
 		Replicas     ReplicaCheck
-		// LogsMissing is true if commits are acknowledged only once a replica has
-		// received them and a server that left may have the only copy of some; see
-		// TargetRule.MissingLogs.
-		LogsMissing bool
+		// LogsUncovered is true if commits are acknowledged only once a replica has
+		// received them, and a server that left and has ended may have the only copy
+		// of some; see TargetRule.MissingLogs.
+		LogsUncovered bool
 		// MaxDrainAge is how long a draining server may be the primary.
 		MaxDrainAge time.Duration
 	}
@@ -188,7 +188,7 @@
 		return Decision{Action: ReplacePrimary, Reason: "the primary announces itself as a replica"}
 	}
 	decision := decideByObservations(s, primary, known, now)
-	if decision.Action == KeepPrimary && known && s.LogsMissing {
+	if decision.Action == KeepPrimary && known && s.LogsUncovered {
 		return Decision{Action: CheckReplicas, Reason: "a server left, whose log may have the only copy of commits"}
 	}
 	return decision
--- a/internal/fleet/failover/failover_test.go
+++ b/internal/fleet/failover/failover_test.go
@@ -67,9 +67,9 @@
 		{"announcements missing and no proxy reports a response", GroupState{DiscoveryDone: true, Servers: testServers(func(s *registry.Server) { s.LastAnnounced = longAgo })}, ProbePrimary, false},
 		{"announcements missing, but a proxy reports a response", GroupState{DiscoveryDone: true, Servers: testServers(func(s *registry.Server) { s.LastAnnounced = longAgo }), Observations: map[cluster.ProxyName]Observation{"a": responding}}, KeepPrimary, false},
 		{"primary restarted as a replica", GroupState{SettledSince: longAgo, Servers: testServers(func(s *registry.Server) { s.Role = cluster.RoleReplica })}, ReplacePrimary, false},
-		{"log missing", GroupState{LogsMissing: true, Servers: testServers(), Observations: map[cluster.ProxyName]Observation{"a": responding}}, CheckReplicas, false},
-		{"log missing, connections refused, not probed", GroupState{LogsMissing: true, Servers: testServers(), Observations: map[cluster.ProxyName]Observation{"a": refused(200 * time.Millisecond)}}, ProbePrimary, false},
-		{"log missing, unresponsive to all, probe failed", GroupState{LogsMissing: true, Servers: testServers(), Probe: deadProbe, Observations: map[cluster.ProxyName]Observation{"a": unresponsive(time.Second)}}, ReplacePrimary, false},
+		{"log uncovered", GroupState{LogsUncovered: true, Servers: testServers(), Observations: map[cluster.ProxyName]Observation{"a": responding}}, CheckReplicas, false},
+		{"log uncovered, connections refused, not probed", GroupState{LogsUncovered: true, Servers: testServers(), Observations: map[cluster.ProxyName]Observation{"a": refused(200 * time.Millisecond)}}, ProbePrimary, false},
+		{"log uncovered, unresponsive to all, probe failed", GroupState{LogsUncovered: true, Servers: testServers(), Probe: deadProbe, Observations: map[cluster.ProxyName]Observation{"a": unresponsive(time.Second)}}, ReplacePrimary, false},
 		{"primary promoted just now still announces itself as a replica", GroupState{SettledSince: now, Servers: testServers(func(s *registry.Server) { s.Role = cluster.RoleReplica })}, KeepPrimary, false},
 	}
 	for _, test := range tests {
