Failover: a primary that is back under another name ends the wait

Cause: with synchronous replication, a change of primary waited for servers that don't answer and for logs that servers took along, although the old primary itself was back with all commits. Under its own name its answer ended the wait, but a server that starts again mostly has another name.

Change: a later server at the old primary's address has its log, and counts like it.

--- a/internal/fleet/coordinator/coordinator_test.go
+++ b/internal/fleet/coordinator/coordinator_test.go
@@ -219,10 +219,10 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, name[0], name[len(name)-1]}), 8080)
 }
 
-// announceAt announces a replica whose process started just now at the given address.
-func (f *fixture) announceAt(name cluster.ServerName, address netip.AddrPort) {
+// announceAt announces a server whose process started just now at the given address.
+func (f *fixture) announceAt(name cluster.ServerName, role cluster.Role, address netip.AddrPort) {
 	f.t.Helper()
-	server := registry.Server{Name: name, Group: testGroup, Address: address, Slots: 2, Role: cluster.RoleReplica, StartedAt: time.Now(), Sequence: 1}
+	server := registry.Server{Name: name, Group: testGroup, Address: address, Slots: 2, Role: role, StartedAt: time.Now(), Sequence: 1}
 	if err := f.coordinator.Announce(f.t.Context(), server, false); err != nil {
 		f.t.Fatal(err)
 	}
@@ -427,7 +427,7 @@
 	// primary's address hasn't got it.
 	f.leave("p")
 	f.platform.setStatus("p-2", cluster.RoleReplica, 1, 0)
-	f.announceAt("p-2", addressOf("p"))
+	f.announceAt("p-2", cluster.RoleReplica, addressOf("p"))
 	f.waitUntil("the promotion is requested", func() bool {
 		f.platform.mu.Lock()
 		defer f.platform.mu.Unlock()
@@ -562,7 +562,7 @@
 		t.Fatalf("got primary %+v while the log of the replica that left isn't back, want no target", got)
 	}
 	f.platform.setStatus("r1-2", cluster.RoleReplica, 1, 10)
-	f.announceAt("r1-2", addressOf("r1"))
+	f.announceAt("r1-2", cluster.RoleReplica, addressOf("r1"))
 	f.waitForPrimary("r1-2")
 }
 
@@ -609,7 +609,7 @@
 				t.Fatalf("got primary %+v while the log of the replica that left isn't back, want no target", got)
 			}
 			f.platform.setStatus("r1-2", cluster.RoleReplica, 1, 10)
-			f.announceAt("r1-2", addressOf("r1"))
+			f.announceAt("r1-2", cluster.RoleReplica, addressOf("r1"))
 			f.waitForPrimary("r1-2")
 		})
 	}
@@ -667,6 +667,28 @@
 	}
 }
 
+// TestRestartedPrimaryEndsTheWait guards against a group without a primary while the old one is
+// back under another name with all commits: nothing that a replica took along is missing.
+func TestRestartedPrimaryEndsTheWait(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, synchronous)
+	f.announceAll()
+	f.platform.setStatus("r2", cluster.RoleReplica, 1, 4)
+	f.leave("r1")
+	f.platform.restartPrimary("p-2")
+	f.reportRefused("p", "the change begins", func() bool { return f.primary().Phase == state.Releasing })
+	time.Sleep(chooseTimeout)
+	if got := f.primary(); got.Phase != state.Releasing {
+		t.Fatalf("got primary %+v before the old one is back, want no target", got)
+	}
+	f.announceAt("p-2", cluster.RolePrimary, addressOf("p"))
+	backAt := time.Now()
+	f.waitForPrimary("p-2")
+	if gap := time.Since(backAt); gap > announcementTimeout/4 {
+		t.Errorf("got the old primary in force %v after it was back, want it within %v", gap, announcementTimeout/4)
+	}
+}
+
 // TestLogIsCoveredByThePrimaryAlone guards against the loss of acknowledged commits by a
 // comparison with a primary that restarted as a replica and lost its log.
 func TestLogIsCoveredByThePrimaryAlone(t *testing.T) {
--- a/internal/fleet/coordinator/group.go
+++ b/internal/fleet/coordinator/group.go
@@ -316,6 +316,7 @@
 	held := g.leadership.leases.Held(g.group, p.Term, now)
 	servers := g.leadership.registry.Group(g.group)
 	missing := g.leadership.missingLogs(g.group, now)
+	successor, _ := g.leadership.registry.Successor(p.Primary)
 	g.coordinator.mu.Unlock()
 	if held {
 		return tickInterval / 4
@@ -337,7 +338,7 @@
 	statuses, busy := g.queryStatuses(ctx, queried)
 	now = g.coordinator.options.Now()
 	choice := failover.ChooseTarget(statuses, servers, failover.TargetRule{
-		OldPrimary: p.Primary, OldPrimaryBusy: slices.Contains(busy, p.Primary), LogTerm: p.LogTerm, SyncReplication: syncReplication,
+		OldPrimary: p.Primary, Successor: successor, OldPrimaryBusy: slices.Contains(busy, p.Primary), LogTerm: p.LogTerm, SyncReplication: syncReplication,
 		CanWait: now.Sub(g.choiceStart) < chooseTimeout, GivesUp: now.Sub(g.choiceStart) >= announcementTimeout,
 		Ineligible: func(s cluster.ServerName) bool { return now.Before(g.ineligibleUntil[s]) },
 		Earlier:    g.recordAnswers(statuses, now), MissingLogs: missing, MaxDrainAge: g.coordinator.options.MaxDrainAge,
--- a/internal/fleet/failover/failover_test.go
+++ b/internal/fleet/failover/failover_test.go
@@ -128,6 +128,12 @@
 	back := superseded[1]
 	back.Name, back.StartedAt = "back", now
 	superseded = append(superseded, back)
+	// restarted is p under another name.
+	restarted := testServers()
+	restarted[0].Address = netip.MustParseAddrPort("10.0.0.1:8080")
+	restartedPrimary := restarted[0]
+	restartedPrimary.Name, restartedPrimary.StartedAt = "restarted", now
+	restarted = append(restarted, restartedPrimary)
 	inTerm := func(name cluster.ServerName, role cluster.Role, term cluster.Term, received cluster.LogPosition) Status {
 		return Status{Server: name, ServerStatus: cluster.ServerStatus{Role: role, Promised: term, Received: received}}
 	}
@@ -139,6 +145,8 @@
 	syncGivesUp.LogTerm, syncGivesUp.GivesUp = 2, true
 	leftLog, syncLeftLog, syncLeftPrimary, term2LeftLog, term2LeftLogGivesUp := TargetRule{OldPrimary: "p"}, sync, sync, term2, term2GivesUp
 	leftLog.MissingLogs, syncLeftLog.MissingLogs, syncLeftPrimary.MissingLogs = []cluster.ServerName{"left"}, []cluster.ServerName{"left"}, []cluster.ServerName{"p"}
+	syncSuccessor := syncLeftLog
+	syncSuccessor.Successor = "restarted"
 	term2LeftLog.MissingLogs, term2LeftLogGivesUp.MissingLogs = leftLog.MissingLogs, leftLog.MissingLogs
 	tests := []struct {
 		name     string
@@ -167,6 +175,10 @@
 		{"synchronous replication: a replica left, the old primary answers", []Status{status("p", 5), status("r1", 4), status("r2", 5)}, testServers(), syncLeftLog, "r2"},
 		{"synchronous replication: a replica left, the old primary is back and has more", []Status{inTerm("p", primary, 1, older), status("r1", 4), status("r2", 5)}, testServers(), syncLeftLog, "p"},
 		{"synchronous replication: the old primary left, all replicas answered", []Status{status("r1", 4), status("r2", 5)}, testServers()[1:], syncLeftPrimary, "r2"},
+		{"synchronous replication: a replica left, the old primary restarted under another name", []Status{status("restarted", 9), status("r1", 4), status("r2", 5)}, restarted, syncSuccessor, "restarted"},
+		{"synchronous replication: a replica doesn't answer, the old primary restarted under another name", []Status{status("restarted", 9), status("r2", 5)}, restarted, syncSuccessor, "restarted"},
+		{"synchronous replication: a replica left, the old primary restarted without its log", []Status{status("restarted", 0), status("r1", 4), status("r2", 5)}, restarted, syncSuccessor, ""},
+		{"synchronous replication: a replica left, the restarted old primary doesn't answer yet", []Status{status("r1", 4), status("r2", 5)}, restarted, syncSuccessor, ""},
 		{"a replica left without synchronous replication", []Status{status("r1", 4), status("r2", 5)}, testServers(), leftLog, "r2"},
 		{"older log term: the log of a server that left isn't back", []Status{inTerm("r1", replica, 1, older), inTerm("r2", replica, 1, older)}, testServers()[1:], term2LeftLog, ""},
 		{"older log term: the log of a server that left never comes", []Status{inTerm("r1", replica, 1, older), inTerm("r2", replica, 1, older)}, testServers()[1:], term2LeftLogGivesUp, "r1"},
--- a/internal/fleet/failover/target.go
+++ b/internal/fleet/failover/target.go
@@ -14,6 +14,9 @@
 	TargetRule struct {
 		// OldPrimary is the primary that is being replaced.
 		OldPrimary cluster.ServerName
+		// Successor is the server that is registered at the old primary's address since
+		// that crashed or left, and so has its log; empty: none.
+		Successor cluster.ServerName
 		// OldPrimaryBusy is true if the old primary runs, but was too busy to return
 		// its status.
 		OldPrimaryBusy bool
@@ -160,10 +163,10 @@
 func newestTerm(s Status) cluster.Term { return max(s.Promised, s.Received.Term) }
 
 // acknowledgedPosition returns a position up to which all commits that were acknowledged
-// under synchronous replication lie. It is that of the old primary or, if this one doesn't
-// answer, the highest that any other server has received. It returns false if a server
-// that doesn't answer, or a replica that left, may have received more. An old primary with
-// less than another server has lost its log and doesn't count.
+// under synchronous replication lie. It is that of the old primary or its successor or, if
+// neither answers, the highest that any other server has received. It returns false if a
+// server that doesn't answer, or a replica that left, may have received more. An old primary
+// with less than another server has lost its log and doesn't count.
 func acknowledgedPosition(statuses []Status, servers []registry.Server, rule TargetRule) (cluster.LogPosition, bool) {
 	var highest cluster.LogPosition
 	for _, s := range slices.Concat(statuses, rule.Earlier) {
@@ -171,8 +174,10 @@
 			highest = s.Received
 		}
 	}
-	if oldPrimary, answered := findStatus(statuses, rule.OldPrimary); answered && oldPrimary.Received == highest {
-		return highest, true
+	for _, name := range []cluster.ServerName{rule.OldPrimary, rule.Successor} {
+		if s, answered := findStatus(statuses, name); answered && s.Received == highest {
+			return highest, true
+		}
 	}
 	allAnswered := !slices.ContainsFunc(servers, func(s registry.Server) bool {
 		_, answered := findStatus(statuses, s.Name)
--- a/internal/fleet/registry/departed.go
+++ b/internal/fleet/registry/departed.go
@@ -123,12 +123,35 @@
 
 // hasSuccessor reports whether a server that has the log of s is registered.
 func (r *Registry) hasSuccessor(s DepartedServer) bool {
-	for name := range r.groups[s.Group] {
-		if other := r.servers[name]; s.Address.IsValid() && other.Address == s.Address && other.StartedAt.After(s.StartedAt) {
-			return true
+	_, found := r.startedLaterAt(s.Address, s.Group, s.StartedAt)
+	return found
+}
+
+// Successor returns the server that has the log of one that crashed or left: a later server
+// of its group that is registered at its address.
+func (r *Registry) Successor(name cluster.ServerName) (cluster.ServerName, bool) {
+	if s, registered := r.servers[name]; registered {
+		return r.startedLaterAt(s.Address, s.Group, s.StartedAt)
+	}
+	s, departed := r.departed.servers[name]
+	if !departed {
+		return "", false
+	}
+	return r.startedLaterAt(s.Address, s.Group, s.StartedAt)
+}
+
+// startedLaterAt returns the newest server of a group that is registered at an address and
+// started after startedAt.
+func (r *Registry) startedLaterAt(address netip.AddrPort, group cluster.GroupName, startedAt time.Time) (name cluster.ServerName, found bool) {
+	if !address.IsValid() {
+		return "", false
+	}
+	for _, s := range r.Group(group) {
+		if s.Address == address && s.StartedAt.After(startedAt) {
+			name, startedAt, found = s.Name, s.StartedAt, true
 		}
 	}
-	return false
+	return name, found
 }
 
 // CoverLogs records that a registered server has all commits that were acknowledged
--- a/internal/fleet/registry/departed_test.go
+++ b/internal/fleet/registry/departed_test.go
@@ -87,3 +87,39 @@
 		t.Errorf("got %d logs missing in another group, want 1", len(got))
 	}
 }
+
+func TestSuccessor(t *testing.T) {
+	now := time.Unix(1000, 0)
+	address, otherAddress := netip.MustParseAddrPort("10.0.0.1:8080"), netip.MustParseAddrPort("10.0.0.2:8080")
+	tests := []struct {
+		name    string
+		servers []Server
+		// leaves has the server leave.
+		leaves bool
+		want   cluster.ServerName
+	}{
+		{"none", nil, false, ""},
+		{"at another address", []Server{{Name: "next", Group: "g", Address: otherAddress, StartedAt: now}}, false, ""},
+		{"of another group", []Server{{Name: "next", Group: "other", Address: address, StartedAt: now}}, false, ""},
+		{"started earlier", []Server{{Name: "before", Group: "g", Address: address, StartedAt: now.Add(-2 * time.Minute)}}, false, ""},
+		{"of a server that is registered still", []Server{{Name: "next", Group: "g", Address: address, StartedAt: now}}, false, "next"},
+		{"of a server that left", []Server{{Name: "next", Group: "g", Address: address, StartedAt: now}}, true, "next"},
+		{"the newest", []Server{{Name: "b", Group: "g", Address: address, StartedAt: now}, {Name: "a", Group: "g", Address: address, StartedAt: now.Add(time.Second)}}, true, "a"},
+	}
+	for _, test := range tests {
+		r := New()
+		r.Register(Server{Name: "s", Group: "g", Address: address, StartedAt: now.Add(-time.Minute)}, now)
+		if test.leaves {
+			r.Deregister("s", time.Time{}, now)
+		}
+		for _, s := range test.servers {
+			r.Register(s, now)
+		}
+		if got, found := r.Successor("s"); got != test.want || found != (test.want != "") {
+			t.Errorf("%s: got %q, %v, want %q", test.name, got, found, test.want)
+		}
+	}
+	if got, found := New().Successor("unknown"); found {
+		t.Errorf("got %q for a server that isn't known, want none", got)
+	}
+}
