--- a/internal/fleet/coordinator/announcements.go
+++ b/internal/fleet/coordinator/announcements.go
@@ -78,7 +78,7 @@
 
 // recordAnnouncements applies announcements to the registry and returns those that
 // changed it. durable is the number of the last change that has to be saved before the
-// batch is answered; zero: none.
+// batch is answered; zero: none. Each change of a synchronous group has to be.
 func (l *leadership) recordAnnouncements(announcements []Announcement, synchronous map[cluster.GroupName]bool, now time.Time) (changed []Announcement, durable uint64) {
 	for _, a := range announcements {
 		old, known := l.registry.Get(a.Server.Name)
@@ -92,8 +92,7 @@
 		}
 		if a.Leaving {
 			l.watched[old.Group] = now
-		}
-		if !a.Leaving {
+		} else {
 			l.dirty[a.Server.Group] = struct{}{}
 		}
 		if a.Leaving || a.Server.Draining || synchronous[a.Server.Group] {
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -206,8 +206,8 @@
 }
 
 // Expire removes the servers whose last announcement is older than timeout, and
-// forgets those that were deregistered more than TombstoneTTL ago. It returns the names of the removed
-// servers.
+// forgets those that were deregistered more than TombstoneTTL ago. It returns the names
+// of the removed servers.
 func (r *Registry) Expire(timeout time.Duration, now time.Time) []cluster.ServerName {
 	var expired []cluster.ServerName
 	for name, s := range r.servers {
