Proxy: long answers pass through, and long messages share memory

Two hundred statements of 1 MiB at a time took 864 MiB.

Cause: a proxy read an answer to its end, each row in two allocations of its own, and copied all of it into one message to the caller. Nothing bounded the answers and statements that were in memory at the same time.

Once rows have gone out, the statement isn't tried again: an answer that can't be completed ends with an error code, or with the caller's connection if a row was cut. The time that a caller takes to read isn't counted as the server's.

--- a/internal/traffic/backend/backend.go
+++ b/internal/traffic/backend/backend.go
@@ -41,16 +41,21 @@
 	// ErrCallerClosed is returned if the caller closed its connection before the answer;
 	// what was sent may have run. It is an ErrConnectionLost.
 	ErrCallerClosed error = callerClosed{}
+	// ErrNoMemory is returned if there was no memory for a row of the answer; what was
+	// sent may have run. It is an ErrConnectionLost.
+	ErrNoMemory error = noMemory{}
 )
 
 type (
 	callerClosed struct{}
+	noMemory     struct{}
 
 	// Conn is one connection to a server. It isn't safe for concurrent use.
 	Conn interface {
-		// Do sends a request and returns the server's answer. After an error
+		// Do sends a request and returns the server's answer. It passes the rows of
+		// a long answer on to Request.Rows, if that isn't nil. After an error
 		// the connection must be closed. Errors: ErrNotSent,
-		// ErrConnectionLost, ErrTimeout.
+		// ErrConnectionLost, ErrTimeout, and those of Request.Rows.
 		Do(request statement.Request, deadline time.Time) (statement.Answer, error)
 		// InitialPosition returns the log position that the server sent when the
 		// connection was opened, or the zero LogPosition if it sent none.
@@ -74,5 +79,11 @@
 // Error returns the error's text.
 func (callerClosed) Error() string { return "the caller closed its connection before the answer" }
 
+// Error returns the error's text.
+func (noMemory) Error() string { return "there is no memory left for a long row of the answer" }
+
+// Is reports whether what is known of a request is the same as after another error.
+func (noMemory) Is(target error) bool { return target == ErrConnectionLost }
+
 // Is reports whether what is known of a request is the same as after another error.
 func (callerClosed) Is(target error) bool { return target == ErrConnectionLost }
--- a/internal/traffic/session/cause.go
+++ b/internal/traffic/session/cause.go
@@ -38,6 +38,8 @@
 	causeLimit        cause = "limit"
 	causeLimitUnknown cause = "limit-unknown"
 	causeNoKeyRight   cause = "key-right"
+	// causeMemory is a statement or a row that there was no memory for.
+	causeMemory cause = "memory"
 	// causeWaiting and causeSlow are those of statements that succeeded at the first
 	// attempt, but late: most of the time passed in this proxy, or after it.
 	causeWaiting cause = "waiting"
@@ -57,6 +59,7 @@
 	{upstream.ErrAcquireTimeout, causeNoConnection},
 	{upstream.ErrCallerGone, causeCallerGone},
 	{backend.ErrCallerClosed, causeCallerGone},
+	{backend.ErrNoMemory, causeMemory},
 	{backend.ErrConnectionLimit, causeNoConnection},
 	{backend.ErrTimeout, causeSilent},
 }
--- a/internal/traffic/session/execution.go
+++ b/internal/traffic/session/execution.go
@@ -96,6 +96,8 @@
 		customer      *customer.Customer
 		token         quota.Token
 		reachedServer bool
+		// passage takes the rows of a long answer.
+		passage *passage
 	}
 
 	// target is the server for one attempt.
@@ -116,12 +118,13 @@
 	if s.tx == nil || s.tx.conn == nil {
 		waitingSince = s.recordWaitStart(next, start)
 	}
+	deadline := s.manager.statementDeadline(start.Add(route.StatementTimeout))
 	return &execution{
 		session: s, route: route, stmt: next, writes: writes, bootStart: s.manager.options.Now(), start: start,
 		primaryOnly:  writes || route.Consistency == routing.Strong,
 		softDeadline: waitingSince.Add(route.LatencyTarget - min(answerTransit, route.LatencyTarget/4)),
 		customer:     s.limitedCustomer(),
-		deadline:     s.manager.statementDeadline(start.Add(route.StatementTimeout)), excluded: map[cluster.ServerName]bool{},
+		deadline:     deadline, passage: s.newPassage(deadline), excluded: map[cluster.ServerName]bool{},
 	}
 }
 
@@ -156,6 +159,9 @@
 		if !retry {
 			return answer
 		}
+		if e.passage.begun {
+			return e.cutAnswer(answer)
+		}
 		e.failedAttempts = append(e.failedAttempts, fmt.Sprintf("%s %s %dms", t.pool.Server().Name, answer.Code, time.Since(e.start).Milliseconds()))
 		if e.attempts >= maxAttempts || !time.Now().Before(e.deadline) || callerContext.Err() != nil {
 			return e.finalAnswer(answer)
@@ -191,7 +197,7 @@
 		return e.handleFailureBeforeSend(t, err)
 	}
 	request.MinPosition, request.Priority, request.SoftDeadline = t.minPosition, e.route.Priority, e.softDeadline
-	request.CallerContext, request.HoldFor, request.Kind = e.callerContext, e.holdTime(), e.kind()
+	request.CallerContext, request.HoldFor, request.Kind, request.Rows = e.callerContext, e.holdTime(), e.kind(), e.passage
 	if conn.ForwardsStatements() {
 		request.ResponseTimeout = max(time.Until(limit), time.Millisecond)
 		limit = e.deadline
--- a/internal/traffic/session/manager.go
+++ b/internal/traffic/session/manager.go
@@ -35,6 +35,7 @@
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/model/customer"
 	"github.com/burdockwood/burdockwood/internal/ops/metrics"
+	"github.com/burdockwood/burdockwood/internal/traffic/budget"
 	"github.com/burdockwood/burdockwood/internal/traffic/freshness"
 	"github.com/burdockwood/burdockwood/internal/traffic/keyright"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
@@ -54,6 +55,9 @@
 		// os.ErrDeadlineExceeded once deadline has passed (zero: never) and
 		// with ErrInterrupted after Interrupt.
 		Next(deadline time.Time) (statement.Statement, error)
+		// Pass sends rows of the answer to the last statement, by a deadline at the
+		// latest. Afterwards, or after an error, Answer sends the rest or fails.
+		Pass(rows [][]byte, deadline time.Time) error
 		// Answer sends the answer to the last statement.
 		Answer(answer statement.Answer) error
 		// Interrupt makes a Next that hasn't received a whole statement fail,
@@ -69,6 +73,8 @@
 	Options struct {
 		Lease *lease.Holder
 		Pools *upstream.Manager
+		// Answers is the memory that long answers share; nil: it has no limit.
+		Answers *budget.Budget
 		// KeyRight is the right to run statements under callers' keys.
 		KeyRight *keyright.Right
 		// Now reads a clock that includes the time for which the VM is
@@ -185,7 +191,7 @@
 // first statement may have waited since then.
 func (m *Manager) Serve(caller Caller, database string, key customer.Digest, connectedAt time.Time) error {
 	s := &session{
-		key:     key,
+		key: key, answerMemory: m.options.Answers.NewHold(),
 		manager: m, caller: caller, database: database, statementKind: xxhash.Sum64String(database), transactionKind: xxhash.Sum64String("transaction " + database), connectedAt: connectedAt, readyAt: time.Now(),
 		settings: map[string]string{}, prepared: map[string]preparedStatement{},
 	}
--- a/internal/traffic/session/outcome.go
+++ b/internal/traffic/session/outcome.go
@@ -29,6 +29,16 @@
 	return e.retryLater(code, "no attempt succeeded, last: "+e.lastFailure, after)
 }
 
+// cutAnswer returns the end of an answer whose first rows the caller has received, and which
+// isn't completed: the statement can't be tried again, and it has had no effect.
+func (e *execution) cutAnswer(answer statement.Answer) statement.Answer {
+	code := statement.Aborted
+	if answer.Code == statement.TimedOut || answer.Code == statement.Failed {
+		code = answer.Code
+	}
+	return statement.Answer{Code: code, Detail: "the answer was cut: " + e.lastFailure}
+}
+
 // retryLater returns an answer that advises the caller to retry after the given time.
 func (e *execution) retryLater(code statement.Code, reason string, after time.Duration) statement.Answer {
 	e.lastFailure = reason
--- a/internal/traffic/session/session.go
+++ b/internal/traffic/session/session.go
@@ -2,12 +2,14 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"sync/atomic"
 	"time"
 
 	"github.com/burdockwood/burdockwood/internal/model/cluster"
 	"github.com/burdockwood/burdockwood/internal/model/customer"
+	"github.com/burdockwood/burdockwood/internal/traffic/budget"
 	"github.com/burdockwood/burdockwood/internal/traffic/lease"
 	"github.com/burdockwood/burdockwood/internal/traffic/routing"
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
@@ -22,6 +24,9 @@
 	// rollbackTimeout bounds the rollback on a connection. If it takes longer, the
 	// connection is closed, and the server rolls back the transaction.
 	rollbackTimeout = 300 * time.Millisecond
+	// retryAfterNoMemory is the delay that callers are advised to retry after if there was
+	// no memory for their statement: about the time in which the others are sent.
+	retryAfterNoMemory = 500 * time.Millisecond
 )
 
 type (
@@ -40,6 +45,8 @@
 		// statementKind and transactionKind identify the single statements and the
 		// transactions of the database; see upstream.AcquireOptions.
 		statementKind, transactionKind uint64
+		// answerMemory is the memory of the current answer, if it is long.
+		answerMemory *budget.Hold
 		// settings are the session's settings that were acknowledged to the
 		// caller, and fingerprint is their fingerprint. prepared are its
 		// prepared statements by name.
@@ -122,7 +129,9 @@
 				"customer", s.identity.customer, "verb", next.Verb.String(), "outcome", answer.Code.String(), "reason", answer.Detail)
 			s.manager.countOutcome(s.database, answer.Code, 0, 0, 0)
 		}
-		if err := s.caller.Answer(answer); err != nil {
+		err = s.caller.Answer(answer)
+		s.answerMemory.Release()
+		if err != nil {
 			return err
 		}
 		s.executing.Store(false)
@@ -189,6 +198,9 @@
 	if !s.checkIdentity() {
 		return s.reject(statement.UnknownKey, errKeyWithdrawn.Error())
 	}
+	if next.Dropped {
+		return s.rejectDropped()
+	}
 	if refusal := s.checkRight(next.Verb); refusal != nil {
 		return *refusal
 	}
@@ -208,6 +220,18 @@
 	}
 }
 
+// rejectDropped returns the answer to a statement for which there was no memory. An open
+// transaction fails, because the caller repeats all of it.
+func (s *session) rejectDropped() statement.Answer {
+	code := statement.Busy
+	if s.tx != nil {
+		s.failTransaction()
+		code = statement.Aborted
+	}
+	s.rejectionCause = causeMemory
+	return s.reject(code, fmt.Sprintf("this proxy has no memory left for a long statement; retry after %d ms", retryAfterNoMemory.Milliseconds()))
+}
+
 // txState returns the transaction state that the caller sees.
 func (s *session) txState() statement.TxState {
 	switch {
--- a/internal/traffic/session/session_test.go
+++ b/internal/traffic/session/session_test.go
@@ -52,12 +52,14 @@
 	}
 
 	// scriptedResponse is how a fakeServer answers one statement:
-	// beforeResponse is called first, then err is returned, or an answer with the
-	// code.
+	// the rows are passed on, beforeResponse is called, then err is returned, or an
+	// answer with the code.
 	scriptedResponse struct {
 		code           statement.Code
 		err            error
 		beforeResponse func()
+		// passed are the rows that are passed on before.
+		passed []string
 	}
 
 	fakeConn struct {
@@ -70,6 +72,10 @@
 	fakeCaller struct {
 		statements []statement.Statement
 		answers    []statement.Answer
+		// passed are the rows that were passed on before an answer was complete,
+		// passErr the error of passing them on.
+		passed  []string
+		passErr error
 		// idleTimeout is the time to the idle deadline that the last call of
 		// Next got; zero: none.
 		idleTimeout time.Duration
@@ -118,6 +124,9 @@
 	text := describe(r)
 	c.server.receivedStatements = append(c.server.receivedStatements, text)
 	response := c.server.nextResponse(text)
+	if err := passRows(r.Rows, response.passed); err != nil {
+		return statement.Answer{}, err
+	}
 	if response.beforeResponse != nil {
 		response.beforeResponse()
 	}
@@ -143,6 +152,21 @@
 	return answer, nil
 }
 
+// passRows passes rows on one by one.
+func passRows(sink statement.RowSink, rows []string) error {
+	for i, row := range rows {
+		if i == 0 {
+			if _, err := sink.Begin(); err != nil {
+				return err
+			}
+		}
+		if err := sink.Pass([][]byte{[]byte(row)}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (c *fakeConn) InitialPosition() cluster.LogPosition { return cluster.LogPosition{} }
 func (c *fakeConn) Usable() bool                         { return true }
 func (c *fakeConn) Close() error                         { return nil }
@@ -160,6 +184,16 @@
 	return next, nil
 }
 
+func (c *fakeCaller) Pass(rows [][]byte, _ time.Time) error {
+	if c.passErr != nil {
+		return c.passErr
+	}
+	for _, row := range rows {
+		c.passed = append(c.passed, string(row))
+	}
+	return nil
+}
+
 func (c *fakeCaller) Answer(a statement.Answer) error {
 	c.answers = append(c.answers, a)
 	return nil
@@ -225,6 +259,11 @@
 	if err := f.manager.Serve(caller, database, customer.Digest{}, time.Now()); err != nil && !strings.Contains(err.Error(), "closed") {
 		f.t.Fatal(err)
 	}
+	return f.outcomes(caller)
+}
+
+// outcomes returns the answers that a caller got, as run returns them.
+func (f *fixture) outcomes(caller *fakeCaller) []string {
 	states := [...]string{"I", "T", "E"}
 	var outcomes []string
 	for _, a := range caller.answers {
--- a/internal/traffic/session/transaction.go
+++ b/internal/traffic/session/transaction.go
@@ -155,7 +155,7 @@
 // the statement may be retried. It returns false at once if the attempts or the time
 // are used up.
 func (e *execution) waitWhenBusy() bool {
-	if e.attempts >= maxAttempts || time.Until(e.deadline) < busyBackoff*4 {
+	if e.attempts >= maxAttempts || e.passage.begun || time.Until(e.deadline) < busyBackoff*4 {
 		return false
 	}
 	time.Sleep(busyBackoff)
@@ -176,7 +176,7 @@
 	if err != nil {
 		return statement.Answer{}, err
 	}
-	request.Priority, request.SoftDeadline = e.route.Priority, e.softDeadline
+	request.Priority, request.SoftDeadline, request.Rows = e.route.Priority, e.softDeadline, e.passage
 	sent := s.manager.options.Now()
 	answer, err := tx.conn.Do(request, limit)
 	if err == nil && tx.onPrimary && s.manager.options.Lease.Valid(tx.permit, s.manager.options.Now()) {
--- a/internal/traffic/statement/statement.go
+++ b/internal/traffic/statement/statement.go
@@ -141,6 +141,9 @@
 		// data.
 		Query  string
 		Writes bool
+		// Dropped is true if there was no memory to receive the statement. Of Text,
+		// nothing is left.
+		Dropped bool
 	}
 
 	// Request is a statement as it is sent to a server.
@@ -170,6 +173,9 @@
 		Customer      customer.Name
 		Key           customer.Digest
 		ConfigVersion uint64
+		// Rows takes the rows of an answer that is too long to be held; nil: the
+		// whole answer is returned. It is a field for the reason given below.
+		Rows RowSink
 		// CallerContext ends when the caller has given up. A forwarded statement
 		// that is still queued then is withdrawn. It is nil if that isn't
 		// watched. It is a field because a Request is passed through pools and
@@ -177,12 +183,27 @@
 		CallerContext context.Context
 	}
 
+	// RowSink takes the rows of a long answer while the rest is still being read. It
+	// isn't safe for concurrent use.
+	RowSink interface {
+		// Reserve reserves memory to hold an answer of more than budget.FreeBytes up
+		// to its end, and reports whether there is any left.
+		Reserve() bool
+		// Begin is called once, before the first call of Pass. It returns the deadline
+		// of the whole answer. After an error, the answer must not be passed on.
+		Begin() (time.Time, error)
+		// Pass passes rows on and waits until they are written. The rows belong to the
+		// sink until it returns.
+		Pass(rows [][]byte) error
+	}
+
 	// Answer is the outcome of a statement.
 	Answer struct {
 		Code Code
 		// Detail explains Code in plain text.
 		Detail string
-		// Rows are the rows that the server returned. Signature is the text with
+		// Rows are the rows that the server returned, without those that Request.Rows
+		// has taken. Signature is the text with
 		// which the server signs a successful answer; empty: the proxy itself
 		// answered. The proxy passes on both unchanged and doesn't verify the
 		// signature.
--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -89,6 +89,7 @@
 	pool.markStarted(c)
 	pool.running++
 	pool.mu.Unlock()
+	passage := c.watchRows(&request)
 	answer, err := c.sendIfPermitted(request, deadline)
 	now := pool.manager.options.Now()
 	pool.mu.Lock()
@@ -112,8 +113,9 @@
 			pool.recordOutcome(!succeeded, now)
 		}
 		if succeeded && pool.manager.stallDetector.lastStallEnd(now).Before(start) {
-			c.served += now.Sub(start)
-			pool.recordLatency(now.Sub(start), now)
+			took := now.Sub(start) - passage.blocked
+			c.served += took
+			pool.recordLatency(took, now)
 		}
 		if answer.Code == statement.Busy && !c.forwardsStatements {
 			pool.lastRejection = time.Now()
@@ -121,6 +123,8 @@
 		if answer.Code == statement.OK && !request.MinPosition.IsZero() {
 			pool.lagBackoff = 0
 		}
+	case errors.Is(err, backend.ErrCallerClosed), errors.Is(err, backend.ErrNoMemory):
+		// The server isn't to blame.
 	case c.forwardsStatements:
 		// The owner of the connection records the server's failure.
 	case errors.Is(err, backend.ErrTimeout):
@@ -137,6 +141,42 @@
 	return answer, err
 }
 
+// watchedRows passes rows on to a sink. It measures the time that the sink takes, in which
+// the server owes nothing.
+type watchedRows struct {
+	statement.RowSink
+	conn    *Conn
+	blocked time.Duration
+}
+
+// watchRows replaces the sink of a request, if it has one, by one that is watched.
+func (c *Conn) watchRows(request *statement.Request) *watchedRows {
+	w := &watchedRows{RowSink: request.Rows, conn: c}
+	if request.Rows != nil {
+		request.Rows = w
+	}
+	return w
+}
+
+// Pass implements statement.RowSink. The rows are a response of the server, and the next
+// ones are outstanding from when these have been passed on.
+func (w *watchedRows) Pass(rows [][]byte) error {
+	pool := w.conn.pool
+	now := pool.manager.options.Now
+	began := now()
+	pool.mu.Lock()
+	pool.recordResponse(began)
+	w.conn.sentAt = time.Time{}
+	pool.mu.Unlock()
+	err := w.RowSink.Pass(rows)
+	ended := now()
+	w.blocked += ended.Sub(began)
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	w.conn.sentAt = ended
+	return err
+}
+
 // sendIfPermitted sends a request if it may be sent under its key. Errors: those of Do.
 func (c *Conn) sendIfPermitted(request statement.Request, deadline time.Time) (statement.Answer, error) {
 	if err := c.pool.manager.Permit(request); err != nil {
