Forward: long answers pass through the owner of a connection

Cause: the answer to a forwarded statement was one message.

Change: statements that may have long answers are sent to a new path. Its response is a sequence of frames, rows first and the end of the answer last, so that the connection between the proxies carries the backpressure. An answer without its end is an answer that was lost. An owner of an earlier build doesn't know the path; it says so before anything is sent to a server, and gets the call that it knows for 10 s. A proxy of an earlier build still gets whole answers, as far as the owner's memory goes. An owner without memory for a long statement refuses it with a promise.

--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -108,7 +108,7 @@
 	host := httptest.NewServer(fleetpb.NewBrokerServer(service))
 	t.Cleanup(host.Close)
 	address := netip.MustParseAddrPort(strings.TrimPrefix(host.URL, "http://"))
-	owners := NewOwnerClient(&http.Client{}, &leaderclock.Clock{}, logr.Discard())
+	owners := NewOwnerClient(&http.Client{}, &leaderclock.Clock{}, nil, logr.Discard())
 	return service, owners.Connect("s", []ownership.Peer{{Name: "owner", Address: address}}), host
 }
 
@@ -383,7 +383,7 @@
 		{"no owner", []ownership.Peer{peer("stopped", stopped), peer("other", other)}, backend.ErrNotSent},
 	}
 	for _, test := range tests {
-		conn := NewOwnerClient(&http.Client{}, &leaderclock.Clock{}, logr.Discard()).Connect("s", test.owners)
+		conn := NewOwnerClient(&http.Client{}, &leaderclock.Clock{}, nil, logr.Discard()).Connect("s", test.owners)
 		answer, err := do(t, conn, request(statement.Write, "WRITE 1 x"))
 		if !errors.Is(err, test.want) || err == nil && answer.Code != statement.OK {
 			t.Errorf("%s: got %v, %v, want error %v", test.name, answer.Code, err, test.want)
@@ -405,7 +405,7 @@
 	if _, err := do(t, first, request(statement.Read, "READ 1")); err != nil {
 		t.Fatal(err)
 	}
-	second := NewOwnerClient(&http.Client{}, &leaderclock.Clock{}, logr.Discard()).Connect("s", []ownership.Peer{{Name: "owner", Address: netip.MustParseAddrPort(strings.TrimPrefix(host.URL, "http://"))}})
+	second := NewOwnerClient(&http.Client{}, &leaderclock.Clock{}, nil, logr.Discard()).Connect("s", []ownership.Peer{{Name: "owner", Address: netip.MustParseAddrPort(strings.TrimPrefix(host.URL, "http://"))}})
 	caller, leave := context.WithCancel(t.Context())
 	abandoned := request(statement.Write, "WRITE 1 x")
 	abandoned.CallerContext = caller
@@ -458,7 +458,7 @@
 		return &fleetpb.ExecuteResponse{State: uint32(statement.InTransaction)}
 	})))
 	t.Cleanup(host.Close)
-	conn := NewOwnerClient(&http.Client{}, &leaderclock.Clock{}, logr.Discard()).Connect("s", []ownership.Peer{{Name: "owner", Address: netip.MustParseAddrPort(strings.TrimPrefix(host.URL, "http://"))}})
+	conn := NewOwnerClient(&http.Client{}, &leaderclock.Clock{}, nil, logr.Discard()).Connect("s", []ownership.Peer{{Name: "owner", Address: netip.MustParseAddrPort(strings.TrimPrefix(host.URL, "http://"))}})
 	if _, err := do(t, conn, request(statement.Begin, "")); err != nil {
 		t.Fatal(err)
 	}
@@ -517,7 +517,7 @@
 		peer := ownership.Peer{Name: "owner", Address: netip.MustParseAddrPort(strings.TrimPrefix(host.URL, "http://"))}
 		openTransactions := func() []backend.Conn {
 			var conns []backend.Conn
-			client := NewOwnerClient(&http.Client{}, &leaderclock.Clock{}, logr.Discard())
+			client := NewOwnerClient(&http.Client{}, &leaderclock.Clock{}, nil, logr.Discard())
 			for range transactions {
 				conn := client.Connect("s", []ownership.Peer{peer})
 				for _, r := range []statement.Request{request(statement.Begin, ""), request(statement.Write, "WRITE 1 x")} {
@@ -605,7 +605,7 @@
 		}
 		service, _, _ := startOwner(t, server, 4)
 		host := start(service, listener)
-		client := NewOwnerClient(&http.Client{}, &leaderclock.Clock{}, logr.Discard())
+		client := NewOwnerClient(&http.Client{}, &leaderclock.Clock{}, nil, logr.Discard())
 		peers := []ownership.Peer{{Name: "owner", Address: netip.MustParseAddrPort(address)}}
 		if test.ranBefore {
 			if _, err := do(t, client.Connect("s", peers), request(statement.Read, "READ 1")); err != nil {
--- a/internal/traffic/forward/key_test.go
+++ b/internal/traffic/forward/key_test.go
@@ -90,7 +90,7 @@
 		// The statement decides which owner is called first.
 		const statements = 8
 		for i := range statements {
-			conn := NewOwnerClient(&http.Client{}, &leaderclock.Clock{}, logr.Discard()).Connect("s", owners)
+			conn := NewOwnerClient(&http.Client{}, &leaderclock.Clock{}, nil, logr.Discard()).Connect("s", owners)
 			answer, err := do(t, conn, keyedRequest(statement.Write, fmt.Sprint("WRITE ", i)))
 			if !errors.Is(err, test.wantErr) || answer.Code != test.wantCode {
 				t.Errorf("%s: got %v, %v, want %v, %v", test.name, answer.Code, err, test.wantCode, test.wantErr)
--- a/internal/traffic/forward/owners.go
+++ b/internal/traffic/forward/owners.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -19,6 +20,7 @@
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 	"github.com/burdockwood/burdockwood/internal/rpc/transport"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
+	"github.com/burdockwood/burdockwood/internal/traffic/budget"
 	"github.com/burdockwood/burdockwood/internal/traffic/ownership"
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
 )
@@ -69,6 +71,11 @@
 		// uniqueHandles holds, for each owner, whether its last response said that
 		// no other process gives the same handles.
 		uniqueHandles map[cluster.ProxyName]bool
+		// wholeAnswersUntil holds, for each owner that doesn't know statementPath, the
+		// end of the time in which it is called without it.
+		wholeAnswersUntil map[cluster.ProxyName]time.Time
+		// answers is the memory that long rows share; nil: it has no limit.
+		answers *budget.Budget
 		// transit is the moving average of the time that a call and its response
 		// are on the network.
 		transit time.Duration
@@ -103,9 +110,14 @@
 var _ backend.Conn = (*connection)(nil)
 
 // NewOwnerClient returns a client that calls owners through an HTTP client, with
-// deadlines on the leader's clock.
-func NewOwnerClient(client *http.Client, clock *leaderclock.Clock, logger logr.Logger) *OwnerClient {
-	return &OwnerClient{httpClient: client, clock: clock, logger: logger, avoidUntil: map[cluster.ProxyName]time.Time{}, lastResponse: map[cluster.ProxyName]time.Time{}, uniqueHandles: map[cluster.ProxyName]bool{}}
+// deadlines on the leader's clock. The long rows of answers share a budget; nil: it has no
+// limit.
+func NewOwnerClient(client *http.Client, clock *leaderclock.Clock, answers *budget.Budget, logger logr.Logger) *OwnerClient {
+	return &OwnerClient{
+		httpClient: client, clock: clock, answers: answers, logger: logger,
+		avoidUntil: map[cluster.ProxyName]time.Time{}, lastResponse: map[cluster.ProxyName]time.Time{},
+		uniqueHandles: map[cluster.ProxyName]bool{}, wholeAnswersUntil: map[cluster.ProxyName]time.Time{},
+	}
 }
 
 // Connect returns a connection that forwards statements for a server to its
@@ -147,6 +159,28 @@
 	}
 }
 
+// recordHeard records that an owner has begun to respond.
+func (c *OwnerClient) recordHeard(name cluster.ProxyName, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastResponse[name] = now
+}
+
+// recordWholeAnswers records that an owner passes on whole answers only.
+func (c *OwnerClient) recordWholeAnswers(name cluster.ProxyName, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wholeAnswersUntil[name] = now.Add(wholeAnswersFor)
+}
+
+// passesWholeAnswers reports whether an owner passes on whole answers only, as far as is
+// known.
+func (c *OwnerClient) passesWholeAnswers(name cluster.ProxyName, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Before(c.wholeAnswersUntil[name])
+}
+
 // givesUniqueHandles reports whether an owner's handles are known to be unique.
 func (c *OwnerClient) givesUniqueHandles(name cluster.ProxyName) bool {
 	c.mu.Lock()
@@ -242,11 +276,16 @@
 	if request.CallerContext != nil {
 		defer context.AfterFunc(request.CallerContext, cancel)()
 	}
-	response, err := c.broker().Execute(ctx, c.newRequest(request, remaining))
+	response, err := c.call(ctx, request.Rows, c.newRequest(request, remaining))
 	if err != nil && request.CallerContext != nil && request.CallerContext.Err() != nil {
 		c.handle = 0
 		return statement.Answer{}, false, backend.ErrCallerClosed
 	}
+	if errors.Is(err, backend.ErrCallerClosed) || errors.Is(err, backend.ErrNoMemory) {
+		// The owner isn't to blame.
+		c.handle = 0
+		return statement.Answer{}, false, err
+	}
 	if err != nil {
 		err = c.callError(err)
 		return statement.Answer{}, !inTransaction && errors.Is(err, backend.ErrNotSent), err
@@ -291,11 +330,22 @@
 
 // broker returns the client for calls to the owner.
 func (c *connection) broker() fleetpb.Broker {
-	client := c.client.httpClient
+	return fleetpb.NewBrokerProtobufClient(transport.URL(c.owner.Address), c.httpClient())
+}
+
+func (c *connection) httpClient() *http.Client {
 	if c.transactionClient != nil {
-		client = c.transactionClient
+		return c.transactionClient
+	}
+	return c.client.httpClient
+}
+
+// closeBody ends the reading of a response. What is left of it is lost, and with it the
+// connection.
+func (c *connection) closeBody(body io.Closer) {
+	if err := body.Close(); err != nil {
+		c.client.logger.V(1).Info("closing a response of an owner failed", "proxy", c.owner.Name, "error", err.Error())
 	}
-	return fleetpb.NewBrokerProtobufClient(transport.URL(c.owner.Address), client)
 }
 
 // endTransactionClient closes the connection of a transaction that has ended.
--- a/internal/traffic/forward/service.go
+++ b/internal/traffic/forward/service.go
@@ -6,10 +6,10 @@
 // # Usage
 //
 //	service := forward.New(forward.Options{Pools: m, LeaderClock: leaderClock, Logger: logger})
-//	mux.Handle(fleetpb.BrokerPathPrefix, fleetpb.NewBrokerServer(service))
+//	err := transport.Serve(ctx, listener, service.Handler())
 //	err := service.Run(ctx)
 //
-//	client := forward.NewOwnerClient(httpClient, leaderClock, logger)
+//	client := forward.NewOwnerClient(httpClient, leaderClock, answers, logger)
 //	conn := client.Connect(server, owners) // a backend.Conn
 //
 // The proxy that serves the caller keeps the session's settings and prepared
@@ -38,6 +38,7 @@
 	"github.com/burdockwood/burdockwood/internal/model/pause"
 	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
+	"github.com/burdockwood/burdockwood/internal/traffic/budget"
 	"github.com/burdockwood/burdockwood/internal/traffic/keyright"
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
 	"github.com/burdockwood/burdockwood/internal/traffic/upstream"
@@ -55,6 +56,9 @@
 	// Options configure a service.
 	Options struct {
 		Pools *upstream.Manager
+		// Statements and Answers are the memory that long statements of other proxies,
+		// and the answers to them, share; nil: it has no limit.
+		Statements, Answers *budget.Budget
 		// LeaderClock is the clock of the deadlines in requests; nil: they count
 		// from the request's arrival.
 		LeaderClock *leaderclock.Clock
@@ -132,28 +136,42 @@
 	return len(s.transactions) + int(s.executing.Load())
 }
 
-// Execute runs a statement of another proxy; see fleetpb.Broker. Failures are
-// reported as faults of the response.
+// Execute runs a statement of another proxy and returns the whole answer; see
+// fleetpb.Broker. Failures are reported as faults of the response.
 func (s *Service) Execute(ctx context.Context, r *fleetpb.ExecuteRequest) (*fleetpb.ExecuteResponse, error) {
-	arrived := time.Now()
+	whole := &wholeAnswer{memory: s.options.Answers.NewHold()}
+	defer whole.memory.Release()
+	response := s.run(ctx, r, time.Now(), whole)
+	if len(whole.rows) > 0 && isSuccess(response) {
+		response.Rows = append(whole.rows, response.Rows...)
+	}
+	return response, nil
+}
+
+// isSuccess reports whether a response holds the end of a successful answer.
+func isSuccess(response *fleetpb.ExecuteResponse) bool {
+	return response.GetFault() == fleetpb.ExecuteResponse_FAULT_NONE && statement.ParseCode(response.GetCode()) == statement.OK
+}
+
+// run runs a statement that arrived at the given time.
+func (s *Service) run(ctx context.Context, r *fleetpb.ExecuteRequest, arrived time.Time, sink answerSink) *fleetpb.ExecuteResponse {
 	s.executing.Add(1)
 	defer s.executing.Add(-1)
-	response, err := s.execute(ctx, r)
-	if response != nil {
-		response.ElapsedUs = uint32(time.Since(arrived).Microseconds())
-		response.UniqueHandles = true
-	}
-	return response, err
+	response := s.execute(ctx, r, sink)
+	response.ElapsedUs = uint32(time.Since(arrived).Microseconds())
+	response.UniqueHandles = true
+	return response
 }
 
-// execute is Execute without the measurement of its time.
-func (s *Service) execute(ctx context.Context, r *fleetpb.ExecuteRequest) (*fleetpb.ExecuteResponse, error) {
+// execute is run without the measurement of its time.
+func (s *Service) execute(ctx context.Context, r *fleetpb.ExecuteRequest, sink answerSink) *fleetpb.ExecuteResponse {
 	deadline := s.deadline(r)
+	sink.setDeadline(deadline)
 	if !time.Now().Before(deadline) {
-		return faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, errTooLate), nil
+		return faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, errTooLate)
 	}
 	if !isForwardable(r) {
-		return faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, eris.Wrapf(errUnknownVerb, "verb %d, begin %d", r.GetVerb(), r.GetBegin())), nil
+		return faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, eris.Wrapf(errUnknownVerb, "verb %d, begin %d", r.GetVerb(), r.GetBegin()))
 	}
 	settings := settingsFromProto(r.GetValues())
 	fingerprint := statement.Fingerprint(settings)
@@ -162,22 +180,22 @@
 		if conn == nil {
 			s.options.Logger.Info("forwarded statement refused", "request-id", r.GetId(), "server", r.GetServer(),
 				"verb", statement.ParseVerb(r.GetVerb()).String(), "reason", errNoTransaction.Error())
-			return faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, errNoTransaction), nil
+			return faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, errNoTransaction)
 		}
 		if err := conn.ApplySettings(settings, fingerprint, deadline); err != nil {
 			conn.Discard()
-			return faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, err), nil
+			return faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, err)
 		}
-		return s.runStatement(ctx, conn, r, deadline), nil
+		return s.runStatement(ctx, conn, r, deadline, sink)
 	}
 	pool, ok := s.options.Pools.Pool(cluster.ServerName(r.GetServer()))
 	if !ok || pool.ForwardsStatements() {
 		response := faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, errNotOwner)
 		response.NotOwner = true
-		return response, nil
+		return response
 	}
 	if err := s.options.Pools.Permit(keyed(r, statement.Request{})); err != nil {
-		return s.notPermitted(r, err), nil
+		return s.notPermitted(r, err)
 	}
 	conn, err := pool.Acquire(upstream.AcquireOptions{
 		Customer: customer.Name(r.GetCustomer()), Forwarded: true,
@@ -187,17 +205,17 @@
 		HoldFor: milliseconds(r.GetHoldMs()), Kind: r.GetKind(),
 	})
 	if err != nil {
-		return acquireFault(err), nil
+		return acquireFault(err)
 	}
 	if err := conn.ApplySettings(settings, fingerprint, deadline); err != nil {
 		conn.Discard()
-		return faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, err), nil
+		return faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, err)
 	}
 	deadline = responseDeadline(r, deadline)
 	if response := beginTransaction(conn, r, deadline); response != nil {
-		return response, nil
+		return response
 	}
-	return s.runStatement(ctx, conn, r, deadline), nil
+	return s.runStatement(ctx, conn, r, deadline, sink)
 }
 
 // deadline returns the deadline of a request that has just arrived. A request that was
@@ -251,9 +269,7 @@
 func acquireFault(err error) *fleetpb.ExecuteResponse {
 	var refused *upstream.RefusedError
 	if errors.As(err, &refused) {
-		response := faultResponse(fleetpb.ExecuteResponse_FAULT_NO_ROOM, err)
-		response.RetryAfterMs = uint32(max(1, refused.RetryAfter.Milliseconds()))
-		return response
+		return noRoom(err, refused.RetryAfter)
 	}
 	if errors.Is(err, upstream.ErrNoPlace) {
 		response := faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, err)
@@ -266,6 +282,13 @@
 	return faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, err)
 }
 
+// noRoom returns the response for a statement that there is no room for.
+func noRoom(err error, retryAfter time.Duration) *fleetpb.ExecuteResponse {
+	response := faultResponse(fleetpb.ExecuteResponse_FAULT_NO_ROOM, err)
+	response.RetryAfterMs = uint32(max(1, retryAfter.Milliseconds()))
+	return response
+}
+
 // beginTransaction begins a transaction if the request asks for one. It returns nil on
 // success. Otherwise it releases or discards the connection and returns the response.
 func beginTransaction(conn *upstream.Conn, r *fleetpb.ExecuteRequest, deadline time.Time) *fleetpb.ExecuteResponse {
@@ -291,12 +314,13 @@
 // it under the response's handle if a transaction is open on it. If ctx has ended, the
 // other proxy has given up or this one stops, so that nobody can use the handle, and the
 // transaction is rolled back.
-func (s *Service) runStatement(ctx context.Context, conn *upstream.Conn, r *fleetpb.ExecuteRequest, deadline time.Time) *fleetpb.ExecuteResponse {
+func (s *Service) runStatement(ctx context.Context, conn *upstream.Conn, r *fleetpb.ExecuteRequest, deadline time.Time, sink statement.RowSink) *fleetpb.ExecuteResponse {
 	request, err := prepareRequest(conn, r, deadline)
 	if err != nil {
 		conn.Discard()
 		return faultResponse(fleetpb.ExecuteResponse_FAULT_NOT_SENT, err)
 	}
+	request.Rows = sink
 	answer, err := conn.Do(request, deadline)
 	if _, refused := errors.AsType[*upstream.NotPermittedError](err); refused {
 		if r.GetHandle() == 0 && r.GetBegin() == 0 {
--- /dev/null
+++ b/internal/traffic/forward/stream.go
@@ -0,0 +1,374 @@
+package forward
+
+// This file holds the answers to forwarded statements as they are on the network: a long
+// one is passed on while the owner still reads it.
+//
+// The body of a request is an ExecuteRequest. The body of the response is a sequence of
+// frames, each of which is a byte that says its kind, the length of its content, and the
+// content: rows in their order, and at the end an ExecuteResponse with the last rows. A
+// body without that end is an answer that was cut.
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/burdockwood/burdockwood/internal/rpc/fleetpb"
+	"github.com/burdockwood/burdockwood/internal/rpc/transport"
+	"github.com/burdockwood/burdockwood/internal/traffic/backend"
+	"github.com/burdockwood/burdockwood/internal/traffic/budget"
+	"github.com/burdockwood/burdockwood/internal/traffic/statement"
+)
+
+const (
+	// statementPath is the path of forwarded statements. Earlier builds have no such
+	// path; their answers come whole from Broker.Execute.
+	statementPath = "/statements"
+
+	rowFrame frameKind = 'R'
+	endFrame frameKind = 'E'
+
+	// maxFrameBytes bounds the content of a frame: a row, or a response with the rows
+	// that were held.
+	maxFrameBytes = 2 << 20
+	// frameHeaderBytes is the greatest length of a frame's header.
+	frameHeaderBytes = 1 + binary.MaxVarintLen64
+	// messageCopies is the number of copies of a statement, or of an answer that isn't
+	// passed on, that an owner holds: as received and as sent.
+	messageCopies = 2
+	// statementMemoryTimeout and rowMemoryTimeout bound the waits for the memory of a
+	// long statement and of a long row.
+	statementMemoryTimeout = time.Second
+	rowMemoryTimeout       = 250 * time.Millisecond
+	// stalledAfter is the time after which a proxy that doesn't read an answer is given
+	// up.
+	stalledAfter = 3 * time.Second
+	// wholeAnswersFor is how long an owner without statementPath is called without it.
+	wholeAnswersFor = 10 * time.Second
+	// noMemoryRetryAfter is the delay that is advised if there was no memory for a
+	// statement.
+	noMemoryRetryAfter = 500 * time.Millisecond
+)
+
+var (
+	// errNoStream is returned by stream if the owner doesn't know statementPath. The
+	// statement wasn't sent to a server.
+	errNoStream = eris.New("the owner of the connection passes on whole answers only")
+	errFrame    = eris.New("a frame of the answer can't be read")
+)
+
+type (
+	frameKind byte
+
+	// answerSink takes the rows of a forwarded statement's answer.
+	answerSink interface {
+		statement.RowSink
+		// setDeadline sets the deadline of the statement, once it is known.
+		setDeadline(time.Time)
+	}
+
+	// frameWriter writes an answer to another proxy; it implements answerSink.
+	frameWriter struct {
+		response http.ResponseWriter
+		memory   *budget.Hold
+		// deadline is the deadline of the statement.
+		deadline time.Time
+		buffer   []byte
+		begun    bool
+	}
+
+	// wholeAnswer holds all rows for a proxy of an earlier build, as far as there is
+	// memory; it implements answerSink.
+	wholeAnswer struct {
+		memory   *budget.Hold
+		deadline time.Time
+		rows     [][]byte
+	}
+)
+
+var (
+	_ answerSink = (*frameWriter)(nil)
+	_ answerSink = (*wholeAnswer)(nil)
+)
+
+// Handler returns the HTTP handler for calls of other proxies.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+statementPath, s.serveStatement)
+	mux.Handle("/", s.withStatementMemory(fleetpb.NewBrokerServer(s)))
+	return mux
+}
+
+// withStatementMemory returns a handler that reserves the memory for the body of each
+// request, and answers with status 503 if there is none.
+func (s *Service) withStatementMemory(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		memory := s.options.Statements.NewHold()
+		defer memory.Release()
+		if err := reserveBody(memory, r); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, transport.MaxBodyBytes)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// reserveBody reserves the memory for a request's body. Errors: budget.ErrExhausted.
+func reserveBody(memory *budget.Hold, r *http.Request) error {
+	length := r.ContentLength
+	if length < 0 {
+		length = transport.MaxBodyBytes
+	}
+	if length <= budget.FreeBytes {
+		return nil
+	}
+	return memory.Reserve(messageCopies*length, time.Now().Add(statementMemoryTimeout))
+}
+
+// serveStatement runs a statement of another proxy and passes on its answer.
+func (s *Service) serveStatement(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	memory := s.options.Statements.NewHold()
+	defer memory.Release()
+	writer := &frameWriter{response: w, memory: s.options.Answers.NewHold()}
+	defer writer.memory.Release()
+	if err := reserveBody(memory, r); err != nil {
+		s.endStatement(writer, noRoom(err, noMemoryRetryAfter))
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, transport.MaxBodyBytes))
+	request := &fleetpb.ExecuteRequest{}
+	if err == nil {
+		err = proto.Unmarshal(body, request)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.endStatement(writer, s.run(r.Context(), request, arrived, writer))
+}
+
+// endStatement writes the end of an answer.
+func (s *Service) endStatement(writer *frameWriter, response *fleetpb.ExecuteResponse) {
+	if err := writer.end(response); err != nil {
+		s.options.Logger.V(1).Info("sending the answer to a forwarded statement failed", "error", err.Error())
+	}
+}
+
+func (f *frameWriter) setDeadline(deadline time.Time) { f.deadline = deadline }
+
+// Reserve implements statement.RowSink.
+func (f *frameWriter) Reserve() bool {
+	return f.memory.Reserved() || f.memory.TryReserve(backend.AnswerBytes)
+}
+
+// Begin implements statement.RowSink.
+func (f *frameWriter) Begin() (time.Time, error) {
+	f.begun = true
+	f.response.Header()["Content-Type"] = nil
+	return f.deadline, nil
+}
+
+// Pass implements statement.RowSink.
+func (f *frameWriter) Pass(rows [][]byte) error {
+	limit := time.Now().Add(stalledAfter)
+	if f.deadline.Before(limit) {
+		limit = f.deadline
+	}
+	controller := http.NewResponseController(f.response)
+	err := controller.SetWriteDeadline(limit)
+	for _, row := range rows {
+		if err != nil {
+			break
+		}
+		f.buffer = appendFrameHeader(f.buffer, rowFrame, len(row))
+		if len(row) <= budget.FreeBytes {
+			f.buffer = append(f.buffer, row...)
+			continue
+		}
+		if err = f.flush(); err == nil {
+			_, err = f.response.Write(row)
+		}
+	}
+	if err == nil {
+		err = f.flush()
+	}
+	if err == nil {
+		err = controller.Flush()
+	}
+	if err != nil {
+		return eris.Wrap(backend.ErrCallerClosed, err.Error())
+	}
+	return nil
+}
+
+// flush writes what the buffer holds.
+func (f *frameWriter) flush() error {
+	_, err := f.response.Write(f.buffer)
+	f.buffer = f.buffer[:0]
+	return err
+}
+
+// end writes the end of the answer. An answer that wasn't passed on in parts has a known
+// length.
+func (f *frameWriter) end(response *fleetpb.ExecuteResponse) error {
+	size := proto.Size(response)
+	out := appendFrameHeader(make([]byte, 0, frameHeaderBytes+size), endFrame, size)
+	out, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(out, response)
+	if err != nil {
+		return err
+	}
+	if !f.begun {
+		header := f.response.Header()
+		header["Content-Type"] = nil
+		header.Set("Content-Length", strconv.Itoa(len(out)))
+		_, err := f.response.Write(out)
+		return err
+	}
+	controller := http.NewResponseController(f.response)
+	if err := controller.SetWriteDeadline(time.Now().Add(stalledAfter)); err != nil {
+		return err
+	}
+	_, err = f.response.Write(out)
+	// The deadline would also hold for the next request on the connection.
+	return errors.Join(err, controller.Flush(), controller.SetWriteDeadline(time.Time{}))
+}
+
+// Reserve implements statement.RowSink.
+func (a *wholeAnswer) Reserve() bool { return a.memory.TryReserve(backend.AnswerBytes) }
+
+// Begin implements statement.RowSink.
+func (a *wholeAnswer) Begin() (time.Time, error) { return a.deadline, nil }
+
+func (a *wholeAnswer) setDeadline(deadline time.Time) { a.deadline = deadline }
+
+// Pass implements statement.RowSink.
+func (a *wholeAnswer) Pass(rows [][]byte) error {
+	for _, row := range rows {
+		if !a.memory.TryReserve(messageCopies * int64(len(row)+1)) {
+			return eris.Wrap(backend.ErrNoMemory, "the answer is too long for a proxy that takes it whole")
+		}
+		a.rows = append(a.rows, bytes.Clone(row))
+	}
+	return nil
+}
+
+// call sends a request to the owner and returns its response. The rows of a long answer go
+// to sink; nil: they are all in the response.
+func (c *connection) call(ctx context.Context, sink statement.RowSink, r *fleetpb.ExecuteRequest) (*fleetpb.ExecuteResponse, error) {
+	if sink == nil || c.client.passesWholeAnswers(c.owner.Name, time.Now()) {
+		return c.broker().Execute(ctx, r)
+	}
+	response, err := c.stream(ctx, sink, r)
+	if errors.Is(err, errNoStream) {
+		c.client.recordWholeAnswers(c.owner.Name, time.Now())
+		return c.broker().Execute(ctx, r)
+	}
+	return response, err
+}
+
+// stream sends a request to the owner, passes the rows of a long answer on, and returns the
+// end of the answer with the rows that were held. Errors: errNoStream, those of the
+// connection, and those of the sink.
+func (c *connection) stream(ctx context.Context, sink statement.RowSink, r *fleetpb.ExecuteRequest) (*fleetpb.ExecuteResponse, error) {
+	body, err := proto.Marshal(r)
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, transport.URL(c.owner.Address)+statementPath, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	httpResponse, err := c.httpClient().Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer c.closeBody(httpResponse.Body)
+	switch httpResponse.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		// The connection can be used again once the body has been read.
+		_, err := io.CopyN(io.Discard, httpResponse.Body, budget.FreeBytes)
+		if err != nil && !errors.Is(err, io.EOF) {
+			return nil, err
+		}
+		return nil, errNoStream
+	default:
+		return nil, eris.Errorf("the owner of the connection answered with status %d", httpResponse.StatusCode)
+	}
+	c.client.recordHeard(c.owner.Name, time.Now())
+	return c.readFrames(bufio.NewReader(httpResponse.Body), sink)
+}
+
+// readFrames reads the frames of an answer.
+func (c *connection) readFrames(frames *bufio.Reader, sink statement.RowSink) (*fleetpb.ExecuteResponse, error) {
+	memory := c.client.answers.NewHold()
+	defer memory.Release()
+	rows := backend.Rows{Sink: sink}
+	var content []byte
+	for {
+		kind, length, err := readFrameHeader(frames)
+		if err != nil {
+			return nil, err
+		}
+		if length > budget.FreeBytes && length > cap(content) {
+			memory.Release()
+			content = nil
+			if err := memory.Reserve(int64(length), time.Now().Add(rowMemoryTimeout)); err != nil {
+				return nil, eris.Wrap(backend.ErrNoMemory, err.Error())
+			}
+		}
+		if length > cap(content) {
+			content = make([]byte, length)
+		}
+		content = content[:length]
+		if _, err := io.ReadFull(frames, content); err != nil {
+			return nil, eris.Wrap(err, "read the content of a frame")
+		}
+		if kind == rowFrame {
+			if err := rows.Add(content); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		response := &fleetpb.ExecuteResponse{}
+		if err := proto.Unmarshal(content, response); err != nil {
+			return nil, eris.Wrap(errFrame, err.Error())
+		}
+		if isSuccess(response) {
+			response.Rows = append(rows.Held(), response.GetRows()...)
+		}
+		return response, nil
+	}
+}
+
+func appendFrameHeader(out []byte, kind frameKind, length int) []byte {
+	return binary.AppendUvarint(append(out, byte(kind)), uint64(length))
+}
+
+// readFrameHeader reads the kind and the length of the next frame. Errors: errFrame, and
+// those of the connection.
+func readFrameHeader(frames *bufio.Reader) (frameKind, int, error) {
+	kind, err := frames.ReadByte()
+	if err != nil {
+		return 0, 0, eris.Wrap(err, "read the kind of a frame")
+	}
+	length, err := binary.ReadUvarint(frames)
+	if err != nil {
+		return 0, 0, eris.Wrap(err, "read the length of a frame")
+	}
+	if frameKind(kind) != rowFrame && frameKind(kind) != endFrame || length > maxFrameBytes {
+		return 0, 0, eris.Wrapf(errFrame, "kind %q, %d bytes", kind, length)
+	}
+	return frameKind(kind), int(length), nil
+}
--- a/internal/traffic/forward/unknown_test.go
+++ b/internal/traffic/forward/unknown_test.go
@@ -37,7 +37,7 @@
 	for _, test := range tests {
 		host := httptest.NewServer(fleetpb.NewBrokerServer(brokerFunc(func(*fleetpb.ExecuteRequest) *fleetpb.ExecuteResponse { return test.response })))
 		peer := ownership.Peer{Name: "owner", Address: netip.MustParseAddrPort(strings.TrimPrefix(host.URL, "http://"))}
-		conn := NewOwnerClient(&http.Client{}, &leaderclock.Clock{}, logr.Discard()).Connect("s", []ownership.Peer{peer})
+		conn := NewOwnerClient(&http.Client{}, &leaderclock.Clock{}, nil, logr.Discard()).Connect("s", []ownership.Peer{peer})
 		got, err := do(t, conn, request(statement.Write, "WRITE 1 x"))
 		if !errors.Is(err, test.wantErr) || got.Code != test.wantCode {
 			t.Errorf("%s: got code %v, %v, want %v, %v", test.name, got.Code, err, test.wantCode, test.wantErr)
