Proxy: messages of some kilobytes take little of the memory

Cause: the length of a message isn't known before its end, so each one over 16 KiB reserved the memory of the longest.

Change: there are two budgets for statements and two for answers. Up to 128 KiB a message takes memory of the first, above that of the second. Those that hold the first and wait for the second don't wait for each other.

TestMediumMessagesTakeLittleMemory fails without the change.

--- a/internal/traffic/budget/budget.go
+++ b/internal/traffic/budget/budget.go
@@ -12,6 +12,8 @@
 //		// budget.ErrExhausted: refuse the message
 //	}
 //
+//	p := budget.NewPair(64<<20, budget.Options{Name: "statements", Logger: logger})
+//
 // Sizes are in bytes. Short messages aren't counted: those who read messages reserve
 // memory only for the part above FreeBytes.
 package budget
@@ -69,6 +71,9 @@
 		loggedAt atomic.Int64
 	}
 
+	// Pair are two budgets, for messages of a medium length and for long ones.
+	Pair struct{ Medium, Long *Budget }
+
 	// Hold is the part of a budget that one message uses. It isn't safe for concurrent
 	// use.
 	Hold struct {
@@ -91,6 +96,13 @@
 	}
 }
 
+// NewPair returns two budgets that share limit bytes equally.
+func NewPair(limit int64, options Options) Pair {
+	long := options
+	long.Name = "long-" + options.Name
+	return Pair{Medium: New(limit/2, options), Long: New(limit/2, long)}
+}
+
 // NewHold returns a hold without memory.
 func (b *Budget) NewHold() *Hold { return &Hold{budget: b} }
 
--- a/internal/traffic/line/line.go
+++ b/internal/traffic/line/line.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	r := line.NewReader(conn, line.Options{Memory: b, Reserve: line.MaxBytes, Wait: time.Second})
+//	r := line.NewReader(conn, line.Options{Medium: b, Long: c, Copies: 3, Wait: time.Second})
 //	defer r.Release()
 //	message, err := r.Next()
 //	if errors.Is(err, line.ErrDropped) {
@@ -29,6 +29,9 @@
 	MaxBytes = 1 << 20
 	// bufferBytes is the size of a read buffer; most messages fit into it.
 	bufferBytes = 4 << 10
+	// mediumBytes is the length up to which a message takes a small part of the memory.
+	// Its length isn't known before its end.
+	mediumBytes = 128 << 10
 	// longTimeout bounds the receipt of a message over budget.FreeBytes. On a network of
 	// 2 Mbit/s, 1 MiB takes 4 s.
 	longTimeout = 10 * time.Second
@@ -50,12 +53,14 @@
 type (
 	// Options say which memory a reader's long messages take.
 	Options struct {
-		// Memory is the memory for messages over budget.FreeBytes; nil: it has no
-		// limit. Each message takes Reserve bytes of it from its receipt to the next
-		// call of Next, and waits for them for up to Wait.
-		Memory  *budget.Budget
-		Reserve int64
-		Wait    time.Duration
+		// Medium is the memory for messages over budget.FreeBytes, and Long that for
+		// those over 128 KiB, so that the ones that hold the first and wait for the
+		// second don't wait for each other; nil: it has no limit. A message takes
+		// memory for Copies copies from its receipt to the next call of Next, and waits
+		// for it for up to Wait.
+		Medium, Long *budget.Budget
+		Copies       int64
+		Wait         time.Duration
 		// OnLong is called when a long message begins; see Reader.LateAt. Nil: nobody
 		// needs to know.
 		OnLong func() error
@@ -70,7 +75,8 @@
 		begun []byte
 		// returned is true if begun was returned as a message.
 		returned bool
-		hold     *budget.Hold
+		// medium and long are the memory of the message that begun holds.
+		medium, long *budget.Hold
 		// received is the length of begun and of the part that was dropped, if dropping
 		// is true.
 		received int
@@ -83,7 +89,7 @@
 
 // NewReader returns a reader of messages from a connection.
 func NewReader(conn io.Reader, options Options) *Reader {
-	return &Reader{options: options, buffered: bufio.NewReaderSize(conn, bufferBytes), hold: options.Memory.NewHold()}
+	return &Reader{options: options, buffered: bufio.NewReaderSize(conn, bufferBytes), medium: options.Medium.NewHold(), long: options.Long.NewHold()}
 }
 
 // Next returns the next message without its CR LF. The slice is valid until the next
@@ -119,9 +125,9 @@
 		if !r.dropping {
 			r.begun = append(r.begun, part...)
 		}
-		if len(r.begun) > budget.FreeBytes && r.lateAt.IsZero() {
-			if longErr := r.beginLong(); longErr != nil {
-				return nil, longErr
+		if len(r.begun) > budget.FreeBytes {
+			if memoryErr := r.reserve(); memoryErr != nil {
+				return nil, memoryErr
 			}
 		}
 		switch {
@@ -139,11 +145,22 @@
 	}
 }
 
-// beginLong reserves the memory for a long message. Without any left, the message is
-// dropped.
-func (r *Reader) beginLong() error {
+// reserve reserves the memory for a message over budget.FreeBytes, unless it has it. Without
+// any left, the message is dropped.
+func (r *Reader) reserve() error {
 	now := time.Now()
-	r.dropping = r.hold.Reserve(r.options.Reserve, now.Add(r.options.Wait)) != nil
+	giveUpAt := now.Add(r.options.Wait)
+	if len(r.begun) > mediumBytes && !r.long.Reserved() && !r.dropping {
+		r.dropping = r.long.Reserve(r.options.Copies*MaxBytes, giveUpAt) != nil
+		r.medium.Release()
+		if r.dropping {
+			r.begun = bytes.Clone(r.begun[:budget.FreeBytes])
+		}
+	}
+	if !r.lateAt.IsZero() {
+		return nil
+	}
+	r.dropping = r.medium.Reserve(r.options.Copies*mediumBytes, giveUpAt) != nil
 	r.lateAt = now.Add(longTimeout)
 	if r.options.OnLong == nil {
 		return nil
@@ -167,5 +184,6 @@
 	if cap(r.begun) > budget.FreeBytes {
 		r.begun = nil
 	}
-	r.hold.Release()
+	r.medium.Release()
+	r.long.Release()
 }
--- a/internal/traffic/line/line_test.go
+++ b/internal/traffic/line/line_test.go
@@ -33,12 +33,13 @@
 func TestLongMessagesShareMemory(t *testing.T) {
 	long := "QUERY a " + strings.Repeat("x", MaxBytes-100)
 	synctest.Test(t, func(t *testing.T) {
-		b := budget.New(3*MaxBytes, budget.Options{Name: "x", Logger: logr.Discard()})
+		medium := budget.New(MaxBytes, budget.Options{Name: "x", Logger: logr.Discard()})
+		b := budget.New(3*MaxBytes, budget.Options{Name: "long-x", Logger: logr.Discard()})
 		other := b.NewHold()
 		near, far := net.Pipe()
 		var group errgroup.Group
 		writeAll(&group, far, long+"\r\n", "b\r\n", long+"\r\n", "c\r\n")
-		r := NewReader(near, Options{Memory: b, Reserve: 2 * MaxBytes, Wait: time.Second})
+		r := NewReader(near, Options{Medium: medium, Long: b, Copies: 2, Wait: time.Second})
 		if got, err := r.Next(); err != nil || string(got) != long || b.Held() != 2*MaxBytes {
 			t.Fatalf("got %d bytes, %v, %d bytes held, want the message and %d", len(got), err, b.Held(), 2*MaxBytes)
 		}
@@ -56,6 +57,9 @@
 		if waited := time.Since(began); waited != time.Second {
 			t.Errorf("got a wait of %v, want 1 s", waited)
 		}
+		if got := medium.Held(); got != 0 {
+			t.Errorf("got %d bytes held for a message that was dropped, want 0", got)
+		}
 		if got, err := r.Next(); err != nil || string(got) != "c" {
 			t.Errorf("got %q, %v, want c", got, err)
 		}
@@ -79,7 +83,7 @@
 			return err
 		})
 		var r *Reader
-		r = NewReader(near, Options{Memory: b, Reserve: MaxBytes, OnLong: func() error { return near.SetReadDeadline(r.LateAt()) }})
+		r = NewReader(near, Options{Medium: b, Copies: 1, OnLong: func() error { return near.SetReadDeadline(r.LateAt()) }})
 		began := time.Now()
 		_, err := r.Next()
 		if took := time.Since(began); !errors.Is(err, ErrTooSlow) || took != longTimeout {
@@ -109,7 +113,7 @@
 			_, secondErr := io.WriteString(far, half+"\r\n")
 			return errors.Join(err, secondErr)
 		})
-		r := NewReader(near, Options{Memory: budget.New(MaxBytes, budget.Options{Name: "x", Logger: logr.Discard()}), Reserve: MaxBytes})
+		r := NewReader(near, Options{Medium: budget.New(MaxBytes, budget.Options{Name: "x", Logger: logr.Discard()}), Copies: 1})
 		if err := near.SetReadDeadline(time.Now().Add(time.Second / 2)); err != nil {
 			t.Fatal(err)
 		}
@@ -127,3 +131,18 @@
 		}
 	})
 }
+
+// TestMediumMessagesTakeLittleMemory guards against messages of some 20 KB that wait for each
+// other because each reserves the memory of the longest one.
+func TestMediumMessagesTakeLittleMemory(t *testing.T) {
+	const readers = 40
+	message := strings.Repeat("x", 20_000)
+	b := budget.New(readers*3*mediumBytes, budget.Options{Name: "x", Logger: logr.Discard()})
+	none := budget.New(1, budget.Options{Name: "long-x", Logger: logr.Discard()})
+	for i := range readers {
+		r := NewReader(strings.NewReader(message+"\r\n"), Options{Medium: b, Long: none, Copies: 3})
+		if got, err := r.Next(); err != nil || string(got) != message {
+			t.Fatalf("reader %d: got %d bytes, %v, want %d", i, len(got), err, len(message))
+		}
+	}
+}
