Proxy: ends of long messages, found on reading

- A session that had sent a statement over 16 KiB was closed 10 s after it: the deadline of the message also held for the next one.
- Rows that come after the statement's deadline aren't written any more, so that the caller gets TIMEOUT and not the end of its connection.
- An owner that ends an answer that isn't read was avoided for 1.5 s, as if it couldn't be reached.
- A statement that an owner can't read hasn't run; it was answered as one that may have.

--- a/internal/traffic/forward/owners.go
+++ b/internal/traffic/forward/owners.go
@@ -281,10 +281,9 @@
 		c.handle = 0
 		return statement.Answer{}, false, backend.ErrCallerClosed
 	}
-	if errors.Is(err, backend.ErrCallerClosed) || errors.Is(err, backend.ErrNoMemory) {
-		// The owner isn't to blame.
+	if isAnswered(err) {
 		c.handle = 0
-		return statement.Answer{}, false, err
+		return statement.Answer{}, !inTransaction && errors.Is(err, backend.ErrNotSent), err
 	}
 	if err != nil {
 		err = c.callError(err)
@@ -301,6 +300,12 @@
 	return answer, false, err
 }
 
+// isAnswered reports whether a call failed though the owner responded: it didn't send the
+// statement, or the answer was cut.
+func isAnswered(err error) bool {
+	return errors.Is(err, backend.ErrNotSent) || errors.Is(err, backend.ErrConnectionLost) || errors.Is(err, backend.ErrTimeout)
+}
+
 // takeResponse takes over the handle in an owner's response, and returns the answer or
 // error that the response holds.
 func (c *connection) takeResponse(response *fleetpb.ExecuteResponse) (statement.Answer, error) {
--- a/internal/traffic/forward/stream.go
+++ b/internal/traffic/forward/stream.go
@@ -16,6 +16,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -278,8 +279,8 @@
 }
 
 // stream sends a request to the owner, passes the rows of a long answer on, and returns the
-// end of the answer with the rows that were held. Errors: errNoStream, those of the
-// connection, and those of the sink.
+// end of the answer with the rows that were held. Errors: errNoStream, backend.ErrNotSent,
+// those of readFrames, and those of the connection.
 func (c *connection) stream(ctx context.Context, sink statement.RowSink, r *fleetpb.ExecuteRequest) (*fleetpb.ExecuteResponse, error) {
 	body, err := proto.Marshal(r)
 	if err != nil {
@@ -304,22 +305,25 @@
 		}
 		return nil, errNoStream
 	default:
-		return nil, eris.Errorf("the owner of the connection answered with status %d", httpResponse.StatusCode)
+		return nil, eris.Wrapf(backend.ErrNotSent, "the owner of the connection answered with status %d", httpResponse.StatusCode)
 	}
 	c.client.recordHeard(c.owner.Name, time.Now())
 	return c.readFrames(bufio.NewReader(httpResponse.Body), sink)
 }
 
-// readFrames reads the frames of an answer.
+// readFrames reads the frames of an answer. Errors: backend.ErrConnectionLost or
+// backend.ErrTimeout if the answer was cut, those of the sink, and before the first row those
+// of the connection.
 func (c *connection) readFrames(frames *bufio.Reader, sink statement.RowSink) (*fleetpb.ExecuteResponse, error) {
 	memory := c.client.answers.NewHold()
 	defer memory.Release()
 	rows := backend.Rows{Sink: sink}
 	var content []byte
+	begun := false
 	for {
 		kind, length, err := readFrameHeader(frames)
 		if err != nil {
-			return nil, err
+			return nil, cutError(err, begun)
 		}
 		if length > budget.FreeBytes && length > cap(content) {
 			memory.Release()
@@ -333,8 +337,9 @@
 		}
 		content = content[:length]
 		if _, err := io.ReadFull(frames, content); err != nil {
-			return nil, eris.Wrap(err, "read the content of a frame")
+			return nil, cutError(err, begun)
 		}
+		begun = true
 		if kind == rowFrame {
 			if err := rows.Add(content); err != nil {
 				return nil, err
@@ -352,6 +357,19 @@
 	}
 }
 
+// cutError returns the error of an answer that ended early. An owner that has begun to answer
+// isn't taken for one that can't be reached: it also ends an answer that isn't read.
+func cutError(err error, begun bool) error {
+	switch {
+	case !begun:
+		return err
+	case errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded):
+		return eris.Wrap(backend.ErrTimeout, err.Error())
+	default:
+		return eris.Wrap(backend.ErrConnectionLost, "the answer was cut: "+err.Error())
+	}
+}
+
 func appendFrameHeader(out []byte, kind frameKind, length int) []byte {
 	return binary.AppendUvarint(append(out, byte(kind)), uint64(length))
 }
--- a/internal/traffic/line/line.go
+++ b/internal/traffic/line/line.go
@@ -170,7 +170,12 @@
 
 // LateAt returns when the long message that is being received must have arrived; zero: there
 // is none. A read of the connection that reaches this deadline ends with ErrTooSlow.
-func (r *Reader) LateAt() time.Time { return r.lateAt }
+func (r *Reader) LateAt() time.Time {
+	if r.returned {
+		return time.Time{}
+	}
+	return r.lateAt
+}
 
 // Pending reports whether a message has been received in part, or not yet returned.
 func (r *Reader) Pending() bool {
--- a/internal/traffic/line/line_test.go
+++ b/internal/traffic/line/line_test.go
@@ -43,6 +43,9 @@
 		if got, err := r.Next(); err != nil || string(got) != long || b.Held() != 2*MaxBytes {
 			t.Fatalf("got %d bytes, %v, %d bytes held, want the message and %d", len(got), err, b.Held(), 2*MaxBytes)
 		}
+		if got := r.LateAt(); !got.IsZero() {
+			t.Errorf("got the deadline %v for a message that has arrived, want none", got)
+		}
 		if got, err := r.Next(); err != nil || string(got) != "b" || b.Held() != 0 {
 			t.Fatalf("got %q, %v, %d bytes held, want b and none", got, err, b.Held())
 		}
--- a/internal/traffic/session/passage.go
+++ b/internal/traffic/session/passage.go
@@ -42,8 +42,12 @@
 	return p.deadline, nil
 }
 
-// Pass implements statement.RowSink.
+// Pass implements statement.RowSink. After the deadline it writes nothing, so that the caller
+// can be told.
 func (p *passage) Pass(rows [][]byte) error {
+	if !time.Now().Before(p.deadline) {
+		return eris.Wrap(backend.ErrTimeout, "the statement's time ended before its answer")
+	}
 	if err := p.session.caller.Pass(rows, p.deadline); err != nil {
 		return eris.Wrap(backend.ErrCallerClosed, err.Error())
 	}
--- a/internal/traffic/session/passage_test.go
+++ b/internal/traffic/session/passage_test.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"errors"
 	"os"
 	"slices"
 	"strings"
@@ -108,6 +109,16 @@
 	}
 }
 
+// TestRowsAfterTheDeadline checks that rows that come too late aren't written, so that the
+// caller gets the end of its answer.
+func TestRowsAfterTheDeadline(t *testing.T) {
+	caller := &fakeCaller{}
+	p := (&session{caller: caller}).newPassage(time.Now())
+	if err := p.Pass([][]byte{[]byte("a")}); !errors.Is(err, backend.ErrTimeout) || len(caller.passed) > 0 {
+		t.Errorf("got %v and the rows %v, want %v and none", err, caller.passed, backend.ErrTimeout)
+	}
+}
+
 // TestDroppedStatements checks the answers to statements for which there was no memory: they
 // are promises, and an open transaction is undone.
 func TestDroppedStatements(t *testing.T) {
