Proxy: one copy of what long answers wrote twice

Found on reading the diff; behaviour stays.

- ErrCallerClosed and ErrNoMemory are of one type.
- The bytes held are a gauge that is read, not a copy that two releases at a time could leave wrong.
- line.Options takes a budget.Pair; reserve is one switch, and doesn't read the clock's limit twice for the same message.
- The sinks of forward share their memory and deadline; the frames are written by a function that returns at the first error.
- callError knows calls that failed though the owner responded; sendOnce had a branch of its own for them.
- cutAnswer and finalAnswer choose the code in one place, and "retry after" is written by one function, also in identity.go.

--- a/internal/traffic/backend/backend.go
+++ b/internal/traffic/backend/backend.go
@@ -40,15 +40,15 @@
 	ErrNotSent = eris.New("the connection to the backend server was closed before the request was sent")
 	// ErrCallerClosed is returned if the caller closed its connection before the answer;
 	// what was sent may have run. It is an ErrConnectionLost.
-	ErrCallerClosed error = callerClosed{}
+	ErrCallerClosed error = lostError("the caller closed its connection before the answer")
 	// ErrNoMemory is returned if there was no memory for a row of the answer; what was
 	// sent may have run. It is an ErrConnectionLost.
-	ErrNoMemory error = noMemory{}
+	ErrNoMemory error = lostError("there is no memory left for a long row of the answer")
 )
 
 type (
-	callerClosed struct{}
-	noMemory     struct{}
+	// lostError is an ErrConnectionLost with a cause of its own.
+	lostError string
 
 	// Conn is one connection to a server. It isn't safe for concurrent use.
 	Conn interface {
@@ -77,13 +77,7 @@
 )
 
 // Error returns the error's text.
-func (callerClosed) Error() string { return "the caller closed its connection before the answer" }
-
-// Error returns the error's text.
-func (noMemory) Error() string { return "there is no memory left for a long row of the answer" }
-
-// Is reports whether what is known of a request is the same as after another error.
-func (noMemory) Is(target error) bool { return target == ErrConnectionLost }
+func (e lostError) Error() string { return string(e) }
 
 // Is reports whether what is known of a request is the same as after another error.
-func (callerClosed) Is(target error) bool { return target == ErrConnectionLost }
+func (lostError) Is(target error) bool { return target == ErrConnectionLost }
--- a/internal/traffic/backend/rows.go
+++ b/internal/traffic/backend/rows.go
@@ -97,6 +97,12 @@
 	return r.Sink.Pass(rows)
 }
 
+// ReserveAnswer reserves the memory for an answer that is held, unless the hold has it, and
+// reports whether there is any left. It is what a sink's Reserve does.
+func ReserveAnswer(memory *budget.Hold) bool {
+	return memory.Reserved() || memory.TryReserve(AnswerBytes)
+}
+
 // Held returns the rows that are held. They are valid until the next call of Add.
 func (r *Rows) Held() [][]byte {
 	if len(r.ends) == 0 {
--- a/internal/traffic/budget/budget.go
+++ b/internal/traffic/budget/budget.go
@@ -37,6 +37,14 @@
 	// exhaustedLogInterval is the shortest time between two log lines about an
 	// exhausted budget.
 	exhaustedLogInterval = 10 * time.Second
+	// StatementWait and RowWait bound the waits for the memory of a long statement and
+	// of a long row. RowWait is shorter than the time after which a server that sends
+	// nothing is reported.
+	StatementWait = time.Second
+	RowWait       = 250 * time.Millisecond
+	// RetryAfter is the delay that callers are advised to retry after if there was no
+	// memory for their statement: about the time in which the others are sent.
+	RetryAfter = 500 * time.Millisecond
 )
 
 // ErrExhausted is returned if no memory became free in time.
@@ -62,7 +70,6 @@
 		memory *semaphore.Weighted
 		logger logr.Logger
 		held   atomic.Int64
-		gauge  gometrics.Gauge
 		// waits and refusals count the reservations that waited, and those that
 		// failed.
 		waits, refusals gometrics.Counter
@@ -88,12 +95,13 @@
 		options.Registry = metrics.NewRegistry()
 	}
 	metrics.Gauge(options.Registry, "message-memory-limit-bytes", "kind", options.Name).Update(limit)
-	return &Budget{
+	b := &Budget{
 		name: options.Name, limit: limit, memory: semaphore.NewWeighted(limit), logger: options.Logger,
-		gauge:    metrics.Gauge(options.Registry, "message-memory-held-bytes", "kind", options.Name),
 		waits:    metrics.Counter(options.Registry, "message-memory-waits", "kind", options.Name),
 		refusals: metrics.Counter(options.Registry, "message-memory-refusals", "kind", options.Name),
 	}
+	metrics.GaugeFunc(options.Registry, metrics.Name("message-memory-held-bytes", "kind", options.Name), b.Held)
+	return b
 }
 
 // NewPair returns two budgets that share limit bytes equally.
@@ -119,8 +127,9 @@
 
 // TryReserve adds n bytes to the hold if they are free, and reports whether it did.
 func (h *Hold) TryReserve(n int64) bool {
-	if h.budget != nil && !h.budget.memory.TryAcquire(n) {
-		h.budget.refuse(n)
+	if b := h.budget; b != nil && !b.memory.TryAcquire(n) {
+		b.refusals.Inc(1)
+		b.logExhausted(n)
 		return false
 	}
 	h.add(n)
@@ -149,7 +158,7 @@
 func (h *Hold) Release() {
 	if b := h.budget; b != nil && h.bytes > 0 {
 		b.memory.Release(h.bytes)
-		b.gauge.Update(b.held.Add(-h.bytes))
+		b.held.Add(-h.bytes)
 	}
 	h.bytes = 0
 }
@@ -157,15 +166,10 @@
 func (h *Hold) add(n int64) {
 	h.bytes += n
 	if b := h.budget; b != nil {
-		b.gauge.Update(b.held.Add(n))
+		b.held.Add(n)
 	}
 }
 
-func (b *Budget) refuse(n int64) {
-	b.refusals.Inc(1)
-	b.logExhausted(n)
-}
-
 // logExhausted logs that the budget is exhausted, unless that was logged lately.
 func (b *Budget) logExhausted(n int64) {
 	now, last := time.Now().UnixNano(), b.loggedAt.Load()
--- a/internal/traffic/forward/owners.go
+++ b/internal/traffic/forward/owners.go
@@ -281,10 +281,6 @@
 		c.handle = 0
 		return statement.Answer{}, false, backend.ErrCallerClosed
 	}
-	if isAnswered(err) {
-		c.handle = 0
-		return statement.Answer{}, !inTransaction && errors.Is(err, backend.ErrNotSent), err
-	}
 	if err != nil {
 		err = c.callError(err)
 		return statement.Answer{}, !inTransaction && errors.Is(err, backend.ErrNotSent), err
@@ -393,9 +389,13 @@
 	return r
 }
 
-// callError returns the error for a statement whose owner didn't answer. If no
+// callError returns the error for a statement whose call failed. If no
 // connection to the owner could be opened, the statement wasn't sent.
 func (c *connection) callError(err error) error {
+	if isAnswered(err) {
+		c.handle = 0
+		return err
+	}
 	var operation *net.OpError
 	unreachable := errors.As(err, &operation) && operation.Op == "dial"
 	if c.client.recordFailure(c.owner.Name, unreachable, time.Now()) {
--- a/internal/traffic/forward/service.go
+++ b/internal/traffic/forward/service.go
@@ -139,7 +139,7 @@
 // Execute runs a statement of another proxy and returns the whole answer; see
 // fleetpb.Broker. Failures are reported as faults of the response.
 func (s *Service) Execute(ctx context.Context, r *fleetpb.ExecuteRequest) (*fleetpb.ExecuteResponse, error) {
-	whole := &wholeAnswer{memory: s.options.Answers.NewHold()}
+	whole := &wholeAnswer{answerLimits: answerLimits{memory: s.options.Answers.NewHold()}}
 	defer whole.memory.Release()
 	response := s.run(ctx, r, time.Now(), whole)
 	if len(whole.rows) > 0 && isSuccess(response) {
--- a/internal/traffic/forward/stream.go
+++ b/internal/traffic/forward/stream.go
@@ -46,18 +46,11 @@
 	// messageCopies is the number of copies of a statement, or of an answer that isn't
 	// passed on, that an owner holds: as received and as sent.
 	messageCopies = 2
-	// statementMemoryTimeout and rowMemoryTimeout bound the waits for the memory of a
-	// long statement and of a long row.
-	statementMemoryTimeout = time.Second
-	rowMemoryTimeout       = 250 * time.Millisecond
 	// stalledAfter is the time after which a proxy that doesn't read an answer is given
 	// up.
 	stalledAfter = 3 * time.Second
 	// wholeAnswersFor is how long an owner without statementPath is called without it.
 	wholeAnswersFor = 10 * time.Second
-	// noMemoryRetryAfter is the delay that is advised if there was no memory for a
-	// statement.
-	noMemoryRetryAfter = 500 * time.Millisecond
 )
 
 var (
@@ -77,22 +70,27 @@
 		setDeadline(time.Time)
 	}
 
+	// answerLimits are what all sinks of this package have.
+	answerLimits struct {
+		memory *budget.Hold
+		// deadline is the deadline of the statement.
+		deadline time.Time
+	}
+
 	// frameWriter writes an answer to another proxy; it implements answerSink.
 	frameWriter struct {
+		answerLimits
 		response http.ResponseWriter
-		memory   *budget.Hold
-		// deadline is the deadline of the statement.
-		deadline time.Time
 		buffer   []byte
-		begun    bool
+		// begun is true once rows may have been written.
+		begun bool
 	}
 
 	// wholeAnswer holds all rows for a proxy of an earlier build, as far as there is
 	// memory; it implements answerSink.
 	wholeAnswer struct {
-		memory   *budget.Hold
-		deadline time.Time
-		rows     [][]byte
+		answerLimits
+		rows [][]byte
 	}
 )
 
@@ -133,7 +131,7 @@
 	if length <= budget.FreeBytes {
 		return nil
 	}
-	return memory.Reserve(messageCopies*length, time.Now().Add(statementMemoryTimeout))
+	return memory.Reserve(messageCopies*length, time.Now().Add(budget.StatementWait))
 }
 
 // serveStatement runs a statement of another proxy and passes on its answer.
@@ -141,10 +139,12 @@
 	arrived := time.Now()
 	memory := s.options.Statements.NewHold()
 	defer memory.Release()
-	writer := &frameWriter{response: w, memory: s.options.Answers.NewHold()}
+	// The proxies know what the body is.
+	w.Header()["Content-Type"] = nil
+	writer := &frameWriter{response: w, answerLimits: answerLimits{memory: s.options.Answers.NewHold()}}
 	defer writer.memory.Release()
 	if err := reserveBody(memory, r); err != nil {
-		s.endStatement(writer, noRoom(err, noMemoryRetryAfter))
+		s.endStatement(writer, noRoom(err, budget.RetryAfter))
 		return
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, transport.MaxBodyBytes))
@@ -166,51 +166,51 @@
 	}
 }
 
-func (f *frameWriter) setDeadline(deadline time.Time) { f.deadline = deadline }
+func (l *answerLimits) setDeadline(deadline time.Time) { l.deadline = deadline }
 
 // Reserve implements statement.RowSink.
-func (f *frameWriter) Reserve() bool {
-	return f.memory.Reserved() || f.memory.TryReserve(backend.AnswerBytes)
-}
+func (l *answerLimits) Reserve() bool { return backend.ReserveAnswer(l.memory) }
 
 // Begin implements statement.RowSink.
-func (f *frameWriter) Begin() (time.Time, error) {
-	f.begun = true
-	f.response.Header()["Content-Type"] = nil
-	return f.deadline, nil
-}
+func (l *answerLimits) Begin() (time.Time, error) { return l.deadline, nil }
 
 // Pass implements statement.RowSink.
 func (f *frameWriter) Pass(rows [][]byte) error {
+	f.begun = true
+	if err := f.writeRows(rows); err != nil {
+		return eris.Wrap(backend.ErrCallerClosed, err.Error())
+	}
+	return nil
+}
+
+// writeRows writes the frames of rows by the deadline of the statement, and earlier if the
+// other proxy doesn't read.
+func (f *frameWriter) writeRows(rows [][]byte) error {
 	limit := time.Now().Add(stalledAfter)
 	if f.deadline.Before(limit) {
 		limit = f.deadline
 	}
 	controller := http.NewResponseController(f.response)
-	err := controller.SetWriteDeadline(limit)
+	if err := controller.SetWriteDeadline(limit); err != nil {
+		return err
+	}
 	for _, row := range rows {
-		if err != nil {
-			break
-		}
 		f.buffer = appendFrameHeader(f.buffer, rowFrame, len(row))
 		if len(row) <= budget.FreeBytes {
 			f.buffer = append(f.buffer, row...)
 			continue
 		}
-		if err = f.flush(); err == nil {
-			_, err = f.response.Write(row)
+		if err := f.flush(); err != nil {
+			return err
+		}
+		if _, err := f.response.Write(row); err != nil {
+			return err
 		}
 	}
-	if err == nil {
-		err = f.flush()
-	}
-	if err == nil {
-		err = controller.Flush()
-	}
-	if err != nil {
-		return eris.Wrap(backend.ErrCallerClosed, err.Error())
+	if err := f.flush(); err != nil {
+		return err
 	}
-	return nil
+	return controller.Flush()
 }
 
 // flush writes what the buffer holds.
@@ -230,9 +230,7 @@
 		return err
 	}
 	if !f.begun {
-		header := f.response.Header()
-		header["Content-Type"] = nil
-		header.Set("Content-Length", strconv.Itoa(len(out)))
+		f.response.Header().Set("Content-Length", strconv.Itoa(len(out)))
 		_, err := f.response.Write(out)
 		return err
 	}
@@ -245,14 +243,6 @@
 	return errors.Join(err, controller.Flush(), controller.SetWriteDeadline(time.Time{}))
 }
 
-// Reserve implements statement.RowSink.
-func (a *wholeAnswer) Reserve() bool { return a.memory.TryReserve(backend.AnswerBytes) }
-
-// Begin implements statement.RowSink.
-func (a *wholeAnswer) Begin() (time.Time, error) { return a.deadline, nil }
-
-func (a *wholeAnswer) setDeadline(deadline time.Time) { a.deadline = deadline }
-
 // Pass implements statement.RowSink.
 func (a *wholeAnswer) Pass(rows [][]byte) error {
 	for _, row := range rows {
@@ -328,7 +318,7 @@
 		if length > budget.FreeBytes && length > cap(content) {
 			memory.Release()
 			content = nil
-			if err := memory.Reserve(int64(length), time.Now().Add(rowMemoryTimeout)); err != nil {
+			if err := memory.Reserve(int64(length), time.Now().Add(budget.RowWait)); err != nil {
 				return nil, eris.Wrap(backend.ErrNoMemory, err.Error())
 			}
 		}
--- a/internal/traffic/forward/stream_test.go
+++ b/internal/traffic/forward/stream_test.go
@@ -284,8 +284,8 @@
 	long := request(statement.Write, "WRITE 1 "+strings.Repeat("x", 1<<19))
 	long.Rows = &collectedRows{}
 	answer, err := a.conn.Do(long, time.Now().Add(4*time.Second))
-	if err != nil || answer.Code != statement.Busy || answer.RetryAfter != noMemoryRetryAfter {
-		t.Errorf("got %v, %v, retry after %v, want busy and %v", answer.Code, err, answer.RetryAfter, noMemoryRetryAfter)
+	if err != nil || answer.Code != statement.Busy || answer.RetryAfter != budget.RetryAfter {
+		t.Errorf("got %v, %v, retry after %v, want busy and %v", answer.Code, err, answer.RetryAfter, budget.RetryAfter)
 	}
 	if answer, err := a.read(&collectedRows{}, time.Second); err != nil || answer.Code != statement.OK {
 		t.Errorf("got %v, %v to a short statement, want ok", answer.Code, err)
--- a/internal/traffic/line/line.go
+++ b/internal/traffic/line/line.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	r := line.NewReader(conn, line.Options{Medium: b, Long: c, Copies: 3, Wait: time.Second})
+//	r := line.NewReader(conn, line.Options{Memory: pair, Copies: 3, Wait: budget.StatementWait})
 //	defer r.Release()
 //	message, err := r.Next()
 //	if errors.Is(err, line.ErrDropped) {
@@ -53,14 +53,14 @@
 type (
 	// Options say which memory a reader's long messages take.
 	Options struct {
-		// Medium is the memory for messages over budget.FreeBytes, and Long that for
-		// those over 128 KiB, so that the ones that hold the first and wait for the
-		// second don't wait for each other; nil: it has no limit. A message takes
-		// memory for Copies copies from its receipt to the next call of Next, and waits
-		// for it for up to Wait.
-		Medium, Long *budget.Budget
-		Copies       int64
-		Wait         time.Duration
+		// Memory.Medium is the memory for messages over budget.FreeBytes, and
+		// Memory.Long that for those over 128 KiB, so that the ones that hold the first
+		// and wait for the second don't wait for each other; nil: it has no limit. A
+		// message takes memory for Copies copies from its receipt to the next call of
+		// Next, and waits for it for up to Wait.
+		Memory budget.Pair
+		Copies int64
+		Wait   time.Duration
 		// OnLong is called when a long message begins; see Reader.LateAt. Nil: nobody
 		// needs to know.
 		OnLong func() error
@@ -89,7 +89,7 @@
 
 // NewReader returns a reader of messages from a connection.
 func NewReader(conn io.Reader, options Options) *Reader {
-	return &Reader{options: options, buffered: bufio.NewReaderSize(conn, bufferBytes), medium: options.Medium.NewHold(), long: options.Long.NewHold()}
+	return &Reader{options: options, buffered: bufio.NewReaderSize(conn, bufferBytes), medium: options.Memory.Medium.NewHold(), long: options.Memory.Long.NewHold()}
 }
 
 // Next returns the next message without its CR LF. The slice is valid until the next
@@ -148,24 +148,23 @@
 // reserve reserves the memory for a message over budget.FreeBytes, unless it has it. Without
 // any left, the message is dropped.
 func (r *Reader) reserve() error {
-	now := time.Now()
-	giveUpAt := now.Add(r.options.Wait)
-	if len(r.begun) > mediumBytes && !r.long.Reserved() && !r.dropping {
-		r.dropping = r.long.Reserve(r.options.Copies*MaxBytes, giveUpAt) != nil
+	switch now := time.Now(); {
+	case r.dropping:
+		return nil
+	case r.lateAt.IsZero():
+		r.dropping = r.medium.Reserve(r.options.Copies*mediumBytes, now.Add(r.options.Wait)) != nil
+		r.lateAt = now.Add(longTimeout)
+		if r.options.OnLong != nil {
+			return r.options.OnLong()
+		}
+	case len(r.begun) > mediumBytes && !r.long.Reserved():
+		r.dropping = r.long.Reserve(r.options.Copies*MaxBytes, now.Add(r.options.Wait)) != nil
 		r.medium.Release()
 		if r.dropping {
 			r.begun = bytes.Clone(r.begun[:budget.FreeBytes])
 		}
 	}
-	if !r.lateAt.IsZero() {
-		return nil
-	}
-	r.dropping = r.medium.Reserve(r.options.Copies*mediumBytes, giveUpAt) != nil
-	r.lateAt = now.Add(longTimeout)
-	if r.options.OnLong == nil {
-		return nil
-	}
-	return r.options.OnLong()
+	return nil
 }
 
 // LateAt returns when the long message that is being received must have arrived; zero: there
--- a/internal/traffic/line/line_test.go
+++ b/internal/traffic/line/line_test.go
@@ -39,7 +39,7 @@
 		near, far := net.Pipe()
 		var group errgroup.Group
 		writeAll(&group, far, long+"\r\n", "b\r\n", long+"\r\n", "c\r\n")
-		r := NewReader(near, Options{Medium: medium, Long: b, Copies: 2, Wait: time.Second})
+		r := NewReader(near, Options{Memory: budget.Pair{Medium: medium, Long: b}, Copies: 2, Wait: time.Second})
 		if got, err := r.Next(); err != nil || string(got) != long || b.Held() != 2*MaxBytes {
 			t.Fatalf("got %d bytes, %v, %d bytes held, want the message and %d", len(got), err, b.Held(), 2*MaxBytes)
 		}
@@ -86,7 +86,7 @@
 			return err
 		})
 		var r *Reader
-		r = NewReader(near, Options{Medium: b, Copies: 1, OnLong: func() error { return near.SetReadDeadline(r.LateAt()) }})
+		r = NewReader(near, Options{Memory: budget.Pair{Medium: b}, Copies: 1, OnLong: func() error { return near.SetReadDeadline(r.LateAt()) }})
 		began := time.Now()
 		_, err := r.Next()
 		if took := time.Since(began); !errors.Is(err, ErrTooSlow) || took != longTimeout {
@@ -116,7 +116,7 @@
 			_, secondErr := io.WriteString(far, half+"\r\n")
 			return errors.Join(err, secondErr)
 		})
-		r := NewReader(near, Options{Medium: budget.New(MaxBytes, budget.Options{Name: "x", Logger: logr.Discard()}), Copies: 1})
+		r := NewReader(near, Options{Memory: budget.Pair{Medium: budget.New(MaxBytes, budget.Options{Name: "x", Logger: logr.Discard()})}, Copies: 1})
 		if err := near.SetReadDeadline(time.Now().Add(time.Second / 2)); err != nil {
 			t.Fatal(err)
 		}
@@ -143,7 +143,7 @@
 	b := budget.New(readers*3*mediumBytes, budget.Options{Name: "x", Logger: logr.Discard()})
 	none := budget.New(1, budget.Options{Name: "long-x", Logger: logr.Discard()})
 	for i := range readers {
-		r := NewReader(strings.NewReader(message+"\r\n"), Options{Medium: b, Long: none, Copies: 3})
+		r := NewReader(strings.NewReader(message+"\r\n"), Options{Memory: budget.Pair{Medium: b, Long: none}, Copies: 3})
 		if got, err := r.Next(); err != nil || string(got) != message {
 			t.Fatalf("reader %d: got %d bytes, %v, want %d", i, len(got), err, len(message))
 		}
--- a/internal/traffic/session/identity.go
+++ b/internal/traffic/session/identity.go
@@ -5,7 +5,6 @@
 
 import (
 	"errors"
-	"fmt"
 
 	"github.com/rotisserie/eris"
 
@@ -152,7 +151,7 @@
 	s.refusedWithoutLease = true
 	return statement.Answer{
 		Code:   statement.Busy,
-		Detail: fmt.Sprintf("%s; retry after %d ms", keyright.ErrNoRight, retryAfterNoLease.Milliseconds()),
+		Detail: retryAdvice(keyright.ErrNoRight.Error(), retryAfterNoLease),
 	}
 }
 
--- a/internal/traffic/session/outcome.go
+++ b/internal/traffic/session/outcome.go
@@ -18,31 +18,37 @@
 // statement has had no effect, because only statements that haven't run or that only
 // read are retried.
 func (e *execution) finalAnswer(answer statement.Answer) statement.Answer {
-	code := statement.Busy
-	if answer.Code == statement.TimedOut || answer.Code == statement.Failed {
-		code = answer.Code
-	}
 	after := max(busyBackoff, answer.RetryAfter)
 	if e.lastPool != nil {
 		after = max(after, e.lastPool.RetryAfter())
 	}
-	return e.retryLater(code, "no attempt succeeded, last: "+e.lastFailure, after)
+	return e.retryLater(failureCode(answer, statement.Busy), "no attempt succeeded, last: "+e.lastFailure, after)
 }
 
 // cutAnswer returns the end of an answer whose first rows the caller has received, and which
 // isn't completed: the statement can't be tried again, and it has had no effect.
 func (e *execution) cutAnswer(answer statement.Answer) statement.Answer {
-	code := statement.Aborted
+	return statement.Answer{Code: failureCode(answer, statement.Aborted), Detail: "the answer was cut: " + e.lastFailure}
+}
+
+// failureCode returns the code for the caller after an attempt failed: that of the attempt if
+// it says more than the promise that the statement had no effect.
+func failureCode(answer statement.Answer, promise statement.Code) statement.Code {
 	if answer.Code == statement.TimedOut || answer.Code == statement.Failed {
-		code = answer.Code
+		return answer.Code
 	}
-	return statement.Answer{Code: code, Detail: "the answer was cut: " + e.lastFailure}
+	return promise
 }
 
 // retryLater returns an answer that advises the caller to retry after the given time.
 func (e *execution) retryLater(code statement.Code, reason string, after time.Duration) statement.Answer {
 	e.lastFailure = reason
-	return statement.Answer{Code: code, Detail: fmt.Sprintf("%s; retry after %d ms", reason, after.Milliseconds())}
+	return statement.Answer{Code: code, Detail: retryAdvice(reason, after)}
+}
+
+// retryAdvice returns the detail of an answer that advises the caller to retry.
+func retryAdvice(reason string, after time.Duration) string {
+	return fmt.Sprintf("%s; retry after %d ms", reason, after.Milliseconds())
 }
 
 // handleAcquireFailure handles a failure to get a connection. Its results are those of
--- a/internal/traffic/session/passage.go
+++ b/internal/traffic/session/passage.go
@@ -6,7 +6,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/burdockwood/burdockwood/internal/traffic/backend"
-	"github.com/burdockwood/burdockwood/internal/traffic/budget"
 	"github.com/burdockwood/burdockwood/internal/traffic/statement"
 )
 
@@ -17,7 +16,6 @@
 	session *session
 	// deadline is the deadline of the statement.
 	deadline time.Time
-	memory   *budget.Hold
 	// begun is true once rows may have been written.
 	begun bool
 }
@@ -27,12 +25,12 @@
 // newPassage returns the passage for the answer to a statement. Its memory is released
 // after the answer was sent.
 func (s *session) newPassage(deadline time.Time) *passage {
-	return &passage{session: s, deadline: deadline, memory: s.answerMemory}
+	return &passage{session: s, deadline: deadline}
 }
 
 // Reserve implements statement.RowSink. Further attempts use the same memory.
 func (p *passage) Reserve() bool {
-	return p.memory.Reserved() || p.memory.TryReserve(backend.AnswerBytes)
+	return backend.ReserveAnswer(p.session.answerMemory)
 }
 
 // Begin implements statement.RowSink. No attempt follows, so that the answer has all the
--- a/internal/traffic/session/session.go
+++ b/internal/traffic/session/session.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"os"
 	"sync/atomic"
 	"time"
@@ -24,9 +23,6 @@
 	// rollbackTimeout bounds the rollback on a connection. If it takes longer, the
 	// connection is closed, and the server rolls back the transaction.
 	rollbackTimeout = 300 * time.Millisecond
-	// retryAfterNoMemory is the delay that callers are advised to retry after if there was
-	// no memory for their statement: about the time in which the others are sent.
-	retryAfterNoMemory = 500 * time.Millisecond
 )
 
 type (
@@ -229,7 +225,7 @@
 		code = statement.Aborted
 	}
 	s.rejectionCause = causeMemory
-	return s.reject(code, fmt.Sprintf("this proxy has no memory left for a long statement; retry after %d ms", retryAfterNoMemory.Milliseconds()))
+	return s.reject(code, retryAdvice("this proxy has no memory left for a long statement", budget.RetryAfter))
 }
 
 // txState returns the transaction state that the caller sees.
--- a/internal/traffic/upstream/conn.go
+++ b/internal/traffic/upstream/conn.go
@@ -89,7 +89,7 @@
 	pool.markStarted(c)
 	pool.running++
 	pool.mu.Unlock()
-	passage := c.watchRows(&request)
+	rows := c.watchRows(&request)
 	answer, err := c.sendIfPermitted(request, deadline)
 	now := pool.manager.options.Now()
 	pool.mu.Lock()
@@ -113,7 +113,7 @@
 			pool.recordOutcome(!succeeded, now)
 		}
 		if succeeded && pool.manager.stallDetector.lastStallEnd(now).Before(start) {
-			took := now.Sub(start) - passage.blocked
+			took := now.Sub(start) - rows.blocked
 			c.served += took
 			pool.recordLatency(took, now)
 		}
